--- /dev/null
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon module of sedgeroad. */
+package org.sedgeroad.daemon;
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/package-info.java
@@ -0,0 +1,2 @@
+/** The testing module of sedgeroad. */
+package org.sedgeroad.testing;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/package-info.java
@@ -0,0 +1,2 @@
+/** Public types of sedgeroad, shared by every other package. */
+package org.sedgeroad;
