--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpCall.java
@@ -0,0 +1,42 @@
+package org.sedgeroad.http;
+
+import java.net.URI;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * An outgoing HTTP request. No component may be null.
+ *
+ * @param method request method, for example {@code POST}
+ * @param uri absolute address with scheme {@code http} or {@code https}
+ * @param headers additional headers
+ * @param body request body, empty for none; must not be modified
+ * @param fresh whether a new connection must be used; needed where a second sending is not allowed
+ * @param deadlineNanos monotonic deadline after which the exchange is closed, in nanoseconds
+ */
+public record HttpCall(
+    String method,
+    URI uri,
+    Map<String, String> headers,
+    byte[] body,
+    boolean fresh,
+    long deadlineNanos) {
+
+  /** Copies the headers. */
+  public HttpCall {
+    Objects.requireNonNull(method);
+    Objects.requireNonNull(uri);
+    headers = Map.copyOf(headers);
+    Objects.requireNonNull(body);
+  }
+
+  /** Returns a call without body and headers that may use a pooled connection. */
+  public static HttpCall get(URI uri, long deadlineNanos) {
+    return new HttpCall("GET", uri, Map.of(), new byte[0], false, deadlineNanos);
+  }
+
+  /** Returns a call that may use a pooled connection. */
+  public static HttpCall of(String method, URI uri, byte[] body, long deadlineNanos) {
+    return new HttpCall(method, uri, Map.of(), body, false, deadlineNanos);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
@@ -0,0 +1,152 @@
+package org.sedgeroad.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.URI;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import org.sedgeroad.MonotonicClock;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Sends HTTP/1.1 requests through the Undertow client with a pool of idle connections per address.
+ *
+ * <p>One connection carries one exchange at a time, so that a late answer can never be taken for
+ * the answer to another request. Closing an exchange closes its connection, which tells the server
+ * to cancel the work.
+ */
+public final class HttpCaller implements AutoCloseable {
+  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final int IDLE_CONNECTIONS_PER_ADDRESS = 64;
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  private final XnioWorker worker;
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 0);
+  private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+  private final MonotonicClock clock;
+
+  private HttpCaller(XnioWorker worker, MonotonicClock clock) {
+    this.worker = worker;
+    this.clock = clock;
+  }
+
+  /**
+   * Returns a caller with its own I/O threads.
+   *
+   * @param ioThreads number of I/O threads, at least 1
+   * @throws IllegalStateException if the threads can't be started
+   */
+  public static HttpCaller create(int ioThreads) {
+    try {
+      OptionMap options =
+          OptionMap.builder()
+              .set(Options.WORKER_IO_THREADS, ioThreads)
+              .set(Options.WORKER_TASK_CORE_THREADS, 1)
+              .set(Options.WORKER_TASK_MAX_THREADS, 2)
+              .set(Options.TCP_NODELAY, true)
+              .set(Options.WORKER_NAME, "http-caller")
+              .set(Options.THREAD_DAEMON, true)
+              .getMap();
+      return new HttpCaller(Xnio.getInstance().createWorker(options), MonotonicClock.SYSTEM);
+    } catch (IOException failure) {
+      throw new IllegalStateException("cannot start HTTP client threads", failure);
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Starts a call; the listener receives the answer. Closing the result cancels the exchange. */
+  public HttpExchange start(HttpCall call, HttpListener listener) {
+    HttpExchange exchange = new HttpExchange(this, call, listener, clock);
+    ClientConnection pooled = call.fresh() ? null : takeIdle(call.uri());
+    if (pooled != null) {
+      pooled.getIoThread().execute(() -> exchange.send(pooled, true));
+    } else {
+      connect(exchange);
+    }
+    return exchange;
+  }
+
+  /** Sends a call and waits for the whole answer, at most until the call's deadline. */
+  public HttpResult send(HttpCall call) {
+    return sendLater(call).join();
+  }
+
+  /** Sends a call; the future completes normally, at the latest at the call's deadline. */
+  public CompletableFuture<HttpResult> sendLater(HttpCall call) {
+    CollectingListener listener = new CollectingListener();
+    start(call, listener);
+    return listener.result();
+  }
+
+  @Override
+  public void close() {
+    idle.values().forEach(connections -> connections.forEach(IoUtils::safeClose));
+    worker.shutdownNow();
+  }
+
+  // -----------------------------------------------------------------------
+
+  void connect(HttpExchange exchange) {
+    OptionMap options =
+        OptionMap.builder()
+            .set(Options.TCP_NODELAY, true)
+            .set(io.undertow.UndertowOptions.MAX_HEADER_SIZE, 64 * 1024)
+            .getMap();
+    exchange.expectConnectionBy(CONNECT_TIMEOUT_MILLIS, worker.getIoThread());
+    UndertowClient.getInstance()
+        .connect(
+            new ClientCallback<>() {
+              @Override
+              public void completed(ClientConnection connection) {
+                connection.getIoThread().execute(() -> exchange.send(connection, false));
+              }
+
+              @Override
+              public void failed(IOException failure) {
+                exchange.fail(new HttpFailure.NotSent(String.valueOf(failure.getMessage())));
+              }
+            },
+            exchange.call().uri(),
+            worker,
+            buffers,
+            options);
+  }
+
+  void release(URI uri, ClientConnection connection) {
+    Deque<ClientConnection> connections =
+        idle.computeIfAbsent(uri.getAuthority(), key -> new ConcurrentLinkedDeque<>());
+    if (connection.isOpen() && connections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
+      connections.push(connection);
+    } else {
+      IoUtils.safeClose(connection);
+    }
+  }
+
+  ByteBufferPool buffers() {
+    return buffers;
+  }
+
+  private ClientConnection takeIdle(URI uri) {
+    Deque<ClientConnection> connections = idle.get(uri.getAuthority());
+    if (connections == null) {
+      return null;
+    }
+    ClientConnection connection = connections.poll();
+    while (connection != null && !connection.isOpen()) {
+      connection = connections.poll();
+    }
+    return connection;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -0,0 +1,259 @@
+package org.sedgeroad.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.sedgeroad.MonotonicClock;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One running request and its answer. All steps run on the connection's I/O thread; only {@link
+ * #close} may be called from any thread.
+ */
+public final class HttpExchange implements AutoCloseable {
+  private final HttpCaller caller;
+  private final HttpCall call;
+  private final HttpListener listener;
+  private final MonotonicClock clock;
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private volatile ClientConnection connection;
+  private volatile boolean headReceived;
+  private volatile XnioExecutor.Key timeout;
+
+  HttpExchange(HttpCaller caller, HttpCall call, HttpListener listener, MonotonicClock clock) {
+    this.caller = caller;
+    this.call = call;
+    this.listener = listener;
+    this.clock = clock;
+  }
+
+  HttpCall call() {
+    return call;
+  }
+
+  /** Cancels the exchange by closing its connection; no effect once it has ended. */
+  @Override
+  public void close() {
+    fail(
+        connection == null
+            ? new HttpFailure.NotSent("cancelled")
+            : new HttpFailure.Broken("cancelled"));
+  }
+
+  // -----------------------------------------------------------------------
+
+  void expectConnectionBy(long timeoutMillis, XnioIoThread thread) {
+    thread.executeAfter(
+        () -> {
+          if (connection == null) {
+            fail(new HttpFailure.NotSent("connection timed out"));
+          }
+        },
+        Math.min(timeoutMillis, remainingMillis()),
+        TimeUnit.MILLISECONDS);
+  }
+
+  void send(ClientConnection opened, boolean pooled) {
+    if (ended.get()) {
+      // Cancelled before a byte was sent: the connection is unused and can serve another call.
+      caller.release(call.uri(), opened);
+      return;
+    }
+    if (pooled && !opened.isOpen()) {
+      caller.connect(this);
+      return;
+    }
+    connection = opened;
+    if (ended.get()) {
+      IoUtils.safeClose(opened);
+      return;
+    }
+    timeout =
+        opened
+            .getIoThread()
+            .executeAfter(
+                () -> fail(new HttpFailure.Broken("deadline passed")),
+                remainingMillis(),
+                TimeUnit.MILLISECONDS);
+    opened.sendRequest(
+        request(),
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientExchange exchange) {
+            awaitHead(exchange, pooled);
+            writeBody(exchange);
+          }
+
+          @Override
+          public void failed(IOException failure) {
+            broken(failure, pooled);
+          }
+        });
+  }
+
+  void fail(HttpFailure failure) {
+    if (ended.compareAndSet(false, true)) {
+      cancelTimeout();
+      IoUtils.safeClose(connection);
+      listener.onFailure(failure);
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  private long remainingMillis() {
+    return Math.max(1, (call.deadlineNanos() - clock.nanos()) / 1_000_000L);
+  }
+
+  private void cancelTimeout() {
+    XnioExecutor.Key key = timeout;
+    if (key != null) {
+      key.remove();
+    }
+  }
+
+  /** A pooled connection may have been closed by the server while idle: try a fresh one once. */
+  private void broken(IOException failure, boolean pooled) {
+    if (pooled && !headReceived && !ended.get()) {
+      cancelTimeout();
+      IoUtils.safeClose(connection);
+      connection = null;
+      caller.connect(this);
+    } else {
+      fail(new HttpFailure.Broken(String.valueOf(failure.getMessage())));
+    }
+  }
+
+  private ClientRequest request() {
+    URI uri = call.uri();
+    String query = uri.getRawQuery();
+    ClientRequest request =
+        new ClientRequest()
+            .setMethod(new HttpString(call.method()))
+            .setPath(query == null ? uri.getRawPath() : uri.getRawPath() + "?" + query);
+    request.getRequestHeaders().put(Headers.HOST, uri.getAuthority());
+    if (call.body().length > 0 || !call.method().equals("GET")) {
+      request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+      request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    }
+    call.headers()
+        .forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+    return request;
+  }
+
+  private void writeBody(ClientExchange exchange) {
+    StreamSinkChannel sink = exchange.getRequestChannel();
+    ByteBuffer body = ByteBuffer.wrap(call.body());
+    if (!writeSome(sink, body)) {
+      sink.getWriteSetter().set(channel -> writeSome((StreamSinkChannel) channel, body));
+      sink.resumeWrites();
+    }
+  }
+
+  private boolean writeSome(StreamSinkChannel sink, ByteBuffer body) {
+    try {
+      while (body.hasRemaining()) {
+        if (sink.write(body) == 0) {
+          return false;
+        }
+      }
+      sink.shutdownWrites();
+      boolean flushed = sink.flush();
+      if (flushed) {
+        sink.suspendWrites();
+      }
+      return flushed;
+    } catch (IOException failure) {
+      // The server may have answered early and closed its side; the response decides.
+      sink.suspendWrites();
+      return true;
+    }
+  }
+
+  private void awaitHead(ClientExchange exchange, boolean pooled) {
+    exchange.setResponseListener(
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientExchange received) {
+            readHead(received);
+          }
+
+          @Override
+          public void failed(IOException failure) {
+            broken(failure, pooled);
+          }
+        });
+  }
+
+  private void readHead(ClientExchange exchange) {
+    if (ended.get()) {
+      return;
+    }
+    headReceived = true;
+    ClientResponse response = exchange.getResponse();
+    Map<String, String> headers = new LinkedHashMap<>();
+    for (HeaderValues values : response.getResponseHeaders()) {
+      headers.put(values.getHeaderName().toString(), values.getFirst());
+    }
+    listener.onHead(new HttpHead(response.getResponseCode(), headers));
+    StreamSourceChannel source = exchange.getResponseChannel();
+    if (readSome(source, exchange)) {
+      source.getReadSetter().set(channel -> readSome((StreamSourceChannel) channel, exchange));
+      source.resumeReads();
+    }
+  }
+
+  /** Reads what is available; returns whether more is to come. */
+  private boolean readSome(StreamSourceChannel source, ClientExchange exchange) {
+    try (PooledByteBuffer pooled = caller.buffers().allocate()) {
+      ByteBuffer buffer = pooled.getBuffer();
+      while (!ended.get()) {
+        buffer.clear();
+        int count = source.read(buffer);
+        if (count == 0) {
+          return true;
+        }
+        if (count < 0) {
+          end(exchange);
+          return false;
+        }
+        buffer.flip();
+        listener.onBytes(buffer);
+      }
+      return false;
+    } catch (IOException failure) {
+      fail(new HttpFailure.Broken(String.valueOf(failure.getMessage())));
+      return false;
+    }
+  }
+
+  private void end(ClientExchange exchange) {
+    if (ended.compareAndSet(false, true)) {
+      cancelTimeout();
+      String option = exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION);
+      if (call.fresh() || "close".equalsIgnoreCase(option)) {
+        IoUtils.safeClose(connection);
+      } else {
+        caller.release(call.uri(), connection);
+      }
+      listener.onEnd();
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/package-info.java
@@ -0,0 +1,2 @@
+/** Outgoing HTTP over the Undertow client. */
+package org.sedgeroad.http;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/StoreResult.java
@@ -0,0 +1,57 @@
+package org.sedgeroad.store;
+
+import java.time.Instant;
+
+/**
+ * Outcome of a call to the object API.
+ *
+ * @param <T> type of the value on success
+ */
+public sealed interface StoreResult<T> {
+
+  /**
+   * The call took effect.
+   *
+   * @param value its value
+   * @param <T> type of the value
+   */
+  record Done<T>(T value) implements StoreResult<T> {}
+
+  /**
+   * The object does not exist.
+   *
+   * @param <T> type of the value
+   */
+  record Absent<T>() implements StoreResult<T> {}
+
+  /**
+   * The version did not match, or the name exists already; nothing was written.
+   *
+   * @param <T> type of the value
+   */
+  record Conflict<T>() implements StoreResult<T> {}
+
+  /**
+   * The store refused the call by rate; nothing was written.
+   *
+   * @param retryAt earliest time for the next try
+   * @param <T> type of the value
+   */
+  record Throttled<T>(Instant retryAt) implements StoreResult<T> {}
+
+  /**
+   * The store can't be reached or refuses to serve; nothing was written.
+   *
+   * @param reason description
+   * @param <T> type of the value
+   */
+  record Unavailable<T>(String reason) implements StoreResult<T> {}
+
+  /**
+   * The answer was lost; a write may have taken effect.
+   *
+   * @param reason description
+   * @param <T> type of the value
+   */
+  record Unknown<T>(String reason) implements StoreResult<T> {}
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
@@ -0,0 +1,11 @@
+package org.sedgeroad.store;
+
+/** Receives the changes of one watched kind, in version order, from an I/O thread. */
+public interface WatchListener {
+
+  /** Receives a created, changed or deleted object. */
+  void onChange(StoredObject object);
+
+  /** Receives the end of the watch; the caller starts a new one from a fresh list. */
+  void onClosed(String reason);
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform's object API. */
+package org.sedgeroad.store;
