--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ApiHandler.java
@@ -0,0 +1,162 @@
+package org.sedgeroad.api;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
+import org.sedgeroad.WorkState;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.configuration.Model;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.live.LiveFailure;
+
+/** Root of the callers' HTTP interface: authentication and dispatch by path. */
+public final class ApiHandler implements HttpHandler {
+  private final ApiParts parts;
+  private final Authenticator authenticator;
+  private final ConfigurationReplica replica;
+  private final LiveHandler live;
+  private final FilesHandler files;
+  private final BatchesHandler batches;
+  private final EventLog log;
+
+  /** Creates the handler. */
+  public ApiHandler(ApiParts parts) {
+    this.parts = parts;
+    this.replica = parts.replica();
+    this.authenticator = new Authenticator(replica);
+    this.live =
+        new LiveHandler(
+            replica,
+            parts.live(),
+            parts.clock(),
+            parts.requestTimeoutMillis(),
+            parts.maximumBodyBytes());
+    this.files = new FilesHandler(parts.jobs(), parts.log());
+    this.batches = new BatchesHandler(parts.jobs(), replica, parts.log());
+    this.log = parts.log();
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    switch (exchange.getRequestPath()) {
+      case "/healthz" -> exchange.getResponseSender().send("ok\n");
+      case "/readyz" -> {
+        boolean ready = parts.ready().getAsBoolean();
+        exchange.setStatusCode(ready ? 200 : 503);
+        exchange.getResponseSender().send(ready ? "ready\n" : "not ready\n");
+      }
+      default -> dispatch(exchange);
+    }
+  }
+
+  private void dispatch(HttpServerExchange exchange) {
+    try {
+      exchange.dispatch(parts.workers(), this::serveBlocking);
+    } catch (RejectedExecutionException full) {
+      ApiErrors.send(exchange, LiveFailure.notRun(503, "overloaded", "all workers are busy"), null);
+    }
+  }
+
+  private void serveBlocking(HttpServerExchange exchange) {
+    exchange.startBlocking();
+    parts.activeRequests().incrementAndGet();
+    try {
+      Optional<String> member = authenticator.member(exchange);
+      if (member.isEmpty()) {
+        ApiErrors.send(
+            exchange,
+            LiveFailure.notRun(401, "invalid_api_key", "the key in Authorization is not known"),
+            null);
+      } else {
+        route(exchange, member.get());
+      }
+    } catch (IOException gone) {
+      exchange.setPersistent(false);
+      closeQuietly(exchange);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      closeQuietly(exchange);
+    } catch (RuntimeException failure) {
+      log.log(
+          LogEvent.REQUEST_ERROR,
+          EventField.of("path", exchange.getRequestPath()),
+          EventField.of("cause", failure));
+      if (exchange.isResponseStarted()) {
+        closeQuietly(exchange);
+      } else {
+        ApiErrors.send(
+            exchange,
+            new LiveFailure(
+                500, "internal_error", "unexpected error", WorkState.UNKNOWN, Optional.empty()),
+            null);
+      }
+    } finally {
+      parts.activeRequests().decrementAndGet();
+    }
+  }
+
+  private void route(HttpServerExchange exchange, String member)
+      throws IOException, InterruptedException {
+    String path = exchange.getRequestPath();
+    String method = exchange.getRequestMethod().toString();
+    switch (method + " " + path) {
+      case "POST /v1/completions", "POST /v1/chat/completions" -> live.generate(exchange, member);
+      case "GET /v1/models" -> models(exchange);
+      case "POST /v1/files" -> files.upload(exchange, member);
+      case "POST /v1/batches" -> batches.create(exchange, member);
+      case "GET /v1/batches" -> batches.list(exchange, member);
+      default -> routeNamed(exchange, member, method, path);
+    }
+  }
+
+  private void routeNamed(HttpServerExchange exchange, String member, String method, String path)
+      throws IOException, InterruptedException {
+    String[] segments = path.substring(1).split("/");
+    boolean api = segments.length >= 3 && segments[0].equals("v1");
+    String resource =
+        api ? method + " " + segments[1] + (segments.length > 3 ? " " + segments[3] : "") : "";
+    switch (resource) {
+      case "GET files" -> files.describe(exchange, member, segments[2]);
+      case "GET files content" -> files.content(exchange, member, segments[2]);
+      case "GET batches" -> batches.describe(exchange, member, segments[2]);
+      case "POST batches cancel" -> batches.cancel(exchange, member, segments[2]);
+      default -> {
+        Optional<Model> service = Model.findByPath(replica, path);
+        if (service.isPresent()) {
+          live.plain(exchange, member, service.get());
+        } else {
+          ApiErrors.notFound(exchange, "no such path: " + method + " " + path);
+        }
+      }
+    }
+  }
+
+  private void models(HttpServerExchange exchange) {
+    ObjectNode root = JsonNodeFactory.instance.objectNode();
+    root.put("object", "list");
+    ArrayNode data = root.putArray("data");
+    replica.list(Kinds.MODELS).stream()
+        .map(object -> Model.fromSpec(object.name(), object.spec()))
+        .filter(model -> !model.plain())
+        .forEach(
+            model ->
+                data.addObject()
+                    .put("id", model.name())
+                    .put("object", "model")
+                    .put("created", 0)
+                    .put("owned_by", model.service()));
+    Json.send(exchange, root);
+  }
+
+  private static void closeQuietly(HttpServerExchange exchange) {
+    org.xnio.IoUtils.safeClose(exchange.getConnection());
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ApiParts.java
@@ -0,0 +1,36 @@
+package org.sedgeroad.api;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.job.JobService;
+import org.sedgeroad.live.LiveService;
+
+/**
+ * What the callers' interface works with.
+ *
+ * @param replica configuration
+ * @param live live requests
+ * @param jobs batch jobs
+ * @param workers pool for blocking requests
+ * @param ready whether the instance takes new requests
+ * @param activeRequests counts requests in progress
+ * @param clock monotonic clock
+ * @param log event log
+ * @param requestTimeoutMillis longest run of a live request in milliseconds
+ * @param maximumBodyBytes largest body of a live request in bytes
+ */
+public record ApiParts(
+    ConfigurationReplica replica,
+    LiveService live,
+    JobService jobs,
+    Executor workers,
+    BooleanSupplier ready,
+    AtomicInteger activeRequests,
+    MonotonicClock clock,
+    EventLog log,
+    long requestTimeoutMillis,
+    long maximumBodyBytes) {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/FilesHandler.java
@@ -0,0 +1,190 @@
+package org.sedgeroad.api;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.MultipartParser;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.job.BatchFile;
+import org.sedgeroad.job.Job;
+import org.sedgeroad.job.JobService;
+import org.sedgeroad.job.UploadResult;
+import org.sedgeroad.live.LiveFailure;
+import org.sedgeroad.store.StoreResult;
+
+/** Uploads of batch files and reading of results. Runs on worker threads. */
+final class FilesHandler {
+  static final String OUTPUT = "output-";
+  static final String ERRORS = "errors-";
+
+  private final JobService jobs;
+  private final EventLog log;
+
+  FilesHandler(JobService jobs, EventLog log) {
+    this.jobs = jobs;
+    this.log = log;
+  }
+
+  /** Stores an uploaded file while it arrives. */
+  void upload(HttpServerExchange exchange, String member) throws IOException {
+    String type = exchange.getRequestHeaders().getFirst(Headers.CONTENT_TYPE);
+    String boundary = type == null ? null : Headers.extractQuotedValueFromHeader(type, "boundary");
+    if (boundary == null) {
+      ApiErrors.invalid(exchange, "file", "expected multipart/form-data with a file part");
+      return;
+    }
+    FilePart part = new FilePart(jobs, member);
+    ByteBufferPool pool = exchange.getConnection().getByteBufferPool();
+    MultipartParser.ParseState parser =
+        MultipartParser.beginParse(
+            pool, part, boundary.getBytes(StandardCharsets.US_ASCII), "UTF-8");
+    InputStream input = exchange.getInputStream();
+    byte[] buffer = new byte[16 * 1024];
+    int count = input.read(buffer);
+    while (count >= 0) {
+      parser.parse(ByteBuffer.wrap(buffer, 0, count));
+      count = input.read(buffer);
+    }
+    if (!parser.isComplete() || part.session == null) {
+      ApiErrors.invalid(exchange, "file", "the upload has no whole file part");
+      return;
+    }
+    answer(exchange, part.session.finish());
+  }
+
+  private void answer(HttpServerExchange exchange, UploadResult result) {
+    if (result instanceof UploadResult.Stored stored) {
+      Json.send(exchange, toJson(stored.file()));
+    } else if (result instanceof UploadResult.BadLine bad) {
+      String place = bad.line() > 0 ? "line " + bad.line() + " " : "";
+      log.log(LogEvent.REQUEST_REFUSED, EventField.of("reason", place + bad.message()));
+      ApiErrors.send(
+          exchange, LiveFailure.notRun(400, "invalid_file", place + bad.message()), "file");
+    } else if (result instanceof UploadResult.StoreFailed failed) {
+      log.log(LogEvent.STORE_UNAVAILABLE, EventField.of("reason", failed.reason()));
+      ApiErrors.send(
+          exchange,
+          LiveFailure.notRun(503, "store_unavailable", "the file can't be stored now"),
+          "file");
+    }
+  }
+
+  /** Answers with the description of a file. */
+  void describe(HttpServerExchange exchange, String member, String id) {
+    StoreResult<BatchFile> found = jobs.findFile(id);
+    if (found instanceof StoreResult.Done<BatchFile> done && done.value().member().equals(member)) {
+      Json.send(exchange, toJson(done.value()));
+    } else if (found instanceof StoreResult.Unavailable) {
+      storeUnavailable(exchange);
+    } else {
+      ApiErrors.notFound(exchange, "no such file: " + id);
+    }
+  }
+
+  /** Answers with the results of a job, one JSON object a line. */
+  void content(HttpServerExchange exchange, String member, String id) throws IOException {
+    boolean output = id.startsWith(OUTPUT);
+    String jobId = id.substring(id.indexOf('-') + 1);
+    if (!output && !id.startsWith(ERRORS)) {
+      ApiErrors.notFound(exchange, "no such file: " + id);
+      return;
+    }
+    StoreResult<Job> found = jobs.find(jobId);
+    if (found instanceof StoreResult.Unavailable) {
+      storeUnavailable(exchange);
+      return;
+    }
+    if (!(found instanceof StoreResult.Done<Job> done) || !done.value().member().equals(member)) {
+      ApiErrors.notFound(exchange, "no such file: " + id);
+      return;
+    }
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/jsonl");
+    OutputStream body = exchange.getOutputStream();
+    Optional<String> fault =
+        jobs.results(
+            done.value(),
+            output,
+            line -> {
+              try {
+                body.write((line + "\n").getBytes(StandardCharsets.UTF_8));
+              } catch (IOException failure) {
+                throw new UncheckedIOException(failure);
+              }
+            });
+    if (fault.isEmpty()) {
+      exchange.endExchange();
+    } else if (exchange.isResponseStarted()) {
+      // Closing without the last chunk tells the caller that the file is not whole.
+      exchange.getConnection().close();
+    } else {
+      storeUnavailable(exchange);
+    }
+  }
+
+  static ObjectNode toJson(BatchFile file) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("id", file.id());
+    node.put("object", "file");
+    node.put("bytes", file.bytes());
+    node.put("created_at", file.createdAt().getEpochSecond());
+    node.put("filename", file.name());
+    node.put("purpose", "batch");
+    node.put("status", "processed");
+    return node;
+  }
+
+  static void storeUnavailable(HttpServerExchange exchange) {
+    ApiErrors.send(
+        exchange,
+        LiveFailure.notRun(503, "store_unavailable", "the store is unavailable; try again later"),
+        null);
+  }
+
+  /** Receives the parts of a multipart body and passes the file's bytes on. */
+  private static final class FilePart implements MultipartParser.PartHandler {
+    private final JobService jobs;
+    private final String member;
+    private JobService.UploadSession session;
+    private boolean inFile;
+
+    FilePart(JobService jobs, String member) {
+      this.jobs = jobs;
+      this.member = member;
+    }
+
+    @Override
+    public void beginPart(HeaderMap headers) {
+      String disposition = headers.getFirst(Headers.CONTENT_DISPOSITION);
+      String name = Headers.extractQuotedValueFromHeader(disposition, "name");
+      inFile = "file".equals(name) && session == null;
+      if (inFile) {
+        String file = Headers.extractQuotedValueFromHeader(disposition, "filename");
+        session = jobs.beginUpload(member, file == null ? "upload.jsonl" : file);
+      }
+    }
+
+    @Override
+    public void data(ByteBuffer bytes) {
+      if (inFile) {
+        session.accept(bytes);
+      }
+    }
+
+    @Override
+    public void endPart() {
+      inFile = false;
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/LiveHandler.java
@@ -0,0 +1,202 @@
+package org.sedgeroad.api;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.ServiceClass;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Model;
+import org.sedgeroad.live.LiveCall;
+import org.sedgeroad.live.LiveFailure;
+import org.sedgeroad.live.LiveRequest;
+import org.sedgeroad.live.LiveService;
+import org.sedgeroad.route.RequestShape;
+
+/** Turns callers' requests into live requests and serves them. Runs on worker threads. */
+final class LiveHandler {
+  private static final int CHARACTERS_PER_TOKEN = 4;
+  private static final int DEFAULT_OUTPUT_TOKENS = 128;
+  private static final int PREFIX_CHARACTERS = 512;
+  private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD");
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final ConfigurationReplica replica;
+  private final LiveService service;
+  private final MonotonicClock clock;
+  private final long timeoutMillis;
+  private final long maximumBodyBytes;
+
+  LiveHandler(
+      ConfigurationReplica replica,
+      LiveService service,
+      MonotonicClock clock,
+      long timeoutMillis,
+      long maximumBodyBytes) {
+    this.replica = replica;
+    this.service = service;
+    this.clock = clock;
+    this.timeoutMillis = timeoutMillis;
+    this.maximumBodyBytes = maximumBodyBytes;
+  }
+
+  /** Serves a completion. */
+  void generate(HttpServerExchange exchange, String member)
+      throws IOException, InterruptedException {
+    Optional<byte[]> body = readBody(exchange);
+    if (body.isEmpty()) {
+      return;
+    }
+    JsonNode node;
+    try {
+      node = mapper.readTree(body.get());
+    } catch (JsonProcessingException invalid) {
+      ApiErrors.invalid(exchange, null, "not valid JSON: " + invalid.getOriginalMessage());
+      return;
+    }
+    String name = node.path("model").asText("");
+    Optional<Model> model = Model.find(replica, name).filter(found -> !found.plain());
+    if (model.isEmpty()) {
+      ApiErrors.send(
+          exchange,
+          LiveFailure.notRun(404, "model_not_found", "the model '" + name + "' does not exist"),
+          "model");
+      return;
+    }
+    String prompt =
+        node.has("prompt") ? node.get("prompt").toString() : node.path("messages").toString();
+    int output =
+        node.path("max_tokens")
+            .asInt(node.path("max_completion_tokens").asInt(DEFAULT_OUTPUT_TOKENS));
+    boolean deterministic = node.has("seed") || node.path("temperature").asDouble(1.0) == 0.0;
+    String prefix = prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARACTERS));
+    RequestShape shape =
+        new RequestShape(
+            model.get().service(),
+            member,
+            ServiceClass.LIVE,
+            prompt.length() / CHARACTERS_PER_TOKEN,
+            output,
+            Hashing.komihash5_0().hashCharsToLong(prefix),
+            fingerprint(member, body.get()),
+            isIdempotent(exchange, true),
+            Set.of());
+    serve(exchange, body.get(), deterministic, shape);
+  }
+
+  /** Serves a call to a plain service. */
+  void plain(HttpServerExchange exchange, String member, Model model)
+      throws IOException, InterruptedException {
+    Optional<byte[]> body = readBody(exchange);
+    if (body.isEmpty()) {
+      return;
+    }
+    boolean safe = IDEMPOTENT_METHODS.contains(exchange.getRequestMethod().toString());
+    RequestShape shape =
+        new RequestShape(
+            model.service(),
+            member,
+            ServiceClass.LIVE,
+            0,
+            1,
+            0,
+            fingerprint(member + exchange.getRequestURI(), body.get()),
+            isIdempotent(exchange, safe),
+            Set.of());
+    serve(exchange, body.get(), false, shape);
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void serve(
+      HttpServerExchange exchange, byte[] body, boolean deterministic, RequestShape shape)
+      throws IOException, InterruptedException {
+    String query = exchange.getQueryString();
+    String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+    LiveRequest request =
+        new LiveRequest(
+            "req-" + UUID.randomUUID(),
+            exchange.getRequestMethod().toString(),
+            path,
+            forwardedHeaders(exchange),
+            body,
+            header(exchange, "Idempotency-Key"),
+            deterministic,
+            clock.deadlineAfterMillis(timeoutMillis),
+            shape);
+    exchange
+        .getResponseHeaders()
+        .put(new io.undertow.util.HttpString("X-Request-Id"), request.id());
+    LiveCall call = new LiveCall();
+    CallerWatch watch = CallerWatch.of(exchange.getConnection());
+    watch.begin(call);
+    try {
+      service.serve(request, call, new ExchangeSink(exchange));
+    } finally {
+      watch.end();
+    }
+  }
+
+  private Optional<byte[]> readBody(HttpServerExchange exchange) throws IOException {
+    if (exchange.getRequestContentLength() > maximumBodyBytes) {
+      tooLarge(exchange);
+      return Optional.empty();
+    }
+    InputStream input = exchange.getInputStream();
+    byte[] body = input.readNBytes((int) Math.min(Integer.MAX_VALUE - 8, maximumBodyBytes + 1));
+    if (body.length > maximumBodyBytes) {
+      tooLarge(exchange);
+      return Optional.empty();
+    }
+    return Optional.of(body);
+  }
+
+  private void tooLarge(HttpServerExchange exchange) {
+    exchange.setPersistent(false);
+    ApiErrors.send(
+        exchange,
+        LiveFailure.notRun(
+            413, "body_too_large", "the body is larger than " + maximumBodyBytes + " bytes"),
+        null);
+  }
+
+  private static boolean isIdempotent(HttpServerExchange exchange, boolean otherwise) {
+    String value = header(exchange, "X-Idempotent");
+    return value.isEmpty() ? otherwise : !value.equalsIgnoreCase("false");
+  }
+
+  private static String header(HttpServerExchange exchange, String name) {
+    String value = exchange.getRequestHeaders().getFirst(name);
+    return value == null ? "" : value.strip();
+  }
+
+  private static Map<String, String> forwardedHeaders(HttpServerExchange exchange) {
+    HeaderMap headers = exchange.getRequestHeaders();
+    Map<String, String> forwarded = new LinkedHashMap<>();
+    if (headers.contains(Headers.CONTENT_TYPE)) {
+      forwarded.put("Content-Type", headers.getFirst(Headers.CONTENT_TYPE));
+    }
+    if (headers.contains(Headers.ACCEPT)) {
+      forwarded.put("Accept", headers.getFirst(Headers.ACCEPT));
+    }
+    return forwarded;
+  }
+
+  private static String fingerprint(String scope, byte[] body) {
+    long scopeHash = Hashing.komihash5_0().hashBytesToLong(scope.getBytes(StandardCharsets.UTF_8));
+    long bodyHash = Hashing.komihash5_0().hashBytesToLong(body);
+    return Long.toHexString(scopeHash) + Long.toHexString(bodyHash);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP interface for callers. */
+package org.sedgeroad.api;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/configuration/ConfigurationReplica.java
@@ -0,0 +1,72 @@
+package org.sedgeroad.configuration;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.sedgeroad.store.StoredObject;
+
+/**
+ * Copies of the store's configuration objects, each at the highest version seen.
+ *
+ * <p>A lower version of an object is never applied; a deletion stays as a tombstone, so that an
+ * older copy from a peer can't bring the object back. Thread-safe.
+ */
+public final class ConfigurationReplica {
+  private final Map<String, Map<String, StoredObject>> kinds = new ConcurrentHashMap<>();
+  private final List<Consumer<StoredObject>> listeners = new CopyOnWriteArrayList<>();
+
+  /**
+   * Applies an object if its version is higher than the one held. Listeners run in the calling
+   * thread after the change and must not block.
+   *
+   * @return whether the object was applied
+   */
+  public boolean apply(StoredObject object) {
+    boolean[] applied = {false};
+    objects(object.kind())
+        .compute(
+            object.name(),
+            (name, held) -> {
+              applied[0] = held == null || object.version() > held.version();
+              return applied[0] ? object : held;
+            });
+    if (applied[0]) {
+      listeners.forEach(listener -> listener.accept(object));
+    }
+    return applied[0];
+  }
+
+  /** Returns an object, empty if it is unknown or deleted. */
+  public Optional<StoredObject> find(String kind, String name) {
+    return Optional.ofNullable(objects(kind).get(name)).filter(object -> !object.isDeleted());
+  }
+
+  /** Returns all objects of a kind that are not deleted, in name order. */
+  public List<StoredObject> list(String kind) {
+    return objects(kind).values().stream().filter(object -> !object.isDeleted()).toList();
+  }
+
+  /** Returns all objects of a kind with tombstones, in name order. */
+  public Collection<StoredObject> entries(String kind) {
+    return objects(kind).values();
+  }
+
+  /** Returns the highest version held of a kind, 0 if none. */
+  public long highestVersion(String kind) {
+    return objects(kind).values().stream().mapToLong(StoredObject::version).max().orElse(0);
+  }
+
+  /** Adds a listener that receives every applied object. */
+  public void addListener(Consumer<StoredObject> listener) {
+    listeners.add(listener);
+  }
+
+  private Map<String, StoredObject> objects(String kind) {
+    return kinds.computeIfAbsent(kind, key -> new ConcurrentSkipListMap<>());
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Versioned copies of the store's configuration objects. */
+package org.sedgeroad.configuration;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/engine/EngineAnswerReader.java
@@ -0,0 +1,80 @@
+package org.sedgeroad.engine;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import org.sedgeroad.http.HttpFailure;
+import org.sedgeroad.http.HttpHead;
+import org.sedgeroad.http.HttpListener;
+import org.sedgeroad.http.LineSplitter;
+
+/** Reads an answer as server-sent events or as one body, and checks that it is whole. */
+final class EngineAnswerReader implements HttpListener {
+  private static final String DATA = "data:";
+  private static final String END_MARKER = "[DONE]";
+
+  private final EngineListener listener;
+  private final LineSplitter lines = new LineSplitter(this::readLine);
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private boolean events;
+  private boolean endMarkerSeen;
+  private boolean draining;
+
+  EngineAnswerReader(EngineListener listener) {
+    this.listener = listener;
+  }
+
+  @Override
+  public void onHead(HttpHead head) {
+    draining = head.status() == 503 && head.header("X-Draining").filter("true"::equals).isPresent();
+    if (draining) {
+      return;
+    }
+    events = head.header("Content-Type").orElse("").startsWith("text/event-stream");
+    listener.onHead(head);
+  }
+
+  @Override
+  public void onBytes(ByteBuffer bytes) {
+    if (events) {
+      lines.accept(bytes);
+    } else {
+      byte[] copy = new byte[bytes.remaining()];
+      bytes.get(copy);
+      body.write(copy, 0, copy.length);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (draining) {
+      listener.onFailure(new EngineFailure.NotRun("endpoint is draining", true));
+    } else if (events && !endMarkerSeen) {
+      listener.onFailure(new EngineFailure.Broken("stream ended without its end marker"));
+    } else {
+      listener.onWhole(body.toByteArray());
+    }
+  }
+
+  @Override
+  public void onFailure(HttpFailure failure) {
+    if (draining) {
+      listener.onFailure(new EngineFailure.NotRun("endpoint is draining", true));
+    } else if (failure instanceof HttpFailure.NotSent) {
+      listener.onFailure(new EngineFailure.NotRun(failure.reason(), false));
+    } else {
+      listener.onFailure(new EngineFailure.Broken(failure.reason()));
+    }
+  }
+
+  private void readLine(String line) {
+    if (!line.startsWith(DATA)) {
+      return;
+    }
+    String data = line.substring(DATA.length()).strip();
+    if (data.equals(END_MARKER)) {
+      endMarkerSeen = true;
+    } else {
+      listener.onEvent(data);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/engine/HttpEngineClient.java
@@ -0,0 +1,42 @@
+package org.sedgeroad.engine;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.sedgeroad.ServiceClass;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.HttpExchange;
+
+/** Calls endpoints over HTTP with server-sent events. */
+public final class HttpEngineClient implements EngineClient {
+  /** Header that names a run at the endpoint. */
+  public static final String REQUEST_ID = "X-Request-Id";
+
+  private final HttpCaller caller;
+
+  private HttpEngineClient(HttpCaller caller) {
+    this.caller = caller;
+  }
+
+  /** Returns a client that sends through the given caller, which it does not close. */
+  public static HttpEngineClient of(HttpCaller caller) {
+    return new HttpEngineClient(caller);
+  }
+
+  @Override
+  public EngineStream start(EngineCall call, EngineListener listener) {
+    Map<String, String> headers = new LinkedHashMap<>(call.headers());
+    headers.put(REQUEST_ID, call.requestId());
+    headers.put(ServiceClass.HEADER, call.serviceClass().toText());
+    HttpCall request =
+        new HttpCall(
+            call.method(),
+            call.address(),
+            headers,
+            call.body(),
+            !call.idempotent(),
+            call.deadlineNanos());
+    HttpExchange exchange = caller.start(request, new EngineAnswerReader(listener));
+    return exchange::close;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to model engines and plain services. */
+package org.sedgeroad.engine;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -0,0 +1,236 @@
+package org.sedgeroad.entry;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import java.time.Duration;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.api.ApiHandler;
+import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.configuration.Model;
+import org.sedgeroad.engine.HttpEngineClient;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.job.JobRunner;
+import org.sedgeroad.job.JobRunnerParts;
+import org.sedgeroad.job.JobService;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.limit.Admission;
+import org.sedgeroad.live.ClaimBook;
+import org.sedgeroad.live.LiveService;
+import org.sedgeroad.live.LiveServiceParts;
+import org.sedgeroad.peer.MembershipView;
+import org.sedgeroad.route.BatchPolicies;
+import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.RoutingPolicies;
+import org.sedgeroad.settings.Settings;
+import org.sedgeroad.store.HttpObjectStore;
+import org.sedgeroad.store.ObjectStore;
+import org.sedgeroad.store.StoreWriter;
+
+/** One entry instance: wires all parts, owns the threads, starts and stops them in order. */
+public final class EntryInstance implements AutoCloseable {
+  private static final long INSTANCE_LIST_MILLIS = 500;
+  private static final int RENEWALS_PER_LEASE = 4;
+  private static final int STORE_THREADS = 8;
+
+  private final Settings settings;
+  private final EventLog log;
+  private final MonotonicClock clock = MonotonicClock.SYSTEM;
+  private final HttpCaller caller;
+  private final ObjectStore store;
+  private final ConfigurationReplica replica = new ConfigurationReplica();
+  private final EndpointTable endpoints;
+  private final LeaseTable leases;
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
+  private final ExecutorService storeWorkers =
+      new ThreadPoolExecutor(
+          STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
+  private final ThreadPoolExecutor workers;
+  private final AtomicInteger activeRequests = new AtomicInteger();
+  private final ConfigurationWatcher watcher;
+  private final LeaseKeeper leaseKeeper;
+  private final InstanceListReader instanceList;
+  private final JobRunner runner;
+  private final Undertow server;
+  private volatile boolean stopping;
+
+  /** Creates an instance; {@link #start} starts it. */
+  public EntryInstance(Settings settings) {
+    this.settings = settings;
+    this.log = EventLog.of(settings.instance());
+    this.caller = HttpCaller.create(settings.ioThreads());
+    this.store = HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis());
+    this.endpoints = EndpointTable.of(settings.region(), clock);
+    this.leases = LeaseTable.ofMillis(settings.leaseMillis());
+    this.workers =
+        new ThreadPoolExecutor(
+            4, settings.workerThreads(), 30, TimeUnit.SECONDS, new SynchronousQueue<>());
+    // The name differs after each restart, so that a new run never counts as the old holder.
+    String holder = settings.instance() + "#" + UUID.randomUUID().toString().substring(0, 8);
+    StoreWriter writer = StoreWriter.of(store, holder);
+    MembershipView membership = () -> List.of(settings.instance());
+    this.watcher = new ConfigurationWatcher(store, replica, timer, log);
+    this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
+    this.instanceList =
+        new InstanceListReader(
+            settings.instanceListAddress(),
+            caller,
+            endpoints,
+            clock,
+            log,
+            settings.storeTimeoutMillis());
+    this.runner = createRunner(writer, membership);
+    this.server = createServer(writer);
+    replica.addListener(
+        object -> {
+          if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
+            Model model = Model.fromSpec(object.name(), object.spec());
+            endpoints.setSlots(model.service(), model.slots());
+          } else if (object.kind().equals(Kinds.JOBS)) {
+            wakeRunner();
+          }
+        });
+  }
+
+  private JobRunner createRunner(StoreWriter writer, MembershipView membership) {
+    return new JobRunner(
+        new JobRunnerParts(
+            settings.instance(),
+            writer,
+            replica,
+            endpoints,
+            HttpEngineClient.of(caller),
+            BatchPolicies.named(settings.batch()),
+            membership,
+            leases,
+            clock,
+            storeWorkers,
+            log,
+            settings.requestTimeoutMillis()));
+  }
+
+  private Undertow createServer(StoreWriter writer) {
+    LiveService live =
+        new LiveService(
+            new LiveServiceParts(
+                endpoints,
+                RoutingPolicies.named(settings.routing()),
+                HttpEngineClient.of(caller),
+                (member, serviceClass, tokens) -> new Admission.Admitted(),
+                ClaimBook.of(writer),
+                clock,
+                new java.util.Random(),
+                log));
+    ApiHandler api =
+        new ApiHandler(
+            new ApiParts(
+                replica,
+                live,
+                JobService.of(writer),
+                workers,
+                this::isReady,
+                activeRequests,
+                clock,
+                log,
+                settings.requestTimeoutMillis(),
+                settings.maximumBodyBytes()));
+    return Undertow.builder()
+        .addHttpListener(
+            settings.callerAddress().getPort(), settings.callerAddress().getHostString())
+        .setIoThreads(settings.ioThreads())
+        .setWorkerThreads(2)
+        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
+        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
+        .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+        .setHandler(api)
+        .build();
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Starts all threads and listens. */
+  public void start() {
+    timer.scheduleWithFixedDelay(
+        quietly(instanceList::read), 0, INSTANCE_LIST_MILLIS, TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(
+        quietly(leaseKeeper::renew),
+        0,
+        settings.leaseMillis() / RENEWALS_PER_LEASE,
+        TimeUnit.MILLISECONDS);
+    watcher.start();
+    runner.start();
+    server.start();
+    log.log(
+        LogEvent.INSTANCE_STARTED,
+        EventField.of("domain", settings.domain()),
+        EventField.of("callers", settings.callerAddress()));
+  }
+
+  /** Returns whether the instance takes new requests. */
+  public boolean isReady() {
+    return !stopping && watcher.isComplete() && !endpoints.endpoints().isEmpty();
+  }
+
+  /**
+   * Stops in order: not ready, wait for the balancer, finish requests, release segments, close.
+   * Takes at most the stop timeout of the settings.
+   */
+  @Override
+  public void close() {
+    stopping = true;
+    log.log(LogEvent.INSTANCE_STOPPING);
+    long deadline = clock.deadlineAfterMillis(settings.stopTimeoutMillis());
+    sleep(Duration.ofMillis(settings.stopNoticeMillis()));
+    while (activeRequests.get() > 0 && !clock.hasPassed(deadline)) {
+      sleep(Duration.ofMillis(20));
+    }
+    runner.close();
+    server.stop();
+    watcher.close();
+    timer.shutdownNow();
+    storeWorkers.shutdownNow();
+    workers.shutdownNow();
+    caller.close();
+    log.log(LogEvent.INSTANCE_STOPPED);
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void wakeRunner() {
+    if (runner != null) {
+      runner.wake();
+    }
+  }
+
+  private Runnable quietly(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException failure) {
+        log.log(LogEvent.REQUEST_ERROR, EventField.of("cause", failure));
+      }
+    };
+  }
+
+  private static void sleep(Duration duration) {
+    try {
+      Thread.sleep(duration.toMillis());
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/LeaseKeeper.java
@@ -0,0 +1,91 @@
+package org.sedgeroad.entry;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.store.ObjectList;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WriteOutcome;
+
+/** Renews this instance's lease in the lease object of its failure domain and reads the others. */
+final class LeaseKeeper {
+  private static final int WRITE_TRIES = 5;
+
+  private final StoreWriter writer;
+  private final LeaseTable leases;
+  private final String domain;
+  private final MonotonicClock clock;
+  private final EventLog log;
+  private final AtomicLong counter = new AtomicLong();
+
+  LeaseKeeper(
+      StoreWriter writer, LeaseTable leases, String domain, MonotonicClock clock, EventLog log) {
+    this.writer = writer;
+    this.leases = leases;
+    this.domain = domain;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Renews once and reads all leases once. */
+  void renew() {
+    boolean heldBefore = leases.isHeld(clock.nanos());
+    for (int attempt = 0; attempt < WRITE_TRIES; attempt++) {
+      if (tryRenew()) {
+        break;
+      }
+    }
+    observe();
+    if (heldBefore && !leases.isHeld(clock.nanos())) {
+      log.log(LogEvent.LEASE_LAPSED, EventField.of("domain", domain));
+    }
+  }
+
+  private boolean tryRenew() {
+    long sentAt = clock.nanos();
+    StoreResult<StoredObject> found = writer.store().get(Kinds.LEASES, domain);
+    WriteOutcome outcome;
+    if (found instanceof StoreResult.Done<StoredObject> done) {
+      ObjectNode spec = done.value().spec().deepCopy();
+      spec.withObject("/holders").put(writer.name(), counter.incrementAndGet());
+      outcome = writer.update(Kinds.LEASES, domain, done.value().version(), spec);
+    } else if (found instanceof StoreResult.Absent) {
+      ObjectNode spec = JsonNodeFactory.instance.objectNode();
+      spec.putObject("holders").put(writer.name(), counter.incrementAndGet());
+      outcome = writer.create(Kinds.LEASES, domain, spec);
+    } else {
+      return true;
+    }
+    if (outcome instanceof WriteOutcome.Written) {
+      leases.renewed(sentAt);
+      return true;
+    }
+    return !(outcome instanceof WriteOutcome.Lost);
+  }
+
+  private void observe() {
+    long readAt = clock.nanos();
+    StoreResult<ObjectList> listed = writer.store().list(Kinds.LEASES, "");
+    if (listed instanceof StoreResult.Done<ObjectList> done) {
+      Map<String, Long> counters = new HashMap<>();
+      for (StoredObject object : done.value().objects()) {
+        object
+            .spec()
+            .path("holders")
+            .fields()
+            .forEachRemaining(field -> counters.put(field.getKey(), field.getValue().asLong()));
+      }
+      leases.observe(counters, readAt);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry instance: wiring, threads and shutdown. */
+package org.sedgeroad.entry;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/EventLog.java
@@ -0,0 +1,45 @@
+package org.sedgeroad.event;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+
+/** Writes numbered events through {@link System.Logger}, one JSON object a line. */
+public final class EventLog {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final System.Logger logger;
+  private final String instance;
+
+  private EventLog(System.Logger logger, String instance) {
+    this.logger = logger;
+    this.instance = instance;
+  }
+
+  /** Returns a log that writes to the logger {@code org.sedgeroad} in the name of an instance. */
+  public static EventLog of(String instance) {
+    return new EventLog(System.getLogger("org.sedgeroad"), instance);
+  }
+
+  /** Logs an event with its fields. */
+  public void log(LogEvent event, EventField... fields) {
+    if (!logger.isLoggable(event.level())) {
+      return;
+    }
+    ObjectNode line = MAPPER.createObjectNode();
+    line.put("time", Instant.now().toString());
+    line.put("level", event.level().getName());
+    line.put("event", event.number());
+    line.put("message", event.text());
+    line.put("instance", instance);
+    for (EventField field : fields) {
+      line.put(field.name(), String.valueOf(field.value()));
+    }
+    try {
+      logger.log(event.level(), MAPPER.writeValueAsString(line));
+    } catch (JsonProcessingException failure) {
+      logger.log(event.level(), event.text(), failure);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered, structured log events. */
+package org.sedgeroad.event;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemResult.java
@@ -0,0 +1,55 @@
+package org.sedgeroad.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The end of one item.
+ *
+ * @param item index within the segment
+ * @param customId id that the caller gave
+ * @param state how it ended
+ * @param requestId name of the run at the endpoint, empty if it was never sent
+ * @param status HTTP status of the answer, 0 if there is none
+ * @param body body of the answer, null if there is none
+ * @param error description of the error, null if there is none
+ */
+public record ItemResult(
+    int item,
+    String customId,
+    ItemState state,
+    String requestId,
+    int status,
+    JsonNode body,
+    String error) {
+
+  /** Returns a result without an answer. */
+  public static ItemResult ofError(BatchItem item, ItemState state, String error) {
+    return new ItemResult(item.index(), item.customId(), state, "", 0, null, error);
+  }
+
+  /** Returns the line of the output or error file. */
+  public ObjectNode toLine(String id) {
+    ObjectNode line = JsonNodeFactory.instance.objectNode();
+    line.put("id", id);
+    line.put("custom_id", customId);
+    line.put("state", state.name());
+    if (body == null) {
+      line.putNull("response");
+    } else {
+      ObjectNode response = line.putObject("response");
+      response.put("status_code", status);
+      response.put("request_id", requestId);
+      response.set("body", body);
+    }
+    if (error == null) {
+      line.putNull("error");
+    } else {
+      line.putObject("error")
+          .put("code", state.name().toLowerCase(java.util.Locale.ROOT))
+          .put("message", error);
+    }
+    return line;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/Job.java
@@ -0,0 +1,144 @@
+package org.sedgeroad.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.util.BitSet;
+
+/**
+ * A batch job as its object in the store records it.
+ *
+ * @param id unique id
+ * @param member member that submitted it
+ * @param fileId file with its items
+ * @param path API path of its items, for example {@code /v1/completions}
+ * @param window completion window as the caller gave it
+ * @param acceptedAt time of acceptance
+ * @param deadline time by which it is due
+ * @param segmentCount number of segments
+ * @param itemCount number of items
+ * @param state state
+ * @param endedAt time of completion or cancellation, null before
+ * @param finished one bit for each finished segment, as a hexadecimal number
+ * @param counts ended items of the finished segments
+ * @param metadata metadata that the caller gave
+ */
+public record Job(
+    String id,
+    String member,
+    String fileId,
+    String path,
+    String window,
+    Instant acceptedAt,
+    Instant deadline,
+    int segmentCount,
+    int itemCount,
+    JobState state,
+    Instant endedAt,
+    String finished,
+    ItemCounts counts,
+    JsonNode metadata) {
+
+  /** Reads a job from the spec of its object. */
+  public static Job fromSpec(String id, JsonNode spec) {
+    return new Job(
+        id,
+        spec.path("member").asText(),
+        spec.path("file").asText(),
+        spec.path("path").asText(),
+        spec.path("window").asText(),
+        Instant.parse(spec.path("accepted_at").asText()),
+        Instant.parse(spec.path("deadline").asText()),
+        spec.path("segments").asInt(),
+        spec.path("items").asInt(),
+        JobState.valueOf(spec.path("state").asText()),
+        spec.hasNonNull("ended_at") ? Instant.parse(spec.path("ended_at").asText()) : null,
+        spec.path("finished").asText("0"),
+        ItemCounts.fromJson(spec.path("counts")),
+        spec.path("metadata"));
+  }
+
+  /** Returns the spec of the job's object. */
+  public ObjectNode toSpec() {
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    spec.put("member", member);
+    spec.put("file", fileId);
+    spec.put("path", path);
+    spec.put("window", window);
+    spec.put("accepted_at", acceptedAt.toString());
+    spec.put("deadline", deadline.toString());
+    spec.put("segments", segmentCount);
+    spec.put("items", itemCount);
+    spec.put("state", state.name());
+    if (endedAt != null) {
+      spec.put("ended_at", endedAt.toString());
+    }
+    spec.put("finished", finished);
+    counts.writeTo(spec.putObject("counts"));
+    spec.set("metadata", metadata);
+    return spec;
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Returns whether a segment is counted as finished. */
+  public boolean isFinished(int segment) {
+    return finishedBits().get(segment);
+  }
+
+  /** Returns a copy with one more finished segment; completed if it was the last one. */
+  public Job withFinished(int segment, ItemCounts segmentCounts, Instant now) {
+    BitSet bits = finishedBits();
+    if (bits.get(segment)) {
+      return this;
+    }
+    bits.set(segment);
+    boolean last = bits.cardinality() == segmentCount && state == JobState.ACCEPTED;
+    return with(
+        last ? JobState.COMPLETED : state,
+        last ? now : endedAt,
+        toHex(bits),
+        counts.plus(segmentCounts));
+  }
+
+  /** Returns a cancelled copy. */
+  public Job withCancelled(Instant now) {
+    return with(JobState.CANCELLED, now, finished, counts);
+  }
+
+  private Job with(JobState newState, Instant ended, String bits, ItemCounts newCounts) {
+    return new Job(
+        id,
+        member,
+        fileId,
+        path,
+        window,
+        acceptedAt,
+        deadline,
+        segmentCount,
+        itemCount,
+        newState,
+        ended,
+        bits,
+        newCounts,
+        metadata);
+  }
+
+  private BitSet finishedBits() {
+    byte[] bytes = new java.math.BigInteger(finished, 16).toByteArray();
+    byte[] reversed = new byte[bytes.length];
+    for (int index = 0; index < bytes.length; index++) {
+      reversed[index] = bytes[bytes.length - 1 - index];
+    }
+    return BitSet.valueOf(reversed);
+  }
+
+  private static String toHex(BitSet bits) {
+    java.math.BigInteger number = java.math.BigInteger.ZERO;
+    for (int bit = bits.nextSetBit(0); bit >= 0; bit = bits.nextSetBit(bit + 1)) {
+      number = number.setBit(bit);
+    }
+    return number.toString(16);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
@@ -0,0 +1,42 @@
+package org.sedgeroad.job;
+
+import java.util.concurrent.ExecutorService;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.engine.EngineClient;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.peer.MembershipView;
+import org.sedgeroad.route.BatchPolicy;
+import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.store.StoreWriter;
+
+/**
+ * What a {@link JobRunner} works with.
+ *
+ * @param instance name of this instance
+ * @param writer writer whose name marks the held segments
+ * @param replica configuration, with the unfinished jobs
+ * @param endpoints endpoints and counts
+ * @param engine client for the endpoints
+ * @param policy how many items may run at an endpoint
+ * @param membership live instances of the failure domain
+ * @param leases leases
+ * @param clock monotonic clock
+ * @param workers pool for store calls
+ * @param log event log
+ * @param itemTimeoutMillis longest run of one item in milliseconds
+ */
+public record JobRunnerParts(
+    String instance,
+    StoreWriter writer,
+    ConfigurationReplica replica,
+    EndpointTable endpoints,
+    EngineClient engine,
+    BatchPolicy policy,
+    MembershipView membership,
+    LeaseTable leases,
+    MonotonicClock clock,
+    ExecutorService workers,
+    EventLog log,
+    long itemTimeoutMillis) {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/package-info.java
@@ -0,0 +1,2 @@
+/** Batch jobs: packing, claims, commits and results. */
+package org.sedgeroad.job;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
@@ -0,0 +1,105 @@
+package org.sedgeroad.lease;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * This instance's lease and what is known of the others' leases.
+ *
+ * <p>No wall clock is trusted. The holder counts its lease from before it sent a renewal; others
+ * count the full length on their own monotonic clock from when they first saw a counter, and only
+ * up to their last successful reading. A lease decides who may work; the version of the object
+ * worked on decides whose result counts. Thread-safe.
+ */
+public final class LeaseTable {
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Map<String, Sighting> sightings = new HashMap<>();
+  private final long lengthNanos;
+  private long validUntilNanos;
+  private boolean held;
+
+  private LeaseTable(long lengthNanos) {
+    this.lengthNanos = lengthNanos;
+  }
+
+  /**
+   * Returns a table without any lease.
+   *
+   * @param lengthMillis length of every lease in milliseconds, at least 1
+   */
+  public static LeaseTable ofMillis(long lengthMillis) {
+    return new LeaseTable(lengthMillis * 1_000_000L);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Records that a renewal, sent at the given time, took effect. */
+  public void renewed(long sentAtNanos) {
+    lock.lock();
+    try {
+      long until = sentAtNanos + lengthNanos;
+      validUntilNanos = held && validUntilNanos - until > 0 ? validUntilNanos : until;
+      held = true;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns whether this instance's lease is valid. */
+  public boolean isHeld(long nowNanos) {
+    lock.lock();
+    try {
+      return held && nowNanos - validUntilNanos < 0;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  /**
+   * Records a successful reading of the counters of a failure domain.
+   *
+   * @param counters counter of each holder
+   * @param readAtNanos monotonic time before the reading was sent
+   */
+  public void observe(Map<String, Long> counters, long readAtNanos) {
+    lock.lock();
+    try {
+      counters.forEach(
+          (holder, counter) ->
+              sightings.merge(
+                  holder,
+                  new Sighting(counter, readAtNanos, readAtNanos),
+                  (old, seen) -> old.counter() == counter ? old.withLastSeen(readAtNanos) : seen));
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Returns whether a holder's lease must have expired. A holder that was never seen counts from
+   * this call on, so that nobody is declared expired without a full length of waiting.
+   */
+  public boolean isExpired(String holder, long nowNanos) {
+    lock.lock();
+    try {
+      Sighting sighting =
+          sightings.computeIfAbsent(holder, key -> new Sighting(-1, nowNanos, nowNanos));
+      if (sighting.counter() == -1) {
+        return nowNanos - sighting.firstSeenNanos() >= lengthNanos;
+      }
+      return sighting.lastSeenNanos() - sighting.firstSeenNanos() >= lengthNanos;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** A counter with the times of its first and last reading. */
+  private record Sighting(long counter, long firstSeenNanos, long lastSeenNanos) {
+    Sighting withLastSeen(long nanos) {
+      return new Sighting(counter, firstSeenNanos, nanos);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Leases of instances, one object per failure domain. */
+package org.sedgeroad.lease;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Voted limits: allowances, token buckets and grants. */
+package org.sedgeroad.limit;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/ClaimBook.java
@@ -0,0 +1,79 @@
+package org.sedgeroad.live;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HexFormat;
+import java.util.Optional;
+import org.sedgeroad.WorkState;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.WriteOutcome;
+
+/**
+ * Claims of non-idempotent requests in the store. A request with a key is sent to an endpoint only
+ * by the one instance whose claim was created.
+ */
+public final class ClaimBook {
+  private static final Duration KEPT = Duration.ofHours(24);
+
+  private final StoreWriter writer;
+
+  private ClaimBook(StoreWriter writer) {
+    this.writer = writer;
+  }
+
+  /** Returns a book in the writer's store. */
+  public static ClaimBook of(StoreWriter writer) {
+    return new ClaimBook(writer);
+  }
+
+  /** Claims a request; returns why it must not be sent, empty if it may be sent. */
+  public Optional<LiveFailure> claim(LiveRequest request) {
+    if (request.shape().idempotent() || request.key().isEmpty()) {
+      return Optional.empty();
+    }
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    spec.put("request", request.id());
+    spec.put("deadline", Instant.now().plus(KEPT).toString());
+    String name = request.shape().member() + "." + hash(request.key());
+    WriteOutcome outcome = writer.create(Kinds.CLAIMS, name, spec);
+    if (outcome instanceof WriteOutcome.Written) {
+      return Optional.empty();
+    }
+    if (outcome instanceof WriteOutcome.Lost) {
+      return Optional.of(
+          new LiveFailure(
+              409,
+              "already_claimed",
+              "a non-idempotent request with this Idempotency-Key was accepted before",
+              WorkState.UNKNOWN,
+              Optional.empty()));
+    }
+    Instant retryAt =
+        outcome instanceof WriteOutcome.NotWritten notWritten
+            ? notWritten.retryAt()
+            : Instant.now().plusSeconds(1);
+    return Optional.of(
+        new LiveFailure(
+            503,
+            "store_unavailable",
+            "the request can't be claimed while the store is unavailable",
+            WorkState.NOT_RUN,
+            Optional.of(retryAt)));
+  }
+
+  private static String hash(String key) {
+    try {
+      byte[] digest =
+          MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+      return HexFormat.of().formatHex(digest);
+    } catch (NoSuchAlgorithmException impossible) {
+      throw new IllegalStateException("SHA-256 is part of every Java platform", impossible);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveCall.java
@@ -0,0 +1,49 @@
+package org.sedgeroad.live;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.engine.EngineFailure;
+import org.sedgeroad.engine.EngineListener;
+import org.sedgeroad.http.HttpHead;
+
+/** The inbox of one live request; endpoints and the connection put events, its thread takes. */
+public final class LiveCall {
+  private final BlockingQueue<LiveEvent> events = new LinkedBlockingQueue<>();
+
+  /** Records that the caller closed its connection. Called from any thread. */
+  public void callerGone() {
+    events.add(new LiveEvent.CallerGone());
+  }
+
+  /** Returns the next event, or null at the deadline. */
+  LiveEvent next(long deadlineNanos, MonotonicClock clock) throws InterruptedException {
+    return events.poll(Math.max(0, deadlineNanos - clock.nanos()), TimeUnit.NANOSECONDS);
+  }
+
+  /** Returns a listener that marks its events with the number of the attempt. */
+  EngineListener listener(int attempt) {
+    return new EngineListener() {
+      @Override
+      public void onHead(HttpHead head) {
+        events.add(new LiveEvent.Head(attempt, head));
+      }
+
+      @Override
+      public void onEvent(String data) {
+        events.add(new LiveEvent.Data(attempt, data));
+      }
+
+      @Override
+      public void onWhole(byte[] body) {
+        events.add(new LiveEvent.Whole(attempt, body));
+      }
+
+      @Override
+      public void onFailure(EngineFailure failure) {
+        events.add(new LiveEvent.Failed(attempt, failure));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveRequest.java
@@ -0,0 +1,37 @@
+package org.sedgeroad.live;
+
+import java.util.Map;
+import java.util.Objects;
+import org.sedgeroad.route.RequestShape;
+
+/**
+ * A request of a waiting caller.
+ *
+ * @param id unique id
+ * @param method request method
+ * @param path path with query
+ * @param headers headers that go to the endpoint
+ * @param body request body; must not be modified
+ * @param key the caller's idempotency key, empty if none
+ * @param deterministic whether a second run gives the same answer
+ * @param deadlineNanos monotonic deadline in nanoseconds
+ * @param shape what routing needs to know
+ */
+public record LiveRequest(
+    String id,
+    String method,
+    String path,
+    Map<String, String> headers,
+    byte[] body,
+    String key,
+    boolean deterministic,
+    long deadlineNanos,
+    RequestShape shape) {
+
+  /** Copies the headers. */
+  public LiveRequest {
+    Objects.requireNonNull(id);
+    headers = Map.copyOf(headers);
+    Objects.requireNonNull(shape);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/package-info.java
@@ -0,0 +1,2 @@
+/** Live requests: admission, placement, retries and whole answers. */
+package org.sedgeroad.live;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/LeaseRenewal.java
@@ -0,0 +1,9 @@
+package org.sedgeroad.peer;
+
+/**
+ * Asks the lease writer of the domain to write the sender's counter; answered after the write.
+ *
+ * @param holder holder name of the sender
+ * @param counter counter to write
+ */
+public record LeaseRenewal(String holder, long counter) implements PeerMessage {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/Leaving.java
@@ -0,0 +1,8 @@
+package org.sedgeroad.peer;
+
+/**
+ * Tells that the sender is leaving.
+ *
+ * @param sender name of the sender
+ */
+public record Leaving(String sender) implements PeerMessage {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages and membership between instances. */
+package org.sedgeroad.peer;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/RoutingPolicies.java
@@ -0,0 +1,60 @@
+package org.sedgeroad.route;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+/** The routing policies that the settings can name. */
+public final class RoutingPolicies {
+  private RoutingPolicies() {}
+
+  /**
+   * Returns the policy with a name of the settings.
+   *
+   * @throws IllegalArgumentException if the name is unknown
+   */
+  public static RoutingPolicy named(String name) {
+    return switch (name) {
+      case "round-robin" -> roundRobin();
+      case "least-outstanding" -> RoutingPolicies::leastOutstanding;
+      case "least-cost", "least-cost-affinity" -> RoutingPolicies::leastCost;
+      default -> throw new IllegalArgumentException("unknown routing policy: " + name);
+    };
+  }
+
+  private static RoutingPolicy roundRobin() {
+    AtomicLong next = new AtomicLong();
+    return (request, candidates, random) ->
+        candidates.isEmpty()
+            ? Optional.empty()
+            : Optional.of(candidates.get((int) (next.getAndIncrement() % candidates.size())));
+  }
+
+  private static Optional<EndpointView> leastOutstanding(
+      RequestShape request, List<EndpointView> candidates, RandomGenerator random) {
+    return best(candidates, Comparator.comparingInt(EndpointView::inFlight), random);
+  }
+
+  private static Optional<EndpointView> leastCost(
+      RequestShape request, List<EndpointView> candidates, RandomGenerator random) {
+    Comparator<EndpointView> order =
+        Comparator.comparing((EndpointView view) -> !view.local())
+            .thenComparingDouble(
+                view -> (view.cost() + request.cost() * (view.live() + 1.0)) * view.slowness());
+    return best(candidates, order, random);
+  }
+
+  /** Breaks ties at random, so that instances do not all choose the same endpoint. */
+  private static Optional<EndpointView> best(
+      List<EndpointView> candidates, Comparator<EndpointView> order, RandomGenerator random) {
+    Optional<EndpointView> best = candidates.stream().min(order);
+    return best.map(
+        first -> {
+          List<EndpointView> equal =
+              candidates.stream().filter(view -> order.compare(view, first) == 0).toList();
+          return equal.get(random.nextInt(equal.size()));
+        });
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/package-info.java
@@ -0,0 +1,2 @@
+/** Endpoint table and routing decisions. */
+package org.sedgeroad.route;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/Settings.java
@@ -0,0 +1,63 @@
+package org.sedgeroad.settings;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Settings of an entry instance.
+ *
+ * @param instance unique name of the instance
+ * @param domain failure domain of the instance
+ * @param region region of the failure domain
+ * @param callerAddress where callers connect
+ * @param adminAddress where operators connect
+ * @param peerAddress where peers connect
+ * @param seeds peer addresses to contact first
+ * @param domains all failure domains of the deployment with their regions
+ * @param storeAddress address of the platform's object API
+ * @param instanceListAddress address of the platform's instance list
+ * @param storeTimeoutMillis longest wait for one answer of the store, in milliseconds
+ * @param leaseMillis length of a lease, in milliseconds
+ * @param routing name of the routing policy
+ * @param batch name of the batch policy
+ * @param hedging name of the hedging policy
+ * @param ioThreads number of I/O threads
+ * @param workerThreads number of worker threads; bounds the live requests served at once
+ * @param maximumBodyBytes largest body of a live request, in bytes
+ * @param requestTimeoutMillis longest run of a request, in milliseconds
+ * @param stopNoticeMillis time that the balancer gets to notice a stop, in milliseconds
+ * @param stopTimeoutMillis longest duration of a planned stop, in milliseconds
+ * @param operatorTokenFile file with the operators' token, empty to refuse all commands
+ */
+public record Settings(
+    String instance,
+    String domain,
+    String region,
+    InetSocketAddress callerAddress,
+    InetSocketAddress adminAddress,
+    InetSocketAddress peerAddress,
+    List<InetSocketAddress> seeds,
+    List<DomainSetting> domains,
+    URI storeAddress,
+    URI instanceListAddress,
+    long storeTimeoutMillis,
+    long leaseMillis,
+    String routing,
+    String batch,
+    String hedging,
+    int ioThreads,
+    int workerThreads,
+    long maximumBodyBytes,
+    long requestTimeoutMillis,
+    long stopNoticeMillis,
+    long stopTimeoutMillis,
+    Optional<String> operatorTokenFile) {
+
+  /** Copies the lists. */
+  public Settings {
+    seeds = List.copyOf(seeds);
+    domains = List.copyOf(domains);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/package-info.java
@@ -0,0 +1,2 @@
+/** INI settings of an entry instance and their checks. */
+package org.sedgeroad.settings;
