--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/AnswerText.java
@@ -0,0 +1,41 @@
+package org.sedgeroad.testing.engine;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+
+/**
+ * Static methods that compute the text an engine gives for a prompt, so that tests can check it.
+ */
+public final class AnswerText {
+  private static final int TOKEN_BITS = 20;
+  private static final int TOKEN_RADIX = 36;
+
+  private AnswerText() {}
+
+  /** Returns the fingerprint of a prompt, XXH3 over its UTF-8 bytes. */
+  public static long fingerprint(String prompt) {
+    return Hashing.xxh3_64().hashBytesToLong(prompt.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns the form of a fingerprint in JSON, 16 hexadecimal digits. */
+  public static String toText(long fingerprint) {
+    return HexFormat.of().toHexDigits(fingerprint);
+  }
+
+  /** Returns the token at an index, counted from 0; each token starts with a space. */
+  public static String token(long fingerprint, int index) {
+    long hash = Hashing.xxh3_64().hashLongLongToLong(fingerprint, index);
+    return " " + Long.toString(hash >>> (Long.SIZE - TOKEN_BITS), TOKEN_RADIX);
+  }
+
+  /** Returns the first tokens of the answer to a prompt as one text. */
+  public static String whole(String prompt, int tokens) {
+    long fingerprint = fingerprint(prompt);
+    StringBuilder text = new StringBuilder();
+    for (int index = 0; index < tokens; index++) {
+      text.append(token(fingerprint, index));
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/CacheEventLog.java
@@ -0,0 +1,67 @@
+package org.sedgeroad.testing.engine;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.testing.http.Answers;
+
+/** The published events of the prefix cache: late, with gaps, and only recent ones. Thread-safe. */
+final class CacheEventLog {
+  private static final int MAX_EVENTS = 10_000;
+
+  private record Event(
+      long sequence, String type, String requestId, List<Long> blocks, long nanos) {}
+
+  private final Deque<Event> events = new ArrayDeque<>();
+  private final MonotonicClock clock;
+  private final Random random;
+  private final long lagNanos;
+  private final double gapProbability;
+  private long sequence;
+
+  CacheEventLog(EngineOptions options, MonotonicClock clock) {
+    this.clock = clock;
+    this.random = new Random(options.seed());
+    this.lagNanos = options.reportLagMillis() * 1_000_000L;
+    this.gapProbability = options.eventGapProbability();
+  }
+
+  /** Publishes an event; one that falls into a gap uses up its sequence number. */
+  synchronized void publish(String type, String requestId, List<Long> blocks) {
+    if (blocks.isEmpty()) {
+      return;
+    }
+    sequence++;
+    if (random.nextDouble() >= gapProbability) {
+      events.add(new Event(sequence, type, requestId, List.copyOf(blocks), clock.nanos()));
+    }
+    if (events.size() > MAX_EVENTS) {
+      events.remove();
+    }
+  }
+
+  /** Returns the visible events after a sequence number and the number to ask with next. */
+  synchronized ObjectNode since(long after) {
+    ObjectNode root = Answers.MAPPER.createObjectNode();
+    ArrayNode list = root.putArray("events");
+    long visibleNanos = clock.nanos() - lagNanos;
+    long next = after;
+    for (Event event : events) {
+      if (event.sequence() > after && visibleNanos - event.nanos() >= 0) {
+        ObjectNode node = list.addObject();
+        node.put("sequence", event.sequence()).put("type", event.type());
+        if (!event.requestId().isEmpty()) {
+          node.put("request_id", event.requestId());
+        }
+        ArrayNode blocks = node.putArray("blocks");
+        event.blocks().forEach(block -> blocks.add(AnswerText.toText(block)));
+        next = event.sequence();
+      }
+    }
+    return root.put("next", next);
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineLoop.java
@@ -0,0 +1,269 @@
+package org.sedgeroad.testing.engine;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.testing.LaggedValue;
+
+/**
+ * Continuous batching: a queue in order of arrival in front of a number of slots, and a scheduler
+ * that makes the next token of each running stream when it is due.
+ *
+ * <p>All state belongs to one scheduler thread; the methods may be called on any thread.
+ */
+final class EngineLoop implements AutoCloseable {
+  /** A stream further behind than this skips the missed time instead of bursting its tokens. */
+  private static final long MAX_CATCH_UP_NANOS = 50_000_000L;
+
+  private final ScheduledThreadPoolExecutor scheduler;
+  private final EngineOptions options;
+  private final EngineHistory history;
+  private final CacheEventLog cacheEvents;
+  private final LaggedValue<EngineLoad> load;
+  private final Runnable crash;
+  private final MonotonicClock clock;
+  private final PrefixCache cache;
+  private final Deque<Run> waiting = new ArrayDeque<>();
+  private final Set<Run> running = new LinkedHashSet<>();
+  private final Map<String, Run> active = new LinkedHashMap<>();
+  private final Map<String, EndedRun> resumable = new LinkedHashMap<>();
+  private double slowdown = 1;
+
+  private record EndedRun(Run run, long untilNanos) {}
+
+  EngineLoop(
+      EngineOptions options,
+      EngineHistory history,
+      CacheEventLog cacheEvents,
+      LaggedValue<EngineLoad> load,
+      Runnable crash,
+      MonotonicClock clock) {
+    this.options = options;
+    this.history = history;
+    this.cacheEvents = cacheEvents;
+    this.load = load;
+    this.crash = crash;
+    this.clock = clock;
+    this.cache = new PrefixCache(options.cacheTokens());
+    this.scheduler =
+        new ScheduledThreadPoolExecutor(
+            1,
+            task -> {
+              Thread thread = new Thread(task, "engine-" + options.name());
+              thread.setDaemon(true);
+              return thread;
+            });
+    scheduler.setRemoveOnCancelPolicy(true);
+    scheduler.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Queues a run. */
+  void submit(Run run) {
+    scheduler.execute(() -> accept(run));
+  }
+
+  /** Ends a run whose caller has gone; no effect on a run that has ended. */
+  void cancel(Run run) {
+    scheduler.execute(() -> cancelNow(run));
+  }
+
+  /**
+   * Resumes a run, which is cancelled first if it has not ended.
+   *
+   * @param requestId id of the run
+   * @param offset index of the first token to send
+   * @param output makes the output for the request of the run
+   * @param refused called with a status and a reason if the run is not known or has not come so far
+   * @param accepted called with the new run before it is queued
+   */
+  void resume(
+      String requestId,
+      int offset,
+      Function<GenerationRequest, RunOutput> output,
+      BiConsumer<Integer, String> refused,
+      Consumer<Run> accepted) {
+    scheduler.execute(
+        () -> {
+          Run current = active.get(requestId);
+          if (current != null) {
+            cancelNow(current);
+            current.output.abort();
+          }
+          forgetExpired();
+          EndedRun ended = resumable.get(requestId);
+          if (ended == null) {
+            refused.accept(404, "no run of that id");
+          } else if (offset > ended.run().produced) {
+            refused.accept(400, "offset lies beyond the tokens made");
+          } else {
+            GenerationRequest request = ended.run().request;
+            Run run = ended.run().resumed(output.apply(request), offset, clock.nanos());
+            accepted.accept(run);
+            accept(run);
+          }
+        });
+  }
+
+  /** Sets the factor by which prefill and tokens take longer; running streams follow. */
+  void setSlowdown(double factor) {
+    scheduler.execute(() -> slowdown = factor);
+  }
+
+  /** Ends all runs without an answer and forgets the cache and the resumable runs. */
+  void loseAll() {
+    scheduler.execute(this::loseAllNow);
+  }
+
+  @Override
+  public void close() {
+    scheduler.shutdownNow();
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void accept(Run run) {
+    if (run.ended) {
+      return;
+    }
+    active.put(run.request.requestId(), run);
+    record(EngineEvent.Type.ACCEPT, run);
+    waiting.add(run);
+    fillSlots();
+    report();
+  }
+
+  private void fillSlots() {
+    while (running.size() < options.slots() && !waiting.isEmpty()) {
+      start(waiting.remove());
+    }
+  }
+
+  private void start(Run run) {
+    long now = clock.nanos();
+    running.add(run);
+    run.queueWaitMicros = (now - run.acceptedNanos) / 1_000L;
+    record(EngineEvent.Type.START, run);
+    if (run.request.prompt().contains(GenerationRequest.CRASH_MARK)) {
+      loseAllNow();
+      crash.run();
+      return;
+    }
+    int promptTokens = run.request.promptTokens();
+    boolean kept = run.producedBefore > 0;
+    run.cachedTokens = kept ? promptTokens : cache.cachedTokens(run.blocks);
+    double prefillMicros = (promptTokens - run.cachedTokens) * options.prefillMicros() * slowdown;
+    run.nextTokenNanos = now + (long) (prefillMicros * 1_000);
+    schedule(run);
+  }
+
+  private void schedule(Run run) {
+    long delay = Math.max(0, run.nextTokenNanos - clock.nanos());
+    run.nextToken = scheduler.schedule(() -> advance(run), delay, TimeUnit.NANOSECONDS);
+  }
+
+  /** Makes the next token, or the ones that a resumed run repeats, and schedules the one after. */
+  private void advance(Run run) {
+    if (run.ended) {
+      return;
+    }
+    if (run.produced == run.producedBefore) {
+      finishPrefill(run);
+    }
+    if (run.produced < run.answerTokens) {
+      run.output.token(run.produced, AnswerText.token(run.fingerprint, run.produced));
+      run.produced++;
+    }
+    if (run.produced >= run.answerTokens) {
+      finish(run);
+      return;
+    }
+    double millis =
+        options.tokenMillis() * slowdown * (1 + options.batchSlowdown() * (running.size() - 1));
+    long due = run.nextTokenNanos + (long) (millis * 1e6);
+    run.nextTokenNanos = Math.max(due, clock.nanos() - MAX_CATCH_UP_NANOS);
+    schedule(run);
+  }
+
+  private void finishPrefill(Run run) {
+    record(EngineEvent.Type.FIRST_TOKEN, run);
+    for (int index = run.offset; index < run.producedBefore; index++) {
+      run.output.token(index, AnswerText.token(run.fingerprint, index));
+    }
+    cacheEvents.publish("stored", run.request.requestId(), cache.add(run.blocks));
+    cacheEvents.publish("evicted", "", cache.evict());
+  }
+
+  private void finish(Run run) {
+    record(EngineEvent.Type.FINISH, run);
+    run.output.finish(run.request.finishReason(), run.cachedTokens);
+    end(run);
+  }
+
+  private void cancelNow(Run run) {
+    if (run.ended) {
+      return;
+    }
+    record(EngineEvent.Type.CANCEL, run);
+    run.cancelNextToken();
+    waiting.remove(run);
+    end(run);
+  }
+
+  private void end(Run run) {
+    run.ended = true;
+    running.remove(run);
+    active.remove(run.request.requestId(), run);
+    forgetExpired();
+    // Removed first, so that the map stays in the order of expiry.
+    resumable.remove(run.request.requestId());
+    long until = clock.deadlineAfterMillis(options.resumeMillis());
+    resumable.put(run.request.requestId(), new EndedRun(run, until));
+    fillSlots();
+    report();
+  }
+
+  private void loseAllNow() {
+    List<Run> lost = new ArrayList<>(running);
+    lost.addAll(waiting);
+    for (Run run : lost) {
+      run.ended = true;
+      run.cancelNextToken();
+    }
+    waiting.clear();
+    running.clear();
+    active.clear();
+    resumable.clear();
+    cache.clear();
+    report();
+  }
+
+  private void forgetExpired() {
+    Iterator<EndedRun> oldest = resumable.values().iterator();
+    while (oldest.hasNext() && clock.hasPassed(oldest.next().untilNanos())) {
+      oldest.remove();
+    }
+  }
+
+  private void record(EngineEvent.Type type, Run run) {
+    history.add(type, run.request, run.queueWaitMicros, run.produced);
+  }
+
+  private void report() {
+    load.set(new EngineLoad(running.size(), waiting.size(), cache.usedTokens(), Instant.now()));
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/OrderBook.java
@@ -0,0 +1,38 @@
+package org.sedgeroad.testing.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.sedgeroad.testing.http.Answers;
+
+/** The orders that an engine has accepted. Thread-safe. */
+final class OrderBook {
+  private final boolean checkFencing;
+  private final List<ObjectNode> accepted = new ArrayList<>();
+  private long highest;
+
+  OrderBook(boolean checkFencing) {
+    this.checkFencing = checkFencing;
+  }
+
+  /** Accepts an order unless fencing numbers are checked and a higher one has been seen. */
+  synchronized boolean accept(long fencingNumber, ObjectNode order) {
+    if (checkFencing && fencingNumber < highest) {
+      return false;
+    }
+    highest = Math.max(highest, fencingNumber);
+    accepted.add(order);
+    return true;
+  }
+
+  synchronized ObjectNode toJson() {
+    ObjectNode root = Answers.MAPPER.createObjectNode();
+    root.put("highest_fencing_number", highest);
+    root.putArray("orders").addAll(accepted);
+    return root;
+  }
+
+  synchronized long highest() {
+    return highest;
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/Run.java
@@ -0,0 +1,55 @@
+package org.sedgeroad.testing.engine;
+
+import java.util.List;
+import java.util.concurrent.ScheduledFuture;
+
+/** State of one run; used only on the engine's scheduler thread. */
+final class Run {
+  final GenerationRequest request;
+  final RunOutput output;
+  final long fingerprint;
+  final List<Long> blocks;
+  final int answerTokens;
+  final long acceptedNanos;
+
+  /** Tokens that exist already when the run gets a slot; more than 0 only for a resumed run. */
+  final int producedBefore;
+
+  /** Index of the first token that the caller needs. */
+  final int offset;
+
+  int produced;
+  int cachedTokens;
+  long queueWaitMicros;
+  long nextTokenNanos;
+  boolean ended;
+  ScheduledFuture<?> nextToken;
+
+  private Run(
+      GenerationRequest request, RunOutput output, int producedBefore, int offset, long now) {
+    this.request = request;
+    this.output = output;
+    this.fingerprint = AnswerText.fingerprint(request.prompt());
+    this.blocks = PromptText.blocks(request.prompt());
+    this.answerTokens = request.answerTokens();
+    this.producedBefore = producedBefore;
+    this.offset = offset;
+    this.produced = producedBefore;
+    this.acceptedNanos = now;
+  }
+
+  static Run of(GenerationRequest request, RunOutput output, long nowNanos) {
+    return new Run(request, output, 0, 0, nowNanos);
+  }
+
+  /** Returns a run that goes on where this one ended and repeats tokens from an offset on. */
+  Run resumed(RunOutput resumedOutput, int fromOffset, long nowNanos) {
+    return new Run(request, resumedOutput, produced, fromOffset, nowNanos);
+  }
+
+  void cancelNextToken() {
+    if (nextToken != null) {
+      nextToken.cancel(false);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a model engine. */
+package org.sedgeroad.testing.engine;
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/http/Answers.java
@@ -0,0 +1,111 @@
+package org.sedgeroad.testing.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import org.xnio.IoUtils;
+
+/** Static methods that read JSON requests and send JSON answers without blocking. */
+public final class Answers {
+  /** Shared mapper, thread-safe once configured. */
+  public static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private Answers() {}
+
+  /** Returns the UTF-8 JSON text of a tree. */
+  public static byte[] toBytes(JsonNode tree) {
+    try {
+      return MAPPER.writeValueAsBytes(tree);
+    } catch (JsonProcessingException failure) {
+      throw new IllegalArgumentException("tree can't be written as JSON", failure);
+    }
+  }
+
+  /**
+   * Reads the whole body and passes it on, on an I/O thread. The exchange stays open until an
+   * answer is sent.
+   */
+  public static void receiveBytes(HttpServerExchange exchange, Consumer<byte[]> receiver) {
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (received, body) ->
+                received.dispatch(SameThreadExecutor.INSTANCE, () -> receiver.accept(body)));
+  }
+
+  /** Reads a JSON object and passes it on; answers 400 if the body is something else. */
+  public static void receiveObject(HttpServerExchange exchange, Consumer<ObjectNode> receiver) {
+    receiveBytes(
+        exchange,
+        body -> {
+          JsonNode tree;
+          try {
+            tree = body.length == 0 ? MAPPER.createObjectNode() : MAPPER.readTree(body);
+          } catch (IOException failure) {
+            sendError(exchange, 400, "body is not JSON: " + failure.getMessage());
+            return;
+          }
+          if (tree instanceof ObjectNode object) {
+            try {
+              receiver.accept(object);
+            } catch (IllegalArgumentException failure) {
+              sendError(exchange, 400, String.valueOf(failure.getMessage()));
+            }
+          } else {
+            sendError(exchange, 400, "body is not a JSON object");
+          }
+        });
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Sends a JSON answer; may be called on any thread. */
+  public static void send(HttpServerExchange exchange, int status, JsonNode body) {
+    byte[] bytes = toBytes(body);
+    onIoThread(
+        exchange,
+        () -> {
+          exchange.setStatusCode(status);
+          exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+          exchange.getResponseSender().send(ByteBuffer.wrap(bytes));
+        });
+  }
+
+  /** Sends an error in the shape of the OpenAI API; may be called on any thread. */
+  public static void sendError(HttpServerExchange exchange, int status, String message) {
+    ObjectNode body = MAPPER.createObjectNode();
+    ObjectNode error = body.putObject("error");
+    error.put("message", message);
+    error.put("type", status < 500 ? "invalid_request_error" : "server_error");
+    error.put("code", status);
+    send(exchange, status, body);
+  }
+
+  /** Closes the connection without an answer; may be called on any thread. */
+  public static void drop(HttpServerExchange exchange) {
+    onIoThread(exchange, () -> IoUtils.safeClose(exchange.getConnection()));
+  }
+
+  /** Runs a step on the exchange's I/O thread unless its connection has closed. */
+  private static void onIoThread(HttpServerExchange exchange, Runnable step) {
+    if (exchange.isInIoThread()) {
+      step.run();
+    } else {
+      exchange
+          .getIoThread()
+          .execute(
+              () -> {
+                if (exchange.getConnection().isOpen()) {
+                  step.run();
+                }
+              });
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/http/ControlFields.java
@@ -0,0 +1,52 @@
+package org.sedgeroad.testing.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Static methods that read fields of control requests and refuse wrong types. */
+public final class ControlFields {
+  private ControlFields() {}
+
+  /**
+   * Returns a number that must not be negative.
+   *
+   * @throws IllegalArgumentException if the field is no number or is negative
+   */
+  public static double number(JsonNode body, String field, double missing) {
+    JsonNode node = body.get(field);
+    if (node == null || node.isNull()) {
+      return missing;
+    }
+    if (!node.isNumber() || node.asDouble() < 0) {
+      throw new IllegalArgumentException(field + " must be a number of at least 0");
+    }
+    return node.asDouble();
+  }
+
+  /**
+   * Returns a whole number that must not be negative.
+   *
+   * @throws IllegalArgumentException if the field is no number or is negative
+   */
+  public static long whole(JsonNode body, String field, long missing) {
+    return (long) number(body, field, missing);
+  }
+
+  /** Returns a text, or the given one if the field is missing. */
+  public static String text(JsonNode body, String field, String missing) {
+    JsonNode node = body.get(field);
+    return node == null || node.isNull() ? missing : node.asText();
+  }
+
+  /**
+   * Returns a text that must be given.
+   *
+   * @throws IllegalArgumentException if the field is missing or empty
+   */
+  public static String required(JsonNode body, String field) {
+    String text = text(body, field, "");
+    if (text.isEmpty()) {
+      throw new IllegalArgumentException(field + " is missing");
+    }
+    return text;
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/http/ProcessMain.java
@@ -0,0 +1,43 @@
+package org.sedgeroad.testing.http;
+
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/** Static methods shared by the main classes of the stand-ins. */
+public final class ProcessMain {
+  private static final int USAGE_ERROR = 2;
+
+  private ProcessMain() {}
+
+  /** Sets the options of a bean; on a wrong option prints the usage and exits with status 2. */
+  public static void parse(Object bean, String[] arguments) {
+    CmdLineParser parser = new CmdLineParser(bean);
+    try {
+      parser.parseArgument(arguments);
+    } catch (CmdLineException failure) {
+      System.err.println(failure.getMessage());
+      parser.printUsage(System.err);
+      System.exit(USAGE_ERROR);
+    }
+  }
+
+  /** Prints the line that tells that the process is ready, then serves until the process ends. */
+  public static void run(String readyLine, AutoCloseable standIn) {
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> close(standIn), "shutdown"));
+    System.out.println(readyLine);
+    System.out.flush();
+    try {
+      Thread.currentThread().join();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void close(AutoCloseable standIn) {
+    try {
+      standIn.close();
+    } catch (Exception failure) {
+      System.err.println("close failed: " + failure);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/InstanceEntry.java
@@ -0,0 +1,42 @@
+package org.sedgeroad.testing.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
+import java.util.Locale;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.EndpointState;
+import org.sedgeroad.testing.http.Answers;
+import org.sedgeroad.testing.http.ControlFields;
+
+/** Static methods that convert entries of the instance list. */
+final class InstanceEntry {
+  private InstanceEntry() {}
+
+  static ObjectNode toJson(Endpoint endpoint) {
+    return Answers.MAPPER
+        .createObjectNode()
+        .put("name", endpoint.name())
+        .put("service", endpoint.service())
+        .put("address", endpoint.address().toString())
+        .put("domain", endpoint.domain())
+        .put("region", endpoint.region())
+        .put("state", endpoint.state().name().toLowerCase(Locale.ROOT));
+  }
+
+  /**
+   * Reads an entry; the state is live if it is missing.
+   *
+   * @throws IllegalArgumentException if another field is missing or one is wrong
+   */
+  static Endpoint parse(JsonNode node) {
+    String state = ControlFields.text(node, "state", "live").toUpperCase(Locale.ROOT);
+    return new Endpoint(
+        ControlFields.required(node, "name"),
+        ControlFields.required(node, "service"),
+        URI.create(ControlFields.required(node, "address")),
+        ControlFields.required(node, "domain"),
+        ControlFields.required(node, "region"),
+        EndpointState.valueOf(state));
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/InstanceTable.java
@@ -0,0 +1,44 @@
+package org.sedgeroad.testing.platform;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.testing.LaggedValue;
+
+/** The instance list, shown with a lag. Thread-safe. */
+final class InstanceTable {
+
+  /**
+   * The list after one change.
+   *
+   * @param version number of changes so far
+   * @param instances the instances in name order
+   */
+  record Snapshot(long version, List<Endpoint> instances) {}
+
+  private final Map<String, Endpoint> current = new TreeMap<>();
+  private final LaggedValue<Snapshot> snapshots;
+
+  InstanceTable(MonotonicClock clock, long lagMillis) {
+    snapshots = new LaggedValue<>(new Snapshot(0, List.of()), lagMillis, clock);
+  }
+
+  void setLagMillis(long lagMillis) {
+    snapshots.setLagMillis(lagMillis);
+  }
+
+  synchronized void change(Collection<Endpoint> added, Collection<String> removed) {
+    added.forEach(endpoint -> current.put(endpoint.name(), endpoint));
+    removed.forEach(current::remove);
+    long version = snapshots.latest().version() + 1;
+    snapshots.set(new Snapshot(version, List.copyOf(current.values())));
+  }
+
+  /** Returns the list as it was before the lag. */
+  Snapshot shown() {
+    return snapshots.shown();
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/ObjectPath.java
@@ -0,0 +1,63 @@
+package org.sedgeroad.testing.platform;
+
+import io.undertow.server.HttpServerExchange;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Deque;
+import java.util.Optional;
+
+/**
+ * Path and query of a call to the object API.
+ *
+ * @param kind kind of the objects
+ * @param name name of one object, empty for the whole kind
+ * @param exchange the exchange that holds the query
+ */
+record ObjectPath(String kind, String name, HttpServerExchange exchange) {
+  static final String ROOT = "/apis/sedgeroad.org/v1/";
+
+  /** Returns the parts of the path, empty if it is no path of the object API. */
+  static Optional<ObjectPath> parse(HttpServerExchange exchange) {
+    // The undecoded path is split, because a name may hold an escaped slash.
+    String path = exchange.getRequestURI();
+    if (!path.startsWith(ROOT)) {
+      return Optional.empty();
+    }
+    String[] parts = path.substring(ROOT.length()).split("/", -1);
+    if (parts.length > 2 || parts[0].isEmpty() || (parts.length == 2 && parts[1].isEmpty())) {
+      return Optional.empty();
+    }
+    String name = parts.length == 2 ? decode(parts[1]) : "";
+    return Optional.of(new ObjectPath(decode(parts[0]), name, exchange));
+  }
+
+  String query(String parameter) {
+    Deque<String> values = exchange.getQueryParameters().get(parameter);
+    return values == null ? "" : values.getFirst();
+  }
+
+  /**
+   * Returns a whole number of the query.
+   *
+   * @throws IllegalArgumentException if it is no number or is negative
+   */
+  long number(String parameter, long missing) {
+    String text = query(parameter);
+    if (text.isEmpty()) {
+      return missing;
+    }
+    long value = Long.parseLong(text);
+    if (value < 0) {
+      throw new IllegalArgumentException(parameter + " is negative");
+    }
+    return value;
+  }
+
+  boolean isWatch() {
+    return query("watch").equals("true");
+  }
+
+  private static String decode(String text) {
+    return URLDecoder.decode(text, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/ObjectTable.java
@@ -0,0 +1,170 @@
+package org.sedgeroad.testing.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.sedgeroad.store.StoredObject;
+
+/**
+ * All objects of the store, one version counter over all of them and the changes of the recent
+ * past. Thread-safe; watchers are called in version order under the table's lock and must not
+ * block.
+ */
+final class ObjectTable {
+  private final Map<String, NavigableMap<String, StoredObject>> kinds = new HashMap<>();
+  private final Deque<Change> replayable = new ArrayDeque<>();
+  private final List<AcceptedWrite> accepted = new ArrayList<>();
+  private final Map<String, Set<Consumer<Change>>> watchers = new HashMap<>();
+  private final int replayLimit;
+  private long version;
+  private long forgottenVersion;
+
+  /** Creates an empty table that keeps the given number of changes for watches. */
+  ObjectTable(int replayLimit) {
+    this.replayLimit = replayLimit;
+  }
+
+  // -----------------------------------------------------------------------
+
+  synchronized Optional<StoredObject> get(String kind, String name) {
+    return Optional.ofNullable(objects(kind).get(name));
+  }
+
+  synchronized ObjectPage list(String kind, String prefix, String after, int limit) {
+    List<StoredObject> page = new ArrayList<>();
+    String from = after.compareTo(prefix) > 0 ? after : prefix;
+    for (StoredObject object : objects(kind).tailMap(from, !from.equals(after)).values()) {
+      if (!object.name().startsWith(prefix)) {
+        break;
+      }
+      if (page.size() == limit) {
+        return new ObjectPage(version, page, false);
+      }
+      page.add(object);
+    }
+    return new ObjectPage(version, page, true);
+  }
+
+  synchronized WriteResult create(String kind, String name, JsonNode spec) {
+    StoredObject existing = objects(kind).get(name);
+    if (existing != null) {
+      return new WriteResult.Mismatch(existing.version());
+    }
+    return put("ADDED", kind, name, spec);
+  }
+
+  synchronized WriteResult update(String kind, String name, long expected, JsonNode spec) {
+    StoredObject existing = objects(kind).get(name);
+    if (existing == null) {
+      return new WriteResult.Missing();
+    }
+    if (existing.version() != expected) {
+      return new WriteResult.Mismatch(existing.version());
+    }
+    return put("MODIFIED", kind, name, spec);
+  }
+
+  /** Deletes an object; a negative expected version deletes any version. */
+  synchronized WriteResult delete(String kind, String name, long expected) {
+    StoredObject existing = objects(kind).get(name);
+    if (existing == null) {
+      return new WriteResult.Missing();
+    }
+    if (expected >= 0 && existing.version() != expected) {
+      return new WriteResult.Mismatch(existing.version());
+    }
+    objects(kind).remove(name);
+    StoredObject deleted = new StoredObject(kind, name, ++version, existing.spec());
+    publish(new Change("DELETED", deleted));
+    return new WriteResult.Written(deleted);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /**
+   * Passes on the changes of a kind after a version, past ones at once and later ones as they come.
+   *
+   * @return whether all changes after that version are still known; if not, nothing is passed on
+   */
+  synchronized boolean watch(String kind, long afterVersion, Consumer<Change> watcher) {
+    if (afterVersion < forgottenVersion) {
+      return false;
+    }
+    for (Change change : replayable) {
+      if (change.object().version() > afterVersion && change.object().kind().equals(kind)) {
+        watcher.accept(change);
+      }
+    }
+    watchers.computeIfAbsent(kind, key -> new LinkedHashSet<>()).add(watcher);
+    return true;
+  }
+
+  /** Passes on the present objects of a kind as added, then later changes as they come. */
+  synchronized void watchFromNow(String kind, Consumer<Change> watcher) {
+    objects(kind).values().forEach(object -> watcher.accept(new Change("ADDED", object)));
+    watchers.computeIfAbsent(kind, key -> new LinkedHashSet<>()).add(watcher);
+  }
+
+  synchronized void unwatch(String kind, Consumer<Change> watcher) {
+    watchers.getOrDefault(kind, Set.of()).remove(watcher);
+  }
+
+  /** Forgets all but the given number of changes, so that older watches are refused. */
+  synchronized void forgetChanges(int kept) {
+    while (replayable.size() > kept) {
+      forgottenVersion = replayable.remove().object().version();
+    }
+  }
+
+  /** Returns the accepted writes after a version, in order. */
+  synchronized List<AcceptedWrite> accepted(long afterVersion) {
+    int low = 0;
+    int high = accepted.size();
+    while (low < high) {
+      int middle = (low + high) >>> 1;
+      if (accepted.get(middle).version() <= afterVersion) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    return List.copyOf(accepted.subList(low, accepted.size()));
+  }
+
+  synchronized long version() {
+    return version;
+  }
+
+  // -----------------------------------------------------------------------
+
+  private NavigableMap<String, StoredObject> objects(String kind) {
+    return kinds.computeIfAbsent(kind, key -> new TreeMap<>());
+  }
+
+  private WriteResult put(String type, String kind, String name, JsonNode spec) {
+    StoredObject object = new StoredObject(kind, name, ++version, spec);
+    objects(kind).put(name, object);
+    publish(new Change(type, object));
+    return new WriteResult.Written(object);
+  }
+
+  private void publish(Change change) {
+    accepted.add(AcceptedWrite.of(change, Instant.now()));
+    replayable.add(change);
+    forgetChanges(replayLimit);
+    // The copy allows a watcher to end itself during the call.
+    List.copyOf(watchers.getOrDefault(change.object().kind(), Set.of()))
+        .forEach(watcher -> watcher.accept(change));
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformFaults.java
@@ -0,0 +1,92 @@
+package org.sedgeroad.testing.platform;
+
+import java.util.Random;
+import org.sedgeroad.MonotonicClock;
+
+/** The faults that the store shows at present. Thread-safe. */
+final class PlatformFaults {
+  private final MonotonicClock clock;
+  private final Random random;
+  private RateLimit writes;
+  private RateLimit reads;
+  private OutageMode outage = OutageMode.NONE;
+  private boolean instancesIncluded;
+  private long delayMillis;
+  private long jitterMillis;
+  private long answersToLose;
+  private double loseProbability;
+  private String loseKind = "";
+  private boolean loseByHanging;
+
+  PlatformFaults(MonotonicClock clock, long seed) {
+    this.clock = clock;
+    this.random = new Random(seed);
+    limitRates(0, 0);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Limits writes and reads per second; 0 means no limit. */
+  synchronized void limitRates(double writesPerSecond, double readsPerSecond) {
+    writes = RateLimit.perSecond(writesPerSecond, clock);
+    reads = RateLimit.perSecond(readsPerSecond, clock);
+  }
+
+  synchronized void setOutage(OutageMode mode, boolean includeInstances) {
+    outage = mode;
+    instancesIncluded = includeInstances;
+  }
+
+  synchronized void setDelay(long millis, long jitter) {
+    delayMillis = millis;
+    jitterMillis = jitter;
+  }
+
+  /** Loses answers of writes; an empty kind stands for every kind. */
+  synchronized void loseAnswers(long next, double probability, String kind, boolean hang) {
+    answersToLose = next;
+    loseProbability = probability;
+    loseKind = kind;
+    loseByHanging = hang;
+  }
+
+  // -----------------------------------------------------------------------
+
+  synchronized OutageMode outage() {
+    return outage;
+  }
+
+  synchronized OutageMode instanceOutage() {
+    return instancesIncluded ? outage : OutageMode.NONE;
+  }
+
+  /** Returns the milliseconds to wait before the next call is handled. */
+  synchronized long nextDelayMillis() {
+    return delayMillis + (jitterMillis == 0 ? 0 : (long) (random.nextDouble() * jitterMillis));
+  }
+
+  /** Returns 0 if the call may proceed, else the seconds after which to retry. */
+  long take(boolean write) {
+    RateLimit limit;
+    synchronized (this) {
+      limit = write ? writes : reads;
+    }
+    return limit.take();
+  }
+
+  /** Returns whether the answer of a write that took effect is to be lost. */
+  synchronized boolean takeLostAnswer(String kind) {
+    if (!loseKind.isEmpty() && !loseKind.equals(kind)) {
+      return false;
+    }
+    if (answersToLose > 0) {
+      answersToLose--;
+      return true;
+    }
+    return loseProbability > 0 && random.nextDouble() < loseProbability;
+  }
+
+  synchronized boolean isLoseByHanging() {
+    return loseByHanging;
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformStandIn.java
@@ -0,0 +1,194 @@
+package org.sedgeroad.testing.platform;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import java.net.URI;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.testing.http.Answers;
+import org.sedgeroad.testing.http.StandInServer;
+
+/**
+ * Stand-in for the platform: the object API, the instance list and a control API that sets faults.
+ *
+ * <p>Everything is kept in memory. Thread-safe.
+ */
+public final class PlatformStandIn implements AutoCloseable {
+  private static final long ANSWER_MILLIS = 20;
+
+  private final ObjectTable table;
+  private final InstanceTable instances;
+  private final PlatformFaults faults;
+  private final PlatformCounters counters = new PlatformCounters();
+  private final ObjectHandler objects;
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "platform-timer");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private final StandInServer server;
+
+  private PlatformStandIn(PlatformOptions options) {
+    table = new ObjectTable(options.replayChanges());
+    instances = new InstanceTable(MonotonicClock.SYSTEM, options.instanceLagMillis());
+    faults = new PlatformFaults(MonotonicClock.SYSTEM, options.seed());
+    faults.limitRates(options.writesPerSecond(), options.readsPerSecond());
+    objects = new ObjectHandler(table, faults, counters);
+    PlatformControl control = new PlatformControl(this);
+    server = StandInServer.start(options.port(), exchange -> route(exchange, control));
+  }
+
+  /** Starts a stand-in on any free port, without limits and faults. */
+  public static PlatformStandIn start() {
+    return start(PlatformOptions.DEFAULTS);
+  }
+
+  /** Starts a stand-in. */
+  public static PlatformStandIn start(PlatformOptions options) {
+    return new PlatformStandIn(options);
+  }
+
+  /** Returns the address, {@code http://127.0.0.1:PORT}. */
+  public URI address() {
+    return server.address();
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Limits writes and reads per second; 0 means no limit. */
+  public void limitRates(double writesPerSecond, double readsPerSecond) {
+    faults.limitRates(writesPerSecond, readsPerSecond);
+  }
+
+  /**
+   * Starts or ends an outage of the object API. Watches are cut at its start, except when the mode
+   * is {@link OutageMode#HANG}.
+   *
+   * @param mode behaviour during the outage
+   * @param includeInstances whether the instance list fails as well
+   */
+  public synchronized void setOutage(OutageMode mode, boolean includeInstances) {
+    OutageMode before = faults.outage();
+    faults.setOutage(mode, includeInstances);
+    if (mode == OutageMode.REFUSE) {
+      server.refuse();
+    } else {
+      server.accept();
+    }
+    if (mode == OutageMode.UNAVAILABLE) {
+      objects.cutWatches();
+    }
+    if (before == OutageMode.HANG && mode != OutageMode.HANG) {
+      // Calls that hang stay without an answer for good.
+      server.dropConnections();
+    }
+  }
+
+  /** Starts an outage that ends by itself after the given milliseconds. */
+  public void setOutageFor(OutageMode mode, boolean includeInstances, long millis) {
+    setOutage(mode, includeInstances);
+    timer.schedule(() -> setOutage(OutageMode.NONE, false), millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Refuses connections a moment later, so that the control call itself is answered. */
+  void refuseSoon(boolean includeInstances, long millis) {
+    timer.schedule(
+        () -> setOutageFor(OutageMode.REFUSE, includeInstances, millis),
+        ANSWER_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Delays each call by the given milliseconds and a random part of the jitter. */
+  public void setDelay(long millis, long jitterMillis) {
+    faults.setDelay(millis, jitterMillis);
+  }
+
+  /**
+   * Loses answers of writes after they took effect.
+   *
+   * @param next number of following writes whose answers are lost
+   * @param probability probability for the writes after these, from 0 to 1
+   * @param kind kind whose writes count, empty for all
+   * @param hang whether the connection stays open without an answer instead of being closed
+   */
+  public void loseAnswers(long next, double probability, String kind, boolean hang) {
+    faults.loseAnswers(next, probability, kind, hang);
+  }
+
+  /** Forgets all but the given number of changes, so that older watches get status 410. */
+  public void forgetChanges(int kept) {
+    table.forgetChanges(kept);
+  }
+
+  /** Closes all watches without an end. */
+  public void cutWatches() {
+    objects.cutWatches();
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Sets the lag of the instance list in milliseconds. */
+  public void setInstanceLag(long millis) {
+    instances.setLagMillis(millis);
+  }
+
+  /** Adds or replaces instances, then removes others by name. */
+  public void changeInstances(Collection<Endpoint> added, Collection<String> removed) {
+    instances.change(added, removed);
+  }
+
+  /** Returns the accepted writes after a store version, in order. */
+  public List<AcceptedWrite> acceptedWrites(long afterVersion) {
+    return table.accepted(afterVersion);
+  }
+
+  /** Returns the counts since the start, as in {@code GET /control/counters}. */
+  public ObjectNode counters() {
+    return counters.toJson();
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    server.close();
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void route(HttpServerExchange exchange, PlatformControl control) {
+    String path = exchange.getRequestPath();
+    if (path.startsWith("/control/")) {
+      control.handle(exchange);
+    } else if (path.equals("/instances")) {
+      Answers.receiveBytes(exchange, body -> sendInstances(exchange));
+    } else {
+      Answers.receiveBytes(exchange, body -> objects.handle(exchange, body));
+    }
+  }
+
+  private void sendInstances(HttpServerExchange exchange) {
+    counters.instanceReads.increment();
+    OutageMode outage = faults.instanceOutage();
+    if (outage == OutageMode.HANG) {
+      return;
+    }
+    if (outage != OutageMode.NONE) {
+      Answers.sendError(exchange, 503, "outage");
+      return;
+    }
+    InstanceTable.Snapshot shown = instances.shown();
+    ObjectNode root = Answers.MAPPER.createObjectNode();
+    root.put("version", shown.version());
+    ArrayNode list = root.putArray("instances");
+    shown.instances().forEach(endpoint -> list.add(InstanceEntry.toJson(endpoint)));
+    Answers.send(exchange, 200, root);
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform: object API and instance list. */
+package org.sedgeroad.testing.platform;
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** TCP proxy that injects faults. */
+package org.sedgeroad.testing.proxy;
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a plain service. */
+package org.sedgeroad.testing.service;
