Close cancelled exchanges at the socket and never resend a write

Cause: the Undertow client's close waits until the server ends its answer, so a cancelled run kept its slot at the engine; and a write on a pooled connection whose answer was lost was sent again, so that it conflicted with itself. Change: a cancelled exchange takes the raw connection over and closes it on its I/O thread; only reads are sent again.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -111,7 +111,7 @@
   void fail(HttpFailure failure) {
     if (ended.compareAndSet(false, true)) {
       cancelTimeout();
-      IoUtils.safeClose(connection);
+      closeConnection();
       listener.onFailure(failure);
     }
   }
@@ -122,6 +122,27 @@
     return Math.max(1, (call.deadlineNanos() - clock.nanos()) / 1_000_000L);
   }
 
+  /**
+   * Closes the socket on its I/O thread. The client's own close waits for the server to end its
+   * answer, which a server that should cancel the work would not notice; taking the raw connection
+   * over and closing it does.
+   */
+  private void closeConnection() {
+    ClientConnection open = connection;
+    if (open != null) {
+      open.getIoThread()
+          .execute(
+              () -> {
+                try {
+                  IoUtils.safeClose(open.performUpgrade());
+                } catch (IOException closed) {
+                  // The connection was closed before; the second close has no effect.
+                }
+                IoUtils.safeClose(open);
+              });
+    }
+  }
+
   private void cancelTimeout() {
     XnioExecutor.Key key = timeout;
     if (key != null) {
@@ -129,9 +150,12 @@
     }
   }
 
-  /** A pooled connection may have been closed by the server while idle: try a fresh one once. */
+  /**
+   * A pooled connection may have been closed by the server while idle: a read is tried once more on
+   * a fresh one. A write is not, because the first sending may have taken effect.
+   */
   private void broken(IOException failure, boolean pooled) {
-    if (pooled && !headReceived && !ended.get()) {
+    if (pooled && call.method().equals("GET") && !headReceived && !ended.get()) {
       cancelTimeout();
       IoUtils.safeClose(connection);
       connection = null;
