Notice closed connections, keep control calls out of outages, list two client faults

Cause: the end of a HANG outage closed every connection, control calls included; the tests cancelled through HttpCaller, whose close does not close the socket.

--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/ObjectHandler.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/ObjectHandler.java
@@ -23,6 +23,7 @@
   private final PlatformFaults faults;
   private final PlatformCounters counters;
   private final Set<WatchSession> sessions = ConcurrentHashMap.newKeySet();
+  private final Set<HttpServerExchange> hanging = ConcurrentHashMap.newKeySet();
 
   ObjectHandler(ObjectTable table, PlatformFaults faults, PlatformCounters counters) {
     this.table = table;
@@ -47,11 +48,23 @@
     sessions.forEach(WatchSession::abort);
   }
 
+  /** Leaves a call without an answer until its caller or {@link #dropHanging} closes it. */
+  void hang(HttpServerExchange exchange) {
+    hanging.add(exchange);
+    CloseWatch.start(exchange, () -> hanging.remove(exchange));
+  }
+
+  /** Closes the connections of all calls that hang. */
+  void dropHanging() {
+    hanging.forEach(Answers::drop);
+  }
+
   // -----------------------------------------------------------------------
 
   private void admit(HttpServerExchange exchange, byte[] body) {
     if (faults.outage() == OutageMode.HANG) {
       counters.unavailable.increment();
+      hang(exchange);
       return;
     }
     if (faults.outage() != OutageMode.NONE) {
@@ -179,7 +192,9 @@
     if (result instanceof WriteResult.Written written) {
       if (faults.takeLostAnswer(path.kind())) {
         counters.answersLost.increment();
-        if (!faults.isLoseByHanging()) {
+        if (faults.isLoseByHanging()) {
+          hang(exchange);
+        } else {
           Answers.drop(exchange);
         }
         return;
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformStandIn.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformStandIn.java
@@ -70,13 +70,12 @@
 
   /**
    * Starts or ends an outage of the object API. Watches are cut at its start, except when the mode
-   * is {@link OutageMode#HANG}.
+   * is {@link OutageMode#HANG}; calls that hang are cut at its end.
    *
    * @param mode behaviour during the outage
    * @param includeInstances whether the instance list fails as well
    */
   public synchronized void setOutage(OutageMode mode, boolean includeInstances) {
-    OutageMode before = faults.outage();
     faults.setOutage(mode, includeInstances);
     if (mode == OutageMode.REFUSE) {
       server.refuse();
@@ -86,9 +85,8 @@
     if (mode == OutageMode.UNAVAILABLE) {
       objects.cutWatches();
     }
-    if (before == OutageMode.HANG && mode != OutageMode.HANG) {
-      // Calls that hang stay without an answer for good.
-      server.dropConnections();
+    if (mode != OutageMode.HANG) {
+      objects.dropHanging();
     }
   }
 
@@ -178,6 +176,7 @@
     counters.instanceReads.increment();
     OutageMode outage = faults.instanceOutage();
     if (outage == OutageMode.HANG) {
+      objects.hang(exchange);
       return;
     }
     if (outage != OutageMode.NONE) {
--- /dev/null
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/HttpCallerFaultTest.java
@@ -0,0 +1,84 @@
+package org.sedgeroad.testing;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.HttpExchange;
+import org.sedgeroad.http.HttpFailure;
+import org.sedgeroad.http.HttpHead;
+import org.sedgeroad.http.HttpListener;
+import org.sedgeroad.store.HttpObjectStore;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.testing.engine.EngineEvent;
+import org.sedgeroad.testing.engine.EngineStandIn;
+import org.sedgeroad.testing.platform.PlatformStandIn;
+
+/** Guards against faults of the HTTP client that the protocols don't allow; see KNOWN-RED.txt. */
+@Tag("known-red")
+class HttpCallerFaultTest {
+
+  /** Guards against a write that is sent twice, so that it conflicts with itself. */
+  @Test
+  void aLostAnswerOnAPooledConnectionIsUnknown() {
+    try (PlatformStandIn platform = PlatformStandIn.start();
+        TestClient client = new TestClient(platform.address())) {
+      HttpObjectStore store = HttpObjectStore.of(platform.address(), client.caller(), 1_000);
+      assertInstanceOf(StoreResult.Absent.class, store.get("jobs", "a"));
+      platform.loseAnswers(1, 0, "", false);
+      assertInstanceOf(
+          StoreResult.Unknown.class,
+          store.create("jobs", "a", new ObjectMapper().createObjectNode()));
+    }
+  }
+
+  /** Guards against cancelled streams that keep their slot at the engine. */
+  @Test
+  void closingAnExchangeCancelsTheRun() {
+    try (EngineStandIn engine = EngineStandIn.start();
+        HttpCaller caller = HttpCaller.create(1)) {
+      byte[] body = "{\"prompt\":\"a\",\"max_tokens\":100000}".getBytes(StandardCharsets.UTF_8);
+      long deadline = MonotonicClock.SYSTEM.deadlineAfterMillis(20_000);
+      HttpCall call =
+          HttpCall.of("POST", engine.address().resolve("/v1/completions"), body, deadline);
+      HttpExchange exchange = caller.start(call, new IgnoringListener());
+      await().until(() -> has(engine, EngineEvent.Type.START));
+      exchange.close();
+      await().atMost(Duration.ofSeconds(1)).until(() -> has(engine, EngineEvent.Type.CANCEL));
+    }
+  }
+
+  private static boolean has(EngineStandIn engine, EngineEvent.Type type) {
+    return engine.history(0).stream().anyMatch(event -> event.type() == type);
+  }
+
+  private static final class IgnoringListener implements HttpListener {
+    @Override
+    public void onHead(HttpHead head) {
+      // Only the connection matters.
+    }
+
+    @Override
+    public void onBytes(ByteBuffer bytes) {
+      // Only the connection matters.
+    }
+
+    @Override
+    public void onEnd() {
+      // Only the connection matters.
+    }
+
+    @Override
+    public void onFailure(HttpFailure failure) {
+      // Only the connection matters.
+    }
+  }
+}
