--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/proxy/FaultProxy.java
@@ -0,0 +1,217 @@
+package org.sedgeroad.testing.proxy;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
+
+/**
+ * A TCP proxy on 127.0.0.1 in front of one target, with faults that can be changed at any time.
+ * Blocking threads serve each connection. Thread-safe.
+ */
+public final class FaultProxy implements AutoCloseable {
+  private static final int CONNECT_MILLIS = 1_000;
+  private static final int BACKLOG = 256;
+
+  private final InetSocketAddress target;
+  private final Throttle requestThrottle;
+  private final Throttle answerThrottle;
+  private final Set<ProxyConnection> connections = ConcurrentHashMap.newKeySet();
+  private final AtomicLong answersToDrop = new AtomicLong();
+  private final int port;
+  private volatile ProxyFaults faults = ProxyFaults.NONE;
+  private ServerSocket listener;
+  private boolean closed;
+
+  private FaultProxy(
+      int port, InetSocketAddress target, Throttle requestThrottle, Throttle answerThrottle)
+      throws IOException {
+    this.target = target;
+    this.requestThrottle = requestThrottle;
+    this.answerThrottle = answerThrottle;
+    this.listener = listen(port);
+    this.port = listener.getLocalPort();
+  }
+
+  /** Starts a proxy on any free port with its own link in front of {@code http://IP:PORT}. */
+  public static FaultProxy start(URI target) {
+    return start(
+        0,
+        new InetSocketAddress(target.getHost(), target.getPort()),
+        Throttle.of(0),
+        Throttle.of(0));
+  }
+
+  /**
+   * Starts a proxy.
+   *
+   * @param port port, 0 for any free one
+   * @param target address of the target
+   * @param requestThrottle link towards the target, which other proxies may share
+   * @param answerThrottle link towards the caller, which other proxies may share
+   * @throws UncheckedIOException if the port can't be bound
+   */
+  public static FaultProxy start(
+      int port, InetSocketAddress target, Throttle requestThrottle, Throttle answerThrottle) {
+    try {
+      return new FaultProxy(port, target, requestThrottle, answerThrottle);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Returns the address to call, {@code http://127.0.0.1:PORT}. */
+  public URI address() {
+    return URI.create("http://127.0.0.1:" + port);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Closes all connections and refuses new ones, or accepts them again. */
+  public synchronized void setCut(boolean cut) {
+    change(current -> current.withCut(cut));
+    try {
+      if (cut) {
+        listener.close();
+        connections.forEach(ProxyConnection::close);
+      } else if (listener.isClosed() && !closed) {
+        listener = listen(port);
+      }
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /**
+   * Drops all bytes in both directions while connections are accepted and stay open, or lets them
+   * pass again. Connections that lost bytes are closed at the end of the fault.
+   */
+  public synchronized void setBlackHole(boolean blackHole) {
+    boolean before = faults.blackHole();
+    change(current -> current.withBlackHole(blackHole));
+    if (before && !blackHole) {
+      connections.forEach(ProxyConnection::close);
+    }
+  }
+
+  /** Delays the bytes in each direction by the given milliseconds. */
+  public void setDelays(long requestMillis, long answerMillis) {
+    change(current -> current.withDelays(requestMillis, answerMillis));
+  }
+
+  /** Limits the bytes per second in each direction; 0 means no limit. */
+  public void setThrottles(long requestBytesPerSecond, long answerBytesPerSecond) {
+    requestThrottle.setBytesPerSecond(requestBytesPerSecond);
+    answerThrottle.setBytesPerSecond(answerBytesPerSecond);
+  }
+
+  /**
+   * Closes the target's side of the present connections; their callers see open connections without
+   * any traffic. New connections are not affected.
+   */
+  public void openHalf() {
+    connections.forEach(ProxyConnection::openHalf);
+  }
+
+  /** Closes the connection before the first byte of each of the next answers. */
+  public void dropAnswers(long next) {
+    answersToDrop.set(next);
+  }
+
+  /** Ends all faults. */
+  public void restore() {
+    setCut(false);
+    setBlackHole(false);
+    setDelays(0, 0);
+    setThrottles(0, 0);
+    dropAnswers(0);
+  }
+
+  /** Returns the bytes read so far in one direction. */
+  public long passedBytes(Direction direction) {
+    return throttle(direction).passedBytes();
+  }
+
+  /** Returns the number of open connections. */
+  public int openConnections() {
+    return connections.size();
+  }
+
+  @Override
+  public synchronized void close() {
+    closed = true;
+    setCut(true);
+  }
+
+  // -----------------------------------------------------------------------
+
+  ProxyFaults faults() {
+    return faults;
+  }
+
+  Throttle throttle(Direction direction) {
+    return direction == Direction.REQUEST ? requestThrottle : answerThrottle;
+  }
+
+  boolean takeDroppedAnswer() {
+    return answersToDrop.getAndUpdate(count -> Math.max(0, count - 1)) > 0;
+  }
+
+  void ended(ProxyConnection connection) {
+    connections.remove(connection);
+  }
+
+  private synchronized void change(UnaryOperator<ProxyFaults> change) {
+    faults = change.apply(faults);
+  }
+
+  private ServerSocket listen(int wanted) throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wanted), BACKLOG);
+    Thread thread = new Thread(() -> acceptAll(socket), "proxy-accept");
+    thread.setDaemon(true);
+    thread.start();
+    return socket;
+  }
+
+  private void acceptAll(ServerSocket socket) {
+    while (!socket.isClosed()) {
+      try {
+        Socket caller = socket.accept();
+        Thread thread = new Thread(() -> connect(caller), "proxy-connect");
+        thread.setDaemon(true);
+        thread.start();
+      } catch (IOException failure) {
+        // The listener was closed by a cut or at the end.
+        return;
+      }
+    }
+  }
+
+  private void connect(Socket caller) {
+    Socket upstream = new Socket();
+    try {
+      caller.setTcpNoDelay(true);
+      upstream.setTcpNoDelay(true);
+      upstream.connect(target, CONNECT_MILLIS);
+    } catch (IOException failure) {
+      ProxyConnection.closeQuietly(caller);
+      return;
+    }
+    ProxyConnection connection = new ProxyConnection(this, caller, upstream);
+    connections.add(connection);
+    if (faults.cut()) {
+      connection.close();
+      return;
+    }
+    connection.start();
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/proxy/ProxyFaults.java
@@ -0,0 +1,30 @@
+package org.sedgeroad.testing.proxy;
+
+/**
+ * The faults of a proxy at one time.
+ *
+ * @param cut whether connections are refused
+ * @param blackHole whether no byte passes in either direction
+ * @param requestDelayMillis delay towards the target
+ * @param answerDelayMillis delay towards the caller
+ */
+record ProxyFaults(
+    boolean cut, boolean blackHole, long requestDelayMillis, long answerDelayMillis) {
+  static final ProxyFaults NONE = new ProxyFaults(false, false, 0, 0);
+
+  ProxyFaults withCut(boolean changed) {
+    return new ProxyFaults(changed, blackHole, requestDelayMillis, answerDelayMillis);
+  }
+
+  ProxyFaults withBlackHole(boolean changed) {
+    return new ProxyFaults(cut, changed, requestDelayMillis, answerDelayMillis);
+  }
+
+  ProxyFaults withDelays(long requestMillis, long answerMillis) {
+    return new ProxyFaults(cut, blackHole, requestMillis, answerMillis);
+  }
+
+  long delayMillis(Direction direction) {
+    return direction == Direction.REQUEST ? requestDelayMillis : answerDelayMillis;
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/proxy/Throttle.java
@@ -0,0 +1,48 @@
+package org.sedgeroad.testing.proxy;
+
+import org.sedgeroad.MonotonicClock;
+
+/**
+ * Rate of a link in one direction. Several proxies may share one, like the traffic of one network
+ * link. Thread-safe.
+ */
+public final class Throttle {
+  private final MonotonicClock clock;
+  private long bytesPerSecond;
+  private long freeNanos;
+  private long passed;
+
+  private Throttle(long bytesPerSecond, MonotonicClock clock) {
+    this.bytesPerSecond = bytesPerSecond;
+    this.clock = clock;
+    this.freeNanos = clock.nanos();
+  }
+
+  /** Returns a throttle; a rate of 0 means no limit. */
+  public static Throttle of(long bytesPerSecond) {
+    return new Throttle(bytesPerSecond, MonotonicClock.SYSTEM);
+  }
+
+  /** Changes the rate for the bytes that follow; 0 means no limit. */
+  public synchronized void setBytesPerSecond(long changed) {
+    bytesPerSecond = changed;
+    freeNanos = clock.nanos();
+  }
+
+  /** Returns the bytes that have passed so far. */
+  public synchronized long passedBytes() {
+    return passed;
+  }
+
+  /** Takes the link for some bytes and returns the monotonic time at which they have passed. */
+  synchronized long reserve(int bytes) {
+    passed += bytes;
+    long now = clock.nanos();
+    if (bytesPerSecond == 0) {
+      return now;
+    }
+    long begin = freeNanos - now > 0 ? freeNanos : now;
+    freeNanos = begin + bytes * 1_000_000_000L / bytesPerSecond;
+    return freeNanos;
+  }
+}
