Send large histories from worker threads, end only the outage that a timer belongs to

Cause: a history of many events was built on an I/O thread, which holds up its streams; a timed outage could end a later one.

--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineControl.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineControl.java
@@ -35,12 +35,15 @@
   }
 
   private void sendHistory(HttpServerExchange exchange) {
-    var since = exchange.getQueryParameters().get("since");
-    ObjectNode root = Answers.MAPPER.createObjectNode();
-    ArrayNode events = root.putArray("events");
-    engine
-        .history(since == null ? 0 : Long.parseLong(since.getFirst()))
-        .forEach(event -> events.add(event.toJson()));
-    Answers.send(exchange, 200, root);
+    long since = ControlFields.query(exchange, "since", 0);
+    int limit = (int) ControlFields.query(exchange, "limit", Integer.MAX_VALUE);
+    Answers.sendLarge(
+        exchange,
+        () -> {
+          ObjectNode root = Answers.MAPPER.createObjectNode();
+          ArrayNode events = root.putArray("events");
+          engine.history(since).stream().limit(limit).forEach(event -> events.add(event.toJson()));
+          return root;
+        });
   }
 }
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineLoop.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineLoop.java
@@ -141,7 +141,7 @@
       return;
     }
     active.put(run.request.requestId(), run);
-    record(EngineEvent.Type.ACCEPT, run);
+    history.add(EngineEvent.Type.ACCEPT, run);
     waiting.add(run);
     fillSlots();
     report();
@@ -157,7 +157,7 @@
     long now = clock.nanos();
     running.add(run);
     run.queueWaitMicros = (now - run.acceptedNanos) / 1_000L;
-    record(EngineEvent.Type.START, run);
+    history.add(EngineEvent.Type.START, run);
     if (run.request.prompt().contains(GenerationRequest.CRASH_MARK)) {
       loseAllNow();
       crash.run();
@@ -200,7 +200,7 @@
   }
 
   private void finishPrefill(Run run) {
-    record(EngineEvent.Type.FIRST_TOKEN, run);
+    history.add(EngineEvent.Type.FIRST_TOKEN, run);
     for (int index = run.offset; index < run.producedBefore; index++) {
       run.output.token(index, AnswerText.token(run.fingerprint, index));
     }
@@ -209,7 +209,7 @@
   }
 
   private void finish(Run run) {
-    record(EngineEvent.Type.FINISH, run);
+    history.add(EngineEvent.Type.FINISH, run);
     run.output.finish(run.request.finishReason(), run.cachedTokens);
     end(run);
   }
@@ -218,7 +218,7 @@
     if (run.ended) {
       return;
     }
-    record(EngineEvent.Type.CANCEL, run);
+    history.add(EngineEvent.Type.CANCEL, run);
     run.cancelNextToken();
     waiting.remove(run);
     end(run);
@@ -259,10 +259,6 @@
     }
   }
 
-  private void record(EngineEvent.Type type, Run run) {
-    history.add(type, run.request, run.queueWaitMicros, run.produced);
-  }
-
   private void report() {
     load.set(new EngineLoad(running.size(), waiting.size(), cache.usedTokens(), Instant.now()));
   }
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineStandIn.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineStandIn.java
@@ -137,11 +137,9 @@
             case "POST /v1/resume" -> resume(exchange, body);
             case "GET /v1/models" -> Answers.send(exchange, 200, models());
             case "GET /load" -> Answers.send(exchange, 200, loadReport());
-            case "GET /cache-events" -> {
-              var since = exchange.getQueryParameters().get("since");
-              long after = since == null ? 0 : Long.parseLong(since.getFirst());
-              Answers.send(exchange, 200, cacheEvents.since(after));
-            }
+            case "GET /cache-events" ->
+                Answers.send(
+                    exchange, 200, cacheEvents.since(ControlFields.query(exchange, "since", 0)));
             case "POST /orders" -> order(exchange, body);
             case "GET /orders" -> Answers.send(exchange, 200, orders.toJson());
             default -> Answers.sendError(exchange, 404, "unknown call " + call);
@@ -153,12 +151,12 @@
     GenerationRequest request = GenerationRequest.parse(exchange, chat, body);
     exchange.getResponseHeaders().put(new HttpString("X-Request-Id"), request.requestId());
     if (draining) {
-      history.add(EngineEvent.Type.REJECT, request, 0, 0);
+      history.add(EngineEvent.Type.REJECT, request);
       refuseDraining(exchange);
       return;
     }
     if (request.prompt().contains(GenerationRequest.FAIL_MARK)) {
-      history.add(EngineEvent.Type.REJECT, request, 0, 0);
+      history.add(EngineEvent.Type.REJECT, request);
       Answers.sendError(exchange, 422, "the prompt can't be processed");
       return;
     }
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/http/Answers.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/http/Answers.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.xnio.IoUtils;
 
 /** Static methods that read JSON requests and send JSON answers without blocking. */
@@ -78,6 +79,14 @@
         });
   }
 
+  /**
+   * Builds a large answer on a worker thread, so that it does not hold up the streams of the I/O
+   * thread, and sends it with status 200.
+   */
+  public static void sendLarge(HttpServerExchange exchange, Supplier<JsonNode> body) {
+    exchange.getConnection().getWorker().execute(() -> send(exchange, 200, body.get()));
+  }
+
   /** Sends an error in the shape of the OpenAI API; may be called on any thread. */
   public static void sendError(HttpServerExchange exchange, int status, String message) {
     ObjectNode body = MAPPER.createObjectNode();
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/http/ControlFields.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/http/ControlFields.java
@@ -1,6 +1,8 @@
 package org.sedgeroad.testing.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.server.HttpServerExchange;
+import java.util.Deque;
 
 /** Static methods that read fields of control requests and refuse wrong types. */
 public final class ControlFields {
@@ -31,6 +33,23 @@
     return (long) number(body, field, missing);
   }
 
+  /**
+   * Returns a whole number of the query that must not be negative.
+   *
+   * @throws IllegalArgumentException if it is no number or is negative
+   */
+  public static long query(HttpServerExchange exchange, String parameter, long missing) {
+    Deque<String> values = exchange.getQueryParameters().get(parameter);
+    if (values == null || values.getFirst().isEmpty()) {
+      return missing;
+    }
+    long value = Long.parseLong(values.getFirst());
+    if (value < 0) {
+      throw new IllegalArgumentException(parameter + " is negative");
+    }
+    return value;
+  }
+
   /** Returns a text, or the given one if the field is missing. */
   public static String text(JsonNode body, String field, String missing) {
     JsonNode node = body.get(field);
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformControl.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformControl.java
@@ -87,12 +87,14 @@
   }
 
   private void sendHistory(HttpServerExchange exchange) {
-    var since = exchange.getQueryParameters().get("since");
-    ObjectNode root = Answers.MAPPER.createObjectNode();
-    ArrayNode writes = root.putArray("writes");
-    platform
-        .acceptedWrites(since == null ? 0 : Long.parseLong(since.getFirst()))
-        .forEach(write -> writes.add(write.toJson()));
-    Answers.send(exchange, 200, root);
+    long since = ControlFields.query(exchange, "since", 0);
+    Answers.sendLarge(
+        exchange,
+        () -> {
+          ObjectNode root = Answers.MAPPER.createObjectNode();
+          ArrayNode writes = root.putArray("writes");
+          platform.acceptedWrites(since).forEach(write -> writes.add(write.toJson()));
+          return root;
+        });
   }
 }
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformStandIn.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformStandIn.java
@@ -35,6 +35,7 @@
             return thread;
           });
   private final StandInServer server;
+  private long outageNumber;
 
   private PlatformStandIn(PlatformOptions options) {
     table = new ObjectTable(options.replayChanges());
@@ -76,6 +77,7 @@
    * @param includeInstances whether the instance list fails as well
    */
   public synchronized void setOutage(OutageMode mode, boolean includeInstances) {
+    outageNumber++;
     faults.setOutage(mode, includeInstances);
     if (mode == OutageMode.REFUSE) {
       server.refuse();
@@ -91,9 +93,17 @@
   }
 
   /** Starts an outage that ends by itself after the given milliseconds. */
-  public void setOutageFor(OutageMode mode, boolean includeInstances, long millis) {
+  public synchronized void setOutageFor(OutageMode mode, boolean includeInstances, long millis) {
     setOutage(mode, includeInstances);
-    timer.schedule(() -> setOutage(OutageMode.NONE, false), millis, TimeUnit.MILLISECONDS);
+    long number = outageNumber;
+    timer.schedule(() -> endOutage(number), millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends an outage unless another call has changed it meanwhile. */
+  private synchronized void endOutage(long number) {
+    if (outageNumber == number) {
+      setOutage(OutageMode.NONE, false);
+    }
   }
 
   /** Refuses connections a moment later, so that the control call itself is answered. */
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/service/PlainServiceStandIn.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/service/PlainServiceStandIn.java
@@ -90,7 +90,7 @@
   private void control(HttpServerExchange exchange, JsonNode body) {
     String call = exchange.getRequestMethod() + " " + exchange.getRequestPath();
     switch (call) {
-      case "GET /control/history" -> Answers.send(exchange, 200, log.toJson());
+      case "GET /control/history" -> Answers.sendLarge(exchange, log::toJson);
       case "POST /control/delay" -> setDelay(ControlFields.whole(body, "millis", 0));
       case "POST /control/drain" -> setDraining(body.path("draining").asBoolean(true));
       default -> throw new IllegalArgumentException("unknown control call " + call);
