--- a/sedgeroad/src/main/java/org/sedgeroad/api/ApiHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ApiHandler.java
@@ -5,8 +5,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import org.sedgeroad.WorkState;
 import org.sedgeroad.configuration.ConfigurationReplica;
@@ -32,13 +34,7 @@
     this.parts = parts;
     this.replica = parts.replica();
     this.authenticator = new Authenticator(replica);
-    this.live =
-        new LiveHandler(
-            replica,
-            parts.live(),
-            parts.clock(),
-            parts.requestTimeoutMillis(),
-            parts.maximumBodyBytes());
+    this.live = new LiveHandler(replica, parts.live(), parts.clock(), parts.requestTimeoutMillis());
     this.files = new FilesHandler(parts.jobs(), parts.log());
     this.batches = new BatchesHandler(parts.jobs(), replica, parts.log());
     this.log = parts.log();
@@ -57,27 +53,66 @@
     }
   }
 
+  /**
+   * Authenticates and receives the body on the I/O thread, so that a slow caller holds no worker.
+   */
   private void dispatch(HttpServerExchange exchange) {
+    Optional<String> member = authenticator.member(exchange);
+    if (member.isEmpty()) {
+      ApiErrors.send(
+          exchange,
+          LiveFailure.notRun(401, "invalid_api_key", "the key in Authorization is not known"),
+          null);
+    } else if (exchange.getRequestPath().equals("/v1/files")) {
+      // A file is stored while it arrives and never held as a whole.
+      runInPool(exchange, parts.uploadWorkers(), member.get());
+    } else if (exchange.getRequestContentLength() > parts.maximumBodyBytes()) {
+      tooLarge(exchange);
+    } else {
+      exchange.setMaxEntitySize(parts.maximumBodyBytes());
+      exchange
+          .getRequestReceiver()
+          .receiveFullBytes(
+              (received, body) -> {
+                received.putAttachment(RequestBody.KEY, body);
+                runInPool(received, parts.workers(), member.get());
+              },
+              (broken, failure) -> refuseBody(broken, failure));
+    }
+  }
+
+  private void refuseBody(HttpServerExchange exchange, IOException failure) {
+    if (failure instanceof RequestTooBigException) {
+      tooLarge(exchange);
+    } else {
+      closeQuietly(exchange);
+    }
+  }
+
+  private void tooLarge(HttpServerExchange exchange) {
+    exchange.setPersistent(false);
+    ApiErrors.send(
+        exchange,
+        LiveFailure.notRun(
+            413,
+            "body_too_large",
+            "the body is larger than " + parts.maximumBodyBytes() + " bytes"),
+        null);
+  }
+
+  private void runInPool(HttpServerExchange exchange, Executor pool, String member) {
     try {
-      exchange.dispatch(parts.workers(), this::serveBlocking);
+      exchange.dispatch(pool, dispatched -> serveBlocking(dispatched, member));
     } catch (RejectedExecutionException full) {
       ApiErrors.send(exchange, LiveFailure.notRun(503, "overloaded", "all workers are busy"), null);
     }
   }
 
-  private void serveBlocking(HttpServerExchange exchange) {
+  private void serveBlocking(HttpServerExchange exchange, String member) {
     exchange.startBlocking();
     parts.activeRequests().incrementAndGet();
     try {
-      Optional<String> member = authenticator.member(exchange);
-      if (member.isEmpty()) {
-        ApiErrors.send(
-            exchange,
-            LiveFailure.notRun(401, "invalid_api_key", "the key in Authorization is not known"),
-            null);
-      } else {
-        route(exchange, member.get());
-      }
+      route(exchange, member);
     } catch (IOException gone) {
       exchange.setPersistent(false);
       closeQuietly(exchange);
@@ -85,24 +120,28 @@
       Thread.currentThread().interrupt();
       closeQuietly(exchange);
     } catch (RuntimeException failure) {
-      log.log(
-          LogEvent.REQUEST_ERROR,
-          EventField.of("path", exchange.getRequestPath()),
-          EventField.of("cause", failure));
-      if (exchange.isResponseStarted()) {
-        closeQuietly(exchange);
-      } else {
-        ApiErrors.send(
-            exchange,
-            new LiveFailure(
-                500, "internal_error", "unexpected error", WorkState.UNKNOWN, Optional.empty()),
-            null);
-      }
+      reportError(exchange, failure);
     } finally {
       parts.activeRequests().decrementAndGet();
     }
   }
 
+  private void reportError(HttpServerExchange exchange, RuntimeException failure) {
+    log.log(
+        LogEvent.REQUEST_ERROR,
+        EventField.of("path", exchange.getRequestPath()),
+        EventField.of("cause", failure));
+    if (exchange.isResponseStarted()) {
+      closeQuietly(exchange);
+    } else {
+      ApiErrors.send(
+          exchange,
+          new LiveFailure(
+              500, "internal_error", "unexpected error", WorkState.UNKNOWN, Optional.empty()),
+          null);
+    }
+  }
+
   private void route(HttpServerExchange exchange, String member)
       throws IOException, InterruptedException {
     String path = exchange.getRequestPath();
--- a/sedgeroad/src/main/java/org/sedgeroad/api/ApiParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ApiParts.java
@@ -16,6 +16,7 @@
  * @param live live requests
  * @param jobs batch jobs
  * @param workers pool for blocking requests
+ * @param uploadWorkers pool for uploads, which may take long
  * @param ready whether the instance takes new requests
  * @param activeRequests counts requests in progress
  * @param clock monotonic clock
@@ -28,6 +29,7 @@
     LiveService live,
     JobService jobs,
     Executor workers,
+    Executor uploadWorkers,
     BooleanSupplier ready,
     AtomicInteger activeRequests,
     MonotonicClock clock,
--- a/sedgeroad/src/main/java/org/sedgeroad/api/BatchesHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/BatchesHandler.java
@@ -50,7 +50,7 @@
   void create(HttpServerExchange exchange, String member) throws IOException {
     JsonNode body;
     try {
-      body = mapper.readTree(exchange.getInputStream().readNBytes(1024 * 1024));
+      body = mapper.readTree(RequestBody.of(exchange));
     } catch (JsonProcessingException invalid) {
       ApiErrors.invalid(exchange, null, "not valid JSON: " + invalid.getOriginalMessage());
       return;
--- a/sedgeroad/src/main/java/org/sedgeroad/api/LiveHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/LiveHandler.java
@@ -8,7 +8,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.IOException;
-import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -37,31 +36,22 @@
   private final LiveService service;
   private final MonotonicClock clock;
   private final long timeoutMillis;
-  private final long maximumBodyBytes;
 
   LiveHandler(
-      ConfigurationReplica replica,
-      LiveService service,
-      MonotonicClock clock,
-      long timeoutMillis,
-      long maximumBodyBytes) {
+      ConfigurationReplica replica, LiveService service, MonotonicClock clock, long timeoutMillis) {
     this.replica = replica;
     this.service = service;
     this.clock = clock;
     this.timeoutMillis = timeoutMillis;
-    this.maximumBodyBytes = maximumBodyBytes;
   }
 
   /** Serves a completion. */
   void generate(HttpServerExchange exchange, String member)
       throws IOException, InterruptedException {
-    Optional<byte[]> body = readBody(exchange);
-    if (body.isEmpty()) {
-      return;
-    }
+    byte[] body = RequestBody.of(exchange);
     JsonNode node;
     try {
-      node = mapper.readTree(body.get());
+      node = mapper.readTree(body);
     } catch (JsonProcessingException invalid) {
       ApiErrors.invalid(exchange, null, "not valid JSON: " + invalid.getOriginalMessage());
       return;
@@ -90,19 +80,16 @@
             prompt.length() / CHARACTERS_PER_TOKEN,
             output,
             Hashing.komihash5_0().hashCharsToLong(prefix),
-            fingerprint(member, body.get()),
+            fingerprint(member, body),
             isIdempotent(exchange, true),
             Set.of());
-    serve(exchange, body.get(), deterministic, shape);
+    serve(exchange, body, deterministic, shape);
   }
 
   /** Serves a call to a plain service. */
   void plain(HttpServerExchange exchange, String member, Model model)
       throws IOException, InterruptedException {
-    Optional<byte[]> body = readBody(exchange);
-    if (body.isEmpty()) {
-      return;
-    }
+    byte[] body = RequestBody.of(exchange);
     boolean safe = IDEMPOTENT_METHODS.contains(exchange.getRequestMethod().toString());
     RequestShape shape =
         new RequestShape(
@@ -112,10 +99,10 @@
             0,
             1,
             0,
-            fingerprint(member + exchange.getRequestURI(), body.get()),
+            fingerprint(member + exchange.getRequestURI(), body),
             isIdempotent(exchange, safe),
             Set.of());
-    serve(exchange, body.get(), false, shape);
+    serve(exchange, body, false, shape);
   }
 
   // -----------------------------------------------------------------------
@@ -149,29 +136,6 @@
     }
   }
 
-  private Optional<byte[]> readBody(HttpServerExchange exchange) throws IOException {
-    if (exchange.getRequestContentLength() > maximumBodyBytes) {
-      tooLarge(exchange);
-      return Optional.empty();
-    }
-    InputStream input = exchange.getInputStream();
-    byte[] body = input.readNBytes((int) Math.min(Integer.MAX_VALUE - 8, maximumBodyBytes + 1));
-    if (body.length > maximumBodyBytes) {
-      tooLarge(exchange);
-      return Optional.empty();
-    }
-    return Optional.of(body);
-  }
-
-  private void tooLarge(HttpServerExchange exchange) {
-    exchange.setPersistent(false);
-    ApiErrors.send(
-        exchange,
-        LiveFailure.notRun(
-            413, "body_too_large", "the body is larger than " + maximumBodyBytes + " bytes"),
-        null);
-  }
-
   private static boolean isIdempotent(HttpServerExchange exchange, boolean otherwise) {
     String value = header(exchange, "X-Idempotent");
     return value.isEmpty() ? otherwise : !value.equalsIgnoreCase("false");
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -46,6 +46,7 @@
   private static final long INSTANCE_LIST_MILLIS = 500;
   private static final int RENEWALS_PER_LEASE = 4;
   private static final int STORE_THREADS = 8;
+  private static final int UPLOAD_THREADS = 16;
 
   private final Settings settings;
   private final EventLog log;
@@ -60,6 +61,8 @@
       new ThreadPoolExecutor(
           STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
   private final ThreadPoolExecutor workers;
+  private final ThreadPoolExecutor uploadWorkers =
+      new ThreadPoolExecutor(0, UPLOAD_THREADS, 30, TimeUnit.SECONDS, new SynchronousQueue<>());
   private final AtomicInteger activeRequests = new AtomicInteger();
   private final ConfigurationWatcher watcher;
   private final LeaseKeeper leaseKeeper;
@@ -142,6 +145,7 @@
                 live,
                 JobService.of(writer),
                 workers,
+                uploadWorkers,
                 this::isReady,
                 activeRequests,
                 clock,
@@ -204,6 +208,7 @@
     timer.shutdownNow();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
+    uploadWorkers.shutdownNow();
     caller.close();
     log.log(LogEvent.INSTANCE_STOPPED);
   }
