Add the operators' language, its executor and the administration API

Cause: operators have no way to create members, vote on limits or look at jobs.

Change: package command parses statements with jparsec into sealed records and carries them out. Each statement may be sent again; a conflicting one is refused and told what is in force. POST /admin/commands listens on [listen] operators and takes the operators' token only. The kind drains records endpoints and instances that operators take out of use.

--- /dev/null
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/AdministrationClient.java
@@ -0,0 +1,79 @@
+package org.sedgeroad.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.HttpFailure;
+import org.sedgeroad.http.HttpResult;
+
+/** Talks to the administration API of an instance. */
+final class AdministrationClient implements AutoCloseable {
+  private static final long TIMEOUT_MILLIS = 60_000;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final HttpCaller caller = HttpCaller.create(1);
+  private final URI address;
+  private final Map<String, String> headers = new HashMap<>();
+
+  AdministrationClient(URI address, String token) {
+    this.address = address;
+    headers.put("Content-Type", "text/plain; charset=utf-8");
+    if (!token.isEmpty()) {
+      headers.put("Authorization", "Bearer " + token);
+    }
+  }
+
+  /** Outcome of a request. */
+  sealed interface Answer {}
+
+  /** An answer with a JSON body. */
+  record Received(int status, JsonNode body) implements Answer {}
+
+  /** No answer; the request can't have had an effect. */
+  record NotSent(String reason) implements Answer {}
+
+  /** No whole answer; the request may have had an effect. */
+  record Lost(String reason) implements Answer {}
+
+  /** Sends the text of statements. */
+  Answer post(String path, String text) {
+    return send("POST", path, text);
+  }
+
+  /** Reads from a path. */
+  Answer get(String path) {
+    return send("GET", path, "");
+  }
+
+  @Override
+  public void close() {
+    caller.close();
+  }
+
+  private Answer send(String method, String path, String text) {
+    byte[] body = text.getBytes(StandardCharsets.UTF_8);
+    long deadline = MonotonicClock.SYSTEM.deadlineAfterMillis(TIMEOUT_MILLIS);
+    HttpResult result =
+        caller.send(new HttpCall(method, address.resolve(path), headers, body, true, deadline));
+    if (result instanceof HttpResult.Failed failed) {
+      return failed.failure() instanceof HttpFailure.NotSent notSent
+          ? new NotSent(notSent.reason())
+          : new Lost(failed.failure().reason());
+    }
+    HttpResult.Answered answered = (HttpResult.Answered) result;
+    try {
+      return new Received(answered.head().status(), mapper.readTree(answered.body()));
+    } catch (JsonProcessingException invalid) {
+      return new Lost("the answer is not JSON; does --at name the operators' address?");
+    } catch (java.io.IOException failure) {
+      return new Lost(failure.toString());
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/CommandSubcommand.java
@@ -0,0 +1,141 @@
+package org.sedgeroad.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.sedgeroad.MonotonicClock;
+
+/** Sends operators' statements to an instance and prints their results. */
+final class CommandSubcommand extends RemoteOptions {
+  private static final String PATH = "/admin/commands";
+  private static final long FIRST_PAUSE_MILLIS = 1_000;
+  private static final long LONGEST_PAUSE_MILLIS = 10_000;
+
+  /**
+   * Failed questions in a row after which a wait is given up; a roll of one instance is shorter.
+   */
+  private static final int MOST_FAILURES = 10;
+
+  @Option(name = "--json", usage = "print the answer as JSON")
+  private boolean json;
+
+  @Option(
+      name = "--wait-seconds",
+      metaVar = "N",
+      usage = "longest wait of statements with WAIT, default 86400")
+  private long waitSeconds = 86_400;
+
+  @Argument(metaVar = "TEXT", usage = "statements; read from standard input if left out")
+  private String text;
+
+  @Override
+  int run() {
+    String statements = text;
+    if (statements == null) {
+      try {
+        statements = new String(System.in.readAllBytes(), StandardCharsets.UTF_8);
+      } catch (IOException failure) {
+        System.err.println("cannot read standard input: " + failure);
+        return ExitStatus.FAILED;
+      }
+    }
+    Optional<AdministrationClient> connected = connect();
+    if (connected.isEmpty()) {
+      return ExitStatus.INVALID;
+    }
+    try (AdministrationClient client = connected.get()) {
+      return report(client, client.post(PATH, statements));
+    }
+  }
+
+  private int report(AdministrationClient client, AdministrationClient.Answer answer) {
+    AdministrationClient.Answer last = awaitEnd(client, answer);
+    if (last instanceof AdministrationClient.NotSent notSent) {
+      System.err.println("cannot reach " + address() + ": " + notSent.reason());
+      System.err.println("nothing was carried out; check --at or try another instance");
+      return ExitStatus.REFUSED;
+    }
+    if (last instanceof AdministrationClient.Lost lost) {
+      System.err.println("no whole answer from " + address() + ": " + lost.reason());
+      System.err.println("the statements may have taken effect; it is safe to send them again");
+      return ExitStatus.UNKNOWN;
+    }
+    AdministrationClient.Received received = (AdministrationClient.Received) last;
+    if (json) {
+      System.out.println(received.body());
+    }
+    if (received.status() == 200) {
+      return new ResultPrinter(!json).print(received.body());
+    }
+    return error(received);
+  }
+
+  private static int error(AdministrationClient.Received received) {
+    JsonNode error = received.body().path("error");
+    if (error.has("line")) {
+      System.err.println(
+          "line "
+              + error.path("line").asInt()
+              + ", column "
+              + error.path("column").asInt()
+              + ": "
+              + error.path("message").asText());
+      System.err.println("nothing was carried out; docs/COMMANDS.md lists the statements");
+      return ExitStatus.INVALID;
+    }
+    System.err.println("refused: " + error.path("message").asText("status " + received.status()));
+    if (received.status() == 401) {
+      System.err.println("give the token of [operators] token-file by --token-file");
+    }
+    return ExitStatus.REFUSED;
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Asks again while the last result says so; prints progress to standard error. */
+  private AdministrationClient.Answer awaitEnd(
+      AdministrationClient client, AdministrationClient.Answer first) {
+    long deadline = MonotonicClock.SYSTEM.deadlineAfterMillis(waitSeconds * 1_000);
+    AdministrationClient.Answer last = first;
+    Optional<JsonNode> open = openResult(first);
+    long pause = FIRST_PAUSE_MILLIS;
+    int failures = 0;
+    while (open.isPresent() && !MonotonicClock.SYSTEM.hasPassed(deadline)) {
+      if (failures == 0) {
+        ResultPrinter.progress(open.get());
+      }
+      sleep(pause);
+      pause = Math.min(LONGEST_PAUSE_MILLIS, pause * 2);
+      AdministrationClient.Answer answer = client.post(PATH, open.get().path("again").asText());
+      boolean answered =
+          answer instanceof AdministrationClient.Received received && received.status() == 200;
+      failures = answered ? 0 : failures + 1;
+      if (answered || failures == MOST_FAILURES) {
+        last = answer;
+        open = openResult(answer);
+      } else {
+        System.err.println("no answer, asking again");
+      }
+    }
+    return last;
+  }
+
+  private static Optional<JsonNode> openResult(AdministrationClient.Answer answer) {
+    if (!(answer instanceof AdministrationClient.Received received)) {
+      return Optional.empty();
+    }
+    JsonNode results = received.body().path("results");
+    return Optional.of(results.path(results.size() - 1)).filter(last -> last.has("again"));
+  }
+
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/Main.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/Main.java
@@ -8,7 +8,11 @@
 /** The program {@code sedgeroad}: runs one subcommand. */
 public final class Main {
   private static final Map<String, Supplier<Subcommand>> SUBCOMMANDS =
-      new TreeMap<>(Map.of("entry", EntrySubcommand::new, "check", CheckSubcommand::new));
+      new TreeMap<>(
+          Map.of(
+              "entry", EntrySubcommand::new,
+              "check", CheckSubcommand::new,
+              "command", CommandSubcommand::new));
 
   private Main() {}
 
--- /dev/null
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/RemoteOptions.java
@@ -0,0 +1,48 @@
+package org.sedgeroad.daemon;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.kohsuke.args4j.Option;
+
+/** Base of the subcommands that talk to the administration API of an instance. */
+abstract class RemoteOptions extends Subcommand {
+  private static final String TOKEN_FILE_VARIABLE = "SEDGEROAD_TOKEN_FILE";
+
+  @Option(
+      name = "--at",
+      metaVar = "URL",
+      usage = "address of an instance's [listen] operators, default http://127.0.0.1:8081")
+  private URI address = URI.create("http://127.0.0.1:8081");
+
+  @Option(
+      name = "--token-file",
+      metaVar = "FILE",
+      usage = "file with the operators' token, default: the variable SEDGEROAD_TOKEN_FILE")
+  private Path tokenFile;
+
+  URI address() {
+    return address;
+  }
+
+  /** Returns a client, empty after printing why there is none. */
+  final Optional<AdministrationClient> connect() {
+    if (address.getScheme() == null || address.getHost() == null) {
+      System.err.println("--at: expected http://IP:PORT, found '" + address + "'");
+      return Optional.empty();
+    }
+    String variable = System.getenv(TOKEN_FILE_VARIABLE);
+    Path file = tokenFile != null || variable == null ? tokenFile : Path.of(variable);
+    if (file == null) {
+      return Optional.of(new AdministrationClient(address, ""));
+    }
+    try {
+      return Optional.of(new AdministrationClient(address, Files.readString(file).strip()));
+    } catch (IOException failure) {
+      System.err.println("cannot read the token file " + file + ": " + failure);
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/InstancesView.java
@@ -0,0 +1,11 @@
+package org.sedgeroad.command;
+
+import java.util.List;
+
+/** The entry instances that are known. */
+@FunctionalInterface
+public interface InstancesView {
+
+  /** Returns the instances in name order. */
+  List<InstanceStatus> instances();
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/MemberCommands.java
@@ -0,0 +1,124 @@
+package org.sedgeroad.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.sedgeroad.api.Authenticator;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoredObject;
+
+/** Statements about members. Keys are stored as hashes and never shown or logged. */
+final class MemberCommands {
+  private static final int SHOWN_DIGITS = 8;
+
+  private final ObjectChanges changes;
+  private final ConfigurationReplica replica;
+
+  MemberCommands(ObjectChanges changes, ConfigurationReplica replica) {
+    this.changes = changes;
+    this.replica = replica;
+  }
+
+  CommandResult create(Statement.CreateMember statement) {
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    setKeys(spec, hashes(statement.keys()));
+    return changes.create(Kinds.MEMBERS, statement.member(), spec, MemberCommands::table);
+  }
+
+  CommandResult change(Statement.ChangeMember statement) {
+    StoreResult<StoredObject> found = changes.get(Kinds.MEMBERS, statement.member());
+    if (found instanceof StoreResult.Absent) {
+      return missing(statement.member());
+    }
+    Set<String> given = hashes(statement.keys());
+    return changes.change(
+        found,
+        statement.version(),
+        Function.identity(),
+        spec -> {
+          Set<String> keys = new TreeSet<>();
+          spec.path("keys").forEach(key -> keys.add(key.asText()));
+          switch (statement.change()) {
+            case ADD -> keys.addAll(given);
+            case REMOVE -> keys.removeAll(given);
+            case REPLACE -> {
+              keys.clear();
+              keys.addAll(given);
+            }
+            default -> throw new IllegalArgumentException(statement.change().name());
+          }
+          return setKeys(spec, keys);
+        },
+        MemberCommands::table);
+  }
+
+  CommandResult drop(Statement.DropMember statement) {
+    return changes.delete(
+        Kinds.MEMBERS,
+        statement.member(),
+        statement.version(),
+        Table.of("dropped", statement.member()));
+  }
+
+  CommandResult show(Statement.ShowMember statement) {
+    StoreResult<StoredObject> found = changes.get(Kinds.MEMBERS, statement.member());
+    if (found instanceof StoreResult.Done<StoredObject> done) {
+      return CommandResult.done(table(done.value()));
+    }
+    return found instanceof StoreResult.Absent
+        ? missing(statement.member())
+        : ObjectChanges.unavailable(found);
+  }
+
+  CommandResult list() {
+    TableBuilder table = header();
+    for (StoredObject object : replica.list(Kinds.MEMBERS)) {
+      row(table, object);
+    }
+    return table.done();
+  }
+
+  // -----------------------------------------------------------------------
+
+  static CommandResult missing(String member) {
+    return CommandResult.refused(
+        "no member '" + member + "'; SHOW MEMBERS lists them, CREATE MEMBER creates one");
+  }
+
+  private static TableBuilder header() {
+    return new TableBuilder("member", "version", "key_hashes");
+  }
+
+  private static Table table(StoredObject object) {
+    return row(header(), object).build();
+  }
+
+  private static TableBuilder row(TableBuilder table, StoredObject object) {
+    List<String> hashes = new ArrayList<>();
+    for (JsonNode key : object.spec().path("keys")) {
+      String hash = key.asText();
+      hashes.add(hash.substring(0, Math.min(SHOWN_DIGITS, hash.length())));
+    }
+    return table.add(object.name(), object.version(), String.join(" ", hashes));
+  }
+
+  private static Set<String> hashes(List<String> keys) {
+    Set<String> hashes = new TreeSet<>();
+    keys.forEach(key -> hashes.add(Authenticator.hash(key)));
+    return hashes;
+  }
+
+  private static ObjectNode setKeys(ObjectNode spec, Set<String> hashes) {
+    ArrayNode keys = spec.putArray("keys");
+    hashes.forEach(keys::add);
+    return spec;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/ObjectChanges.java
@@ -0,0 +1,203 @@
+package org.sedgeroad.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WriteOutcome;
+
+/**
+ * Creates, changes and deletes objects in a way that is safe to repeat.
+ *
+ * <p>A statement whose effect is already in force is done. A statement that conflicts with another
+ * operator's write is refused and told what is in force. Calls block; thread-safe.
+ */
+final class ObjectChanges {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int TRIES = 10;
+  private static final List<String> MARKS = List.of("writer", "write_number");
+
+  private final StoreWriter writer;
+
+  ObjectChanges(StoreWriter writer) {
+    this.writer = writer;
+  }
+
+  /** Reads an object. */
+  StoreResult<StoredObject> get(String kind, String name) {
+    return writer.store().get(kind, name);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Creates an object; done as well if it exists with the same content. */
+  CommandResult create(
+      String kind, String name, ObjectNode spec, Function<StoredObject, Table> describe) {
+    WriteOutcome outcome = writer.create(kind, name, spec);
+    if (outcome instanceof WriteOutcome.Written written) {
+      return CommandResult.done(describe.apply(written.object()));
+    }
+    if (outcome instanceof WriteOutcome.Lost lost) {
+      if (lost.current() != null && isSame(lost.current().spec(), spec)) {
+        return CommandResult.done(describe.apply(lost.current()));
+      }
+      return lost(kind, name, "exists already with other content", lost.current());
+    }
+    return failed(outcome);
+  }
+
+  /**
+   * Changes the subject of an object. A change by another writer between reading and writing is a
+   * conflict only if it concerns the same subject.
+   *
+   * @param version version that the object must still have, empty for any
+   * @param subject extracts from a spec the part that the statement is about
+   * @param change changes a copy of the spec
+   */
+  CommandResult change(
+      StoreResult<StoredObject> found,
+      OptionalLong version,
+      Function<JsonNode, JsonNode> subject,
+      UnaryOperator<ObjectNode> change,
+      Function<StoredObject, Table> describe) {
+    StoreResult<StoredObject> read = found;
+    JsonNode first = null;
+    for (int attempt = 0; attempt < TRIES; attempt++) {
+      if (!(read instanceof StoreResult.Done<StoredObject> done)) {
+        return unavailable(read);
+      }
+      StoredObject current = done.value();
+      ObjectNode changed = change.apply(((ObjectNode) current.spec()).deepCopy());
+      if (isSame(changed, current.spec())) {
+        return CommandResult.done(describe.apply(current));
+      }
+      JsonNode before = withoutMarks(subject.apply(current.spec()));
+      if (version.isPresent() && version.getAsLong() != current.version()) {
+        return lost(current.kind(), current.name(), "has another version", current);
+      }
+      if (first != null && !first.equals(before)) {
+        return lost(current.kind(), current.name(), "was changed at the same time", current);
+      }
+      first = before;
+      WriteOutcome outcome =
+          writer.update(current.kind(), current.name(), current.version(), changed);
+      if (outcome instanceof WriteOutcome.Written written) {
+        return CommandResult.done(describe.apply(written.object()));
+      }
+      if (!(outcome instanceof WriteOutcome.Lost lost)) {
+        return failed(outcome);
+      }
+      if (lost.current() == null) {
+        return lost(current.kind(), current.name(), "was deleted at the same time", null);
+      }
+      read = new StoreResult.Done<>(lost.current());
+    }
+    return CommandResult.refused("the object changes too often; send the statement again");
+  }
+
+  /** Deletes an object; done as well if it does not exist. */
+  CommandResult delete(String kind, String name, OptionalLong version, Table answer) {
+    StoreResult<StoredObject> read = get(kind, name);
+    long first = 0;
+    for (int attempt = 0; attempt < TRIES; attempt++) {
+      if (read instanceof StoreResult.Absent) {
+        return CommandResult.done(answer);
+      }
+      if (!(read instanceof StoreResult.Done<StoredObject> done)) {
+        return first == 0 ? unavailable(read) : new CommandResult.OutcomeUnknown(reason(read));
+      }
+      StoredObject current = done.value();
+      if (version.isPresent() && version.getAsLong() != current.version()) {
+        return lost(kind, name, "has another version", current);
+      }
+      if (first != 0 && first != current.version()) {
+        return lost(kind, name, "was changed at the same time", current);
+      }
+      first = current.version();
+      StoreResult<StoredObject> deleted = writer.store().delete(kind, name, first);
+      if (deleted instanceof StoreResult.Done || deleted instanceof StoreResult.Absent) {
+        return CommandResult.done(answer);
+      }
+      boolean mayBeDeleted =
+          deleted instanceof StoreResult.Unknown || deleted instanceof StoreResult.Conflict;
+      if (!mayBeDeleted) {
+        // An earlier try with a lost answer may have deleted it.
+        return attempt == 0
+            ? unavailable(deleted)
+            : new CommandResult.OutcomeUnknown(reason(deleted));
+      }
+      read = get(kind, name);
+    }
+    return new CommandResult.OutcomeUnknown("the answers of the store are lost");
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Translates a write that neither took effect nor lost. */
+  static CommandResult failed(WriteOutcome outcome) {
+    if (outcome instanceof WriteOutcome.NotWritten notWritten) {
+      return new CommandResult.Unavailable(notWritten.reason(), notWritten.retryAt());
+    }
+    return new CommandResult.OutcomeUnknown(
+        outcome instanceof WriteOutcome.Unknown unknown ? unknown.reason() : outcome.toString());
+  }
+
+  /** Translates a failed read. */
+  static CommandResult unavailable(StoreResult<?> result) {
+    Instant retryAt =
+        result instanceof StoreResult.Throttled<?> throttled
+            ? throttled.retryAt()
+            : Instant.now().plusSeconds(1);
+    return new CommandResult.Unavailable(reason(result), retryAt);
+  }
+
+  private static String reason(StoreResult<?> result) {
+    if (result instanceof StoreResult.Unavailable<?> unavailable) {
+      return "the store is not available: " + unavailable.reason();
+    }
+    if (result instanceof StoreResult.Unknown<?> unknown) {
+      return "the store did not answer: " + unknown.reason();
+    }
+    return result instanceof StoreResult.Throttled<?>
+        ? "the store refuses calls by rate"
+        : result.toString();
+  }
+
+  static CommandResult lost(String kind, String name, String what, StoredObject current) {
+    String winner =
+        current == null
+            ? kind + "/" + name + " does not exist"
+            : kind
+                + "/"
+                + name
+                + " version "
+                + current.version()
+                + " written by "
+                + current.spec().path("writer").asText("an unknown writer")
+                + ": "
+                + withoutMarks(current.spec());
+    return CommandResult.lost(kind + "/" + name + " " + what, winner);
+  }
+
+  private static boolean isSame(JsonNode left, JsonNode right) {
+    return withoutMarks(left).equals(withoutMarks(right));
+  }
+
+  /** Returns a copy as the store would return it: a long number read back can be an int node. */
+  private static JsonNode withoutMarks(JsonNode node) {
+    JsonNode bare = node instanceof ObjectNode object ? object.deepCopy().without(MARKS) : node;
+    try {
+      return bare.isMissingNode() ? bare : MAPPER.readTree(bare.toString());
+    } catch (JsonProcessingException impossible) {
+      throw new IllegalStateException("JSON that was written can be read", impossible);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' language: grammar, executor and administration API. */
+package org.sedgeroad.command;
--- a/sedgeroad/src/main/java/org/sedgeroad/configuration/Kinds.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/configuration/Kinds.java
@@ -25,6 +25,9 @@
   /** Orders to endpoints. */
   public static final String ORDERS = "orders";
 
+  /** Endpoints and instances that operators took out of use, see {@link #drainName}. */
+  public static final String DRAINS = "drains";
+
   /** Uploaded files. */
   public static final String FILES = "files";
 
@@ -45,7 +48,17 @@
 
   /** Kinds that every instance holds a copy of. */
   public static final List<String> REPLICATED =
-      List.of(MEMBERS, MODELS, LIMITS, SHARES, JOBS, QUARANTINES, ORDERS);
+      List.of(MEMBERS, MODELS, LIMITS, SHARES, JOBS, QUARANTINES, ORDERS, DRAINS);
 
   private Kinds() {}
+
+  /**
+   * Returns the name of the object that takes something out of use.
+   *
+   * @param target {@code endpoint} or {@code instance}
+   * @param name name of the endpoint or instance
+   */
+  public static String drainName(String target, String name) {
+    return target + "." + name;
+  }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/DrainFollower.java
@@ -0,0 +1,39 @@
+package org.sedgeroad.entry;
+
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.store.StoredObject;
+
+/** Follows what operators took out of use: endpoints and this instance. Thread-safe. */
+final class DrainFollower {
+  private static final String ENDPOINT = Kinds.drainName("endpoint", "");
+
+  private final EndpointTable endpoints;
+  private final String ownName;
+  private volatile boolean drained;
+
+  DrainFollower(String instance, ConfigurationReplica replica, EndpointTable endpoints) {
+    this.endpoints = endpoints;
+    this.ownName = Kinds.drainName("instance", instance);
+    replica.addListener(
+        object -> {
+          if (object.kind().equals(Kinds.DRAINS)) {
+            apply(object);
+          }
+        });
+  }
+
+  /** Returns whether this instance is out of use. */
+  boolean isDrained() {
+    return drained;
+  }
+
+  private void apply(StoredObject object) {
+    if (object.name().equals(ownName)) {
+      drained = !object.isDeleted();
+    } else if (object.name().startsWith(ENDPOINT)) {
+      endpoints.setDrained(object.name().substring(ENDPOINT.length()), !object.isDeleted());
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -16,6 +16,7 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.configuration.Model;
@@ -66,6 +67,8 @@
   private final InstanceListReader instanceList;
   private final JobRunner runner;
   private final Undertow server;
+  private final AdministrationListener administration;
+  private final DrainFollower drains;
   private volatile boolean stopping;
 
   /** Creates an instance; {@link #start} starts it. */
@@ -95,6 +98,9 @@
             settings.storeTimeoutMillis());
     this.runner = createRunner(writer, membership);
     this.server = createServer(writer);
+    this.administration =
+        Administration.create(settings, writer, replica, endpoints, membership, log);
+    this.drains = new DrainFollower(settings.instance(), replica, endpoints);
     replica.addListener(
         object -> {
           if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
@@ -174,6 +180,7 @@
     watcher.start();
     runner.start();
     server.start();
+    administration.start();
     log.log(
         LogEvent.INSTANCE_STARTED,
         EventField.of("domain", settings.domain()),
@@ -182,7 +189,10 @@
 
   /** Returns whether the instance takes new requests. */
   public boolean isReady() {
-    return !stopping && watcher.isComplete() && !endpoints.endpoints().isEmpty();
+    return !stopping
+        && !drains.isDrained()
+        && watcher.isComplete()
+        && !endpoints.endpoints().isEmpty();
   }
 
   /**
@@ -200,6 +210,7 @@
     }
     runner.close();
     server.stop();
+    administration.close();
     watcher.close();
     timer.shutdownNow();
     storeWorkers.shutdownNow();
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -45,7 +45,11 @@
   /** A commit conflicted: another instance holds the segment now. */
   SEGMENT_LOST(5006, Level.INFO, "segment lost"),
   /** An item failed for good after its last attempt. */
-  ITEM_FAILED(5007, Level.INFO, "item failed");
+  ITEM_FAILED(5007, Level.INFO, "item failed"),
+  /** An operator's statement was carried out or refused. */
+  COMMAND_EXECUTED(6001, Level.INFO, "command executed"),
+  /** A request to the administration API came without the operators' token. */
+  OPERATOR_REFUSED(6002, Level.WARNING, "operator refused");
 
   private final int number;
   private final Level level;
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import org.sedgeroad.Endpoint;
 import org.sedgeroad.EndpointState;
@@ -27,6 +29,7 @@
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
   private final Map<String, Integer> slots = new HashMap<>();
+  private final Set<String> drained = new HashSet<>();
   private final String region;
   private final MonotonicClock clock;
 
@@ -75,6 +78,20 @@
     change(name, endpoint -> endpoint.draining = true);
   }
 
+  /** Takes an endpoint out of use, or back into use, because an operator says so. */
+  public void setDrained(String name, boolean value) {
+    lock.lock();
+    try {
+      if (value) {
+        drained.add(name);
+      } else {
+        drained.remove(name);
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** Takes an endpoint out of use for a moment because a connection failed. */
   public void markFailed(String name) {
     change(name, endpoint -> endpoint.ejectedUntil = clock.deadlineAfterMillis(EJECTION_MILLIS));
@@ -150,6 +167,7 @@
   private boolean usable(EndpointRecord endpoint) {
     return endpoint.endpoint.state() == EndpointState.LIVE
         && !endpoint.draining
+        && !drained.contains(endpoint.endpoint.name())
         && (endpoint.ejectedUntil == 0 || clock.hasPassed(endpoint.ejectedUntil));
   }
 
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/command/CommandExecutorTest.java
@@ -0,0 +1,153 @@
+package org.sedgeroad.command;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.api.Authenticator;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.job.JobService;
+import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.store.StoreWriter;
+
+/** Guards against statements that harm when sent again or when two operators race. */
+class CommandExecutorTest {
+  private final MemoryStore store = new MemoryStore();
+  private final ConfigurationReplica replica = new ConfigurationReplica();
+  private CommandExecutor executor;
+
+  @BeforeEach
+  void createExecutor() {
+    StoreWriter writer = StoreWriter.of(store, "operator-side");
+    executor =
+        new CommandExecutor(
+            new CommandParts(
+                writer,
+                replica,
+                JobService.of(writer),
+                EndpointTable.of("here", MonotonicClock.SYSTEM),
+                ConditionalVote.of(writer),
+                member -> Map.of("entry-1", 1L),
+                List::of));
+  }
+
+  private CommandResult run(String text) {
+    ParseResult parsed = StatementParser.parse(text);
+    return executor.execute(((ParseResult.Parsed) parsed).statements().get(0));
+  }
+
+  private List<String> row(String text) {
+    CommandResult result = run(text);
+    return assertInstanceOf(CommandResult.Done.class, result, result.toString())
+        .table()
+        .rows()
+        .get(0);
+  }
+
+  private static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  @Test
+  void carriesOutEveryKindOfStatement() {
+    for (Class<?> type : Statement.class.getPermittedSubclasses()) {
+      assertTrue(executor.knows(type), type.getSimpleName());
+    }
+  }
+
+  @Nested
+  class Members {
+    @Test
+    void storesNoKeyInClear() {
+      run("CREATE MEMBER m KEY 'secret'");
+      String spec = store.find("members", "m").spec().toString();
+      assertFalse(spec.contains("secret"));
+      assertTrue(spec.contains(Authenticator.hash("secret")));
+    }
+
+    @Test
+    void creationMayBeRepeatedButNotWithOtherKeys() {
+      List<String> first = row("CREATE MEMBER m KEY 'one'");
+      assertEquals(first, row("CREATE MEMBER m KEY 'one'"));
+      CommandResult.Refused refused =
+          assertInstanceOf(CommandResult.Refused.class, run("CREATE MEMBER m KEY 'two'"));
+      assertTrue(refused.winner().orElseThrow().contains("version 1"), refused.toString());
+    }
+
+    @Test
+    void changeWhoseAnswerWasLostIsDone() {
+      run("CREATE MEMBER m KEY 'one'");
+      store.losesNextAnswer = true;
+      assertEquals("2", row("CHANGE MEMBER m ADD KEY 'two' IF VERSION 1").get(1));
+      assertEquals("2", row("CHANGE MEMBER m ADD KEY 'two' IF VERSION 1").get(1));
+    }
+
+    @Test
+    void dropMayBeRepeatedAndSparesANewerVersion() {
+      run("CREATE MEMBER m KEY 'one'");
+      run("CHANGE MEMBER m ADD KEY 'two'");
+      assertInstanceOf(CommandResult.Refused.class, run("DROP MEMBER m IF VERSION 1"));
+      store.losesNextAnswer = true;
+      row("DROP MEMBER m IF VERSION 2");
+      row("DROP MEMBER m IF VERSION 2");
+      assertNull(store.find("members", "m"));
+    }
+  }
+
+  @Nested
+  class Limits {
+    @BeforeEach
+    void createMember() {
+      run("CREATE MEMBER m KEY 'one'");
+      run("SET LIMIT priority OF MEMBER m TO 5");
+    }
+
+    @Test
+    void loserOfARaceIsToldTheWinner() {
+      store.beforeWrite.add(() -> store.put("limits", "m", object().put("priority", 9)));
+      CommandResult.Refused refused =
+          assertInstanceOf(CommandResult.Refused.class, run("SET LIMIT priority OF MEMBER m TO 3"));
+      assertTrue(refused.winner().orElseThrow().contains("\"priority\":9"), refused.toString());
+    }
+
+    @Test
+    void repeatWritesNothing() {
+      assertEquals(
+          row("SET LIMIT priority OF MEMBER m TO 5"), row("SET LIMIT priority OF MEMBER m TO 5"));
+      assertEquals(2, store.find("limits", "m").version());
+    }
+
+    @Test
+    void changeOfAnotherLimitAtTheSameTimeIsKept() {
+      store.beforeWrite.add(
+          () -> store.put("limits", "m", object().put("priority", 5).put("batch_share", 40)));
+      row("SET LIMIT priority OF MEMBER m TO 3");
+      assertEquals(40, store.find("limits", "m").spec().path("batch_share").asInt());
+      assertEquals(3, store.find("limits", "m").spec().path("priority").asInt());
+    }
+
+    @Test
+    void refusesValuesOutOfRangeAndUnknownMembers() {
+      assertInstanceOf(CommandResult.Refused.class, run("SET LIMIT priority OF MEMBER m TO 10"));
+      assertInstanceOf(
+          CommandResult.Refused.class, run("SET LIMIT job-deadline OF MEMBER m TO 25:00"));
+      assertInstanceOf(CommandResult.Refused.class, run("SET LIMIT priority OF MEMBER other TO 3"));
+    }
+
+    @Test
+    void unavailableStoreChangesNothing() {
+      store.down = true;
+      assertInstanceOf(CommandResult.Unavailable.class, run("SET LIMIT priority OF MEMBER m TO 3"));
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/command/MemoryStore.java
@@ -0,0 +1,111 @@
+package org.sedgeroad.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.TreeMap;
+import org.sedgeroad.store.ObjectList;
+import org.sedgeroad.store.ObjectStore;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WatchListener;
+
+/** A store in memory whose answers can be lost and whose writes can be overtaken. */
+final class MemoryStore implements ObjectStore {
+  /** Runs before the next write, once each, for races. */
+  final Deque<Runnable> beforeWrite = new ArrayDeque<>();
+
+  boolean down;
+  boolean losesNextAnswer;
+  private final Map<String, StoredObject> objects = new TreeMap<>();
+  private long version;
+
+  /** Writes without condition and without faults. */
+  StoredObject put(String kind, String name, JsonNode spec) {
+    StoredObject object = new StoredObject(kind, name, ++version, reread(spec));
+    objects.put(kind + "/" + name, object);
+    return object;
+  }
+
+  /** Returns the spec as it comes back over the wire. */
+  private static JsonNode reread(JsonNode spec) {
+    try {
+      return new ObjectMapper().readTree(spec.toString());
+    } catch (JsonProcessingException invalid) {
+      throw new IllegalArgumentException(invalid);
+    }
+  }
+
+  StoredObject find(String kind, String name) {
+    return objects.get(kind + "/" + name);
+  }
+
+  @Override
+  public StoreResult<StoredObject> get(String kind, String name) {
+    if (down) {
+      return new StoreResult.Unavailable<>("down");
+    }
+    StoredObject found = find(kind, name);
+    return found == null ? new StoreResult.Absent<>() : new StoreResult.Done<>(found);
+  }
+
+  @Override
+  public StoreResult<StoredObject> create(String kind, String name, JsonNode spec) {
+    return write(kind, name, 0, spec);
+  }
+
+  @Override
+  public StoreResult<StoredObject> update(String kind, String name, long expected, JsonNode spec) {
+    return write(kind, name, expected, spec);
+  }
+
+  @Override
+  public StoreResult<StoredObject> delete(String kind, String name, long expected) {
+    return write(kind, name, expected, null);
+  }
+
+  private StoreResult<StoredObject> write(String kind, String name, long expected, JsonNode spec) {
+    if (down) {
+      return new StoreResult.Unavailable<>("down");
+    }
+    if (!beforeWrite.isEmpty()) {
+      beforeWrite.poll().run();
+    }
+    StoredObject current = find(kind, name);
+    if ((current == null ? 0 : current.version()) != expected) {
+      return current == null ? new StoreResult.Absent<>() : new StoreResult.Conflict<>();
+    }
+    StoredObject written = current;
+    if (spec == null) {
+      objects.remove(kind + "/" + name);
+    } else {
+      written = put(kind, name, spec);
+    }
+    if (losesNextAnswer) {
+      losesNextAnswer = false;
+      return new StoreResult.Unknown<>("answer lost");
+    }
+    return new StoreResult.Done<>(written);
+  }
+
+  @Override
+  public StoreResult<ObjectList> list(String kind, String prefix) {
+    return new StoreResult.Done<>(
+        new ObjectList(
+            version,
+            objects.values().stream()
+                .filter(object -> object.kind().equals(kind) && object.name().startsWith(prefix))
+                .toList()));
+  }
+
+  @Override
+  public AutoCloseable watch(String kind, long afterVersion, WatchListener listener) {
+    return () -> {};
+  }
+
+  @Override
+  public void close() {}
+}
