--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineHistory.java
@@ -0,0 +1,60 @@
+package org.sedgeroad.testing.engine;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/** The recent events of an engine in order. Thread-safe. */
+final class EngineHistory {
+  /** About 200 MB of heap; a soak that needs more reads the history in parts. */
+  private static final int MAX_EVENTS = 1_000_000;
+
+  private final Deque<EngineEvent> events = new ArrayDeque<>();
+  private long next;
+
+  /** Adds an event of a request that has not become a run. */
+  void add(EngineEvent.Type type, GenerationRequest request) {
+    add(type, request, AnswerText.fingerprint(request.prompt()), 0, 0);
+  }
+
+  /** Adds an event of a run. */
+  void add(EngineEvent.Type type, Run run) {
+    add(type, run.request, run.fingerprint, run.queueWaitMicros, run.produced);
+  }
+
+  private synchronized void add(
+      EngineEvent.Type type,
+      GenerationRequest request,
+      long fingerprint,
+      long queueWaitMicros,
+      int tokens) {
+    events.add(
+        new EngineEvent(
+            next++,
+            type,
+            request.requestId(),
+            request.serviceClass(),
+            fingerprint,
+            queueWaitMicros,
+            tokens,
+            Instant.now()));
+    trim();
+  }
+
+  synchronized void addCrash() {
+    events.add(new EngineEvent(next++, EngineEvent.Type.CRASH, "", "", 0, 0, 0, Instant.now()));
+    trim();
+  }
+
+  /** Returns the events from an index on. */
+  synchronized List<EngineEvent> from(long index) {
+    return events.stream().skip(Math.max(0, index - (next - events.size()))).toList();
+  }
+
+  private void trim() {
+    if (events.size() > MAX_EVENTS) {
+      events.remove();
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/http/ControlFields.java
@@ -0,0 +1,71 @@
+package org.sedgeroad.testing.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.server.HttpServerExchange;
+import java.util.Deque;
+
+/** Static methods that read fields of control requests and refuse wrong types. */
+public final class ControlFields {
+  private ControlFields() {}
+
+  /**
+   * Returns a number that must not be negative.
+   *
+   * @throws IllegalArgumentException if the field is no number or is negative
+   */
+  public static double number(JsonNode body, String field, double missing) {
+    JsonNode node = body.get(field);
+    if (node == null || node.isNull()) {
+      return missing;
+    }
+    if (!node.isNumber() || node.asDouble() < 0) {
+      throw new IllegalArgumentException(field + " must be a number of at least 0");
+    }
+    return node.asDouble();
+  }
+
+  /**
+   * Returns a whole number that must not be negative.
+   *
+   * @throws IllegalArgumentException if the field is no number or is negative
+   */
+  public static long whole(JsonNode body, String field, long missing) {
+    return (long) number(body, field, missing);
+  }
+
+  /**
+   * Returns a whole number of the query that must not be negative.
+   *
+   * @throws IllegalArgumentException if it is no number or is negative
+   */
+  public static long query(HttpServerExchange exchange, String parameter, long missing) {
+    Deque<String> values = exchange.getQueryParameters().get(parameter);
+    if (values == null || values.getFirst().isEmpty()) {
+      return missing;
+    }
+    long value = Long.parseLong(values.getFirst());
+    if (value < 0) {
+      throw new IllegalArgumentException(parameter + " is negative");
+    }
+    return value;
+  }
+
+  /** Returns a text, or the given one if the field is missing. */
+  public static String text(JsonNode body, String field, String missing) {
+    JsonNode node = body.get(field);
+    return node == null || node.isNull() ? missing : node.asText();
+  }
+
+  /**
+   * Returns a text that must be given.
+   *
+   * @throws IllegalArgumentException if the field is missing or empty
+   */
+  public static String required(JsonNode body, String field) {
+    String text = text(body, field, "");
+    if (text.isEmpty()) {
+      throw new IllegalArgumentException(field + " is missing");
+    }
+    return text;
+  }
+}
