Split live attempts, resume streams, let draining end

Cause, found by reading: a non-idempotent request was sent again after a draining answer although its bytes had gone out; attempts were started after the request's deadline; a restarted stream was joined by counting events, which repeats text when the second run cuts it differently; an endpoint stayed draining for good; old placements lowered the counts of a replacement; a refused second connection of the transport was reported as not sent after bytes had gone over the first.

Draining ends when the list shows the endpoint live after it was leaving, or live 30 s after its last refusal. A stream is whole with its end marker even if the connection breaks afterwards.

--- a/sedgeroad/src/main/java/org/sedgeroad/engine/EngineAnswerReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/engine/EngineAnswerReader.java
@@ -59,6 +59,9 @@
   public void onFailure(HttpFailure failure) {
     if (draining) {
       listener.onFailure(new EngineFailure.NotRun("endpoint is draining", true));
+    } else if (endMarkerSeen) {
+      // The answer is whole; only the end of the connection went wrong.
+      listener.onWhole(new byte[0]);
     } else if (failure instanceof HttpFailure.NotSent) {
       listener.onFailure(new EngineFailure.NotRun(failure.reason(), false));
     } else {
@@ -67,7 +70,7 @@
   }
 
   private void readLine(String line) {
-    if (!line.startsWith(DATA)) {
+    if (!line.startsWith(DATA) || endMarkerSeen) {
       return;
     }
     String data = line.substring(DATA.length()).strip();
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -35,6 +35,7 @@
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile ClientConnection connection;
   private volatile boolean headReceived;
+  private volatile boolean sent;
   private volatile XnioExecutor.Key timeout;
 
   HttpExchange(HttpCaller caller, HttpCall call, HttpListener listener, MonotonicClock clock) {
@@ -92,6 +93,7 @@
                 () -> fail(new HttpFailure.Broken("deadline passed")),
                 remainingMillis(),
                 TimeUnit.MILLISECONDS);
+    sent = true;
     opened.sendRequest(
         request(),
         new ClientCallback<>() {
@@ -112,7 +114,9 @@
     if (ended.compareAndSet(false, true)) {
       cancelTimeout();
       IoUtils.safeClose(connection);
-      listener.onFailure(failure);
+      // A second connection that can't be opened says nothing about what went over the first one.
+      boolean wrong = sent && failure instanceof HttpFailure.NotSent;
+      listener.onFailure(wrong ? new HttpFailure.Broken(failure.reason()) : failure);
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
@@ -223,7 +223,7 @@
   private void send(
       HeldSegment segment, BatchItem item, EndpointView view, List<RunningItem> active) {
     RequestShape shape = shape(segment.job(), item, view.endpoint().service());
-    Placement placement = endpoints.begin(view.endpoint().name(), shape);
+    Placement placement = endpoints.begin(view.endpoint(), shape);
     RunningItem run = new RunningItem(segment, item, placement);
     String requestId = segment.key().toName() + "." + item.index() + "-" + UUID.randomUUID();
     EngineCall call =
--- a/sedgeroad/src/main/java/org/sedgeroad/live/Delivery.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/Delivery.java
@@ -1,54 +1,130 @@
 package org.sedgeroad.live;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import org.sedgeroad.http.HttpHead;
 
 /**
- * Counts what the caller has received over several attempts, so that a restarted answer does not
- * repeat it. Used by one thread.
+ * Passes an answer on to the caller over several attempts without repeating what the caller has.
+ * Used by one thread.
+ *
+ * <p>A restarted answer is compared by its text and not by its events, because an engine may cut
+ * the same text into different events in another run.
  */
 final class Delivery {
   private final AnswerSink sink;
-  private int attempts;
+  private final boolean restartable;
+  private final List<String> kept = new ArrayList<>();
   private int delivered;
-  private int toSkip;
+  private String toSkip = "";
+  private int blankToSkip;
+  private boolean finished;
 
-  Delivery(AnswerSink sink) {
+  /**
+   * Creates a delivery.
+   *
+   * @param restartable whether the answer may be restarted, so that its events must be kept
+   */
+  Delivery(AnswerSink sink, boolean restartable) {
     this.sink = sink;
+    this.restartable = restartable;
   }
 
-  int nextAttempt() {
-    return ++attempts;
-  }
-
+  /** Returns whether the caller has nothing yet. */
   boolean isEmpty() {
     return delivered == 0;
   }
 
-  /** Prepares for a new answer from its start: events that the caller has are skipped. */
-  void restart() {
-    toSkip = delivered;
+  /** Prepares for a new answer from its start; returns false if that answer can't be joined. */
+  boolean restart() {
+    if (isEmpty()) {
+      return true;
+    }
+    if (!restartable) {
+      return false;
+    }
+    StringBuilder text = new StringBuilder();
+    blankToSkip = 0;
+    finished = false;
+    for (String data : kept) {
+      Optional<StreamText> event = StreamText.of(data);
+      if (event.isEmpty()) {
+        return false;
+      }
+      text.append(event.get().text());
+      blankToSkip += event.get().text().isEmpty() ? 1 : 0;
+      finished |= event.get().isFinish();
+    }
+    toSkip = text.toString();
+    return true;
   }
 
-  void event(String data) throws IOException {
-    if (toSkip > 0) {
-      toSkip--;
-      return;
+  /**
+   * Takes the next event of the answer.
+   *
+   * @return false if the answer differs from the part that the caller has
+   * @throws IOException if the caller is gone
+   */
+  boolean event(String data) throws IOException {
+    if (toSkip.isEmpty() && blankToSkip == 0) {
+      send(data);
+      return true;
     }
-    delivered++;
-    sink.event(data);
+    Optional<StreamText> read = StreamText.of(data);
+    if (read.isEmpty()) {
+      return false;
+    }
+    StreamText event = read.get();
+    String text = event.text();
+    if (text.isEmpty()) {
+      if (blankToSkip > 0) {
+        blankToSkip--;
+      } else if (toSkip.isEmpty()) {
+        send(data);
+      }
+      return true;
+    }
+    int common = Math.min(text.length(), toSkip.length());
+    if (!toSkip.startsWith(text.substring(0, common))) {
+      return false;
+    }
+    toSkip = toSkip.substring(common);
+    boolean newFinish = toSkip.isEmpty() && event.isFinish() && !finished;
+    if (common < text.length() || newFinish) {
+      send(event.toDataWithText(text.substring(common)));
+    }
+    return true;
   }
 
-  void whole(HttpHead head, byte[] body) throws IOException {
-    if (delivered > 0) {
+  /**
+   * Ends the answer.
+   *
+   * @return false if the answer is shorter than the part that the caller has
+   * @throws IOException if the caller is gone
+   */
+  boolean whole(HttpHead head, byte[] body) throws IOException {
+    if (!toSkip.isEmpty()) {
+      return false;
+    }
+    String type = head.header("Content-Type").orElse("application/json");
+    if (type.startsWith("text/event-stream")) {
       sink.endStream();
-    } else {
-      String type = head.header("Content-Type").orElse("application/json");
-      if (type.startsWith("text/event-stream")) {
-        sink.endStream();
-      } else {
-        sink.whole(head.status(), type, body);
-      }
+      return true;
+    }
+    if (!isEmpty()) {
+      return false;
     }
+    sink.whole(head.status(), type, body);
+    return true;
+  }
+
+  private void send(String data) throws IOException {
+    delivered++;
+    if (restartable) {
+      kept.add(data);
+    }
+    sink.event(data);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LiveEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveEvent.java
@@ -6,6 +6,9 @@
 /** What happens to a live request while its thread waits. */
 sealed interface LiveEvent {
 
+  /** Returns the number of the attempt that it belongs to, 0 if none. */
+  int attempt();
+
   /** Status and headers came. */
   record Head(int attempt, HttpHead head) implements LiveEvent {}
 
@@ -19,5 +22,10 @@
   record Failed(int attempt, EngineFailure failure) implements LiveEvent {}
 
   /** The caller closed its connection. */
-  record CallerGone() implements LiveEvent {}
+  record CallerGone() implements LiveEvent {
+    @Override
+    public int attempt() {
+      return 0;
+    }
+  }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointRecord.java
@@ -0,0 +1,34 @@
+package org.sedgeroad.route;
+
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.ServiceClass;
+
+/** Mutable state of one endpoint, guarded by the lock of its {@link EndpointTable}. */
+final class EndpointRecord {
+  /** Distinguishes this endpoint from an earlier one with its name. */
+  final long generation;
+
+  Endpoint endpoint;
+  boolean draining;
+  long drainingSinceNanos;
+  boolean ejected;
+  long ejectedUntilNanos;
+  int live;
+  int peerLive;
+  int batch;
+  long cost;
+
+  EndpointRecord(long generation, Endpoint endpoint) {
+    this.generation = generation;
+    this.endpoint = endpoint;
+  }
+
+  void add(RequestShape request, int sign) {
+    if (request.serviceClass() == ServiceClass.LIVE) {
+      live += sign;
+    } else {
+      batch += sign;
+    }
+    cost += sign * request.cost();
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -1,5 +1,6 @@
 package org.sedgeroad.route;
 
+import java.net.URI;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -7,10 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import org.sedgeroad.Endpoint;
 import org.sedgeroad.EndpointState;
 import org.sedgeroad.MonotonicClock;
-import org.sedgeroad.ServiceClass;
 
 /**
  * All endpoints that this instance knows, with its own counts of the work in flight.
@@ -22,6 +23,16 @@
   /** An endpoint that refused a connection is tried again after this time. */
   private static final long EJECTION_MILLIS = 1_000;
 
+  /**
+   * An endpoint that said that it is draining, but that the instance list still shows live after
+   * this time, is used again. The list lags by some seconds; an endpoint that is still draining
+   * refuses again without running the work.
+   */
+  private static final long DRAINING_MILLIS = 30_000;
+
+  /** Generation of a placement that is not counted. */
+  private static final long NO_GENERATION = 0;
+
   private static final int DEFAULT_SLOTS = 8;
 
   private final ReentrantLock lock = new ReentrantLock();
@@ -29,6 +40,7 @@
   private final Map<String, Integer> slots = new HashMap<>();
   private final String region;
   private final MonotonicClock clock;
+  private long generations;
 
   private EndpointTable(String region, MonotonicClock clock) {
     this.region = region;
@@ -51,7 +63,8 @@
       for (Endpoint endpoint : endpoints) {
         EndpointRecord known = kept.get(endpoint.name());
         boolean same = known != null && known.endpoint.address().equals(endpoint.address());
-        EndpointRecord updated = same ? known : new EndpointRecord(endpoint);
+        EndpointRecord updated = same ? known : new EndpointRecord(++generations, endpoint);
+        clearDraining(updated, endpoint);
         updated.endpoint = endpoint;
         records.put(endpoint.name(), updated);
       }
@@ -72,12 +85,22 @@
 
   /** Takes an endpoint out of use because it said that it is leaving. */
   public void markDraining(String name) {
-    change(name, endpoint -> endpoint.draining = true);
+    change(name, this::drain);
+  }
+
+  /** Takes an endpoint out of use because it said so; no effect if it was replaced since. */
+  public void markDraining(String name, URI address) {
+    changeAt(name, address, this::drain);
   }
 
   /** Takes an endpoint out of use for a moment because a connection failed. */
   public void markFailed(String name) {
-    change(name, endpoint -> endpoint.ejectedUntil = clock.deadlineAfterMillis(EJECTION_MILLIS));
+    change(name, this::eject);
+  }
+
+  /** Takes an endpoint out of use for a moment; no effect if it was replaced since. */
+  public void markFailed(String name, URI address) {
+    changeAt(name, address, this::eject);
   }
 
   /** Sets the live requests that other instances have in flight at an endpoint. */
@@ -134,23 +157,78 @@
     }
   }
 
-  /** Counts a request as placed at an endpoint. */
-  public Placement begin(String name, RequestShape request) {
-    change(name, endpoint -> endpoint.add(request, 1));
-    return new Placement(name, request, clock.nanos());
+  /**
+   * Counts a request as placed at an endpoint that was chosen from a view of this table. An
+   * endpoint that has gone since keeps its address in the placement, and is not counted.
+   */
+  public Placement begin(Endpoint endpoint, RequestShape request) {
+    lock.lock();
+    try {
+      EndpointRecord target = records.get(endpoint.name());
+      boolean known = target != null && target.endpoint.address().equals(endpoint.address());
+      if (known) {
+        target.add(request, 1);
+      }
+      return new Placement(
+          endpoint.name(),
+          endpoint.address(),
+          known ? target.generation : NO_GENERATION,
+          request,
+          clock.nanos());
+    } finally {
+      lock.unlock();
+    }
   }
 
-  /** Ends a placement. */
+  /** Counts the request of an ended placement once more at the same endpoint. */
+  public Placement beginAgain(Placement ended) {
+    change(
+        ended.endpoint(),
+        endpoint -> {
+          if (endpoint.generation == ended.generation()) {
+            endpoint.add(ended.request(), 1);
+          }
+        });
+    return new Placement(
+        ended.endpoint(), ended.address(), ended.generation(), ended.request(), clock.nanos());
+  }
+
+  /** Ends a placement; no effect on an endpoint that replaced the one of the placement. */
   public void end(Placement placement) {
-    change(placement.endpoint(), endpoint -> endpoint.add(placement.request(), -1));
+    change(
+        placement.endpoint(),
+        endpoint -> {
+          if (endpoint.generation == placement.generation()) {
+            endpoint.add(placement.request(), -1);
+          }
+        });
   }
 
   // -----------------------------------------------------------------------
 
+  private void drain(EndpointRecord endpoint) {
+    endpoint.draining = true;
+    endpoint.drainingSinceNanos = clock.nanos();
+  }
+
+  private void eject(EndpointRecord endpoint) {
+    endpoint.ejected = true;
+    endpoint.ejectedUntilNanos = clock.deadlineAfterMillis(EJECTION_MILLIS);
+  }
+
+  private void clearDraining(EndpointRecord held, Endpoint listed) {
+    boolean live = listed.state() == EndpointState.LIVE;
+    boolean returned = live && held.endpoint.state() == EndpointState.LEAVING;
+    long age = clock.nanos() - held.drainingSinceNanos;
+    if (returned || (live && age >= DRAINING_MILLIS * 1_000_000L)) {
+      held.draining = false;
+    }
+  }
+
   private boolean usable(EndpointRecord endpoint) {
     return endpoint.endpoint.state() == EndpointState.LIVE
         && !endpoint.draining
-        && (endpoint.ejectedUntil == 0 || clock.hasPassed(endpoint.ejectedUntil));
+        && (!endpoint.ejected || clock.hasPassed(endpoint.ejectedUntilNanos));
   }
 
   private EndpointView view(EndpointRecord endpoint) {
@@ -166,7 +244,17 @@
         endpoint.endpoint.region().equals(region));
   }
 
-  private void change(String name, java.util.function.Consumer<EndpointRecord> change) {
+  private void changeAt(String name, URI address, Consumer<EndpointRecord> change) {
+    change(
+        name,
+        endpoint -> {
+          if (endpoint.endpoint.address().equals(address)) {
+            change.accept(endpoint);
+          }
+        });
+  }
+
+  private void change(String name, Consumer<EndpointRecord> change) {
     lock.lock();
     try {
       EndpointRecord endpoint = records.get(name);
@@ -177,28 +265,4 @@
       lock.unlock();
     }
   }
-
-  /** Mutable state of one endpoint, guarded by the table's lock. */
-  private static final class EndpointRecord {
-    private Endpoint endpoint;
-    private boolean draining;
-    private long ejectedUntil;
-    private int live;
-    private int peerLive;
-    private int batch;
-    private long cost;
-
-    EndpointRecord(Endpoint endpoint) {
-      this.endpoint = endpoint;
-    }
-
-    void add(RequestShape request, int sign) {
-      if (request.serviceClass() == ServiceClass.LIVE) {
-        live = Math.max(0, live + sign);
-      } else {
-        batch = Math.max(0, batch + sign);
-      }
-      cost = Math.max(0, cost + sign * request.cost());
-    }
-  }
 }
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/FakeEngine.java
@@ -0,0 +1,67 @@
+package org.sedgeroad.live;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sedgeroad.engine.EngineCall;
+import org.sedgeroad.engine.EngineClient;
+import org.sedgeroad.engine.EngineFailure;
+import org.sedgeroad.engine.EngineListener;
+import org.sedgeroad.engine.EngineStream;
+import org.sedgeroad.http.HttpHead;
+
+/** Engine client whose answers a test writes, one script for each call in order. */
+final class FakeEngine implements EngineClient {
+  /** One call with its listener. */
+  record Sent(EngineCall call, EngineListener listener) {
+    Sent head(String type) {
+      listener.onHead(new HttpHead(200, Map.of("Content-Type", type)));
+      return this;
+    }
+
+    Sent stream(String... texts) {
+      head("text/event-stream");
+      for (String text : texts) {
+        listener.onEvent("{\"choices\":[{\"index\":0,\"text\":\"" + text + "\"}]}");
+      }
+      return this;
+    }
+
+    void end() {
+      listener.onWhole(new byte[0]);
+    }
+
+    void breaks() {
+      listener.onFailure(new EngineFailure.Broken("connection reset"));
+    }
+
+    void refuses(boolean draining) {
+      listener.onFailure(new EngineFailure.NotRun("refused", draining));
+    }
+
+    String body() {
+      return new String(call.body(), StandardCharsets.UTF_8);
+    }
+  }
+
+  final List<Sent> sent = new ArrayList<>();
+  final List<String> cancelled = new ArrayList<>();
+  private final List<Consumer<Sent>> scripts;
+
+  @SafeVarargs
+  FakeEngine(Consumer<Sent>... scripts) {
+    this.scripts = List.of(scripts);
+  }
+
+  @Override
+  public synchronized EngineStream start(EngineCall call, EngineListener listener) {
+    Sent next = new Sent(call, listener);
+    sent.add(next);
+    if (sent.size() <= scripts.size()) {
+      scripts.get(sent.size() - 1).accept(next);
+    }
+    return () -> cancelled.add(call.requestId());
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/FakeSink.java
@@ -0,0 +1,29 @@
+package org.sedgeroad.live;
+
+/** Sink that records what a caller would see. */
+final class FakeSink implements AnswerSink {
+  final StringBuilder text = new StringBuilder();
+  boolean ended;
+  LiveFailure failure;
+  byte[] whole;
+
+  @Override
+  public void event(String data) {
+    text.append(StreamText.of(data).orElseThrow().text());
+  }
+
+  @Override
+  public void endStream() {
+    ended = true;
+  }
+
+  @Override
+  public void whole(int status, String contentType, byte[] body) {
+    whole = body;
+  }
+
+  @Override
+  public void fail(LiveFailure reason) {
+    failure = reason;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
@@ -0,0 +1,98 @@
+package org.sedgeroad.live;
+
+import java.net.URI;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.EndpointState;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.ServiceClass;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.limit.Admission;
+import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.EndpointView;
+import org.sedgeroad.route.RequestShape;
+import org.sedgeroad.route.RoutingPolicies;
+import org.sedgeroad.store.StoreWriter;
+
+/** A live service with endpoints {@code e0}, {@code e1}, … and one request. */
+final class LiveFixture {
+  final LiveCall call = new LiveCall();
+  final EndpointTable endpoints = EndpointTable.of("r", MonotonicClock.SYSTEM);
+  private boolean idempotent = true;
+  private boolean deterministic;
+  private long deadlineMillis = 5_000;
+
+  LiveFixture(int count) {
+    endpoints.replace(
+        IntStream.range(0, count)
+            .mapToObj(
+                index ->
+                    new Endpoint(
+                        "e" + index,
+                        "s",
+                        URI.create("http://127.0.0.1:" + (9000 + index)),
+                        "d",
+                        "r",
+                        EndpointState.LIVE))
+            .toList());
+  }
+
+  LiveFixture withIdempotent(boolean value) {
+    idempotent = value;
+    return this;
+  }
+
+  LiveFixture withDeterministic() {
+    deterministic = true;
+    return this;
+  }
+
+  LiveFixture withDeadlineMillis(long millis) {
+    deadlineMillis = millis;
+    return this;
+  }
+
+  int inFlight() {
+    return endpoints.usableEndpoints().stream().mapToInt(EndpointView::inFlight).sum();
+  }
+
+  RequestShape shape() {
+    return new RequestShape(
+        "s", "m", ServiceClass.LIVE, 10, 10, 0, "fingerprint", idempotent, Set.of());
+  }
+
+  FakeSink serve(FakeEngine engine) throws Exception {
+    FakeSink sink = new FakeSink();
+    parts(engine).serve(request(), call, sink);
+    return sink;
+  }
+
+  private LiveService parts(FakeEngine engine) {
+    return new LiveService(
+        new LiveServiceParts(
+            endpoints,
+            RoutingPolicies.named("least-cost"),
+            engine,
+            (member, serviceClass, tokens) -> new Admission.Admitted(),
+            ClaimBook.of(StoreWriter.of(null, "test")),
+            MonotonicClock.SYSTEM,
+            new Random(1),
+            EventLog.of("test")));
+  }
+
+  private LiveRequest request() {
+    return new LiveRequest(
+        "r",
+        "POST",
+        "/v1/completions",
+        Map.of(),
+        new byte[0],
+        "",
+        deterministic,
+        MonotonicClock.SYSTEM.deadlineAfterMillis(deadlineMillis),
+        shape());
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/route/EndpointTableTest.java
@@ -0,0 +1,107 @@
+package org.sedgeroad.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.EndpointState;
+import org.sedgeroad.ServiceClass;
+
+class EndpointTableTest {
+  private static final RequestShape REQUEST =
+      new RequestShape("s", "m", ServiceClass.LIVE, 10, 10, 0, "f", true, Set.of());
+
+  private long nanos = -5_000_000_000L;
+  private final EndpointTable table = EndpointTable.of("r", () -> nanos);
+
+  private static Endpoint endpoint(int port, EndpointState state) {
+    return new Endpoint("e", "s", URI.create("http://127.0.0.1:" + port), "d", "r", state);
+  }
+
+  private void list(int port, EndpointState state) {
+    table.replace(List.of(endpoint(port, state)));
+  }
+
+  private int usable() {
+    return table.candidates(REQUEST).size();
+  }
+
+  private void pass(long millis) {
+    nanos += millis * 1_000_000L;
+  }
+
+  @BeforeEach
+  void listOneEndpoint() {
+    list(1, EndpointState.LIVE);
+  }
+
+  @Nested
+  class Draining {
+    /** Guards against new work at a leaving endpoint that the lagging list still shows live. */
+    @Test
+    void holdsWhileTheListLags() {
+      table.markDraining("e");
+      pass(10_000);
+      list(1, EndpointState.LIVE);
+      assertEquals(0, usable());
+    }
+
+    /** Guards against an endpoint that is lost for good after a cancelled stop. */
+    @Test
+    void endsWhenTheListLongShowsItLive() {
+      table.markDraining("e");
+      pass(31_000);
+      list(1, EndpointState.LIVE);
+      assertEquals(1, usable());
+    }
+
+    /** Guards against an endpoint that is lost for good after it left and came back. */
+    @Test
+    void endsWhenItWasLeavingAndIsLiveAgain() {
+      table.markDraining("e");
+      list(1, EndpointState.LEAVING);
+      list(1, EndpointState.LIVE);
+      assertEquals(1, usable());
+    }
+
+    /** Guards against a replacement that is not used because of its predecessor. */
+    @Test
+    void doesNotApplyToAReplacement() {
+      table.markDraining("e");
+      list(2, EndpointState.LIVE);
+      assertEquals(1, usable());
+      table.markDraining("e", URI.create("http://127.0.0.1:1"));
+      assertEquals(1, usable());
+    }
+  }
+
+  @Nested
+  class Counts {
+    /** Guards against counts of a replacement that its predecessor's requests lower. */
+    @Test
+    void ofAReplacementIgnoreOldPlacements() {
+      Placement old = table.begin(endpoint(1, EndpointState.LIVE), REQUEST);
+      list(2, EndpointState.LIVE);
+      table.begin(endpoint(2, EndpointState.LIVE), REQUEST);
+      table.end(old);
+      assertEquals(1, table.candidates(REQUEST).get(0).ownLive());
+    }
+  }
+
+  @Nested
+  class Failed {
+    /** Guards against an endpoint that stays out of use, also while monotonic time is negative. */
+    @Test
+    void endpointsAreTriedAgain() {
+      table.markFailed("e");
+      assertEquals(0, usable());
+      pass(1_000);
+      assertEquals(1, usable());
+    }
+  }
+}
