Admit batch by headroom, tell homes of live work

Cause: the batch policy kept one slot free whatever the live load did, and an endpoint's home did not learn of live work that other entries place.

LivePressureExchange tells the home before a request is sent, keeps peers' counts by sender and sequence, and wakes the runner.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -30,6 +30,7 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.limit.Admission;
 import org.sedgeroad.live.ClaimBook;
+import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
 import org.sedgeroad.peer.MembershipView;
@@ -65,6 +66,7 @@
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
   private final JobRunner runner;
+  private final LivePressureExchange livePressure;
   private final Undertow server;
   private volatile boolean stopping;
 
@@ -94,6 +96,15 @@
             log,
             settings.storeTimeoutMillis());
     this.runner = createRunner(writer, membership);
+    this.livePressure =
+        new LivePressureExchange(
+            settings.instance(),
+            settings.domain(),
+            endpoints,
+            membership,
+            (peer, message) -> {},
+            runner::wake,
+            System.currentTimeMillis());
     this.server = createServer(writer);
     replica.addListener(
         object -> {
@@ -128,6 +139,7 @@
         new LiveService(
             new LiveServiceParts(
                 endpoints,
+                livePressure,
                 RoutingPolicies.named(settings.routing()),
                 HttpEngineClient.of(caller),
                 (member, serviceClass, tokens) -> new Admission.Admitted(),
@@ -171,6 +183,7 @@
         0,
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
     watcher.start();
     runner.start();
     server.start();
--- a/sedgeroad/src/main/java/org/sedgeroad/live/Attempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/Attempt.java
@@ -11,6 +11,7 @@
   private final int number;
   private final Placement placement;
   private final EndpointTable endpoints;
+  private final PlacementListener listener;
   private final String runId;
   private final boolean resumed;
   private EngineStream stream;
@@ -22,25 +23,27 @@
       int number,
       Placement placement,
       EndpointTable endpoints,
+      PlacementListener listener,
       String runId,
       int received,
       boolean resumed) {
     this.number = number;
     this.placement = placement;
     this.endpoints = endpoints;
+    this.listener = listener;
     this.runId = runId;
     this.received = received;
     this.resumed = resumed;
   }
 
   /** Returns an attempt that runs the request from its start. */
-  static Attempt of(int number, Placement placement, EndpointTable endpoints, String runId) {
-    return new Attempt(number, placement, endpoints, runId, 0, false);
+  static Attempt of(int number, Placement placement, LiveServiceParts parts, String runId) {
+    return new Attempt(number, placement, parts.endpoints(), parts.placements(), runId, 0, false);
   }
 
   /** Returns an attempt that continues the run of a broken one. */
   Attempt toResumed(int newNumber, Placement newPlacement) {
-    return new Attempt(newNumber, newPlacement, endpoints, runId, received, true);
+    return new Attempt(newNumber, newPlacement, endpoints, listener, runId, received, true);
   }
 
   int number() {
@@ -98,6 +101,7 @@
       }
     } finally {
       endpoints.end(placement);
+      listener.ended(placement);
     }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/live/AttemptStarter.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/AttemptStarter.java
@@ -36,7 +36,9 @@
     Placement placement = parts.endpoints().begin(view.endpoint(), shape);
     int number = ++numbers;
     String runId = request.id() + "-" + number;
-    Attempt attempt = Attempt.of(number, placement, parts.endpoints(), runId);
+    Attempt attempt = Attempt.of(number, placement, parts, runId);
+    // The home is told before the request is sent, so that batch work starts to give way first.
+    parts.placements().placed(placement, view);
     return send(
         attempt, request.method(), request.path(), request.headers(), request.body(), runId);
   }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LivePressureExchange.java
@@ -0,0 +1,117 @@
+package org.sedgeroad.live;
+
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import org.sedgeroad.peer.LivePressure;
+import org.sedgeroad.peer.MembershipView;
+import org.sedgeroad.peer.PeerMessage;
+import org.sedgeroad.peer.Rendezvous;
+import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.EndpointView;
+import org.sedgeroad.route.Placement;
+
+/**
+ * Tells the homes of endpoints of this instance's live work there, and takes in what others tell,
+ * so that batch work gives way. Thread-safe; nothing blocks.
+ */
+public final class LivePressureExchange implements PlacementListener {
+  private final String instance;
+  private final String domain;
+  private final EndpointTable endpoints;
+  private final MembershipView membership;
+  private final BiConsumer<String, PeerMessage> network;
+  private final Runnable wakeRunner;
+  private final AtomicLong sequence;
+
+  /**
+   * Creates an exchange.
+   *
+   * @param instance name of this instance
+   * @param domain failure domain of this instance
+   * @param endpoints endpoints and counts
+   * @param membership live instances of the failure domain
+   * @param network sends a message to an instance without blocking
+   * @param wakeRunner makes the job runner decide at once
+   * @param startMillis start of the process in milliseconds since 1970, so that numbers are higher
+   *     after a restart
+   */
+  public LivePressureExchange(
+      String instance,
+      String domain,
+      EndpointTable endpoints,
+      MembershipView membership,
+      BiConsumer<String, PeerMessage> network,
+      Runnable wakeRunner,
+      long startMillis) {
+    this.instance = instance;
+    this.domain = domain;
+    this.endpoints = endpoints;
+    this.membership = membership;
+    this.network = network;
+    this.wakeRunner = wakeRunner;
+    // Leaves 2^20 numbers a millisecond, more than an instance can use.
+    this.sequence = new AtomicLong(startMillis << 20);
+  }
+
+  // -----------------------------------------------------------------------
+
+  @Override
+  public void placed(Placement placement, EndpointView before) {
+    // The instances of other failure domains, and so their homes, are not known here.
+    if (!before.endpoint().domain().equals(domain)) {
+      return;
+    }
+    if (!tellHome(placement.endpoint()) && before.batch() > 0) {
+      wakeRunner.run();
+    }
+  }
+
+  @Override
+  public void ended(Placement placement) {
+    endpoints
+        .find(placement.endpoint())
+        .filter(endpoint -> endpoint.domain().equals(domain))
+        .ifPresent(endpoint -> tellHome(endpoint.name()));
+  }
+
+  /** Takes a message of another instance. */
+  public void receive(LivePressure message) {
+    boolean later =
+        endpoints.setPeerLive(
+            message.sender(), message.sequence(), message.endpoint(), message.live());
+    if (later) {
+      wakeRunner.run();
+    }
+  }
+
+  /** Takes the counts of a heartbeat of another instance. */
+  public void receiveCounts(String sender, Map<String, Integer> liveCounts) {
+    if (!sender.equals(instance)) {
+      endpoints.setPeerLive(sender, liveCounts);
+    }
+  }
+
+  /** Drops the counts of instances that have died; called at intervals of about a second. */
+  public void forgetDeadPeers() {
+    endpoints.retainPeers(membership.liveInstances());
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Tells the endpoint's home; returns false if this instance is the home. */
+  private boolean tellHome(String endpoint) {
+    String home = Rendezvous.rank(endpoint, membership.liveInstances()).get(0);
+    if (home.equals(instance)) {
+      return false;
+    }
+    network.accept(home, report(endpoint));
+    return true;
+  }
+
+  /** Takes number and count together, so that a higher number never carries an older count. */
+  private synchronized LivePressure report(String endpoint) {
+    return new LivePressure(
+        instance, endpoint, sequence.incrementAndGet(), endpoints.ownLive(endpoint));
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LiveServiceParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveServiceParts.java
@@ -12,6 +12,7 @@
  * What a {@link LiveService} works with.
  *
  * @param endpoints endpoints and counts
+ * @param placements learns of the requests' placements
  * @param policy routing policy
  * @param engine client for the endpoints
  * @param limits voted limits
@@ -22,6 +23,7 @@
  */
 public record LiveServiceParts(
     EndpointTable endpoints,
+    PlacementListener placements,
     RoutingPolicy policy,
     EngineClient engine,
     LimitGate limits,
--- a/sedgeroad/src/main/java/org/sedgeroad/route/BatchPolicies.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/BatchPolicies.java
@@ -8,14 +8,14 @@
   private BatchPolicies() {}
 
   /**
-   * Returns the policy with a name of the settings.
+   * Returns the policy with a name of the settings; it is used by one thread.
    *
    * @throws IllegalArgumentException if the name is unknown
    */
   public static BatchPolicy named(String name) {
     return switch (name) {
       case "as-it-comes" -> (view, nowNanos) -> view.slots() * QUEUE_FACTOR;
-      case "headroom" -> (view, nowNanos) -> Math.max(0, view.slots() - 1 - view.live());
+      case "headroom" -> new HeadroomPolicy();
       default -> throw new IllegalArgumentException("unknown batch policy: " + name);
     };
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointRecord.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointRecord.java
@@ -14,7 +14,6 @@
   boolean ejected;
   long ejectedUntilNanos;
   int live;
-  int peerLive;
   int batch;
   long cost;
 
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,6 +39,7 @@
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
   private final Map<String, Integer> slots = new HashMap<>();
+  private final PeerLiveCounts peers = new PeerLiveCounts();
   private final String region;
   private final MonotonicClock clock;
   private long generations;
@@ -103,9 +105,66 @@
     changeAt(name, address, this::eject);
   }
 
-  /** Sets the live requests that other instances have in flight at an endpoint. */
-  public void setPeerLive(String name, int count) {
-    change(name, endpoint -> endpoint.peerLive = count);
+  /**
+   * Sets the live requests that another instance has in flight at an endpoint.
+   *
+   * @param sender name of the other instance
+   * @param sequence increases with each report of the sender, also over its restarts
+   * @param name name of the endpoint
+   * @param count live requests in flight
+   * @return false if a later report of the sender came before
+   */
+  public boolean setPeerLive(String sender, long sequence, String name, int count) {
+    lock.lock();
+    try {
+      return peers.report(sender, sequence, name, count, clock.nanos());
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Sets the live requests that another instance has in flight, by endpoint. */
+  public void setPeerLive(String sender, Map<String, Integer> counts) {
+    lock.lock();
+    try {
+      peers.reportAll(sender, counts, clock.nanos());
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Drops what instances reported that are no longer live. */
+  public void retainPeers(Collection<String> liveInstances) {
+    lock.lock();
+    try {
+      peers.retain(liveInstances, records.keySet());
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the live requests that this instance has in flight, by endpoint, without zeros. */
+  public Map<String, Integer> ownLiveCounts() {
+    lock.lock();
+    try {
+      Map<String, Integer> counts = new HashMap<>();
+      records.forEach((name, endpoint) -> counts.put(name, endpoint.live));
+      counts.values().removeIf(count -> count == 0);
+      return counts;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the live requests that this instance has in flight at an endpoint. */
+  public int ownLive(String name) {
+    lock.lock();
+    try {
+      EndpointRecord endpoint = records.get(name);
+      return endpoint == null ? 0 : endpoint.live;
+    } finally {
+      lock.unlock();
+    }
   }
 
   // -----------------------------------------------------------------------
@@ -236,7 +295,7 @@
         endpoint.endpoint,
         slots.getOrDefault(endpoint.endpoint.service(), DEFAULT_SLOTS),
         endpoint.live,
-        endpoint.peerLive,
+        peers.sum(endpoint.endpoint.name()),
         endpoint.batch,
         endpoint.cost,
         0,
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/PeerLiveCounts.java
@@ -0,0 +1,74 @@
+package org.sedgeroad.route;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+
+/**
+ * Live requests that other instances have in flight, by endpoint and sender. Guarded by the lock of
+ * its {@link EndpointTable}.
+ */
+final class PeerLiveCounts {
+  /**
+   * A heartbeat does not replace a single report that is younger than this, because it may have
+   * been put together before that report.
+   */
+  private static final long REPORT_PRECEDENCE_NANOS = 200_000_000L;
+
+  private record Count(int live, long sequence, long reportedNanos, boolean single) {}
+
+  private final Map<String, Map<String, Count>> endpoints = new HashMap<>();
+
+  /** Takes a report of one sender on one endpoint; an older one than the last is ignored. */
+  boolean report(String sender, long sequence, String endpoint, int live, long now) {
+    Map<String, Count> senders = endpoints.computeIfAbsent(endpoint, key -> new HashMap<>());
+    Count held = senders.get(sender);
+    if (held != null && held.sequence() - sequence >= 0) {
+      return false;
+    }
+    senders.put(sender, new Count(Math.max(0, live), sequence, now, true));
+    return true;
+  }
+
+  /** Takes the counts of one sender at all endpoints; endpoints that it leaves out have none. */
+  void reportAll(String sender, Map<String, Integer> counts, long now) {
+    counts.keySet().forEach(name -> endpoints.computeIfAbsent(name, key -> new HashMap<>()));
+    endpoints.forEach(
+        (endpoint, senders) -> {
+          int live = Math.max(0, counts.getOrDefault(endpoint, 0));
+          Count held = senders.get(sender);
+          if (held == null) {
+            if (live > 0) {
+              senders.put(sender, new Count(live, Long.MIN_VALUE, now, false));
+            }
+          } else if (!held.single() || now - held.reportedNanos() >= REPORT_PRECEDENCE_NANOS) {
+            senders.put(sender, new Count(live, held.sequence(), now, false));
+          }
+        });
+  }
+
+  /** Drops the counts of all senders that are not live, and of endpoints that are not known. */
+  void retain(Collection<String> liveSenders, Collection<String> knownEndpoints) {
+    Iterator<Map.Entry<String, Map<String, Count>>> entries = endpoints.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<String, Map<String, Count>> entry = entries.next();
+      entry.getValue().keySet().retainAll(liveSenders);
+      if (entry.getValue().isEmpty() || !knownEndpoints.contains(entry.getKey())) {
+        entries.remove();
+      }
+    }
+  }
+
+  int sum(String endpoint) {
+    Map<String, Count> senders = endpoints.get(endpoint);
+    if (senders == null) {
+      return 0;
+    }
+    int sum = 0;
+    for (Count count : senders.values()) {
+      sum += count.live();
+    }
+    return sum;
+  }
+}
--- a/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
@@ -13,6 +13,7 @@
 import org.sedgeroad.limit.Admission;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.EndpointView;
+import org.sedgeroad.route.Placement;
 import org.sedgeroad.route.RequestShape;
 import org.sedgeroad.route.RoutingPolicies;
 import org.sedgeroad.store.StoreWriter;
@@ -20,6 +21,14 @@
 /** A live service with endpoints {@code e0}, {@code e1}, … and one request. */
 final class LiveFixture {
   final LiveCall call = new LiveCall();
+  PlacementListener placements =
+      new PlacementListener() {
+        @Override
+        public void placed(Placement placement, EndpointView before) {}
+
+        @Override
+        public void ended(Placement placement) {}
+      };
   final EndpointTable endpoints = EndpointTable.of("r", MonotonicClock.SYSTEM);
   private boolean idempotent = true;
   private boolean deterministic;
@@ -74,6 +83,7 @@
     return new LiveService(
         new LiveServiceParts(
             endpoints,
+            placements,
             RoutingPolicies.named("least-cost"),
             engine,
             (member, serviceClass, tokens) -> new Admission.Admitted(),
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LivePressureExchangeTest.java
@@ -0,0 +1,97 @@
+package org.sedgeroad.live;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.peer.LivePressure;
+import org.sedgeroad.peer.Rendezvous;
+
+class LivePressureExchangeTest {
+  private final LiveFixture fixture = new LiveFixture(1);
+  private final List<String> order = new ArrayList<>();
+  private final List<LivePressure> told = new ArrayList<>();
+  private List<String> members = List.of("a", "b", "c");
+  private final String home = Rendezvous.rank("e0", members).get(0);
+  private int wakes;
+
+  private LivePressureExchange exchange(String instance, long startMillis) {
+    return new LivePressureExchange(
+        instance,
+        "d",
+        fixture.endpoints,
+        () -> members,
+        (peer, message) -> {
+          order.add("told " + peer);
+          told.add((LivePressure) message);
+        },
+        () -> wakes++,
+        startMillis);
+  }
+
+  private String other() {
+    return members.stream().filter(name -> !name.equals(home)).findFirst().orElseThrow();
+  }
+
+  private int peerLive() {
+    return fixture.endpoints.usableEndpoints().get(0).peerLive();
+  }
+
+  @Nested
+  class Sending {
+    /** Guards against batch that learns of a live request only after the engine has queued it. */
+    @Test
+    void tellsTheHomeBeforeTheRequestIsSent() throws Exception {
+      fixture.placements = exchange(other(), 1_000);
+      fixture.serve(
+          new FakeEngine(
+              sent -> {
+                order.add("sent");
+                sent.stream("a").end();
+              }));
+      assertEquals(List.of("told " + home, "sent", "told " + home), order);
+      assertEquals(List.of(1, 0), told.stream().map(LivePressure::live).toList());
+    }
+  }
+
+  @Nested
+  class Receiving {
+    private final LivePressureExchange exchange = exchange(home, 1_000);
+
+    /** Guards against an old count that replaces a new one, also after the sender's restart. */
+    @Test
+    void ignoresOlderReportsAndWakesTheRunner() {
+      exchange.receive(new LivePressure("x", "e0", 6, 3));
+      exchange.receive(new LivePressure("x", "e0", 5, 1));
+      assertEquals(3, peerLive());
+      assertEquals(1, wakes);
+      fixture.placements = exchange(other(), 2_000);
+      exchange.receive(new LivePressure("x", "e0", 2_000L << 20, 2));
+      assertEquals(2, peerLive());
+    }
+
+    /** Guards against slots that a dead sender's requests hold forever. */
+    @Test
+    void forgetsDeadSenders() {
+      exchange.receive(new LivePressure(other(), "e0", 1, 3));
+      members = List.of(home);
+      exchange.forgetDeadPeers();
+      assertEquals(0, peerLive());
+    }
+
+    /** Guards against a lost message that leaves a wrong count. */
+    @Test
+    void takesCountsFromHeartbeats() {
+      exchange.receiveCounts("x", Map.of("e0", 2));
+      exchange.receiveCounts("y", Map.of("e0", 1));
+      assertEquals(3, peerLive());
+      exchange.receiveCounts("x", Map.of());
+      assertEquals(1, peerLive());
+      assertTrue(fixture.endpoints.ownLiveCounts().isEmpty());
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/route/Views.java
@@ -0,0 +1,27 @@
+package org.sedgeroad.route;
+
+import java.net.URI;
+import java.util.Set;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.EndpointState;
+import org.sedgeroad.ServiceClass;
+
+/** Endpoint views and requests for tests. */
+final class Views {
+  private Views() {}
+
+  static Endpoint endpoint(String name, String region) {
+    URI address = URI.create("http://127.0.0.1:1");
+    return new Endpoint(name, "s", address, "d", region, EndpointState.LIVE);
+  }
+
+  /** A view with eight slots in region {@code r}, which is the own one. */
+  static EndpointView live(String name, int ownLive, int peerLive) {
+    return new EndpointView(
+        endpoint(name, "r"), 8, ownLive, peerLive, 0, ownLive * 20L, 0, 1.0, true);
+  }
+
+  static RequestShape request(int output) {
+    return new RequestShape("s", "m", ServiceClass.LIVE, 10, output, 7, "f", true, Set.of());
+  }
+}
