--- /dev/null
+++ b/sedgeroad/src/test/resources/specification/limit.als
@@ -0,0 +1,487 @@
+/*
+ * Limits: votes, propagation to replicas, shares, leases and reservations (docs/design.md,
+ * section 4). docs/SPECIFICATION.md describes each action, guard and property.
+ *
+ * Two traces share this file: voteTrace (operators and replicas) and shareTrace (failure domains).
+ * Version order is the store's order; the versions up to Accepted have been accepted.
+ */
+module limit
+
+open util/ordering[Version] as version
+open util/ordering[Age] as age
+open util/integer
+
+// ---- Guards ---------------------------------------------------------------------------------
+
+abstract sig Guard {}
+
+one sig ConditionalVote, ReadBackAuthor, HigherVersionOnly, SnapshotNotOlder extends Guard {}
+
+one sig LeaseAtHolder, ExpiryWait, Reserve, ReserveHighest, RefuseBelowUse, RefuseCountsAll,
+  CatchUp, GiverFirst, GiverApplied extends Guard {}
+
+/** The guards in force. */
+sig On in Guard {}
+
+pred allGuards { On = Guard }
+
+pred without[g: Guard] { On = Guard - g }
+
+// ---- State ----------------------------------------------------------------------------------
+
+sig Operator {
+  var read: lone Version,
+  var unsure: lone Version,
+  var told: lone Version
+}
+
+/** One accepted state of a member's limit. */
+sig Version {
+  value: one Int,
+  var author: lone Operator,
+  var base: lone Version
+}
+
+one sig Store { var current: one Version }
+
+/** An entry instance; floor is the version that its domain's lease object records for it. */
+sig Replica {
+  var applied: lone Version,
+  var floor: one Version
+}
+
+/** Time since an event; the last age is a full lease or more. */
+sig Age {}
+
+sig Domain {
+  var share: one Int,
+  var usedShare: one Int,
+  var inUse: one Version,
+  var recorded: one Version,
+  var leaseAge: one Age,
+  var seen: Domain -> lone Version,
+  var seenAge: Domain -> lone Age
+}
+
+/** Domains that may not use their share yet after a lapse; pairs (d, e): d holds e for expired. */
+var sig CatchingUp in Domain {}
+
+one sig Views { var expired: Domain -> Domain }
+
+/** The newest version that every domain has applied or that holds since the others lapsed. */
+one sig InForce { var version: one Version }
+
+pred leaseValid[d: Domain] { d.leaseAge != age/last }
+
+pred sameVotes { read' = read and unsure' = unsure and told' = told }
+
+pred sameHistory { current' = current and author' = author and base' = base }
+
+pred sameReplicas { applied' = applied and floor' = floor }
+
+pred sameShares { share' = share and usedShare' = usedShare }
+
+pred sameVersions { inUse' = inUse and recorded' = recorded }
+
+pred sameLeases { leaseAge' = leaseAge and CatchingUp' = CatchingUp }
+
+pred sameViews { seen' = seen and seenAge' = seenAge and expired' = expired }
+
+// ---- Votes by racing operators --------------------------------------------------------------
+
+pred readLimit[o: Operator] {
+  no o.unsure
+  read' = read ++ o->Store.current
+  unsure' = unsure and told' = told - o->Version
+  sameHistory and sameReplicas
+}
+
+/** The next version is written by o; its answer may be lost. */
+pred vote[o: Operator] {
+  some o.read and no o.unsure
+  read' = read
+  let next = Store.current.next {
+    {
+      ConditionalVote in On implies o.read = Store.current
+      some next
+      current' = Store->next
+      author' = author + next->o
+      base' = base + next->o.read
+      (told' = told ++ o->next and unsure' = unsure)
+        or (unsure' = unsure + o->o.read and told' = told - o->Version)
+    } or {
+      sameHistory
+      told' = told - o->Version
+      unsure' = unsure + o->o.read or (o.read != Store.current and unsure' = unsure)
+    }
+  }
+  sameReplicas
+}
+
+/** Reads the limit after an unknown outcome: it is won only when o wrote the version found. */
+pred readBack[o: Operator] {
+  some o.unsure
+  unsure' = unsure - o->Version
+  told' = told + ((Store.current != o.unsure
+    and (ReadBackAuthor in On implies Store.current.author = o)) implies o->Store.current
+    else none->none)
+  read' = read - o->Version
+  sameHistory and sameReplicas
+}
+
+// ---- Propagation ----------------------------------------------------------------------------
+
+/** A delta of any accepted version arrives, perhaps late. */
+pred apply[r: Replica, v: Version] {
+  version/lte[v, Store.current] and some r.applied
+  HigherVersionOnly in On implies version/gt[v, r.applied]
+  applied' = applied ++ r->v
+  floor' = floor
+  sameHistory and sameVotes
+}
+
+/** The domain's lease object records the version that its replicas have applied. */
+pred record[r: Replica] {
+  some r.applied
+  floor' = floor ++ r->r.applied
+  applied' = applied
+  sameHistory and sameVotes
+}
+
+pred restart[r: Replica] {
+  applied' = applied - r->Version
+  floor' = floor
+  sameHistory and sameVotes
+}
+
+/** A restarted replica takes a snapshot from a peer, which may lag, or from the store. */
+pred snapshot[r: Replica] {
+  no r.applied
+  some v: (Replica - r).applied + Store.current {
+    SnapshotNotOlder in On implies version/gte[v, r.floor]
+    applied' = applied + r->v
+  }
+  floor' = floor
+  sameHistory and sameVotes
+}
+
+pred voteIdle { sameHistory and sameVotes and sameReplicas }
+
+pred voteTrace {
+  Store.current = version/first
+  no read and no unsure and no told and no author and no base
+  Replica.applied = version/first and Replica.floor = version/first
+  all r: Replica | some r.applied
+  always (voteIdle
+    or (some o: Operator | readLimit[o] or vote[o] or readBack[o])
+    or (some r: Replica | record[r] or restart[r] or snapshot[r]
+      or (some v: Version | apply[r, v])))
+}
+
+// ---- Shares, leases and reservations --------------------------------------------------------
+
+/** Each domain's isolated share, in parts; parts in total: see parts. */
+fun isolated: Int { 1 }
+
+/** All parts of a limit: a limit of value n stands for n units in each part. */
+fun parts: Int { 3 }
+
+/** The product of p parts and a limit of n, for n from 1 to 3. */
+fun times[p, n: Int]: Int {
+  n = 1 implies p else n = 2 implies plus[p, p] else plus[p, plus[p, p]]
+}
+
+fun positive[n: Int]: Int { n > 0 implies n else 0 }
+
+/** The value that e may still use by what d has seen: its recorded version or a later one. */
+fun oldValue[d, e: Domain]: Int {
+  ReserveHighest in On
+    implies max[{ v: Version | version/gte[v, d.seen[e]] and version/lte[v, Store.current] }.value]
+    else d.seen[e].value
+}
+
+/** What d reserves for e, whose recorded version is older than the limit that d has applied. */
+fun reserved[d, e: Domain]: Int {
+  times[(e in d.(Views.expired) implies isolated else plus[e.usedShare, isolated]), oldValue[d, e]]
+}
+
+/** The part of e in the limit that d has applied. */
+fun partOf[d, e: Domain]: Int { times[plus[e.usedShare, isolated], d.inUse.value] }
+
+/** What d reserves for e beyond e's part. */
+fun excess[d, e: Domain]: Int {
+  version/lt[d.seen[e], d.inUse] implies positive[minus[reserved[d, e], partOf[d, e]]] else 0
+}
+
+/** The units that d may use now. */
+fun mayUse[d: Domain]: Int {
+  let own = (((LeaseAtHolder in On implies leaseValid[d]) and d not in CatchingUp)
+      implies plus[d.usedShare, isolated] else isolated) |
+    Reserve in On
+      implies positive[minus[times[own, d.inUse.value], (sum e: Domain - d | excess[d, e])]]
+      else times[own, d.inUse.value]
+}
+
+/** Raises InForce to the newest version that binds after this step. */
+pred forceFollows {
+  let bound = { v: Version | version/lte[v, Store.current'] and
+      (all d: Domain | version/gte[d.inUse', v] or d.leaseAge' = age/last) } |
+    InForce.version' = version/max[bound + InForce.version]
+}
+
+/** What domains may still use without a lease, by a limit that they may have applied. */
+fun stillUsable: Int {
+  let oldest = version/min[Domain.recorded],
+      old = max[{ v: Version | version/gte[v, oldest] and version/lte[v, Store.current] }.value] |
+    (sum d: { d: Domain | RefuseCountsAll in On or not leaseValid[d] } | times[isolated, old])
+}
+
+/** A vote is refused when the limit would go below what domains may use without a lease. */
+pred voteLimit {
+  let next = Store.current.next {
+    some next
+    RefuseBelowUse in On implies times[parts, next.value] >= stillUsable
+    current' = Store->next
+  }
+  sameShares and sameVersions and sameLeases and sameViews and forceFollows
+}
+
+/** A reachable domain applies the current limit and shares. */
+pred applyLimit[d: Domain] {
+  leaseValid[d] and d.inUse != Store.current
+  inUse' = inUse ++ d->Store.current
+  recorded' = recorded
+  Views.expired' = Views.expired - d->Domain
+  seen' = seen and seenAge' = seenAge
+  current' = current
+  sameShares and sameLeases and forceFollows
+}
+
+/** A reachable domain applies the current shares. */
+pred applyShares[d: Domain] {
+  leaseValid[d]
+  usedShare' = usedShare ++ d->d.share
+  share' = share and current' = current
+  sameVersions and sameLeases and sameViews and forceFollows
+}
+
+/** The lease object gets a new counter and the applied version. */
+pred renew[d: Domain] {
+  leaseAge' = leaseAge ++ d->age/first
+  recorded' = recorded ++ d->d.inUse
+  inUse' = inUse
+  CatchingUp' = (CatchUp in On and not leaseValid[d] implies CatchingUp + d else CatchingUp)
+  seenAge' = seenAge - Domain->d->Age
+  seen' = seen and expired' = expired
+  current' = current
+  sameShares and forceFollows
+}
+
+/** After a lapse: reads the current limit and shares, then uses the share again. */
+pred catchUp[d: Domain] {
+  d in CatchingUp and leaseValid[d]
+  CatchingUp' = CatchingUp - d
+  inUse' = inUse ++ d->Store.current
+  recorded' = recorded
+  usedShare' = usedShare ++ d->d.share
+  Views.expired' = Views.expired - d->Domain
+  seen' = seen and seenAge' = seenAge and leaseAge' = leaseAge
+  share' = share and current' = current
+  forceFollows
+}
+
+/** Domain d reads e's lease object: the recorded version, and a counter that starts a new wait. */
+pred observe[d, e: Domain] {
+  d != e and no d.seenAge[e]
+  seen' = seen - d->e->Version + d->e->e.recorded
+  seenAge' = seenAge + d->e->age/first
+  Views.expired' = Views.expired - d->e
+  current' = current
+  sameShares and sameVersions and sameLeases and forceFollows
+}
+
+/** Domain d holds e's lease for expired: its counter did not change for a full lease. */
+pred expire[d, e: Domain] {
+  d != e and d->e not in Views.expired
+  ExpiryWait in On implies d.seenAge[e] = age/last
+  expired' = expired + Views->d->e
+  seen' = seen and seenAge' = seenAge and current' = current
+  sameShares and sameVersions and sameLeases and forceFollows
+}
+/** The giver's coordinator lowers its share in the ledger. */
+pred transferGive[d: Domain] {
+  d.share > 0
+  share' = share ++ d->minus[d.share, 1]
+  usedShare' = usedShare and current' = current
+  sameVersions and sameLeases and sameViews and forceFollows
+}
+
+/** The taker raises its share, after the giver has lowered its own and has applied that. */
+pred transferTake[d: Domain] {
+  d.share < 1
+  GiverFirst in On implies plus[(sum e: Domain | e.share), 1] <= minus[parts, #Domain]
+  GiverApplied in On implies (all e: Domain | e.usedShare <= e.share)
+  share' = share ++ d->plus[d.share, 1]
+  usedShare' = usedShare and current' = current
+  sameVersions and sameLeases and sameViews and forceFollows
+}
+
+/** Time passes on every monotonic clock. */
+pred tick {
+  all d: Domain {
+    d.leaseAge' = older[d.leaseAge]
+    all e: Domain | d.seenAge'[e] = { a: Age | some d.seenAge[e] and a = older[d.seenAge[e]] }
+  }
+  CatchingUp' = CatchingUp
+  seen' = seen and expired' = expired and current' = current
+  sameShares and sameVersions and forceFollows
+}
+
+fun older[a: Age]: Age { a = age/last implies age/last else a.next }
+
+pred shareIdle { sameShares and sameVersions and sameLeases and sameViews and current' = current }
+
+pred shareTrace {
+  Store.current = version/first and InForce.version = version/first
+  no CatchingUp and no Views.expired and no seenAge
+  (sum d: Domain | d.share) = minus[parts, #Domain]
+  all v: Version | v.value in 1 + 2 + 3
+  all d: Domain {
+    d.share in 0 + 1 and d.usedShare = d.share
+    d.inUse = version/first and d.recorded = version/first and d.leaseAge = age/first
+    all e: Domain | d.seen[e] = version/first
+  }
+  no author and no base
+  always (author' = author and base' = base)
+  always (
+    (shareIdle and InForce.version' = InForce.version) or voteLimit or tick
+    or (some d: Domain | applyLimit[d] or applyShares[d] or renew[d] or catchUp[d]
+      or transferGive[d] or transferTake[d]
+      or (some e: Domain | observe[d, e] or expire[d, e])))
+}
+
+// ---- Share properties and vote properties ----------------------------------------------------
+
+/** A running replica never goes back, and none goes below the version recorded for it. */
+pred noRevert {
+  always all r: Replica | some r.applied implies {
+    version/gte[r.applied, r.floor]
+    some r.applied' implies version/gte[r.applied', r.applied]
+  }
+}
+
+/** An operator who is told that it won wrote the version, directly after the one it had read. */
+pred loserIsNotToldItWon {
+  always all o: Operator | some o.told implies
+    (o.told.author = o and o.told.base = o.told.prev)
+}
+
+/** The domains together never may use more than the limit in force, or a newer, higher one. */
+pred sumWithinLimit {
+  always (sum d: Domain | mayUse[d]) <= times[parts, max[
+    { v: Version | version/gte[v, InForce.version] and version/lte[v, Store.current] }.value]]
+}
+
+/** A domain never assumes less of another, on an older limit, than that one may use. */
+pred othersAreCovered {
+  always all disj d, e: Domain | version/lt[e.inUse, d.inUse] implies
+    mayUse[e] <= plus[partOf[d, e], excess[d, e]]
+}
+
+// ---- Commands -------------------------------------------------------------------------------
+
+/** Both operators win in turn, one through readBack, and a restarted replica applies both. */
+run bothOperatorsWin {
+  allGuards and voteTrace
+  some disj o, p: Operator, r: Replica {
+    eventually (some o.unsure and after some o.told)
+    eventually some p.told
+    eventually (no r.applied and eventually r.applied = version/first.next.next)
+  }
+} for exactly 2 Operator, exactly 4 Version, exactly 2 Replica, 0 Domain, exactly 2 Age, 5 Int,
+  1..9 steps expect 1
+
+/** A lowered limit is in force while a cut-off domain uses its isolated share of the old one. */
+run loweredLimitInForceWhileCutOff {
+  allGuards and shareTrace
+  some disj d, e: Domain | eventually (
+    InForce.version.value < e.inUse.value and not leaseValid[e]
+    and d.inUse = InForce.version and leaseValid[d] and d not in CatchingUp
+    and mayUse[d] > isolated)
+} for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  1..8 steps expect 1
+
+/** A share moves to the other domain and is used there. */
+run shareMoves {
+  allGuards and shareTrace
+  some d: Domain | d.usedShare = 0 and eventually d.usedShare = 1
+} for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  1..8 steps expect 1
+
+check noRevertHolds { (allGuards and voteTrace) implies noRevert }
+  for exactly 2 Operator, exactly 4 Version, exactly 2 Replica, 0 Domain, exactly 2 Age, 5 Int,
+  9..9 steps expect 0
+
+check loserIsNotToldItWonHolds { (allGuards and voteTrace) implies loserIsNotToldItWon }
+  for exactly 2 Operator, exactly 4 Version, exactly 2 Replica, 0 Domain, exactly 2 Age, 5 Int,
+  9..9 steps expect 0
+
+check sumWithinLimitHolds { (allGuards and shareTrace) implies sumWithinLimit }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 0
+
+check othersAreCoveredHolds { (allGuards and shareTrace) implies othersAreCovered }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 0
+
+check withoutConditionalVoteFails_loserIsNotToldItWon { (without[ConditionalVote] and voteTrace) implies loserIsNotToldItWon }
+  for exactly 2 Operator, exactly 4 Version, exactly 2 Replica, 0 Domain, exactly 2 Age, 5 Int,
+  9..9 steps expect 1
+
+check withoutReadBackAuthorFails_loserIsNotToldItWon { (without[ReadBackAuthor] and voteTrace) implies loserIsNotToldItWon }
+  for exactly 2 Operator, exactly 4 Version, exactly 2 Replica, 0 Domain, exactly 2 Age, 5 Int,
+  9..9 steps expect 1
+
+check withoutHigherVersionOnlyFails_noRevert { (without[HigherVersionOnly] and voteTrace) implies noRevert }
+  for exactly 2 Operator, exactly 4 Version, exactly 2 Replica, 0 Domain, exactly 2 Age, 5 Int,
+  9..9 steps expect 1
+
+check withoutSnapshotNotOlderFails_noRevert { (without[SnapshotNotOlder] and voteTrace) implies noRevert }
+  for exactly 2 Operator, exactly 4 Version, exactly 2 Replica, 0 Domain, exactly 2 Age, 5 Int,
+  9..9 steps expect 1
+
+check withoutLeaseAtHolderFails_sumWithinLimit { (without[LeaseAtHolder] and shareTrace) implies sumWithinLimit }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
+
+check withoutExpiryWaitFails_othersAreCovered { (without[ExpiryWait] and shareTrace) implies othersAreCovered }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
+
+check withoutReserveFails_sumWithinLimit { (without[Reserve] and shareTrace) implies sumWithinLimit }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
+
+check withoutReserveHighestFails_othersAreCovered { (without[ReserveHighest] and shareTrace) implies othersAreCovered }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
+
+check withoutRefuseBelowUseFails_sumWithinLimit { (without[RefuseBelowUse] and shareTrace) implies sumWithinLimit }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
+
+check withoutRefuseCountsAllFails_sumWithinLimit { (without[RefuseCountsAll] and shareTrace) implies sumWithinLimit }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
+
+check withoutCatchUpFails_sumWithinLimit { (without[CatchUp] and shareTrace) implies sumWithinLimit }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
+
+check withoutGiverFirstFails_sumWithinLimit { (without[GiverFirst] and shareTrace) implies sumWithinLimit }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
+
+check withoutGiverAppliedFails_sumWithinLimit { (without[GiverApplied] and shareTrace) implies sumWithinLimit }
+  for exactly 2 Domain, exactly 3 Version, exactly 3 Age, 0 Operator, 0 Replica, 5 Int,
+  8..8 steps expect 1
