Add the peer network over TCP and membership by gossip

Cause: instances had no way to talk to each other; each believed itself alone, so homes and duties could not be divided.

Change: TcpPeerNetwork (one thread, non-blocking, 4-byte length and MessagePack, bounded queues, backoff, counters by peer and message class), GossipMembership (pure: time, randomness and messages are arguments) with bridges between domains, MembershipService as its timer, PeerGroup to wire both into EntryInstance. Heartbeats list the sequence of known instances as 4-byte key and 2-byte number; whole sightings are sent only for changes and on request, since 32 of them took 1.4 KB.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -3,7 +3,6 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import java.time.Duration;
-import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -64,6 +63,7 @@
   private final ConfigurationWatcher watcher;
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
+  private final PeerGroup peers;
   private final JobRunner runner;
   private final Undertow server;
   private volatile boolean stopping;
@@ -82,7 +82,8 @@
     // The name differs after each restart, so that a new run never counts as the old holder.
     String holder = settings.instance() + "#" + UUID.randomUUID().toString().substring(0, 8);
     StoreWriter writer = StoreWriter.of(store, holder);
-    MembershipView membership = () -> List.of(settings.instance());
+    this.peers = PeerGroup.of(settings, clock, log);
+    MembershipView membership = peers.membership();
     this.watcher = new ConfigurationWatcher(store, replica, timer, log);
     this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
     this.instanceList =
@@ -171,6 +172,7 @@
         0,
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
+    peers.start();
     watcher.start();
     runner.start();
     server.start();
@@ -199,11 +201,13 @@
       sleep(Duration.ofMillis(20));
     }
     runner.close();
+    peers.leave();
     server.stop();
     watcher.close();
     timer.shutdownNow();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
+    peers.close();
     caller.close();
     log.log(LogEvent.INSTANCE_STOPPED);
   }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerGroup.java
@@ -0,0 +1,89 @@
+package org.sedgeroad.entry;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.peer.GossipMembership;
+import org.sedgeroad.peer.GossipSettings;
+import org.sedgeroad.peer.HeartbeatContent;
+import org.sedgeroad.peer.MembershipService;
+import org.sedgeroad.peer.TcpPeerNetwork;
+import org.sedgeroad.settings.DomainSetting;
+import org.sedgeroad.settings.Settings;
+
+/** Network and membership of one instance. */
+final class PeerGroup implements AutoCloseable {
+  private final TcpPeerNetwork network;
+  private final GossipMembership membership;
+  private final MembershipService service;
+  private volatile Supplier<HeartbeatContent> content = () -> HeartbeatContent.EMPTY;
+
+  private PeerGroup(Settings settings, MonotonicClock clock, EventLog log) throws IOException {
+    this.network = TcpPeerNetwork.bind(settings.instance(), settings.peerAddress(), clock, log);
+    this.membership =
+        GossipMembership.of(
+            new GossipSettings(
+                settings.instance(),
+                settings.domain(),
+                text(network.address()),
+                System.currentTimeMillis(),
+                settings.seeds().stream().map(PeerGroup::text).toList(),
+                settings.domains().stream().map(DomainSetting::domain).toList()));
+    this.service =
+        new MembershipService(
+            settings.instance(), membership, network, () -> content.get(), clock, log);
+  }
+
+  /**
+   * Binds the peer address of the settings.
+   *
+   * @throws UncheckedIOException if the address can't be bound
+   */
+  static PeerGroup of(Settings settings, MonotonicClock clock, EventLog log) {
+    try {
+      return new PeerGroup(settings, clock, log);
+    } catch (IOException failure) {
+      throw new UncheckedIOException("can't listen on " + settings.peerAddress(), failure);
+    }
+  }
+
+  TcpPeerNetwork network() {
+    return network;
+  }
+
+  GossipMembership membership() {
+    return membership;
+  }
+
+  MembershipService service() {
+    return service;
+  }
+
+  /** Sets what other parts add to heartbeats. */
+  void setContent(Supplier<HeartbeatContent> supplier) {
+    content = supplier;
+  }
+
+  void start() {
+    network.start(membership);
+    service.start();
+  }
+
+  /** Tells the other instances that this one is leaving. */
+  void leave() {
+    service.announceLeaving();
+  }
+
+  @Override
+  public void close() {
+    service.close();
+    network.close();
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -45,7 +45,35 @@
   /** A commit conflicted: another instance holds the segment now. */
   SEGMENT_LOST(5006, Level.INFO, "segment lost"),
   /** An item failed for good after its last attempt. */
-  ITEM_FAILED(5007, Level.INFO, "item failed");
+  ITEM_FAILED(5007, Level.INFO, "item failed"),
+  /** A connection to a peer was opened. */
+  PEER_CONNECTED(6001, Level.DEBUG, "peer connected"),
+  /** A connection to a peer could not be opened, or broke. */
+  PEER_UNREACHABLE(6002, Level.INFO, "peer unreachable"),
+  /** A frame from a peer was too long or not valid; its connection was closed. */
+  PEER_FRAME_INVALID(6003, Level.WARNING, "peer sent an invalid frame"),
+  /** A message of a type that this version does not know was skipped. */
+  PEER_TYPE_UNKNOWN(6004, Level.INFO, "peer message of unknown type skipped"),
+  /** The handler of a peer message failed, or too many messages were waiting. */
+  PEER_MESSAGE_FAILED(6005, Level.WARNING, "peer message not handled"),
+  /** An instance was seen for the first time, or again after it was dead or restarted. */
+  MEMBER_LIVE(6010, Level.INFO, "instance is live"),
+  /** An instance made no progress for the suspicion time. */
+  MEMBER_SUSPECTED(6011, Level.INFO, "instance is suspected"),
+  /** An instance made no progress for the death time. */
+  MEMBER_DEAD(6012, Level.WARNING, "instance is considered dead"),
+  /** An instance said that it is leaving. */
+  MEMBER_LEAVING(6013, Level.INFO, "instance is leaving"),
+  /** This process was paused; the time is not counted against other instances. */
+  PROCESS_PAUSED(6014, Level.WARNING, "process was paused"),
+  /** This instance began to watch the store for its failure domain. */
+  WATCHES_STARTED(6020, Level.INFO, "watching the store"),
+  /** This instance ended its watches because others hold them. */
+  WATCHES_ENDED(6021, Level.INFO, "no longer watching the store"),
+  /** A complete copy of the configuration is held. */
+  CONFIGURATION_COMPLETE(6022, Level.INFO, "configuration complete"),
+  /** A planned stop reached its deadline with work left. */
+  STOP_DEADLINE_PASSED(6030, Level.WARNING, "stop deadline passed with work left");
 
   private final int number;
   private final Level level;
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/HeartbeatCodec.java
@@ -0,0 +1,126 @@
+package org.sedgeroad.peer;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads heartbeats compactly, since they are most of the traffic between peers. */
+final class HeartbeatCodec {
+  private static final int PROGRESS_BYTES = 6;
+  private static final int SHORT_MASK = 0xffff;
+  private static final int NAME_LENGTH = 128;
+
+  /** Start times beyond this, in the year 4199, are not valid: none could ever replace them. */
+  private static final long MAXIMUM_INCARNATION = 1L << 46;
+
+  private HeartbeatCodec() {}
+
+  static void write(MessagePacker packer, Heartbeat heartbeat) throws IOException {
+    packer.packString(heartbeat.sender());
+    packer.packArrayHeader(heartbeat.members().size());
+    String domain = "";
+    for (MemberSighting member : heartbeat.members()) {
+      writeMember(packer, member, domain);
+      domain = member.domain();
+    }
+    ByteBuffer progress = ByteBuffer.allocate(PROGRESS_BYTES * heartbeat.progress().size());
+    heartbeat
+        .progress()
+        .forEach((key, sequence) -> progress.putInt(key).putShort(sequence.shortValue()));
+    packer.packBinaryHeader(progress.position()).writePayload(progress.array());
+    packer.packMapHeader(heartbeat.versions().size());
+    for (Map.Entry<String, Long> version : heartbeat.versions().entrySet()) {
+      packer.packString(version.getKey()).packLong(version.getValue());
+    }
+    packer.packMapHeader(heartbeat.liveCounts().size());
+    for (Map.Entry<String, Integer> count : heartbeat.liveCounts().entrySet()) {
+      packer.packString(count.getKey()).packInt(count.getValue());
+    }
+    packer.packBoolean(heartbeat.cutOff());
+  }
+
+  static Heartbeat read(MessageUnpacker unpacker) throws IOException {
+    final String sender = name(unpacker.unpackString());
+    int count = unpacker.unpackArrayHeader();
+    List<MemberSighting> members = new ArrayList<>();
+    String domain = "";
+    for (int i = 0; i < count; i++) {
+      members.add(readMember(unpacker, domain));
+      domain = members.get(i).domain();
+    }
+    ByteBuffer bytes = ByteBuffer.wrap(binary(unpacker));
+    Map<Integer, Integer> progress = new HashMap<>();
+    while (bytes.remaining() >= PROGRESS_BYTES) {
+      progress.put(bytes.getInt(), bytes.getShort() & SHORT_MASK);
+    }
+    Map<String, Long> versions = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      versions.put(unpacker.unpackString(), unpacker.unpackLong());
+    }
+    Map<String, Integer> liveCounts = new HashMap<>();
+    for (int i = unpacker.unpackMapHeader(); i > 0; i--) {
+      liveCounts.put(unpacker.unpackString(), unpacker.unpackInt());
+    }
+    return new Heartbeat(sender, members, progress, versions, liveCounts, unpacker.unpackBoolean());
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Writes a sighting; the domain is left out if it is that of the sighting before. */
+  private static void writeMember(MessagePacker packer, MemberSighting member, String previous)
+      throws IOException {
+    packer.packString(member.instance());
+    InetSocketAddress address =
+        PeerAddress.parse(member.address())
+            .orElseThrow(() -> new IOException("address " + member.address()));
+    byte[] raw = address.getAddress().getAddress();
+    packer.packBinaryHeader(raw.length).writePayload(raw).packInt(address.getPort());
+    packer.packString(member.domain().equals(previous) ? "" : member.domain());
+    packer.packLong(member.incarnation()).packLong(member.sequence());
+    packer.packBoolean(member.leaving());
+  }
+
+  private static MemberSighting readMember(MessageUnpacker unpacker, String previous)
+      throws IOException {
+    final String instance = name(unpacker.unpackString());
+    byte[] raw = binary(unpacker);
+    InetSocketAddress address =
+        new InetSocketAddress(InetAddress.getByAddress(raw), unpacker.unpackInt());
+    String domain = unpacker.unpackString();
+    long incarnation = unpacker.unpackLong();
+    long sequence = unpacker.unpackLong();
+    if (incarnation < 0 || incarnation > MAXIMUM_INCARNATION || sequence < 0) {
+      throw new IOException("incarnation or sequence out of range");
+    }
+    return new MemberSighting(
+        instance,
+        PeerAddress.toText(address),
+        name(domain.isEmpty() ? previous : domain),
+        incarnation,
+        sequence,
+        unpacker.unpackBoolean());
+  }
+
+  private static byte[] binary(MessageUnpacker unpacker) throws IOException {
+    int length = unpacker.unpackBinaryHeader();
+    // Checked first, since the array is allocated before its bytes are read.
+    if (length > FrameAssembler.MAXIMUM_LENGTH) {
+      throw new IOException("binary of " + length + " bytes");
+    }
+    return unpacker.readPayload(length);
+  }
+
+  private static String name(String name) throws IOException {
+    if (name.isEmpty() || name.length() > NAME_LENGTH) {
+      throw new IOException("name of " + name.length() + " characters");
+    }
+    return name;
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/peer/MemberSighting.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/MemberSighting.java
@@ -1,5 +1,7 @@
 package org.sedgeroad.peer;
 
+import com.dynatrace.hash4j.hashing.Hashing;
+
 /**
  * What is known of one instance. A higher incarnation, then a higher sequence, replaces a lower
  * one.
@@ -17,4 +19,40 @@
     String domain,
     long incarnation,
     long sequence,
-    boolean leaving) {}
+    boolean leaving) {
+  private static final int SEQUENCE_MASK = 0xffff;
+
+  /** Returns a 32-bit hash of name and incarnation that stands for both in a heartbeat. */
+  public int key() {
+    return (int) Hashing.komihash5_0().hashCharsToLong(instance + "\u0000" + incarnation);
+  }
+
+  /** Returns the low 16 bits of the sequence. */
+  int shortSequence() {
+    return (int) (sequence & SEQUENCE_MASK);
+  }
+
+  /** Returns how far a short sequence is ahead of this sighting, 0 or less if it is not. */
+  int stepsTo(int shortSequence) {
+    return (short) (shortSequence - shortSequence());
+  }
+
+  /** Returns whether this sighting replaces another one of the same instance. */
+  boolean isNewerThan(MemberSighting other) {
+    return incarnation != other.incarnation
+        ? incarnation > other.incarnation
+        : sequence > other.sequence;
+  }
+
+  MemberSighting withSequence(long value) {
+    return new MemberSighting(instance, address, domain, incarnation, value, leaving);
+  }
+
+  MemberSighting withIncarnation(long value) {
+    return new MemberSighting(instance, address, domain, value, sequence, leaving);
+  }
+
+  MemberSighting withLeaving() {
+    return new MemberSighting(instance, address, domain, incarnation, sequence, true);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/TcpPeerNetwork.java
@@ -0,0 +1,500 @@
+package org.sedgeroad.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+
+/**
+ * Messages over TCP: one thread serves all connections with non-blocking I/O.
+ *
+ * <p>A connection is opened when the first message for a peer is sent and closed when none was sent
+ * for a while. Requests and their answers share the connection that the requester opened.
+ */
+public final class TcpPeerNetwork implements PeerNetwork {
+  private static final int READ_BYTES = 64 << 10;
+
+  /** Far above the 31 peers of a domain and the bridges of 12 others. */
+  private static final int MAXIMUM_INCOMING = 1_024;
+
+  private static final long SWEEP_MILLIS = 1_000;
+  private static final long CONNECT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** A connection that takes no bytes for this time is closed; the peer may be half gone. */
+  private static final long STALLED_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /** Longer than the gap between two heartbeats to the same peer among 32 instances (5 s). */
+  private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  private final String name;
+  private final MonotonicClock clock;
+  private final EventLog log;
+  private final Selector selector;
+  private final ServerSocketChannel server;
+  private final MessageDispatcher dispatcher;
+  private final TrafficCounters counters = new TrafficCounters();
+  private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+  private final Set<PeerConnection> incoming = new HashSet<>();
+  private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+  private final AtomicLong requestNumbers = new AtomicLong();
+  private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
+  private final Thread thread = new Thread(this::run, "peer-network");
+  private volatile PeerDirectory directory = instance -> Optional.empty();
+  private volatile boolean closed;
+  private long sweepAtNanos;
+
+  private TcpPeerNetwork(String name, MonotonicClock clock, EventLog log, InetSocketAddress address)
+      throws IOException {
+    this.name = name;
+    this.clock = clock;
+    this.log = log;
+    this.dispatcher = new MessageDispatcher(log);
+    this.selector = Selector.open();
+    this.server = ServerSocketChannel.open();
+    try {
+      // A restarted instance must get its port back while old connections linger.
+      server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      server.bind(address).configureBlocking(false).register(selector, SelectionKey.OP_ACCEPT);
+    } catch (IOException failure) {
+      server.close();
+      selector.close();
+      throw failure;
+    }
+  }
+
+  /**
+   * Binds to an address; {@link #start} begins to serve.
+   *
+   * @param name name of this instance
+   * @param address address to listen on; port 0 for any
+   * @param clock monotonic clock
+   * @param log event log
+   * @throws IOException if the address can't be bound
+   */
+  public static TcpPeerNetwork bind(
+      String name, InetSocketAddress address, MonotonicClock clock, EventLog log)
+      throws IOException {
+    return new TcpPeerNetwork(name, clock, log, address);
+  }
+
+  /** Starts to serve. A peer's name is looked up in the directory at each connection attempt. */
+  public void start(PeerDirectory peers) {
+    directory = peers;
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Returns the address that peers connect to. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.socket().getLocalSocketAddress();
+  }
+
+  /** Returns the traffic with each peer by class of message. */
+  public List<PeerTraffic> traffic() {
+    return counters.read();
+  }
+
+  // -----------------------------------------------------------------------
+
+  @Override
+  public void send(String instance, PeerMessage message) {
+    if (instance.equals(name)) {
+      dispatcher.dispatch(name, message, answer -> {});
+    } else {
+      enqueue(link(instance), OutgoingFrame.of(Frame.of(Frame.Kind.ONE_WAY, 0, message)));
+    }
+  }
+
+  @Override
+  public CompletableFuture<PeerMessage> call(
+      String instance, PeerMessage request, long deadlineNanos) {
+    CompletableFuture<PeerMessage> future = new CompletableFuture<>();
+    if (instance.equals(name)) {
+      dispatcher.dispatch(name, request, answer -> complete(future, answer));
+    } else {
+      long number = requestNumbers.incrementAndGet();
+      PeerLink link = link(instance);
+      link.pending.put(number, future);
+      future.whenComplete((answer, failure) -> link.pending.remove(number));
+      enqueue(link, OutgoingFrame.of(Frame.of(Frame.Kind.REQUEST, number, request)));
+    }
+    return future.orTimeout(Math.max(0, deadlineNanos - clock.nanos()), TimeUnit.NANOSECONDS);
+  }
+
+  @Override
+  public <T extends PeerMessage> void handle(Class<T> type, PeerHandler<T> handler) {
+    dispatcher.handle(type, handler);
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    selector.wakeup();
+    try {
+      thread.join(SWEEP_MILLIS);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+    dispatcher.close();
+  }
+
+  // -----------------------------------------------------------------------
+
+  private PeerLink link(String instance) {
+    return links.computeIfAbsent(instance, PeerLink::new);
+  }
+
+  private void enqueue(PeerLink link, OutgoingFrame frame) {
+    if (closed) {
+      drop(link, frame, "closed");
+      return;
+    }
+    link.queue.add(frame).ifPresent(dropped -> drop(link, dropped, "queue full"));
+    if (link.signalled.compareAndSet(false, true)) {
+      execute(() -> flush(link));
+    }
+  }
+
+  private void drop(PeerLink link, OutgoingFrame frame, String reason) {
+    counters.dropped(link.peer, frame.messageClass());
+    CompletableFuture<PeerMessage> future = link.pending.get(frame.number());
+    if (frame.kind() == Frame.Kind.REQUEST && future != null) {
+      future.completeExceptionally(new IOException(link.peer + ": " + reason));
+    }
+  }
+
+  private void execute(Runnable task) {
+    tasks.add(task);
+    selector.wakeup();
+  }
+
+  private static void complete(
+      CompletableFuture<PeerMessage> future, Optional<PeerMessage> answer) {
+    answer.ifPresentOrElse(
+        future::complete,
+        () -> future.completeExceptionally(new IOException("request was not handled")));
+  }
+
+  // -----------------------------------------------------------------------
+  // All methods below run on the network thread.
+
+  private void run() {
+    while (!closed) {
+      try {
+        selector.select(this::serve, SWEEP_MILLIS);
+        for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+          task.run();
+        }
+        if (clock.hasPassed(sweepAtNanos)) {
+          sweep(clock.nanos());
+          sweepAtNanos = clock.deadlineAfterMillis(SWEEP_MILLIS);
+        }
+      } catch (IOException | RuntimeException failure) {
+        log.log(LogEvent.PEER_MESSAGE_FAILED, EventField.of("cause", failure));
+      }
+    }
+    links.values().forEach(this::flushBeforeClose);
+    List.copyOf(incoming).forEach(PeerConnection::close);
+    try {
+      server.close();
+      selector.close();
+    } catch (IOException ignored) {
+      // The sockets are closed with the process at the latest.
+    }
+  }
+
+  private void flushBeforeClose(PeerLink link) {
+    if (link.connection != null) {
+      try {
+        link.connection.write(clock.nanos());
+      } catch (IOException ignored) {
+        // The last messages are lost with the connection.
+      }
+      link.connection.close();
+    }
+    link.abandon(new IOException("closed"));
+  }
+
+  private void serve(SelectionKey key) {
+    if (key.isValid() && key.isAcceptable()) {
+      accept();
+      return;
+    }
+    PeerConnection connection = (PeerConnection) key.attachment();
+    try {
+      if (key.isValid() && key.isConnectable()) {
+        connection.connected();
+        connection.write(clock.nanos());
+      }
+      if (key.isValid() && key.isReadable() && !connection.read(readBuffer, clock.nanos())) {
+        reject(connection, "frame too long");
+        return;
+      }
+      if (key.isValid() && key.isWritable()) {
+        connection.write(clock.nanos());
+      }
+    } catch (IOException broken) {
+      disconnect(connection, broken.getMessage());
+    }
+  }
+
+  private void accept() {
+    try {
+      SocketChannel channel = server.accept();
+      if (channel != null && incoming.size() >= MAXIMUM_INCOMING) {
+        channel.close();
+      } else if (channel != null) {
+        PeerConnection connection = register(channel, "", new SendQueue(), SelectionKey.OP_READ);
+        incoming.add(connection);
+        connection.queue().addFirst(OutgoingFrame.of(Frame.greeting(name)));
+        connection.write(clock.nanos());
+      }
+    } catch (IOException failure) {
+      log.log(LogEvent.PEER_UNREACHABLE, EventField.of("cause", failure));
+    }
+  }
+
+  private PeerConnection register(
+      SocketChannel channel, String peer, SendQueue queue, int operations) throws IOException {
+    channel.configureBlocking(false);
+    channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    SelectionKey key = channel.register(selector, operations);
+    PeerConnection connection =
+        new PeerConnection(
+            key,
+            peer,
+            queue,
+            clock.nanos(),
+            this::receive,
+            (to, frame) -> counters.sent(to.peer(), frame.messageClass(), frame.length()));
+    key.attach(connection);
+    return connection;
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void flush(PeerLink link) {
+    link.signalled.set(false);
+    PeerLink other = links.putIfAbsent(link.peer, link);
+    if (other != null && other != link) {
+      link.abandon(new IOException(link.peer + " was forgotten"));
+      return;
+    }
+    Optional<InetSocketAddress> address = directory.find(link.peer);
+    if (address.isEmpty()) {
+      link.abandon(new IOException(link.peer + " is not known"));
+      return;
+    }
+    try {
+      if (link.connection != null && !address.get().equals(link.address)) {
+        link.connection.close();
+        link.connection = null;
+      }
+      if (link.connection != null) {
+        link.connection.write(clock.nanos());
+      } else if (link.mayConnect(address.get(), clock.nanos())) {
+        connect(link, address.get());
+      } else {
+        link.abandon(new IOException(link.peer + " can't be reached"));
+      }
+    } catch (IOException | RuntimeException failure) {
+      failLink(link, String.valueOf(failure.getMessage()));
+    }
+  }
+
+  private void connect(PeerLink link, InetSocketAddress address) throws IOException {
+    SocketChannel channel = SocketChannel.open();
+    link.address = address;
+    try {
+      link.queue.addFirst(OutgoingFrame.of(Frame.greeting(name)));
+      link.connection = register(channel, link.peer, link.queue, SelectionKey.OP_CONNECT);
+      if (channel.connect(address)) {
+        link.connection.connected();
+        link.connection.write(clock.nanos());
+      }
+    } catch (IOException | RuntimeException failure) {
+      channel.close();
+      throw failure;
+    }
+  }
+
+  private void disconnect(PeerConnection connection, String reason) {
+    connection.close();
+    if (!incoming.remove(connection)) {
+      PeerLink link = links.get(connection.peer());
+      if (link != null && link.connection == connection) {
+        failLink(link, reason);
+      }
+    }
+  }
+
+  private void failLink(PeerLink link, String reason) {
+    if (link.connection != null) {
+      link.connection.close();
+      link.connection = null;
+    }
+    link.failed(clock.nanos(), ThreadLocalRandom.current().nextDouble());
+    link.abandon(new IOException(link.peer + ": " + reason));
+    log.log(
+        LogEvent.PEER_UNREACHABLE,
+        EventField.of("peer", link.peer),
+        EventField.of("reason", reason));
+  }
+
+  private void reject(PeerConnection connection, String reason) {
+    log.log(
+        LogEvent.PEER_FRAME_INVALID,
+        EventField.of("peer", connection.peer()),
+        EventField.of("reason", reason));
+    disconnect(connection, reason);
+  }
+
+  private void sweep(long now) {
+    for (PeerLink link : List.copyOf(links.values())) {
+      PeerConnection connection = link.connection;
+      boolean idle = link.queue.isEmpty() && link.pending.isEmpty();
+      if (connection == null) {
+        if (idle && directory.find(link.peer).isEmpty()) {
+          links.remove(link.peer);
+        }
+      } else if (idle && now - connection.lastWriteNanos() > IDLE_NANOS) {
+        connection.close();
+        link.connection = null;
+      } else if (!link.queue.isEmpty()
+          && now - connection.lastWriteNanos()
+              > (connection.isConnected() ? STALLED_NANOS : CONNECT_NANOS)) {
+        failLink(link, "takes no bytes");
+      }
+    }
+    for (PeerConnection connection : List.copyOf(incoming)) {
+      boolean stalled =
+          !connection.queue().isEmpty() && now - connection.lastWriteNanos() > STALLED_NANOS;
+      if (stalled || now - connection.lastReadNanos() > 2 * IDLE_NANOS) {
+        disconnect(connection, "idle");
+      }
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void receive(PeerConnection connection, byte[] content) {
+    if (connection.isClosed()) {
+      return;
+    }
+    Optional<Frame> decoded = FrameCodec.decode(content);
+    if (decoded.isEmpty()) {
+      reject(connection, "frame can't be read");
+      return;
+    }
+    Frame frame = decoded.get();
+    boolean outgoing = !incoming.contains(connection);
+    if (frame.kind() == Frame.Kind.GREETING) {
+      greet(connection, frame, outgoing);
+      return;
+    }
+    if (connection.peer().isEmpty()) {
+      reject(connection, "first frame is not a greeting");
+      return;
+    }
+    // Names that a stranger makes up must not fill the table of counters.
+    boolean known = outgoing || directory.find(connection.peer()).isPresent();
+    counters.received(
+        known ? connection.peer() : "unknown",
+        OutgoingFrame.classOf(frame),
+        content.length + FrameAssembler.HEADER_LENGTH);
+    if (frame.message().isEmpty() && frame.type() != 0) {
+      log.log(
+          LogEvent.PEER_TYPE_UNKNOWN,
+          EventField.of("peer", connection.peer()),
+          EventField.of("type", frame.type()));
+    }
+    if (frame.kind() == Frame.Kind.ANSWER) {
+      PeerLink link = links.get(connection.peer());
+      CompletableFuture<PeerMessage> future =
+          link == null ? null : link.pending.get(frame.number());
+      if (outgoing && future != null) {
+        complete(future, frame.message());
+      }
+    } else {
+      serveMessage(connection, frame);
+    }
+  }
+
+  private void greet(PeerConnection connection, Frame greeting, boolean outgoing) {
+    if (greeting.number() != FrameCodec.PROTOCOL_VERSION || greeting.sender().isEmpty()) {
+      reject(connection, "protocol version " + greeting.number());
+    } else if (!outgoing) {
+      connection.setPeer(greeting.sender());
+    } else {
+      PeerLink link = links.get(connection.peer());
+      // A link to a seed is named after its address, since the seed's name is not known yet.
+      boolean seed = PeerAddress.parse(connection.peer()).isPresent();
+      if (!seed && !greeting.sender().equals(connection.peer())) {
+        disconnect(connection, "address belongs to " + greeting.sender());
+      } else if (link != null) {
+        link.succeeded();
+        log.log(LogEvent.PEER_CONNECTED, EventField.of("peer", greeting.sender()));
+      }
+    }
+  }
+
+  private void serveMessage(PeerConnection connection, Frame frame) {
+    if (frame.kind() == Frame.Kind.ONE_WAY) {
+      frame
+          .message()
+          .ifPresent(message -> dispatcher.dispatch(connection.peer(), message, answer -> {}));
+      return;
+    }
+    if (frame.message().isEmpty()) {
+      answer(connection, Frame.withoutAnswer(frame.number()));
+      return;
+    }
+    dispatcher.dispatch(
+        connection.peer(),
+        frame.message().get(),
+        answer -> answer(connection, toFrame(frame.number(), answer)));
+  }
+
+  private static Frame toFrame(long number, Optional<PeerMessage> answer) {
+    return answer
+        .map(message -> Frame.of(Frame.Kind.ANSWER, number, message))
+        .orElseGet(() -> Frame.withoutAnswer(number));
+  }
+
+  /** Sends an answer; runs on any thread. */
+  private void answer(PeerConnection connection, Frame frame) {
+    OutgoingFrame encoded = OutgoingFrame.of(frame);
+    execute(
+        () -> {
+          Optional<OutgoingFrame> dropped = connection.queue().add(encoded);
+          if (dropped.isPresent() || connection.isClosed()) {
+            counters.dropped(connection.peer(), encoded.messageClass());
+            return;
+          }
+          try {
+            connection.write(clock.nanos());
+          } catch (IOException broken) {
+            disconnect(connection, broken.getMessage());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/peer/GossipSimulation.java
@@ -0,0 +1,136 @@
+package org.sedgeroad.peer;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiPredicate;
+
+/** Memberships of many instances on a virtual clock, with the encoded size of each message. */
+final class GossipSimulation {
+  static final Map<String, Long> VERSIONS =
+      Map.of(
+          "members",
+          81_234L,
+          "models",
+          80_001L,
+          "limits",
+          81_240L,
+          "shares",
+          81_239L,
+          "jobs",
+          81_245L,
+          "quarantines",
+          80_100L,
+          "orders",
+          81_000L);
+  private static final HeartbeatContent CONTENT =
+      new HeartbeatContent(VERSIONS, target -> Map.of(), false);
+  private static final long STEP = 10_000_000L;
+
+  final Map<String, GossipMembership> nodes = new LinkedHashMap<>();
+  final Set<String> paused = new HashSet<>();
+  final Map<String, Long> sentBytes = new LinkedHashMap<>();
+  BiPredicate<String, String> cut = (from, to) -> false;
+  long deaths;
+  long nanos = 1_000_000_000L;
+  private final Random random;
+  private final List<String> domains;
+  private final Map<String, Long> nextTick = new LinkedHashMap<>();
+  private final PriorityQueue<InFlight> network = new PriorityQueue<>();
+
+  GossipSimulation(long seed, List<String> domains) {
+    this.random = new Random(seed);
+    this.domains = domains;
+  }
+
+  /** Adds an instance {@code DOMAIN-NUMBER}, or replaces it by a restarted one. */
+  GossipMembership add(String domain, int number, long incarnation) {
+    String name = domain + "-" + number;
+    List<String> seeds = domains.stream().map(each -> address(each, 0)).toList();
+    GossipMembership node =
+        GossipMembership.of(
+            new GossipSettings(name, domain, address(domain, number), incarnation, seeds, domains));
+    nodes.put(name, node);
+    nextTick.put(name, nanos + (long) (random.nextDouble() * 500e6));
+    return node;
+  }
+
+  void addAll(int perDomain) {
+    for (String domain : domains) {
+      for (int i = 0; i < perDomain; i++) {
+        add(domain, i, 1_796_000_000_000L + i);
+      }
+    }
+  }
+
+  private String address(String domain, int number) {
+    return "10.0." + domains.indexOf(domain) + "." + (number + 1) + ":7100";
+  }
+
+  private String nameOf(String target) {
+    for (String domain : domains) {
+      if (target.equals(address(domain, 0))) {
+        return domain + "-0";
+      }
+    }
+    return target;
+  }
+
+  /** Lets virtual time pass. */
+  void run(double seconds) {
+    long end = nanos + (long) (seconds * 1e9);
+    while (nanos < end) {
+      nanos += STEP;
+      for (Map.Entry<String, GossipMembership> node : nodes.entrySet()) {
+        if (!paused.contains(node.getKey()) && nanos >= nextTick.get(node.getKey())) {
+          nextTick.put(node.getKey(), nanos + 500_000_000L);
+          node.getValue().tick(nanos, random, CONTENT).forEach(out -> post(node.getKey(), out));
+        }
+      }
+      while (!network.isEmpty() && network.peek().at <= nanos) {
+        deliver(network.remove());
+      }
+      nodes
+          .values()
+          .forEach(
+              node ->
+                  deaths +=
+                      node.takeEvents().stream()
+                          .filter(event -> event.event().number() == 6012)
+                          .count());
+    }
+  }
+
+  private void post(String from, Outgoing out) {
+    Frame frame = Frame.of(Frame.Kind.ONE_WAY, 0, out.message());
+    sentBytes.merge(from, (long) FrameCodec.encode(frame).remaining(), Long::sum);
+    network.add(
+        new InFlight(
+            nanos + 1_000_000L + random.nextInt(5_000_000),
+            from,
+            nameOf(out.target()),
+            (Heartbeat) out.message()));
+  }
+
+  private void deliver(InFlight message) {
+    GossipMembership node = nodes.get(message.to);
+    if (node != null
+        && !paused.contains(message.to)
+        && !paused.contains(message.from)
+        && !cut.test(message.from, message.to)) {
+      node.receive(message.heartbeat, nanos, CONTENT).ifPresent(out -> post(message.to, out));
+    }
+  }
+
+  private record InFlight(long at, String from, String to, Heartbeat heartbeat)
+      implements Comparable<InFlight> {
+    @Override
+    public int compareTo(InFlight other) {
+      return Long.compare(at, other.at);
+    }
+  }
+}
