--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationRelay.java
@@ -0,0 +1,310 @@
+package org.sedgeroad.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.CompleteVersions;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.peer.ConfigurationDelta;
+import org.sedgeroad.peer.ConfigurationItem;
+import org.sedgeroad.peer.ConfigurationPull;
+import org.sedgeroad.peer.GossipMembership;
+import org.sedgeroad.peer.Heartbeat;
+import org.sedgeroad.peer.HeartbeatContent;
+import org.sedgeroad.peer.PeerMessage;
+import org.sedgeroad.peer.PeerNetwork;
+import org.sedgeroad.store.ObjectStore;
+import org.sedgeroad.store.StoredObject;
+
+/**
+ * Keeps a replica current with few calls to the store: the bridges of a failure domain watch it and
+ * changes spread from peer to peer.
+ *
+ * <p>Each change is pushed to three peers at its first receipt. Heartbeats show what each instance
+ * holds completely, and an instance pulls what it lacks. An instance that no watcher has confirmed
+ * for a while reads the store itself.
+ */
+final class ConfigurationRelay implements AutoCloseable {
+  private static final long TICK_MILLIS = 250;
+  private static final int FAN_OUT = 3;
+
+  /** A longer answer to a pull is a snapshot, which the others pull themselves. */
+  private static final int PUSHED_ITEMS = 16;
+
+  private static final long PULL_MILLIS = 1_000;
+
+  /** Content of one answer to a pull; the rest is pulled next. */
+  private static final int ANSWER_CHARACTERS = 256 << 10;
+
+  /** Time for a starting instance to find peers before it reads the store. */
+  private static final long START_MILLIS = 1_500;
+
+  private static final long FALLBACK_MILLIS = 30_000;
+
+  /** A report of a peer that it is cut off counts for longer than two bridge rounds. */
+  private static final long CUT_OFF_MILLIS = 5_000;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final CompleteVersions versions = new CompleteVersions(Kinds.REPLICATED);
+  private final Map<String, Long> cutOffPeers = new ConcurrentHashMap<>();
+  private final Set<String> pulling = ConcurrentHashMap.newKeySet();
+  // Not the shared timer: reads of a store that hangs must not hold up lease renewals.
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+  private final String instance;
+  private final String domain;
+  private final ConfigurationReplica replica;
+  private final PeerNetwork network;
+  private final GossipMembership membership;
+  private final MonotonicClock clock;
+  private final EventLog log;
+  private final ConfigurationWatcher watcher;
+  private volatile long readAtNanos;
+  private boolean reportedComplete;
+
+  ConfigurationRelay(
+      String instance,
+      String domain,
+      ObjectStore store,
+      ConfigurationReplica replica,
+      PeerNetwork network,
+      GossipMembership membership,
+      MonotonicClock clock,
+      EventLog log) {
+    this.instance = instance;
+    this.domain = domain;
+    this.replica = replica;
+    this.network = network;
+    this.membership = membership;
+    this.clock = clock;
+    this.log = log;
+    this.watcher =
+        new ConfigurationWatcher(store, replica, versions, timer, clock, log, this::watched);
+  }
+
+  /**
+   * Starts to follow peers and the store.
+   *
+   * @param alone whether there is no seed, so that there are no peers to wait for
+   */
+  void start(boolean alone) {
+    network.handle(ConfigurationDelta.class, this::receive);
+    network.handle(ConfigurationPull.class, (sender, pull) -> Optional.of(answer(pull)));
+    long patience = alone ? 0 : START_MILLIS;
+    readAtNanos = clock.deadlineAfterMillis(2 * patience);
+    timer.scheduleWithFixedDelay(this::tick, patience, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns whether each kind is held completely up to some version. */
+  boolean isComplete() {
+    return versions.isComplete();
+  }
+
+  /** Returns whether this instance is one of those that watch the store for its domain. */
+  boolean isWatching() {
+    return watcher.isWatching();
+  }
+
+  /** Returns the versions up to which this instance has applied every change, by kind. */
+  Map<String, Long> versions() {
+    return versions.toMap();
+  }
+
+  /** Returns this relay's part of a heartbeat. */
+  HeartbeatContent heartbeatContent() {
+    return new HeartbeatContent(versions.toMap(), target -> Map.of(), watcher.isCutOff());
+  }
+
+  @Override
+  public void close() {
+    watcher.close();
+    timer.shutdownNow();
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void tick() {
+    try {
+      watcher.setWatching(membership.isBridge());
+      if (versions.isComplete() && !reportedComplete) {
+        reportedComplete = true;
+        log.log(LogEvent.CONFIGURATION_COMPLETE, EventField.of("versions", versions.toMap()));
+      }
+      if (!watcher.isWatching() && clock.hasPassed(readAtNanos)) {
+        postponeRead();
+        watcher.readAll();
+      }
+    } catch (RuntimeException failure) {
+      log.log(LogEvent.STORE_UNAVAILABLE, EventField.of("reason", failure));
+    }
+  }
+
+  /** Puts off the direct read by 30 s and a random part, so that instances don't read in step. */
+  private void postponeRead() {
+    long millis = versions.isComplete() ? FALLBACK_MILLIS : START_MILLIS;
+    readAtNanos =
+        clock.deadlineAfterMillis(millis + ThreadLocalRandom.current().nextLong(millis / 2));
+  }
+
+  /** Takes a change from the store's watch, which reports a kind in version order. */
+  private void watched(StoredObject object) {
+    long before = versions.get(object.kind());
+    boolean news = replica.apply(object);
+    versions.advance(object.kind(), before, object.version());
+    if (news) {
+      push(
+          new ConfigurationDelta(object.kind(), before, object.version(), List.of(toItem(object))),
+          instance);
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Takes a heartbeat of any instance and pulls what it shows to be missing. */
+  void receive(Heartbeat heartbeat) {
+    boolean foreign =
+        membership.domainOf(heartbeat.sender()).filter(other -> !other.equals(domain)).isPresent();
+    if (foreign && heartbeat.cutOff()) {
+      cutOffPeers.put(heartbeat.sender(), clock.deadlineAfterMillis(CUT_OFF_MILLIS));
+    }
+    boolean behind = false;
+    for (Map.Entry<String, Long> version : heartbeat.versions().entrySet()) {
+      String kind = version.getKey();
+      if (Kinds.REPLICATED.contains(kind) && versions.get(kind) < version.getValue()) {
+        behind = true;
+        pull(heartbeat.sender(), kind);
+      }
+    }
+    boolean fromWatcher = membership.liveBridges(domain).contains(heartbeat.sender());
+    if (!behind && fromWatcher && !heartbeat.cutOff() && versions.isComplete()) {
+      postponeRead();
+    }
+  }
+
+  private Optional<PeerMessage> receive(String sender, ConfigurationDelta delta) {
+    List<ConfigurationItem> news = apply(delta);
+    if (!news.isEmpty()) {
+      push(
+          new ConfigurationDelta(delta.kind(), delta.aboveVersion(), delta.completeVersion(), news),
+          sender);
+    }
+    boolean whole = versions.advance(delta.kind(), delta.aboveVersion(), delta.completeVersion());
+    if (!whole) {
+      pull(sender, delta.kind());
+    }
+    return Optional.empty();
+  }
+
+  /** Applies the objects of a delta and returns those that were news. */
+  private List<ConfigurationItem> apply(ConfigurationDelta delta) {
+    List<ConfigurationItem> news = new ArrayList<>();
+    if (!Kinds.REPLICATED.contains(delta.kind())) {
+      return news;
+    }
+    for (ConfigurationItem item : delta.objects()) {
+      try {
+        StoredObject object =
+            new StoredObject(
+                delta.kind(),
+                item.name(),
+                item.version(),
+                item.spec().isEmpty() ? null : mapper.readTree(item.spec()));
+        if (replica.apply(object)) {
+          news.add(item);
+        }
+      } catch (JsonProcessingException invalid) {
+        throw new IllegalArgumentException(delta.kind() + " " + item.name(), invalid);
+      }
+    }
+    return news;
+  }
+
+  private void pull(String peer, String kind) {
+    if (!pulling.add(kind)) {
+      return;
+    }
+    long above = versions.get(kind);
+    network
+        .call(peer, new ConfigurationPull(kind, above), clock.deadlineAfterMillis(PULL_MILLIS))
+        .whenComplete(
+            (answer, failure) -> {
+              pulling.remove(kind);
+              if (answer instanceof ConfigurationDelta delta && delta.kind().equals(kind)) {
+                takePulled(peer, delta);
+              }
+            });
+  }
+
+  private void takePulled(String peer, ConfigurationDelta delta) {
+    List<ConfigurationItem> news = apply(delta);
+    versions.advance(delta.kind(), delta.aboveVersion(), delta.completeVersion());
+    boolean foreign = membership.domainOf(peer).filter(domain::equals).isEmpty();
+    // What comes from another domain is news here when the store is out of reach.
+    if (foreign && !news.isEmpty() && news.size() <= PUSHED_ITEMS) {
+      push(
+          new ConfigurationDelta(delta.kind(), delta.aboveVersion(), delta.completeVersion(), news),
+          peer);
+    }
+  }
+
+  private ConfigurationDelta answer(ConfigurationPull pull) {
+    // Read before the objects: all up to this version are among them.
+    long complete = versions.get(pull.kind());
+    List<StoredObject> objects =
+        replica.entries(pull.kind()).stream()
+            .filter(object -> object.version() > pull.aboveVersion())
+            .sorted(Comparator.comparingLong(StoredObject::version))
+            .toList();
+    List<ConfigurationItem> items = new ArrayList<>();
+    int characters = 0;
+    for (StoredObject object : objects) {
+      ConfigurationItem item = toItem(object);
+      characters += item.name().length() + item.spec().length();
+      if (characters > ANSWER_CHARACTERS) {
+        complete = items.isEmpty() ? CompleteVersions.NONE : items.get(items.size() - 1).version();
+        break;
+      }
+      items.add(item);
+    }
+    return new ConfigurationDelta(pull.kind(), pull.aboveVersion(), complete, items);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Pushes a change to three peers, and to the bridges of domains that can't see the store. */
+  private void push(ConfigurationDelta delta, String except) {
+    int characters = delta.objects().stream().mapToInt(item -> item.spec().length()).sum();
+    if (characters > ANSWER_CHARACTERS) {
+      return;
+    }
+    List<String> peers = new ArrayList<>(membership.liveInstances());
+    peers.remove(instance);
+    peers.remove(except);
+    Collections.shuffle(peers, ThreadLocalRandom.current());
+    peers.stream().limit(FAN_OUT).forEach(peer -> network.send(peer, delta));
+    cutOffPeers.values().removeIf(clock::hasPassed);
+    cutOffPeers.keySet().stream()
+        .filter(peer -> !peer.equals(except))
+        .forEach(peer -> network.send(peer, delta));
+  }
+
+  private static ConfigurationItem toItem(StoredObject object) {
+    String spec = object.isDeleted() ? "" : object.spec().toString();
+    return new ConfigurationItem(object.name(), object.version(), spec);
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationWatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationWatcher.java
@@ -1,10 +1,15 @@
 package org.sedgeroad.entry;
 
-import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.CompleteVersions;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.event.EventField;
@@ -16,90 +21,214 @@
 import org.sedgeroad.store.StoredObject;
 import org.sedgeroad.store.WatchListener;
 
-/** Keeps a replica current by one list and one watch per configuration kind. */
+/** Reads configuration from the store: lists, and watches while it is told to watch. */
 final class ConfigurationWatcher implements AutoCloseable {
   private static final long RETRY_MILLIS = 500;
 
+  /** A watch whose connection is half open shows no error, so each is replaced in time. */
+  private static final long RENEWAL_MILLIS = 30_000;
+
+  /** A watch that broke this recently does not count as working. */
+  private static final long BROKEN_MILLIS = 3_000;
+
   private final ObjectStore store;
   private final ConfigurationReplica replica;
+  private final CompleteVersions versions;
   private final ScheduledExecutorService timer;
+  private final MonotonicClock clock;
   private final EventLog log;
-  private final Map<String, AutoCloseable> watches = new ConcurrentHashMap<>();
-  private volatile boolean closed;
+  private final Consumer<StoredObject> changes;
+  private final Map<String, OpenWatch> watches = new ConcurrentHashMap<>();
+  private volatile boolean watching;
+  private volatile long brokenUntilNanos;
 
+  /**
+   * Creates a watcher that does nothing yet.
+   *
+   * @param changes receives each object from a watch; applies it and records its version
+   */
   ConfigurationWatcher(
       ObjectStore store,
       ConfigurationReplica replica,
+      CompleteVersions versions,
       ScheduledExecutorService timer,
-      EventLog log) {
+      MonotonicClock clock,
+      EventLog log,
+      Consumer<StoredObject> changes) {
     this.store = store;
     this.replica = replica;
+    this.versions = versions;
     this.timer = timer;
+    this.clock = clock;
     this.log = log;
+    this.changes = changes;
+    this.brokenUntilNanos = clock.nanos();
+  }
+
+  /** Starts or ends watching. */
+  synchronized void setWatching(boolean wanted) {
+    if (wanted == watching) {
+      return;
+    }
+    watching = wanted;
+    log.log(wanted ? LogEvent.WATCHES_STARTED : LogEvent.WATCHES_ENDED);
+    if (wanted) {
+      Kinds.REPLICATED.forEach(kind -> timer.execute(() -> open(kind)));
+    } else {
+      watches.keySet().forEach(this::closeWatch);
+    }
+  }
+
+  boolean isWatching() {
+    return watching;
   }
 
-  void start() {
-    Kinds.REPLICATED.forEach(kind -> timer.execute(() -> listAndWatch(kind)));
+  /** Returns whether this instance should watch and can't. */
+  boolean isCutOff() {
+    return watching && !clock.hasPassed(brokenUntilNanos);
   }
 
-  /** Returns whether each kind has been read at least once. */
-  boolean isComplete() {
-    return watches.keySet().containsAll(List.copyOf(Kinds.REPLICATED));
+  /** Reads all kinds once from the store; takes some seconds when the store is out of reach. */
+  void readAll() {
+    for (String kind : Kinds.REPLICATED) {
+      if (!list(kind)) {
+        return;
+      }
+    }
   }
 
   @Override
   public void close() {
-    closed = true;
-    watches.values().forEach(ConfigurationWatcher::closeQuietly);
+    setWatching(false);
   }
 
-  private void listAndWatch(String kind) {
-    if (closed) {
+  // -----------------------------------------------------------------------
+
+  /** Watches a kind from the version held, after a list if nothing is held. */
+  private void open(String kind) {
+    if (!watching) {
       return;
     }
+    if (versions.get(kind) == CompleteVersions.NONE && !list(kind)) {
+      broken(kind);
+      return;
+    }
+    OpenWatch watch = new OpenWatch(kind);
+    synchronized (this) {
+      if (!watching) {
+        return;
+      }
+      closeWatch(kind);
+      watches.put(kind, watch);
+    }
+    watch.start();
+    long delay = RENEWAL_MILLIS + ThreadLocalRandom.current().nextLong(RENEWAL_MILLIS / 4);
+    schedule(
+        () -> {
+          if (watches.get(kind) == watch) {
+            open(kind);
+          }
+        },
+        delay);
+  }
+
+  private boolean list(String kind) {
     StoreResult<ObjectList> result = store.list(kind, "");
     if (!(result instanceof StoreResult.Done<ObjectList> done)) {
       log.log(
           LogEvent.STORE_UNAVAILABLE, EventField.of("kind", kind), EventField.of("reason", result));
-      retry(kind);
-      return;
+      return false;
     }
-    done.value().objects().forEach(replica::apply);
-    watches.put(
-        kind,
-        store.watch(
-            kind,
-            done.value().version(),
-            new WatchListener() {
-              @Override
-              public void onChange(StoredObject object) {
-                replica.apply(object);
-              }
+    long version = done.value().version();
+    Set<String> present = new HashSet<>();
+    for (StoredObject object : done.value().objects()) {
+      present.add(object.name());
+      replica.apply(object);
+    }
+    // What the store no longer lists was deleted while nobody here watched.
+    replica.entries(kind).stream()
+        .filter(held -> held.version() < version && !held.isDeleted())
+        .filter(held -> !present.contains(held.name()))
+        .forEach(held -> replica.apply(new StoredObject(kind, held.name(), version, null)));
+    versions.advance(kind, CompleteVersions.NONE, version);
+    return true;
+  }
 
-              @Override
-              public void onClosed(String reason) {
-                if (!closed) {
-                  log.log(
-                      LogEvent.WATCH_RESTARTED,
-                      EventField.of("kind", kind),
-                      EventField.of("reason", reason));
-                  retry(kind);
-                }
-              }
-            }));
+  private void broken(String kind) {
+    brokenUntilNanos = clock.deadlineAfterMillis(BROKEN_MILLIS);
+    schedule(() -> open(kind), RETRY_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_MILLIS));
   }
 
-  private void retry(String kind) {
-    if (!closed) {
-      timer.schedule(() -> listAndWatch(kind), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+  private void schedule(Runnable task, long millis) {
+    if (watching && !timer.isShutdown()) {
+      timer.schedule(task, millis, TimeUnit.MILLISECONDS);
     }
   }
 
-  private static void closeQuietly(AutoCloseable watch) {
-    try {
+  private void closeWatch(String kind) {
+    OpenWatch watch = watches.remove(kind);
+    if (watch != null) {
       watch.close();
-    } catch (Exception ignored) {
-      // The connection is gone either way.
+    }
+  }
+
+  /** One watch of one kind; ignores all that comes after it was closed. */
+  private final class OpenWatch implements WatchListener {
+    private final String kind;
+    private volatile AutoCloseable call = () -> {};
+    private volatile boolean ended;
+
+    OpenWatch(String kind) {
+      this.kind = kind;
+    }
+
+    void start() {
+      call = store.watch(kind, versions.get(kind), this);
+      if (ended) {
+        close();
+      }
+    }
+
+    void close() {
+      ended = true;
+      try {
+        call.close();
+      } catch (Exception ignored) {
+        // The connection is gone either way.
+      }
+    }
+
+    @Override
+    public void onChange(StoredObject object) {
+      if (!ended) {
+        changes.accept(object);
+      }
+    }
+
+    @Override
+    public void onClosed(String reason) {
+      if (!ended) {
+        ended = true;
+        log.log(
+            LogEvent.WATCH_RESTARTED, EventField.of("kind", kind), EventField.of("reason", reason));
+        broken(kind);
+      }
+    }
+
+    @Override
+    public void onExpired() {
+      if (!ended) {
+        ended = true;
+        schedule(
+            () -> {
+              if (list(kind)) {
+                open(kind);
+              } else {
+                broken(kind);
+              }
+            },
+            0);
+      }
     }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -60,7 +60,7 @@
           STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
   private final ThreadPoolExecutor workers;
   private final AtomicInteger activeRequests = new AtomicInteger();
-  private final ConfigurationWatcher watcher;
+  private final ConfigurationRelay relay;
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
   private final PeerGroup peers;
@@ -84,7 +84,7 @@
     StoreWriter writer = StoreWriter.of(store, holder);
     this.peers = PeerGroup.of(settings, clock, log);
     MembershipView membership = peers.membership();
-    this.watcher = new ConfigurationWatcher(store, replica, timer, log);
+    this.relay = peers.createRelay(store, replica);
     this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
@@ -173,7 +173,7 @@
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
     peers.start();
-    watcher.start();
+    relay.start(peers.isAlone());
     runner.start();
     server.start();
     log.log(
@@ -184,7 +184,7 @@
 
   /** Returns whether the instance takes new requests. */
   public boolean isReady() {
-    return !stopping && watcher.isComplete() && !endpoints.endpoints().isEmpty();
+    return !stopping && relay.isComplete() && !endpoints.endpoints().isEmpty();
   }
 
   /**
@@ -203,7 +203,7 @@
     runner.close();
     peers.leave();
     server.stop();
-    watcher.close();
+    relay.close();
     timer.shutdownNow();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/PeerGroup.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerGroup.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.peer.GossipMembership;
 import org.sedgeroad.peer.GossipSettings;
@@ -13,15 +14,22 @@
 import org.sedgeroad.peer.TcpPeerNetwork;
 import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
+import org.sedgeroad.store.ObjectStore;
 
 /** Network and membership of one instance. */
 final class PeerGroup implements AutoCloseable {
+  private final Settings settings;
+  private final MonotonicClock clock;
+  private final EventLog log;
   private final TcpPeerNetwork network;
   private final GossipMembership membership;
   private final MembershipService service;
   private volatile Supplier<HeartbeatContent> content = () -> HeartbeatContent.EMPTY;
 
   private PeerGroup(Settings settings, MonotonicClock clock, EventLog log) throws IOException {
+    this.settings = settings;
+    this.clock = clock;
+    this.log = log;
     this.network = TcpPeerNetwork.bind(settings.instance(), settings.peerAddress(), clock, log);
     this.membership =
         GossipMembership.of(
@@ -62,11 +70,33 @@
     return service;
   }
 
+  /** Returns whether the settings name no other instance as a seed. */
+  boolean isAlone() {
+    return settings.seeds().stream().allMatch(seed -> text(seed).equals(text(network.address())));
+  }
+
   /** Sets what other parts add to heartbeats. */
   void setContent(Supplier<HeartbeatContent> supplier) {
     content = supplier;
   }
 
+  /** Returns a relay that keeps a replica current; the caller starts and closes it. */
+  ConfigurationRelay createRelay(ObjectStore store, ConfigurationReplica replica) {
+    ConfigurationRelay relay =
+        new ConfigurationRelay(
+            settings.instance(),
+            settings.domain(),
+            store,
+            replica,
+            network,
+            membership,
+            clock,
+            log);
+    setContent(relay::heartbeatContent);
+    service.addListener(relay::receive);
+    return relay;
+  }
+
   void start() {
     network.start(membership);
     service.start();
--- a/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
@@ -8,4 +8,9 @@
 
   /** Receives the end of the watch; the caller starts a new one from a fresh list. */
   void onClosed(String reason);
+
+  /** Receives the refusal of a version that the store no longer knows; a list is needed. */
+  default void onExpired() {
+    onClosed("version expired");
+  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/store/WatchReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/WatchReader.java
@@ -11,6 +11,8 @@
 
 /** Turns the JSON lines of a watch into changes. */
 final class WatchReader implements HttpListener {
+  private static final int GONE = 410;
+
   private final String kind;
   private final ObjectMapper mapper;
   private final WatchListener listener;
@@ -37,7 +39,11 @@
 
   @Override
   public void onEnd() {
-    listener.onClosed("watch ended with status " + status);
+    if (status == GONE) {
+      listener.onExpired();
+    } else {
+      listener.onClosed("watch ended with status " + status);
+    }
   }
 
   @Override
