--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformStandIn.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/platform/PlatformStandIn.java
@@ -35,6 +35,7 @@
             return thread;
           });
   private final StandInServer server;
+  private long outageNumber;
 
   private PlatformStandIn(PlatformOptions options) {
     table = new ObjectTable(options.replayChanges());
@@ -70,13 +71,13 @@
 
   /**
    * Starts or ends an outage of the object API. Watches are cut at its start, except when the mode
-   * is {@link OutageMode#HANG}.
+   * is {@link OutageMode#HANG}; calls that hang are cut at its end.
    *
    * @param mode behaviour during the outage
    * @param includeInstances whether the instance list fails as well
    */
   public synchronized void setOutage(OutageMode mode, boolean includeInstances) {
-    OutageMode before = faults.outage();
+    outageNumber++;
     faults.setOutage(mode, includeInstances);
     if (mode == OutageMode.REFUSE) {
       server.refuse();
@@ -86,16 +87,23 @@
     if (mode == OutageMode.UNAVAILABLE) {
       objects.cutWatches();
     }
-    if (before == OutageMode.HANG && mode != OutageMode.HANG) {
-      // Calls that hang stay without an answer for good.
-      server.dropConnections();
+    if (mode != OutageMode.HANG) {
+      objects.dropHanging();
     }
   }
 
   /** Starts an outage that ends by itself after the given milliseconds. */
-  public void setOutageFor(OutageMode mode, boolean includeInstances, long millis) {
+  public synchronized void setOutageFor(OutageMode mode, boolean includeInstances, long millis) {
     setOutage(mode, includeInstances);
-    timer.schedule(() -> setOutage(OutageMode.NONE, false), millis, TimeUnit.MILLISECONDS);
+    long number = outageNumber;
+    timer.schedule(() -> endOutage(number), millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends an outage unless another call has changed it meanwhile. */
+  private synchronized void endOutage(long number) {
+    if (outageNumber == number) {
+      setOutage(OutageMode.NONE, false);
+    }
   }
 
   /** Refuses connections a moment later, so that the control call itself is answered. */
@@ -178,6 +186,7 @@
     counters.instanceReads.increment();
     OutageMode outage = faults.instanceOutage();
     if (outage == OutageMode.HANG) {
+      objects.hang(exchange);
       return;
     }
     if (outage != OutageMode.NONE) {
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -15,6 +15,7 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.configuration.Model;
@@ -29,6 +30,7 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.limit.Admission;
 import org.sedgeroad.live.ClaimBook;
+import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
 import org.sedgeroad.peer.MembershipView;
@@ -45,6 +47,7 @@
   private static final long INSTANCE_LIST_MILLIS = 500;
   private static final int RENEWALS_PER_LEASE = 4;
   private static final int STORE_THREADS = 8;
+  private static final int UPLOAD_THREADS = 16;
 
   private final Settings settings;
   private final EventLog log;
@@ -59,13 +62,18 @@
       new ThreadPoolExecutor(
           STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
   private final ThreadPoolExecutor workers;
+  private final ThreadPoolExecutor uploadWorkers =
+      new ThreadPoolExecutor(0, UPLOAD_THREADS, 30, TimeUnit.SECONDS, new SynchronousQueue<>());
   private final AtomicInteger activeRequests = new AtomicInteger();
   private final ConfigurationRelay relay;
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
   private final PeerGroup peers;
   private final JobRunner runner;
+  private final LivePressureExchange livePressure;
   private final Undertow server;
+  private final AdministrationListener administration;
+  private final DrainFollower drains;
   private volatile boolean stopping;
 
   /** Creates an instance; {@link #start} starts it. */
@@ -95,7 +103,19 @@
             log,
             settings.storeTimeoutMillis());
     this.runner = createRunner(writer, membership);
+    this.livePressure =
+        new LivePressureExchange(
+            settings.instance(),
+            settings.domain(),
+            endpoints,
+            membership,
+            (peer, message) -> {},
+            runner::wake,
+            System.currentTimeMillis());
     this.server = createServer(writer);
+    this.administration =
+        Administration.create(settings, writer, replica, endpoints, membership, log);
+    this.drains = new DrainFollower(settings.instance(), replica, endpoints);
     replica.addListener(
         object -> {
           if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
@@ -129,6 +149,7 @@
         new LiveService(
             new LiveServiceParts(
                 endpoints,
+                livePressure,
                 RoutingPolicies.named(settings.routing()),
                 HttpEngineClient.of(caller),
                 (member, serviceClass, tokens) -> new Admission.Admitted(),
@@ -143,6 +164,7 @@
                 live,
                 JobService.of(writer),
                 workers,
+                uploadWorkers,
                 this::isReady,
                 activeRequests,
                 clock,
@@ -172,10 +194,12 @@
         0,
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
     peers.start();
     relay.start(peers.isAlone());
     runner.start();
     server.start();
+    administration.start();
     log.log(
         LogEvent.INSTANCE_STARTED,
         EventField.of("domain", settings.domain()),
@@ -184,7 +208,10 @@
 
   /** Returns whether the instance takes new requests. */
   public boolean isReady() {
-    return !stopping && relay.isComplete() && !endpoints.endpoints().isEmpty();
+    return !stopping
+        && !drains.isDrained()
+        && relay.isComplete()
+        && !endpoints.endpoints().isEmpty();
   }
 
   /**
@@ -203,10 +230,12 @@
     runner.close();
     peers.leave();
     server.stop();
+    administration.close();
     relay.close();
     timer.shutdownNow();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
+    uploadWorkers.shutdownNow();
     peers.close();
     caller.close();
     log.log(LogEvent.INSTANCE_STOPPED);
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -47,9 +47,9 @@
   /** An item failed for good after its last attempt. */
   ITEM_FAILED(5007, Level.INFO, "item failed"),
   /** A connection to a peer was opened. */
-  PEER_CONNECTED(6001, Level.DEBUG, "peer connected"),
+  PEER_CONNECTED(6006, Level.DEBUG, "peer connected"),
   /** A connection to a peer could not be opened, or broke. */
-  PEER_UNREACHABLE(6002, Level.INFO, "peer unreachable"),
+  PEER_UNREACHABLE(6007, Level.INFO, "peer unreachable"),
   /** A frame from a peer was too long or not valid; its connection was closed. */
   PEER_FRAME_INVALID(6003, Level.WARNING, "peer sent an invalid frame"),
   /** A message of a type that this version does not know was skipped. */
@@ -73,7 +73,11 @@
   /** A complete copy of the configuration is held. */
   CONFIGURATION_COMPLETE(6022, Level.INFO, "configuration complete"),
   /** A planned stop reached its deadline with work left. */
-  STOP_DEADLINE_PASSED(6030, Level.WARNING, "stop deadline passed with work left");
+  STOP_DEADLINE_PASSED(6030, Level.WARNING, "stop deadline passed with work left"),
+  /** An operator's statement was carried out or refused. */
+  COMMAND_EXECUTED(6001, Level.INFO, "command executed"),
+  /** A request to the administration API came without the operators' token. */
+  OPERATOR_REFUSED(6002, Level.WARNING, "operator refused");
 
   private final int number;
   private final Level level;
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -1,16 +1,20 @@
 package org.sedgeroad.route;
 
+import java.net.URI;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import org.sedgeroad.Endpoint;
 import org.sedgeroad.EndpointState;
 import org.sedgeroad.MonotonicClock;
-import org.sedgeroad.ServiceClass;
 
 /**
  * All endpoints that this instance knows, with its own counts of the work in flight.
@@ -22,13 +26,26 @@
   /** An endpoint that refused a connection is tried again after this time. */
   private static final long EJECTION_MILLIS = 1_000;
 
+  /**
+   * An endpoint that said that it is draining, but that the instance list still shows live after
+   * this time, is used again. The list lags by some seconds; an endpoint that is still draining
+   * refuses again without running the work.
+   */
+  private static final long DRAINING_MILLIS = 30_000;
+
+  /** Generation of a placement that is not counted. */
+  private static final long NO_GENERATION = 0;
+
   private static final int DEFAULT_SLOTS = 8;
 
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
   private final Map<String, Integer> slots = new HashMap<>();
+  private final Set<String> drained = new HashSet<>();
+  private final PeerLiveCounts peers = new PeerLiveCounts();
   private final String region;
   private final MonotonicClock clock;
+  private long generations;
 
   private EndpointTable(String region, MonotonicClock clock) {
     this.region = region;
@@ -51,7 +68,8 @@
       for (Endpoint endpoint : endpoints) {
         EndpointRecord known = kept.get(endpoint.name());
         boolean same = known != null && known.endpoint.address().equals(endpoint.address());
-        EndpointRecord updated = same ? known : new EndpointRecord(endpoint);
+        EndpointRecord updated = same ? known : new EndpointRecord(++generations, endpoint);
+        clearDraining(updated, endpoint);
         updated.endpoint = endpoint;
         records.put(endpoint.name(), updated);
       }
@@ -72,17 +90,98 @@
 
   /** Takes an endpoint out of use because it said that it is leaving. */
   public void markDraining(String name) {
-    change(name, endpoint -> endpoint.draining = true);
+    change(name, this::drain);
+  }
+
+  /** Takes an endpoint out of use because it said so; no effect if it was replaced since. */
+  public void markDraining(String name, URI address) {
+    changeAt(name, address, this::drain);
+  }
+
+  /** Takes an endpoint out of use, or back into use, because an operator says so. */
+  public void setDrained(String name, boolean value) {
+    lock.lock();
+    try {
+      if (value) {
+        drained.add(name);
+      } else {
+        drained.remove(name);
+      }
+    } finally {
+      lock.unlock();
+    }
   }
 
   /** Takes an endpoint out of use for a moment because a connection failed. */
   public void markFailed(String name) {
-    change(name, endpoint -> endpoint.ejectedUntil = clock.deadlineAfterMillis(EJECTION_MILLIS));
+    change(name, this::eject);
+  }
+
+  /** Takes an endpoint out of use for a moment; no effect if it was replaced since. */
+  public void markFailed(String name, URI address) {
+    changeAt(name, address, this::eject);
+  }
+
+  /**
+   * Sets the live requests that another instance has in flight at an endpoint.
+   *
+   * @param sender name of the other instance
+   * @param sequence increases with each report of the sender, also over its restarts
+   * @param name name of the endpoint
+   * @param count live requests in flight
+   * @return false if a later report of the sender came before
+   */
+  public boolean setPeerLive(String sender, long sequence, String name, int count) {
+    lock.lock();
+    try {
+      return peers.report(sender, sequence, name, count, clock.nanos());
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Sets the live requests that another instance has in flight, by endpoint. */
+  public void setPeerLive(String sender, Map<String, Integer> counts) {
+    lock.lock();
+    try {
+      peers.reportAll(sender, counts, clock.nanos());
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Drops what instances reported that are no longer live. */
+  public void retainPeers(Collection<String> liveInstances) {
+    lock.lock();
+    try {
+      peers.retain(liveInstances, records.keySet());
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the live requests that this instance has in flight, by endpoint, without zeros. */
+  public Map<String, Integer> ownLiveCounts() {
+    lock.lock();
+    try {
+      Map<String, Integer> counts = new HashMap<>();
+      records.forEach((name, endpoint) -> counts.put(name, endpoint.live));
+      counts.values().removeIf(count -> count == 0);
+      return counts;
+    } finally {
+      lock.unlock();
+    }
   }
 
-  /** Sets the live requests that other instances have in flight at an endpoint. */
-  public void setPeerLive(String name, int count) {
-    change(name, endpoint -> endpoint.peerLive = count);
+  /** Returns the live requests that this instance has in flight at an endpoint. */
+  public int ownLive(String name) {
+    lock.lock();
+    try {
+      EndpointRecord endpoint = records.get(name);
+      return endpoint == null ? 0 : endpoint.live;
+    } finally {
+      lock.unlock();
+    }
   }
 
   // -----------------------------------------------------------------------
@@ -134,23 +233,79 @@
     }
   }
 
-  /** Counts a request as placed at an endpoint. */
-  public Placement begin(String name, RequestShape request) {
-    change(name, endpoint -> endpoint.add(request, 1));
-    return new Placement(name, request, clock.nanos());
+  /**
+   * Counts a request as placed at an endpoint that was chosen from a view of this table. An
+   * endpoint that has gone since keeps its address in the placement, and is not counted.
+   */
+  public Placement begin(Endpoint endpoint, RequestShape request) {
+    lock.lock();
+    try {
+      EndpointRecord target = records.get(endpoint.name());
+      boolean known = target != null && target.endpoint.address().equals(endpoint.address());
+      if (known) {
+        target.add(request, 1);
+      }
+      return new Placement(
+          endpoint.name(),
+          endpoint.address(),
+          known ? target.generation : NO_GENERATION,
+          request,
+          clock.nanos());
+    } finally {
+      lock.unlock();
+    }
   }
 
-  /** Ends a placement. */
+  /** Counts the request of an ended placement once more at the same endpoint. */
+  public Placement beginAgain(Placement ended) {
+    change(
+        ended.endpoint(),
+        endpoint -> {
+          if (endpoint.generation == ended.generation()) {
+            endpoint.add(ended.request(), 1);
+          }
+        });
+    return new Placement(
+        ended.endpoint(), ended.address(), ended.generation(), ended.request(), clock.nanos());
+  }
+
+  /** Ends a placement; no effect on an endpoint that replaced the one of the placement. */
   public void end(Placement placement) {
-    change(placement.endpoint(), endpoint -> endpoint.add(placement.request(), -1));
+    change(
+        placement.endpoint(),
+        endpoint -> {
+          if (endpoint.generation == placement.generation()) {
+            endpoint.add(placement.request(), -1);
+          }
+        });
   }
 
   // -----------------------------------------------------------------------
 
+  private void drain(EndpointRecord endpoint) {
+    endpoint.draining = true;
+    endpoint.drainingSinceNanos = clock.nanos();
+  }
+
+  private void eject(EndpointRecord endpoint) {
+    endpoint.ejected = true;
+    endpoint.ejectedUntilNanos = clock.deadlineAfterMillis(EJECTION_MILLIS);
+  }
+
+  private void clearDraining(EndpointRecord held, Endpoint listed) {
+    boolean live = listed.state() == EndpointState.LIVE;
+    boolean returned = live && held.endpoint.state() == EndpointState.LEAVING;
+    long age = clock.nanos() - held.drainingSinceNanos;
+    if (returned || (live && age >= DRAINING_MILLIS * 1_000_000L)) {
+      held.draining = false;
+    }
+  }
+
   private boolean usable(EndpointRecord endpoint) {
     return endpoint.endpoint.state() == EndpointState.LIVE
         && !endpoint.draining
-        && (endpoint.ejectedUntil == 0 || clock.hasPassed(endpoint.ejectedUntil));
+        && !drained.contains(endpoint.endpoint.name())
+        && (!endpoint.ejected || clock.hasPassed(endpoint.ejectedUntilNanos));
   }
 
   private EndpointView view(EndpointRecord endpoint) {
@@ -158,7 +313,7 @@
         endpoint.endpoint,
         slots.getOrDefault(endpoint.endpoint.service(), DEFAULT_SLOTS),
         endpoint.live,
-        endpoint.peerLive,
+        peers.sum(endpoint.endpoint.name()),
         endpoint.batch,
         endpoint.cost,
         0,
@@ -166,7 +321,17 @@
         endpoint.endpoint.region().equals(region));
   }
 
-  private void change(String name, java.util.function.Consumer<EndpointRecord> change) {
+  private void changeAt(String name, URI address, Consumer<EndpointRecord> change) {
+    change(
+        name,
+        endpoint -> {
+          if (endpoint.endpoint.address().equals(address)) {
+            change.accept(endpoint);
+          }
+        });
+  }
+
+  private void change(String name, Consumer<EndpointRecord> change) {
     lock.lock();
     try {
       EndpointRecord endpoint = records.get(name);
@@ -177,28 +342,4 @@
       lock.unlock();
     }
   }
-
-  /** Mutable state of one endpoint, guarded by the table's lock. */
-  private static final class EndpointRecord {
-    private Endpoint endpoint;
-    private boolean draining;
-    private long ejectedUntil;
-    private int live;
-    private int peerLive;
-    private int batch;
-    private long cost;
-
-    EndpointRecord(Endpoint endpoint) {
-      this.endpoint = endpoint;
-    }
-
-    void add(RequestShape request, int sign) {
-      if (request.serviceClass() == ServiceClass.LIVE) {
-        live = Math.max(0, live + sign);
-      } else {
-        batch = Math.max(0, batch + sign);
-      }
-      cost = Math.max(0, cost + sign * request.cost());
-    }
-  }
 }
