--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -3,7 +3,6 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import java.time.Duration;
-import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -66,9 +65,10 @@
   private final ThreadPoolExecutor uploadWorkers =
       new ThreadPoolExecutor(0, UPLOAD_THREADS, 30, TimeUnit.SECONDS, new SynchronousQueue<>());
   private final AtomicInteger activeRequests = new AtomicInteger();
-  private final ConfigurationWatcher watcher;
+  private final ConfigurationRelay relay;
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
+  private final PeerGroup peers;
   private final JobRunner runner;
   private final LivePressureExchange livePressure;
   private final Undertow server;
@@ -90,8 +90,9 @@
     // The name differs after each restart, so that a new run never counts as the old holder.
     String holder = settings.instance() + "#" + UUID.randomUUID().toString().substring(0, 8);
     StoreWriter writer = StoreWriter.of(store, holder);
-    MembershipView membership = () -> List.of(settings.instance());
-    this.watcher = new ConfigurationWatcher(store, replica, timer, log);
+    this.peers = PeerGroup.of(settings, clock, log);
+    MembershipView membership = peers.membership();
+    this.relay = peers.createRelay(store, replica);
     this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
@@ -194,7 +195,8 @@
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
-    watcher.start();
+    peers.start();
+    relay.start(peers.isAlone());
     runner.start();
     server.start();
     administration.start();
@@ -208,7 +210,7 @@
   public boolean isReady() {
     return !stopping
         && !drains.isDrained()
-        && watcher.isComplete()
+        && relay.isComplete()
         && !endpoints.endpoints().isEmpty();
   }
 
@@ -226,13 +228,15 @@
       sleep(Duration.ofMillis(20));
     }
     runner.close();
+    peers.leave();
     server.stop();
     administration.close();
-    watcher.close();
+    relay.close();
     timer.shutdownNow();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
     uploadWorkers.shutdownNow();
+    peers.close();
     caller.close();
     log.log(LogEvent.INSTANCE_STOPPED);
   }
