--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -28,14 +28,17 @@
 import org.sedgeroad.job.JobRunnerParts;
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.lease.LeaseTable;
-import org.sedgeroad.limit.Admission;
+import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
+import org.sedgeroad.peer.LonePeerNetwork;
 import org.sedgeroad.peer.MembershipView;
+import org.sedgeroad.peer.PeerNetwork;
 import org.sedgeroad.route.BatchPolicies;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.RoutingPolicies;
+import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.HttpObjectStore;
 import org.sedgeroad.store.ObjectStore;
@@ -55,6 +58,8 @@
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
   private final LeaseTable leases;
+  private final PeerNetwork network;
+  private final VotedLimits limits;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final ExecutorService storeWorkers =
       new ThreadPoolExecutor(
@@ -83,8 +88,21 @@
     String holder = settings.instance() + "#" + UUID.randomUUID().toString().substring(0, 8);
     StoreWriter writer = StoreWriter.of(store, holder);
     MembershipView membership = () -> List.of(settings.instance());
+    this.network = LonePeerNetwork.of(settings.instance());
+    this.limits =
+        new VotedLimits(
+            settings.instance(),
+            holder,
+            settings.domain(),
+            settings.domains().stream().map(DomainSetting::domain).toList(),
+            settings.leaseMillis(),
+            leases,
+            replica,
+            replica::highestVersion,
+            network,
+            clock);
     this.watcher = new ConfigurationWatcher(store, replica, timer, log);
-    this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
+    this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
             settings.instanceListAddress(),
@@ -130,7 +148,7 @@
                 endpoints,
                 RoutingPolicies.named(settings.routing()),
                 HttpEngineClient.of(caller),
-                (member, serviceClass, tokens) -> new Admission.Admitted(),
+                limits.gate(),
                 ClaimBook.of(writer),
                 clock,
                 new java.util.Random(),
@@ -202,6 +220,8 @@
     server.stop();
     watcher.close();
     timer.shutdownNow();
+    leaseKeeper.release();
+    network.close();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
     caller.close();
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/LeaseKeeper.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/LeaseKeeper.java
@@ -11,6 +11,7 @@
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.store.ObjectList;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoreWriter;
@@ -23,15 +24,22 @@
 
   private final StoreWriter writer;
   private final LeaseTable leases;
+  private final VotedLimits limits;
   private final String domain;
   private final MonotonicClock clock;
   private final EventLog log;
   private final AtomicLong counter = new AtomicLong();
 
   LeaseKeeper(
-      StoreWriter writer, LeaseTable leases, String domain, MonotonicClock clock, EventLog log) {
+      StoreWriter writer,
+      LeaseTable leases,
+      VotedLimits limits,
+      String domain,
+      MonotonicClock clock,
+      EventLog log) {
     this.writer = writer;
     this.leases = leases;
+    this.limits = limits;
     this.domain = domain;
     this.clock = clock;
     this.log = log;
@@ -51,23 +59,46 @@
     }
   }
 
+  /** Ends this instance's lease and leaves the choice of homes, for a planned stop. */
+  void release() {
+    limits.roster().stop();
+    for (int attempt = 0; attempt < WRITE_TRIES; attempt++) {
+      StoreResult<StoredObject> found = writer.store().get(Kinds.LEASES, domain);
+      if (!(found instanceof StoreResult.Done<StoredObject> done)) {
+        return;
+      }
+      ObjectNode spec = done.value().spec().deepCopy();
+      limits.roster().release(spec);
+      if (!(writer.update(Kinds.LEASES, domain, done.value().version(), spec)
+          instanceof WriteOutcome.Lost)) {
+        return;
+      }
+    }
+  }
+
   private boolean tryRenew() {
     long sentAt = clock.nanos();
     StoreResult<StoredObject> found = writer.store().get(Kinds.LEASES, domain);
     WriteOutcome outcome;
     if (found instanceof StoreResult.Done<StoredObject> done) {
+      limits.roster().adopt(done.value().spec(), sentAt, clock.nanos());
       ObjectNode spec = done.value().spec().deepCopy();
+      limits.roster().prepare(spec, clock.nanos());
       spec.withObject("/holders").put(writer.name(), counter.incrementAndGet());
       outcome = writer.update(Kinds.LEASES, domain, done.value().version(), spec);
     } else if (found instanceof StoreResult.Absent) {
       ObjectNode spec = JsonNodeFactory.instance.objectNode();
-      spec.putObject("holders").put(writer.name(), counter.incrementAndGet());
+      limits.roster().prepare(spec, clock.nanos());
+      spec.withObject("/holders").put(writer.name(), counter.incrementAndGet());
       outcome = writer.create(Kinds.LEASES, domain, spec);
     } else {
       return true;
     }
-    if (outcome instanceof WriteOutcome.Written) {
+    if (outcome instanceof WriteOutcome.Written written) {
+      long now = clock.nanos();
+      limits.roster().renewed(sentAt, leases.isHeld(now), now);
       leases.renewed(sentAt);
+      limits.roster().adopt(written.object().spec(), sentAt, now);
       return true;
     }
     return !(outcome instanceof WriteOutcome.Lost);
@@ -85,7 +116,8 @@
             .fields()
             .forEachRemaining(field -> counters.put(field.getKey(), field.getValue().asLong()));
       }
-      leases.observe(counters, readAt);
+      leases.observeAll(counters, readAt, clock.nanos());
+      limits.leasesRead(done.value().objects(), readAt);
     }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
@@ -13,6 +13,9 @@
  * worked on decides whose result counts. Thread-safe.
  */
 public final class LeaseTable {
+  private static final long NEVER_SEEN = -1;
+  private static final long REMOVED = -2;
+
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, Sighting> sightings = new HashMap<>();
   private final long lengthNanos;
@@ -59,25 +62,50 @@
   // -----------------------------------------------------------------------
 
   /**
-   * Records a successful reading of the counters of a failure domain.
+   * Records a successful reading of the counters of a failure domain. A counter seen for the first
+   * time may have been written while the reading was under way, so its lease is counted from the
+   * answer.
    *
    * @param counters counter of each holder
    * @param readAtNanos monotonic time before the reading was sent
+   * @param answeredAtNanos monotonic time after its answer came
    */
-  public void observe(Map<String, Long> counters, long readAtNanos) {
+  public void observe(Map<String, Long> counters, long readAtNanos, long answeredAtNanos) {
     lock.lock();
     try {
       counters.forEach(
           (holder, counter) ->
               sightings.merge(
                   holder,
-                  new Sighting(counter, readAtNanos, readAtNanos),
+                  new Sighting(counter, answeredAtNanos, answeredAtNanos),
                   (old, seen) -> old.counter() == counter ? old.withLastSeen(readAtNanos) : seen));
     } finally {
       lock.unlock();
     }
   }
 
+  /**
+   * Records a successful reading of the counters of all failure domains. A holder that is in none
+   * of them any more has been removed, which happens only after its lease expired or ended.
+   *
+   * @param counters counter of each holder
+   * @param readAtNanos monotonic time before the reading was sent
+   * @param answeredAtNanos monotonic time after its answer came
+   */
+  public void observeAll(Map<String, Long> counters, long readAtNanos, long answeredAtNanos) {
+    lock.lock();
+    try {
+      observe(counters, readAtNanos, answeredAtNanos);
+      sightings.replaceAll(
+          (holder, old) ->
+              counters.containsKey(holder) || old.counter() < 0 || !old.isBefore(readAtNanos)
+                  ? old
+                  : old.asRemoved());
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /**
    * Returns whether a holder's lease must have expired. A holder that was never seen counts from
    * this call on, so that nobody is declared expired without a full length of waiting.
@@ -86,8 +114,11 @@
     lock.lock();
     try {
       Sighting sighting =
-          sightings.computeIfAbsent(holder, key -> new Sighting(-1, nowNanos, nowNanos));
-      if (sighting.counter() == -1) {
+          sightings.computeIfAbsent(holder, key -> new Sighting(NEVER_SEEN, nowNanos, nowNanos));
+      if (sighting.counter() == REMOVED) {
+        return true;
+      }
+      if (sighting.counter() == NEVER_SEEN) {
         return nowNanos - sighting.firstSeenNanos() >= lengthNanos;
       }
       return sighting.lastSeenNanos() - sighting.firstSeenNanos() >= lengthNanos;
@@ -98,8 +129,17 @@
 
   /** A counter with the times of its first and last reading. */
   private record Sighting(long counter, long firstSeenNanos, long lastSeenNanos) {
+    boolean isBefore(long nanos) {
+      return lastSeenNanos - nanos < 0;
+    }
+
+    Sighting asRemoved() {
+      return new Sighting(REMOVED, firstSeenNanos, lastSeenNanos);
+    }
+
     Sighting withLastSeen(long nanos) {
-      return new Sighting(counter, firstSeenNanos, nanos);
+      boolean later = nanos - lastSeenNanos > 0;
+      return new Sighting(counter, firstSeenNanos, later ? nanos : lastSeenNanos);
     }
   }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/DomainRecord.java
@@ -0,0 +1,41 @@
+package org.sedgeroad.limit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.Predicate;
+
+/**
+ * What the lease object of a failure domain tells about the configuration in use there.
+ *
+ * @param limitsVersion version of the limits that all instances holding a lease have applied
+ * @param sharesVersion version of the share ledgers that all of them have applied
+ * @param absentLimitsVersion version of the limits that all absent instances have applied; {@link
+ *     Long#MAX_VALUE} if there is no absent instance
+ * @param leaseExpired whether the lease of every instance must have expired
+ */
+public record DomainRecord(
+    long limitsVersion, long sharesVersion, long absentLimitsVersion, boolean leaseExpired) {
+
+  /**
+   * Reads a record from the content of a lease object.
+   *
+   * @param spec content of the lease object
+   * @param isExpired whether the lease of a holder must have expired
+   */
+  public static DomainRecord fromSpec(JsonNode spec, Predicate<String> isExpired) {
+    long limits = Long.MAX_VALUE;
+    long shares = Long.MAX_VALUE;
+    boolean expired = true;
+    for (var holders = spec.path(LeaseFields.HOLDERS).fieldNames(); holders.hasNext(); ) {
+      String holder = holders.next();
+      JsonNode entry = spec.path(LeaseFields.ROSTER).path(holder);
+      limits = Math.min(limits, entry.path(LeaseFields.LIMITS).asLong(0));
+      shares = Math.min(shares, entry.path(LeaseFields.SHARES).asLong(0));
+      expired &= isExpired.test(holder);
+    }
+    long absent = Long.MAX_VALUE;
+    for (JsonNode entry : spec.path(LeaseFields.ABSENT)) {
+      absent = Math.min(absent, entry.path(LeaseFields.LIMITS).asLong(0));
+    }
+    return new DomainRecord(limits, shares, absent, expired);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/DomainRecords.java
@@ -0,0 +1,34 @@
+package org.sedgeroad.limit;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.sedgeroad.store.StoredObject;
+
+/** What the lease objects of all failure domains told when they were last read. Thread-safe. */
+public final class DomainRecords {
+  private volatile Map<String, DomainRecord> records = Map.of();
+
+  /**
+   * Replaces the records by those of a reading.
+   *
+   * @param leaseObjects the lease objects, one a failure domain
+   * @param isExpired whether the lease of a holder must have expired
+   * @return the new records
+   */
+  public Map<String, DomainRecord> update(
+      List<StoredObject> leaseObjects, Predicate<String> isExpired) {
+    Map<String, DomainRecord> read = new TreeMap<>();
+    for (StoredObject object : leaseObjects) {
+      read.put(object.name(), DomainRecord.fromSpec(object.spec(), isExpired));
+    }
+    records = Map.copyOf(read);
+    return records;
+  }
+
+  /** Returns the record of each failure domain that has a lease object. */
+  public Map<String, DomainRecord> all() {
+    return records;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/GrantedLimitGate.java
@@ -0,0 +1,105 @@
+package org.sedgeroad.limit;
+
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.ServiceClass;
+import org.sedgeroad.peer.Grant;
+import org.sedgeroad.peer.GrantRequest;
+import org.sedgeroad.peer.PeerNetwork;
+
+/**
+ * Admits requests within sub-grants of the homes of their member's token buckets.
+ *
+ * <p>A member without an object of its own is under the limits named {@code default}, counted for
+ * itself alone; without these it is unlimited. Thread-safe.
+ */
+public final class GrantedLimitGate implements LimitGate {
+  /** Longest wait for a home, in milliseconds. */
+  public static final long WAIT_MILLIS = 50;
+
+  private final Map<String, LocalBalance> requests = new ConcurrentHashMap<>();
+  private final Map<String, LocalBalance> tokens = new ConcurrentHashMap<>();
+  private final Function<String, Optional<Limits>> limits;
+  private final GrantAsker asker;
+  private final MonotonicClock clock;
+
+  private GrantedLimitGate(
+      Function<String, Optional<Limits>> limits, GrantAsker asker, MonotonicClock clock) {
+    this.limits = limits;
+    this.asker = asker;
+    this.clock = clock;
+  }
+
+  /**
+   * Returns a gate without any sub-grant.
+   *
+   * @param self name of this instance
+   * @param limits limits of a member, empty if it is unlimited
+   * @param homes which instance is the home of a member
+   * @param ownHome answers requests for which this instance is the home
+   * @param network reaches the other homes
+   * @param clock monotonic clock
+   */
+  public static GrantedLimitGate of(
+      String self,
+      Function<String, Optional<Limits>> limits,
+      HomeView homes,
+      GrantingHome ownHome,
+      PeerNetwork network,
+      MonotonicClock clock) {
+    GrantAsker asker =
+        (member, kind, wanted, deadline) -> {
+          GrantRequest request = new GrantRequest(self, member, kind.toText(), wanted);
+          String home = homes.homeOf(member);
+          if (home == null) {
+            return CompletableFuture.failedFuture(new IllegalStateException("no home known"));
+          }
+          return home.equals(self)
+              ? CompletableFuture.completedFuture(ownHome.grant(request, clock.nanos()))
+              : network.call(home, request, deadline).thenApply(Grant.class::cast);
+        };
+    return new GrantedLimitGate(limits, asker, clock);
+  }
+
+  @Override
+  public Admission admit(String member, ServiceClass serviceClass, long tokenCount) {
+    Optional<Limits> found = limits.apply(member);
+    if (found.isEmpty()) {
+      return new Admission.Admitted();
+    }
+    LimitValues values = found.get().current();
+    long deadline = clock.deadlineAfterMillis(WAIT_MILLIS);
+    LocalBalance requestBalance = balance(requests, member, LimitKind.REQUESTS_PER_SECOND);
+    LocalBalance.Take request = null;
+    if (values.value(LimitKind.REQUESTS_PER_SECOND).isPresent()) {
+      request = requestBalance.take(1, deadline);
+      if (!request.taken()) {
+        return over(LimitKind.REQUESTS_PER_SECOND, request);
+      }
+    }
+    if (tokenCount > 0 && values.value(LimitKind.TOKENS_PER_SECOND).isPresent()) {
+      LocalBalance.Take taken =
+          balance(tokens, member, LimitKind.TOKENS_PER_SECOND).take(tokenCount, deadline);
+      if (!taken.taken()) {
+        if (request != null) {
+          requestBalance.giveBack(1, request);
+        }
+        return over(LimitKind.TOKENS_PER_SECOND, taken);
+      }
+    }
+    return new Admission.Admitted();
+  }
+
+  private LocalBalance balance(Map<String, LocalBalance> balances, String member, LimitKind kind) {
+    return balances.computeIfAbsent(member, key -> new LocalBalance(key, kind, asker, clock));
+  }
+
+  private static Admission over(LimitKind kind, LocalBalance.Take take) {
+    return new Admission.OverLimit(kind.toText(), Instant.now().plusMillis(take.retryMillis()));
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/GrantingHome.java
@@ -0,0 +1,121 @@
+package org.sedgeroad.limit;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.sedgeroad.peer.Grant;
+import org.sedgeroad.peer.GrantRequest;
+
+/**
+ * Hands out sub-grants of the members for which this instance is the home. Thread-safe.
+ *
+ * <p>A sub-grant never holds more than one second's worth or the one request that was asked for.
+ */
+public final class GrantingHome {
+  private static final long NOT_HOME_RETRY_MILLIS = 200;
+  private static final long LARGEST_WANTED = 60_000_000_000L;
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Map<BucketKey, Bucket> buckets = new HashMap<>();
+  private final HomeView homes;
+  private final Function<String, Optional<Limits>> limits;
+  private final Function<String, MemberShares> shares;
+  private final Supplier<Map<String, DomainRecord>> records;
+  private final DomainAllowance allowance;
+
+  /**
+   * Creates a home without any bucket.
+   *
+   * @param homes which instance is the home of a member
+   * @param limits limits of a member, empty if it has none
+   * @param shares fractions of a member
+   * @param records what is known of the failure domains; must not be older than this instance's
+   *     lease
+   * @param allowance calculator of this failure domain
+   */
+  public GrantingHome(
+      HomeView homes,
+      Function<String, Optional<Limits>> limits,
+      Function<String, MemberShares> shares,
+      Supplier<Map<String, DomainRecord>> records,
+      DomainAllowance allowance) {
+    this.homes = homes;
+    this.limits = limits;
+    this.shares = shares;
+    this.records = records;
+    this.allowance = allowance;
+  }
+
+  /** Answers a request for a sub-grant; grants all the units wanted or none. */
+  public Grant grant(GrantRequest request, long nowNanos) {
+    Optional<LimitKind> kind = LimitKind.find(request.limit()).filter(LimitKind::isRate);
+    Optional<Limits> found = limits.apply(request.member());
+    if (kind.isEmpty() || found.isEmpty() || !isSensible(request)) {
+      return refusal(request, NOT_HOME_RETRY_MILLIS, 0);
+    }
+    Standing standing = homes.standing(request.member(), nowNanos);
+    if (standing == Standing.NONE) {
+      return refusal(request, NOT_HOME_RETRY_MILLIS, found.get().version());
+    }
+    OptionalLong rate =
+        allowance.microRate(
+            found.get(), kind.get(), shares.apply(request.member()), standing, records.get());
+    if (rate.isEmpty()) {
+      return refusal(request, NOT_HOME_RETRY_MILLIS, found.get().version());
+    }
+    return take(request, kind.get(), found.get().version(), rate.getAsLong(), nowNanos);
+  }
+
+  /** Returns the number of buckets held. */
+  public int size() {
+    lock.lock();
+    try {
+      return buckets.size();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private Grant take(
+      GrantRequest request, LimitKind kind, long version, long microRate, long nowNanos) {
+    lock.lock();
+    try {
+      long generation = homes.generation();
+      Bucket held =
+          buckets.compute(
+              new BucketKey(request.member(), kind),
+              (key, old) ->
+                  old != null && old.generation() == generation
+                      ? old
+                      : new Bucket(generation, TokenBucket.emptyAt(nowNanos)));
+      if (held.bucket().tryTake(request.wanted(), microRate, nowNanos)) {
+        return new Grant(
+            request.member(),
+            request.limit(),
+            request.wanted(),
+            HomeRoster.GRANT_MILLIS,
+            0,
+            version);
+      }
+      return refusal(request, held.bucket().millisUntil(request.wanted(), microRate), version);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private static boolean isSensible(GrantRequest request) {
+    return request.wanted() >= 1 && request.wanted() <= LARGEST_WANTED;
+  }
+
+  private static Grant refusal(GrantRequest request, long retryMillis, long version) {
+    return new Grant(request.member(), request.limit(), 0, 0, retryMillis, version);
+  }
+
+  private record BucketKey(String member, LimitKind kind) {}
+
+  private record Bucket(long generation, TokenBucket bucket) {}
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/HomeRoster.java
@@ -0,0 +1,394 @@
+package org.sedgeroad.limit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.ToLongFunction;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.peer.Rendezvous;
+
+/**
+ * Chooses the homes of token buckets among the instances that the lease object names.
+ *
+ * <p>Views by gossip may differ for a moment and give a bucket two homes, so the choice is made
+ * over the roster in the lease object, which changes by conditional update only. An instance acts
+ * as a home when (1) it ranks first in the roster last read, (2) every other instance in it has
+ * adopted a roster with this instance, (3) the sub-grants of an earlier home have expired. An
+ * instance is removed only after its lease must have expired. The ranks of two instances never
+ * change, so no two instances meet these conditions for one member.
+ *
+ * <p>A removed instance is kept as absent: it may be running, cut off, and use the isolated share.
+ * While it may be the home of a member in its own view, other instances leave the isolated share of
+ * this member alone. Thread-safe.
+ */
+public final class HomeRoster implements HomeView {
+  /** Longest time for which a sub-grant may be used, in milliseconds. */
+  public static final long GRANT_MILLIS = 1_000;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  // Covers a tenth of difference between the clock rates of two instances.
+  private static final long QUIET_NANOS = (GRANT_MILLIS + GRANT_MILLIS / 10) * NANOS_PER_MILLI;
+  // A region may be cut off for an hour; after two hours an instance must ask for nothing more.
+  private static final long ISOLATION_NANOS = 2L * 3600 * 1000 * NANOS_PER_MILLI;
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final String self;
+  private final LeaseTable leases;
+  private final long leaseNanos;
+  private final ToLongFunction<String> appliedVersion;
+  private final Map<String, Long> quietUntil = new HashMap<>();
+  private final Map<String, Long> absentSince = new HashMap<>();
+  private Map<String, RosterEntry> roster = Map.of();
+  private Map<String, Long> absent = Map.of();
+  private final Map<String, Long> absentQuietUntil = new HashMap<>();
+  private long generation;
+  private long establishedAtNanos;
+  private boolean established;
+  private boolean stopped;
+  private long renewedAtNanos;
+  private long resumeAtNanos;
+  private long recordsReadAtNanos;
+  private boolean recordsRead;
+  private long limitsFloor;
+  private long sharesFloor;
+  private long resumeFloor;
+  // Read with the leases only, since the applied version may take a scan of the replica.
+  private long limitsApplied;
+  private long sharesApplied;
+
+  private HomeRoster(
+      String self, LeaseTable leases, long leaseMillis, ToLongFunction<String> appliedVersion) {
+    this.self = self;
+    this.leases = leases;
+    this.leaseNanos = leaseMillis * NANOS_PER_MILLI;
+    this.appliedVersion = appliedVersion;
+  }
+
+  /**
+   * Returns a roster without any instance.
+   *
+   * @param self holder name of this instance: the instance name, {@code #} and a part that no other
+   *     process has
+   * @param leases lease table of this instance
+   * @param leaseMillis length of a lease in milliseconds
+   * @param appliedVersion version of a configuration kind up to which this instance has applied
+   *     everything
+   */
+  public static HomeRoster of(
+      String self, LeaseTable leases, long leaseMillis, ToLongFunction<String> appliedVersion) {
+    return new HomeRoster(self, leases, leaseMillis, appliedVersion);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /**
+   * Adopts the roster of a lease object that was read from the store or written to it. Must be
+   * called with each object before {@link #prepare} changes it for a renewal.
+   *
+   * @param spec content of the lease object
+   * @param sentAtNanos time before the read or write was sent
+   * @param nowNanos time after its answer came
+   */
+  public void adopt(JsonNode spec, long sentAtNanos, long nowNanos) {
+    Map<String, Long> counters = new HashMap<>();
+    spec.path(LeaseFields.HOLDERS)
+        .fields()
+        .forEachRemaining(field -> counters.put(field.getKey(), field.getValue().asLong()));
+    leases.observe(counters, sentAtNanos, nowNanos);
+    lock.lock();
+    try {
+      Map<String, RosterEntry> read = new TreeMap<>();
+      spec.path(LeaseFields.ROSTER)
+          .fields()
+          .forEachRemaining(
+              field -> read.put(field.getKey(), RosterEntry.fromSpec(field.getValue())));
+      Map<String, Long> readAbsent = new TreeMap<>();
+      spec.path(LeaseFields.ABSENT)
+          .fields()
+          .forEachRemaining(
+              field ->
+                  readAbsent.put(
+                      field.getKey(), field.getValue().path(LeaseFields.ADOPTED).asLong()));
+      noteRemoved(roster.keySet(), read.keySet(), quietUntil, nowNanos);
+      noteRemoved(absent.keySet(), readAbsent.keySet(), absentQuietUntil, nowNanos);
+      if (!read.keySet().equals(roster.keySet())) {
+        generation++;
+      }
+      readAbsent.keySet().forEach(name -> absentSince.putIfAbsent(name, nowNanos));
+      absentSince.keySet().retainAll(readAbsent.keySet());
+      roster = read;
+      absent = readAbsent;
+      limitsFloor = Math.max(limitsFloor, spec.path(LeaseFields.LIMITS_FLOOR).asLong());
+      sharesFloor = Math.max(sharesFloor, spec.path(LeaseFields.SHARES_FLOOR).asLong());
+      readApplied();
+      checkEstablished(nowNanos);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Prepares the content of the lease object for a renewal: joins, records what this instance has
+   * adopted and applied, removes expired instances. The caller writes the content by conditional
+   * update on the version that it gave to {@link #adopt}.
+   */
+  public void prepare(ObjectNode spec, long nowNanos) {
+    lock.lock();
+    try {
+      readApplied();
+      ObjectNode holders = spec.withObject("/" + LeaseFields.HOLDERS);
+      ObjectNode entries = spec.withObject("/" + LeaseFields.ROSTER);
+      ObjectNode gone = spec.withObject("/" + LeaseFields.ABSENT);
+      long readEpoch = spec.path(LeaseFields.EPOCH).asLong();
+      long epoch = readEpoch;
+      for (String name : names(entries)) {
+        if (!name.equals(self) && isPredecessor(name)) {
+          entries.remove(name);
+          holders.remove(name);
+          epoch++;
+        } else if (!name.equals(self) && leases.isExpired(name, nowNanos)) {
+          gone.set(name, entries.remove(name));
+          holders.remove(name);
+          epoch++;
+        }
+      }
+      for (String name : names(holders)) {
+        // A holder outside the roster grants nothing; it stays only while its lease runs.
+        if (!name.equals(self) && !entries.has(name) && leases.isExpired(name, nowNanos)) {
+          holders.remove(name);
+        }
+      }
+      gone.remove(self);
+      for (String name : names(gone)) {
+        Long since = absentSince.get(name);
+        boolean over = since != null && nowNanos - since > ISOLATION_NANOS + leaseNanos;
+        if (over || isPredecessor(name)) {
+          gone.remove(name);
+        }
+      }
+      if (!entries.has(self)) {
+        epoch++;
+        entries.putObject(self).put(LeaseFields.JOINED, epoch);
+      }
+      ((ObjectNode) entries.path(self))
+          .put(LeaseFields.ADOPTED, readEpoch)
+          .put(LeaseFields.LIMITS, limitsApplied)
+          .put(LeaseFields.SHARES, sharesApplied);
+      spec.put(LeaseFields.EPOCH, epoch);
+      raiseFloor(spec, LeaseFields.LIMITS, LeaseFields.LIMITS_FLOOR);
+      raiseFloor(spec, LeaseFields.SHARES, LeaseFields.SHARES_FLOOR);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Records that a renewal took effect. After a lapse the share is used again only when a full
+   * lease length has passed: until then, other failure domains may still count this lease as
+   * expired.
+   *
+   * @param sentAtNanos time before the renewal was sent
+   * @param heldBefore whether the lease was valid when the renewal took effect
+   */
+  public void renewed(long sentAtNanos, boolean heldBefore, long nowNanos) {
+    lock.lock();
+    try {
+      renewedAtNanos = sentAtNanos;
+      if (!heldBefore) {
+        resumeAtNanos = nowNanos + leaseNanos;
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Records a successful reading of the lease objects of all failure domains. The share is used
+   * only as long as a reading is younger than a lease. After a lapse it is used only when this
+   * instance has applied the limits that others had recorded by then: a limit may have been lowered
+   * to what the isolated share allows.
+   *
+   * @param records what the lease objects tell
+   * @param sentAtNanos time before the reading was sent
+   */
+  public void recordsRead(Map<String, DomainRecord> records, long sentAtNanos) {
+    lock.lock();
+    try {
+      if (sentAtNanos - resumeAtNanos < 0) {
+        for (DomainRecord record : records.values()) {
+          if (record.limitsVersion() != Long.MAX_VALUE) {
+            resumeFloor = Math.max(resumeFloor, record.limitsVersion());
+          }
+        }
+      }
+      readApplied();
+      recordsReadAtNanos = sentAtNanos;
+      recordsRead = true;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Makes this instance grant nothing any more; called before {@link #release}. */
+  public void stop() {
+    lock.lock();
+    stopped = true;
+    lock.unlock();
+  }
+
+  /** Removes this instance from the content of the lease object at a planned stop. */
+  public void release(ObjectNode spec) {
+    spec.withObject("/" + LeaseFields.HOLDERS).remove(self);
+    if (spec.withObject("/" + LeaseFields.ROSTER).remove(self) != null) {
+      spec.put(LeaseFields.EPOCH, spec.path(LeaseFields.EPOCH).asLong() + 1);
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  @Override
+  public String homeOf(String member) {
+    lock.lock();
+    try {
+      return roster.isEmpty()
+          ? null
+          : instanceOf(Rendezvous.rank(key(member), roster.keySet()).get(0));
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  @Override
+  public Standing standing(String member, long nowNanos) {
+    boolean held = leases.isHeld(nowNanos);
+    lock.lock();
+    try {
+      if (!established
+          || nowNanos - establishedAtNanos < QUIET_NANOS
+          || !isFirst(member, nowNanos)) {
+        return Standing.NONE;
+      }
+      if (!held) {
+        boolean over = nowNanos - renewedAtNanos > ISOLATION_NANOS;
+        return over || absentMayBeHome(member, nowNanos) ? Standing.NONE : Standing.ISOLATED;
+      }
+      boolean recent = recordsRead && nowNanos - recordsReadAtNanos < leaseNanos;
+      boolean resuming = !recent || nowNanos - resumeAtNanos < 0 || limitsApplied < resumeFloor;
+      if (absentMayBeHome(member, nowNanos)) {
+        return resuming ? Standing.NONE : Standing.SHARE;
+      }
+      return resuming ? Standing.ISOLATED : Standing.SHARE_AND_ISOLATED;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  @Override
+  public long generation() {
+    lock.lock();
+    try {
+      return generation;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the names of the instances in the roster last read, in name order. */
+  public List<String> instances() {
+    lock.lock();
+    try {
+      return roster.keySet().stream().map(HomeRoster::instanceOf).distinct().sorted().toList();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  private boolean isFirst(String member, long nowNanos) {
+    Set<String> rivals = new HashSet<>(roster.keySet());
+    quietUntil.forEach(
+        (name, until) -> {
+          if (nowNanos - until < 0) {
+            rivals.add(name);
+          }
+        });
+    return Rendezvous.isFirst(key(member), self, rivals);
+  }
+
+  /** Returns whether an absent instance may be the home of a member in its own view. */
+  private boolean absentMayBeHome(String member, long nowNanos) {
+    long joined = roster.get(self).joined();
+    for (Map.Entry<String, Long> entry : absent.entrySet()) {
+      boolean knowsThis = entry.getValue() >= joined;
+      if (!knowsThis || !Rendezvous.isFirst(key(member), self, List.of(entry.getKey()))) {
+        return true;
+      }
+    }
+    return absentQuietUntil.values().stream().anyMatch(until -> nowNanos - until < 0);
+  }
+
+  private void readApplied() {
+    limitsApplied = appliedVersion.applyAsLong(Kinds.LIMITS);
+    sharesApplied = appliedVersion.applyAsLong(Kinds.SHARES);
+  }
+
+  private void checkEstablished(long nowNanos) {
+    RosterEntry own = roster.get(self);
+    boolean adoptedByAll =
+        own != null
+            && roster.entrySet().stream()
+                .allMatch(
+                    entry ->
+                        entry.getKey().equals(self) || entry.getValue().adopted() >= own.joined());
+    if (adoptedByAll && !established) {
+      establishedAtNanos = nowNanos;
+    }
+    established = adoptedByAll;
+  }
+
+  private static void raiseFloor(ObjectNode spec, String version, String floor) {
+    long least = Long.MAX_VALUE;
+    for (JsonNode entry : spec.path(LeaseFields.ROSTER)) {
+      least = Math.min(least, entry.path(version).asLong());
+    }
+    spec.put(floor, Math.max(spec.path(floor).asLong(), least));
+  }
+
+  private static void noteRemoved(
+      Set<String> before, Set<String> after, Map<String, Long> until, long nowNanos) {
+    until.values().removeIf(time -> nowNanos - time >= 0);
+    for (String name : before) {
+      if (!after.contains(name)) {
+        until.put(name, nowNanos + QUIET_NANOS);
+      }
+    }
+  }
+
+  private boolean isPredecessor(String name) {
+    return !name.equals(self) && instanceOf(name).equals(instanceOf(self));
+  }
+
+  private static List<String> names(ObjectNode node) {
+    List<String> names = new ArrayList<>();
+    node.fieldNames().forEachRemaining(names::add);
+    return names;
+  }
+
+  private static String instanceOf(String holder) {
+    int mark = holder.indexOf('#');
+    return mark < 0 ? holder : holder.substring(0, mark);
+  }
+
+  private static String key(String member) {
+    return "limit:" + member;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/LimitValues.java
@@ -0,0 +1,117 @@
+package org.sedgeroad.limit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.LocalTime;
+import java.time.format.DateTimeParseException;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * The limits of a member as voted.
+ *
+ * @param values value of each voted kind; a kind without a value is unlimited
+ * @param isolatedPpm parts per million of the rates that the failure domains may use, in sum,
+ *     without a valid lease; 0 to 1,000,000
+ */
+public record LimitValues(Map<LimitKind, Long> values, int isolatedPpm) {
+  /** Parts in the whole. */
+  public static final int MILLION = 1_000_000;
+
+  /** Isolated share of a member that voted none: 60%, in sum over the failure domains. */
+  public static final int DEFAULT_ISOLATED_PPM = 600_000;
+
+  private static final String ISOLATED = "isolated-ppm";
+
+  /** Copies the map and checks the range of the isolated share. */
+  public LimitValues {
+    values = Map.copyOf(values);
+    if (isolatedPpm < 0 || isolatedPpm > MILLION) {
+      throw new IllegalArgumentException("isolated share out of range: " + isolatedPpm);
+    }
+  }
+
+  /** Returns values without any limit. */
+  public static LimitValues unlimited() {
+    return new LimitValues(Map.of(), DEFAULT_ISOLATED_PPM);
+  }
+
+  /** Reads values from JSON; entries that are out of range or unknown are left out. */
+  public static LimitValues fromSpec(JsonNode spec) {
+    Map<LimitKind, Long> values = new EnumMap<>(LimitKind.class);
+    for (LimitKind kind : LimitKind.values()) {
+      JsonNode node = spec.path(kind.toText());
+      OptionalLong value =
+          kind == LimitKind.JOB_DEADLINE ? minuteOfDay(node.asText()) : number(node);
+      if (value.isPresent() && kind.isValid(value.getAsLong())) {
+        values.put(kind, value.getAsLong());
+      }
+    }
+    int isolated = spec.path(ISOLATED).asInt(DEFAULT_ISOLATED_PPM);
+    return new LimitValues(values, Math.max(0, Math.min(MILLION, isolated)));
+  }
+
+  /** Returns the minute of the day of a text such as {@code 06:30}, empty if it is none. */
+  public static OptionalLong minuteOfDay(String text) {
+    try {
+      LocalTime time = LocalTime.parse(text);
+      return OptionalLong.of(time.getHour() * 60L + time.getMinute());
+    } catch (DateTimeParseException invalid) {
+      return OptionalLong.empty();
+    }
+  }
+
+  private static OptionalLong number(JsonNode node) {
+    return node.canConvertToLong() ? OptionalLong.of(node.asLong()) : OptionalLong.empty();
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Returns the value of a kind, empty if it is unlimited. */
+  public OptionalLong value(LimitKind kind) {
+    Long value = values.get(kind);
+    return value == null ? OptionalLong.empty() : OptionalLong.of(value);
+  }
+
+  /** Returns the local time of day by which batch jobs are due, null if none was voted. */
+  public LocalTime jobDeadline() {
+    Long minute = values.get(LimitKind.JOB_DEADLINE);
+    return minute == null ? null : LocalTime.ofSecondOfDay(minute * 60);
+  }
+
+  /**
+   * Returns a copy with one value replaced.
+   *
+   * @throws IllegalArgumentException if the value is out of the kind's range
+   */
+  public LimitValues with(LimitKind kind, long value) {
+    if (!kind.isValid(value)) {
+      throw new IllegalArgumentException(kind.toText() + " out of range: " + value);
+    }
+    Map<LimitKind, Long> changed = new EnumMap<>(LimitKind.class);
+    changed.putAll(values);
+    changed.put(kind, value);
+    return new LimitValues(changed, isolatedPpm);
+  }
+
+  /** Returns a copy with another isolated share. */
+  public LimitValues withIsolatedPpm(int ppm) {
+    return new LimitValues(values, ppm);
+  }
+
+  /** Returns the values as JSON. */
+  public ObjectNode toSpec() {
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    values.forEach(
+        (kind, value) -> {
+          if (kind == LimitKind.JOB_DEADLINE) {
+            spec.put(kind.toText(), LocalTime.ofSecondOfDay(value * 60).toString());
+          } else {
+            spec.put(kind.toText(), value);
+          }
+        });
+    return spec.put(ISOLATED, isolatedPpm);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/Limits.java
@@ -0,0 +1,99 @@
+package org.sedgeroad.limit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.store.StoredObject;
+
+/**
+ * A member's limits at one version, with the earlier values that a failure domain may still apply.
+ *
+ * @param version store version of the limits, at least 1
+ * @param current the values in force
+ * @param older earlier values, oldest first
+ */
+public record Limits(long version, LimitValues current, List<OlderLimits> older) {
+  /** Name of the object whose values apply to each member that has no object of its own. */
+  public static final String DEFAULT_NAME = "default";
+
+  private static final String CURRENT = "current";
+  private static final String OLDER = "older";
+  private static final String ANNOUNCED = "announced";
+  private static final String VERSION = "version";
+
+  /** Copies the list. */
+  public Limits {
+    older = List.copyOf(older);
+  }
+
+  /** Reads limits from the stored object. */
+  public static Limits fromObject(StoredObject object) {
+    List<OlderLimits> older = new ArrayList<>();
+    for (JsonNode node : object.spec().path(OLDER)) {
+      older.add(
+          new OlderLimits(node.path(VERSION).asLong(), LimitValues.fromSpec(node.path(CURRENT))));
+    }
+    LimitValues current = LimitValues.fromSpec(object.spec().path(CURRENT));
+    return new Limits(object.version(), current, older);
+  }
+
+  /** Finds the limits of a member: its own, else the default ones, else empty for unlimited. */
+  public static Optional<Limits> find(ConfigurationReplica replica, String member) {
+    return replica
+        .find(Kinds.LIMITS, member)
+        .or(() -> replica.find(Kinds.LIMITS, DEFAULT_NAME))
+        .map(Limits::fromObject);
+  }
+
+  /** Returns the content of an object with the given values. */
+  static ObjectNode spec(LimitValues values, List<OlderLimits> older) {
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    spec.set(CURRENT, values.toSpec());
+    ArrayNode list = spec.putArray(OLDER);
+    for (OlderLimits entry : older) {
+      list.addObject().put(VERSION, entry.version()).set(CURRENT, entry.values().toSpec());
+    }
+    return spec;
+  }
+
+  /**
+   * Returns whether the values are announced only: they are applied already, but the vote is not
+   * accepted yet and may be withdrawn.
+   */
+  static boolean isAnnounced(JsonNode spec) {
+    return spec.has(ANNOUNCED);
+  }
+
+  /** Marks the content of an object as announced; a withdrawal restores the accepted values. */
+  static ObjectNode asAnnounced(ObjectNode spec, LimitValues accepted) {
+    spec.set(ANNOUNCED, accepted.toSpec());
+    return spec;
+  }
+
+  /** Returns the values accepted last, the current ones unless others are announced. */
+  static LimitValues accepted(JsonNode spec) {
+    return LimitValues.fromSpec(isAnnounced(spec) ? spec.path(ANNOUNCED) : spec.path(CURRENT));
+  }
+
+  /**
+   * Returns the values that a holder may apply of which only is known that it has applied
+   * everything up to a version. The current values are always among them.
+   */
+  public List<LimitValues> possibleAt(long appliedVersion) {
+    List<LimitValues> possible = new ArrayList<>();
+    for (int i = 0; i < older.size(); i++) {
+      long replacedAt = i + 1 < older.size() ? older.get(i + 1).version() : version;
+      if (appliedVersion < replacedAt) {
+        possible.add(older.get(i).values());
+      }
+    }
+    possible.add(current);
+    return possible;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/Shares.java
@@ -0,0 +1,73 @@
+package org.sedgeroad.limit;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Ledger of one shard: how the part of each member's limits that is not isolated is divided over
+ * the failure domains.
+ *
+ * <p>Fractions are relative to the part that is not isolated, so that a vote on the isolated share
+ * and a transfer, which write different objects, can't exceed the whole together.
+ *
+ * @param version store version, 0 if the ledger does not exist yet
+ * @param members fractions of each member that differ from the equal split
+ */
+public record Shares(long version, Map<String, MemberShares> members) {
+  /** Number of ledger objects; the members are spread over them by hash. */
+  public static final int SHARDS = 16;
+
+  private static final String MEMBERS = "members";
+
+  /** Copies the map. */
+  public Shares {
+    members = Map.copyOf(members);
+  }
+
+  /** Returns the ledger that applies before the object exists. */
+  public static Shares none() {
+    return new Shares(0, Map.of());
+  }
+
+  /** Returns the name of the ledger object that holds a member. */
+  public static String shardOf(String member) {
+    long hash = Hashing.komihash5_0().hashCharsToLong(member);
+    return "shard-" + Long.remainderUnsigned(hash, SHARDS);
+  }
+
+  /** Reads a ledger from its content. */
+  public static Shares fromSpec(long version, JsonNode spec) {
+    Map<String, MemberShares> members = new TreeMap<>();
+    spec.path(MEMBERS)
+        .fields()
+        .forEachRemaining(
+            field -> members.put(field.getKey(), MemberShares.fromSpec(field.getValue())));
+    return new Shares(version, members);
+  }
+
+  /** Returns the fractions of a member, the equal split if the ledger does not name it. */
+  public MemberShares of(String member, Collection<String> domains) {
+    MemberShares shares = members.get(member);
+    return shares == null ? MemberShares.equalSplit(domains) : shares;
+  }
+
+  /** Returns a copy with one member's fractions replaced. */
+  public Shares with(String member, MemberShares shares) {
+    Map<String, MemberShares> changed = new TreeMap<>(members);
+    changed.put(member, shares);
+    return new Shares(version, changed);
+  }
+
+  /** Returns the content of the ledger object. */
+  public ObjectNode toSpec() {
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    ObjectNode map = spec.putObject(MEMBERS);
+    new TreeMap<>(members).forEach((member, shares) -> map.set(member, shares.toSpec()));
+    return spec;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/TokenBucket.java
@@ -0,0 +1,91 @@
+package org.sedgeroad.limit;
+
+/**
+ * Units of one member's rate that its home may still grant, counted in micro-units.
+ *
+ * <p>A bucket starts empty and holds at most one second's worth, or one refused request of up to a
+ * minute's worth that is being saved for. Not thread-safe.
+ */
+final class TokenBucket {
+  private static final long MICRO = 1_000_000L;
+  private static final long MICROS_PER_SECOND = 1_000_000L;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long NANOS_PER_MICRO = 1_000L;
+  private static final long LARGEST_SAVING_SECONDS = 60;
+
+  private long balanceMicro;
+  private long refilledAtNanos;
+  private long lastRate;
+  private long savingMicro;
+  private long savingUntilNanos;
+
+  private TokenBucket(long nowNanos) {
+    this.refilledAtNanos = nowNanos;
+  }
+
+  /** Returns an empty bucket. */
+  static TokenBucket emptyAt(long nowNanos) {
+    return new TokenBucket(nowNanos);
+  }
+
+  /**
+   * Takes units if the bucket holds them all.
+   *
+   * @param units units wanted, at least 1
+   * @param microRate rate now, in micro-units a second
+   * @return whether they were taken
+   */
+  boolean tryTake(long units, long microRate, long nowNanos) {
+    long wanted = Math.multiplyExact(units, MICRO);
+    refill(microRate, nowNanos);
+    if (wanted > balanceMicro) {
+      if (wanted <= largest(microRate)) {
+        savingMicro = Math.max(savingMicro, wanted);
+        savingUntilNanos = nowNanos + LARGEST_SAVING_SECONDS * NANOS_PER_SECOND;
+      }
+      return false;
+    }
+    balanceMicro -= wanted;
+    if (wanted >= savingMicro) {
+      savingMicro = 0;
+    }
+    return true;
+  }
+
+  /** Returns the milliseconds until the bucket can hold the units at the given rate. */
+  long millisUntil(long units, long microRate) {
+    long wanted = units * MICRO;
+    if (microRate <= 0 || wanted > largest(microRate)) {
+      return LARGEST_SAVING_SECONDS * 1000;
+    }
+    long missing = Math.max(0, wanted - balanceMicro);
+    return Math.min(LARGEST_SAVING_SECONDS * 1000, missing / Math.max(1, microRate / 1000) + 1);
+  }
+
+  /** Returns whole units held at the last call. */
+  long units() {
+    return balanceMicro / MICRO;
+  }
+
+  private void refill(long microRate, long nowNanos) {
+    long micros =
+        Math.min(
+            (nowNanos - refilledAtNanos) / NANOS_PER_MICRO,
+            LARGEST_SAVING_SECONDS * MICROS_PER_SECOND);
+    // A raised rate counts from now on: before, the difference belonged to others.
+    long rate = Math.min(lastRate, microRate);
+    long earned =
+        rate / MICROS_PER_SECOND * micros + rate % MICROS_PER_SECOND * micros / MICROS_PER_SECOND;
+    if (micros > 0 && (earned > 0 || lastRate != microRate)) {
+      balanceMicro += earned;
+      refilledAtNanos = nowNanos;
+    }
+    lastRate = microRate;
+    savingMicro = nowNanos - savingUntilNanos < 0 ? Math.min(savingMicro, largest(microRate)) : 0;
+    balanceMicro = Math.min(balanceMicro, Math.max(microRate, savingMicro));
+  }
+
+  private static long largest(long microRate) {
+    return microRate * LARGEST_SAVING_SECONDS;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/VoteResult.java
@@ -0,0 +1,53 @@
+package org.sedgeroad.limit;
+
+import java.time.Instant;
+import java.util.List;
+
+/** Outcome of a vote. */
+public sealed interface VoteResult {
+
+  /**
+   * The limit is voted and will not be reverted. It is in force on each reachable instance within 2
+   * s and on a cut-off one when its lease has expired.
+   *
+   * @param version version of the limits
+   */
+  record Accepted(long version) implements VoteResult {}
+
+  /**
+   * Another vote won; this one had no effect.
+   *
+   * @param version version of the winning limits, 0 if there are none
+   * @param values the winning limits
+   */
+  record Conflict(long version, LimitValues values) implements VoteResult {}
+
+  /**
+   * The vote can't be kept; the limits stay as they were.
+   *
+   * @param reason description
+   * @param domains failure domains that may use more than the voted limit, empty for another reason
+   */
+  record Refused(String reason, List<String> domains) implements VoteResult {
+
+    /** Copies the list. */
+    public Refused {
+      domains = List.copyOf(domains);
+    }
+  }
+
+  /**
+   * The store can't be reached; the vote had no effect.
+   *
+   * @param reason description
+   * @param retryAt earliest time for the next try
+   */
+  record Unavailable(String reason, Instant retryAt) implements VoteResult {}
+
+  /**
+   * The vote may have taken effect. It is safe to send it again.
+   *
+   * @param reason description
+   */
+  record Unknown(String reason) implements VoteResult {}
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/VoteRule.java
@@ -0,0 +1,109 @@
+package org.sedgeroad.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeSet;
+
+/** Decides whether voted values can be kept although some failure domains apply earlier ones. */
+final class VoteRule {
+  /** More earlier values than this are kept only if someone votes often during a long cut. */
+  static final int MOST_OLDER = 16;
+
+  private final DomainAllowance allowance;
+
+  VoteRule(List<String> domains) {
+    this.allowance = DomainAllowance.of("", domains);
+  }
+
+  /**
+   * Returns the failure domains whose isolated use under earlier values would exceed the voted
+   * ones; empty if the limits hold even when every failure domain is cut off from now on.
+   */
+  List<String> overWhenCutOff(Limits next, Map<String, DomainRecord> records) {
+    return over(next, null, records, true);
+  }
+
+  /**
+   * Returns the failure domains that have not applied the limits and may use more than they allow
+   * under earlier values; empty if the limits hold. Must be asked with records that were read after
+   * the limits were written.
+   */
+  List<String> overWhenUnconfirmed(
+      Limits next, MemberShares shares, Map<String, DomainRecord> records) {
+    return over(next, shares, records, false);
+  }
+
+  /** Returns the earlier values that some instance may still apply, with the last ones. */
+  static List<OlderLimits> stillPossible(Limits limits, Map<String, DomainRecord> records) {
+    long applied = Long.MAX_VALUE;
+    for (DomainRecord record : records.values()) {
+      applied = Math.min(applied, Math.min(record.limitsVersion(), record.absentLimitsVersion()));
+    }
+    List<OlderLimits> all = new ArrayList<>(limits.older());
+    if (limits.version() > 0) {
+      all.add(new OlderLimits(limits.version(), limits.current()));
+    }
+    List<OlderLimits> kept = new ArrayList<>();
+    for (int i = 0; i < all.size(); i++) {
+      boolean last = i + 1 == all.size();
+      if (last || applied < all.get(i + 1).version()) {
+        kept.add(all.get(i));
+      }
+    }
+    return kept;
+  }
+
+  private List<String> over(
+      Limits next, MemberShares shares, Map<String, DomainRecord> records, boolean assumeCutOff) {
+    TreeSet<String> names = new TreeSet<>();
+    for (LimitKind kind : LimitKind.values()) {
+      OptionalLong limit = next.current().value(kind);
+      if (!kind.isRate() || limit.isEmpty()) {
+        continue;
+      }
+      long sum = 0;
+      List<String> using = new ArrayList<>();
+      for (Map.Entry<String, DomainRecord> entry : records.entrySet()) {
+        long use =
+            assumeCutOff
+                ? isolated(next, kind, entry.getValue().limitsVersion())
+                : unconfirmed(next, kind, shares, entry.getKey(), entry.getValue());
+        long absent = entry.getValue().absentLimitsVersion();
+        if (absent < next.version()) {
+          use = Math.max(use, allowance.isolatedUse(next, kind, absent));
+        }
+        if (use > 0) {
+          using.add(entry.getKey());
+          sum = use == Long.MAX_VALUE || sum == Long.MAX_VALUE ? Long.MAX_VALUE : sum + use;
+        }
+      }
+      if (sum > limit.getAsLong() * LimitValues.MILLION) {
+        names.addAll(using);
+      }
+    }
+    return List.copyOf(names);
+  }
+
+  private long isolated(Limits next, LimitKind kind, long appliedVersion) {
+    return anyUnlimited(next, kind, appliedVersion)
+        ? Long.MAX_VALUE
+        : allowance.isolatedUse(next, kind, appliedVersion);
+  }
+
+  private long unconfirmed(
+      Limits next, LimitKind kind, MemberShares shares, String domain, DomainRecord record) {
+    if (record.limitsVersion() >= next.version()) {
+      return 0;
+    }
+    return anyUnlimited(next, kind, record.limitsVersion())
+        ? Long.MAX_VALUE
+        : allowance.possibleUse(next, kind, shares, domain, record);
+  }
+
+  private static boolean anyUnlimited(Limits next, LimitKind kind, long appliedVersion) {
+    return next.possibleAt(appliedVersion).stream()
+        .anyMatch(values -> values.value(kind).isEmpty());
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/VoteService.java
@@ -0,0 +1,243 @@
+package org.sedgeroad.limit;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WriteOutcome;
+
+/**
+ * Puts voted limits in force by conditional update.
+ *
+ * <p>A limit that holds even when every failure domain is cut off at once needs one write. A lower
+ * one is announced first: the failure domains apply the announced values, and the vote is accepted
+ * by a second write when those that have not confirmed them can't exceed them; else the announced
+ * values are withdrawn and the vote is refused. Thread-safe; calls block for up to some seconds.
+ */
+public final class VoteService {
+  private static final long CONFIRM_MILLIS = 5_000;
+  private static final String BASE = "base";
+  private static final long POLL_MILLIS = 100;
+
+  private final StoreWriter writer;
+  private final Supplier<Optional<Map<String, DomainRecord>>> records;
+  private final Function<String, MemberShares> shares;
+  private final VoteRule rule;
+  private final MonotonicClock clock;
+
+  /**
+   * Creates a service.
+   *
+   * @param writer writes to the store
+   * @param records reads the lease objects now, empty if the store can't be reached
+   * @param shares fractions of a member
+   * @param domains all failure domains
+   * @param clock monotonic clock
+   */
+  public VoteService(
+      StoreWriter writer,
+      Supplier<Optional<Map<String, DomainRecord>>> records,
+      Function<String, MemberShares> shares,
+      List<String> domains,
+      MonotonicClock clock) {
+    this.writer = writer;
+    this.records = records;
+    this.shares = shares;
+    this.rule = new VoteRule(domains);
+    this.clock = clock;
+  }
+
+  /** Votes one value on top of whatever limits the member has. */
+  public VoteResult vote(String member, LimitKind kind, long value) {
+    return vote(member, kind, value, OptionalLong.empty());
+  }
+
+  /**
+   * Votes one value. Safe to send again: a vote that is in force already is accepted.
+   *
+   * @param member the member, or {@code default} for all members without limits of their own
+   * @param kind what to limit
+   * @param value the value, in the unit of the kind
+   * @param base version of the limits that the vote is based on, 0 for none yet; the vote loses if
+   *     another vote has replaced it
+   */
+  public VoteResult vote(String member, LimitKind kind, long value, OptionalLong base) {
+    if (!kind.isValid(value)) {
+      return new VoteResult.Refused(kind.toText() + " out of range: " + value, List.of());
+    }
+    return vote(member, values -> values.with(kind, value), base);
+  }
+
+  /** Votes the isolated share, in parts per million of the rates. */
+  public VoteResult voteIsolated(String member, int ppm, OptionalLong base) {
+    if (ppm < 0 || ppm > LimitValues.MILLION) {
+      return new VoteResult.Refused("isolated share out of range: " + ppm, List.of());
+    }
+    return vote(member, values -> values.withIsolatedPpm(ppm), base);
+  }
+
+  // -----------------------------------------------------------------------
+
+  private VoteResult vote(String member, UnaryOperator<LimitValues> change, OptionalLong base) {
+    StoreResult<StoredObject> read = writer.store().get(Kinds.LIMITS, member);
+    Optional<Map<String, DomainRecord>> known = records.get();
+    boolean readable = read instanceof StoreResult.Done || read instanceof StoreResult.Absent;
+    if (!readable || known.isEmpty()) {
+      return unavailable("the store can't be read: " + read);
+    }
+    if (read instanceof StoreResult.Done<StoredObject> done) {
+      return replace(member, done.value(), change, base, known.get());
+    }
+    if (base.orElse(0) != 0) {
+      return new VoteResult.Conflict(0, LimitValues.unlimited());
+    }
+    Optional<Limits> inherited = inherited(member);
+    if (inherited.isEmpty()) {
+      return unavailable("the default limits can't be read");
+    }
+    Limits before = inherited.get();
+    LimitValues wanted = change.apply(before.current());
+    return write(member, before, 0, before.current(), wanted, known.get());
+  }
+
+  private VoteResult replace(
+      String member,
+      StoredObject held,
+      UnaryOperator<LimitValues> change,
+      OptionalLong base,
+      Map<String, DomainRecord> known) {
+    Limits before = Limits.fromObject(held);
+    LimitValues wanted = change.apply(before.current());
+    boolean same = wanted.equals(before.current());
+    if (base.isPresent() && base.getAsLong() != held.version()) {
+      boolean sameVote = same && held.spec().path(BASE).asLong(-1) == base.getAsLong();
+      if (!sameVote) {
+        return new VoteResult.Conflict(held.version(), before.current());
+      }
+    }
+    if (same) {
+      return Limits.isAnnounced(held.spec())
+          ? confirm(member, held)
+          : new VoteResult.Accepted(held.version());
+    }
+    LimitValues accepted = Limits.accepted(held.spec());
+    return write(member, before, held.version(), accepted, wanted, known);
+  }
+
+  private VoteResult write(
+      String member,
+      Limits before,
+      long version,
+      LimitValues accepted,
+      LimitValues wanted,
+      Map<String, DomainRecord> known) {
+    List<OlderLimits> older = VoteRule.stillPossible(before, known);
+    if (older.size() > VoteRule.MOST_OLDER) {
+      return new VoteResult.Refused(
+          "too many earlier values may still be applied by cut-off failure domains", List.of());
+    }
+    Limits next = new Limits(Long.MAX_VALUE, wanted, older);
+    boolean holds = rule.overWhenCutOff(next, known).isEmpty();
+    ObjectNode spec = Limits.spec(wanted, older).put(BASE, version);
+    WriteOutcome outcome = put(member, version, holds ? spec : Limits.asAnnounced(spec, accepted));
+    if (!(outcome instanceof WriteOutcome.Written written)) {
+      return failed(outcome);
+    }
+    return holds
+        ? new VoteResult.Accepted(written.object().version())
+        : confirm(member, written.object());
+  }
+
+  /** Accepts announced values once they hold, else withdraws them. */
+  private VoteResult confirm(String member, StoredObject held) {
+    Limits announced = Limits.fromObject(held);
+    long deadline = clock.deadlineAfterMillis(CONFIRM_MILLIS);
+    List<String> over = List.of();
+    boolean holds = false;
+    while (!holds) {
+      Optional<Map<String, DomainRecord>> known = records.get();
+      if (known.isPresent()) {
+        over = rule.overWhenUnconfirmed(announced, shares.apply(member), known.get());
+        holds = over.isEmpty();
+      }
+      if (!holds && (clock.hasPassed(deadline) || !pause())) {
+        break;
+      }
+    }
+    List<OlderLimits> older = new ArrayList<>(announced.older());
+    older.add(new OlderLimits(announced.version(), announced.current()));
+    LimitValues values = holds ? announced.current() : Limits.accepted(held.spec());
+    ObjectNode spec = Limits.spec(values, older);
+    if (holds) {
+      spec.set(BASE, held.spec().path(BASE));
+    }
+    WriteOutcome outcome = put(member, held.version(), spec);
+    if (!(outcome instanceof WriteOutcome.Written written)) {
+      return failed(outcome);
+    }
+    return holds
+        ? new VoteResult.Accepted(written.object().version())
+        : new VoteResult.Refused(
+            "the failure domains " + over + " may use more and have not confirmed the vote", over);
+  }
+
+  // -----------------------------------------------------------------------
+
+  private WriteOutcome put(String member, long version, ObjectNode spec) {
+    return version == 0
+        ? writer.create(Kinds.LIMITS, member, spec)
+        : writer.update(Kinds.LIMITS, member, version, spec);
+  }
+
+  private Optional<Limits> inherited(String member) {
+    if (!member.equals(Limits.DEFAULT_NAME)) {
+      StoreResult<StoredObject> read = writer.store().get(Kinds.LIMITS, Limits.DEFAULT_NAME);
+      if (read instanceof StoreResult.Done<StoredObject> done) {
+        return Optional.of(Limits.fromObject(done.value()));
+      }
+      if (!(read instanceof StoreResult.Absent)) {
+        return Optional.empty();
+      }
+    }
+    // Version 1 stands for the time before the first vote.
+    return Optional.of(new Limits(1, LimitValues.unlimited(), List.of()));
+  }
+
+  private static VoteResult failed(WriteOutcome outcome) {
+    if (outcome instanceof WriteOutcome.Lost lost) {
+      StoredObject current = lost.current();
+      return current == null
+          ? new VoteResult.Conflict(0, LimitValues.unlimited())
+          : new VoteResult.Conflict(current.version(), Limits.fromObject(current).current());
+    }
+    if (outcome instanceof WriteOutcome.NotWritten not) {
+      return new VoteResult.Unavailable(not.reason(), not.retryAt());
+    }
+    return new VoteResult.Unknown(((WriteOutcome.Unknown) outcome).reason());
+  }
+
+  private static VoteResult unavailable(String reason) {
+    return new VoteResult.Unavailable(reason, Instant.now().plusSeconds(1));
+  }
+
+  private static boolean pause() {
+    try {
+      Thread.sleep(POLL_MILLIS);
+      return true;
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/VotedLimits.java
@@ -0,0 +1,127 @@
+package org.sedgeroad.limit;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToLongFunction;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.peer.GrantRequest;
+import org.sedgeroad.peer.PeerNetwork;
+import org.sedgeroad.store.StoredObject;
+
+/** The parts of one instance that keep its members within the voted limits. Thread-safe. */
+public final class VotedLimits {
+  private final Map<String, Limits> limits = new ConcurrentHashMap<>();
+  private final Map<String, Shares> shares = new ConcurrentHashMap<>();
+  private final DomainRecords records = new DomainRecords();
+  private final LeaseTable leases;
+  private final MonotonicClock clock;
+  private final List<String> domains;
+  private final HomeRoster roster;
+  private final GrantingHome home;
+  private final GrantedLimitGate gate;
+
+  /**
+   * Creates the parts of an instance and answers its peers' requests for sub-grants.
+   *
+   * @param self name of the instance
+   * @param holder holder name of the instance in its lease
+   * @param domain failure domain of the instance
+   * @param domains all failure domains, the same list on each instance; empty if there is only one
+   * @param leaseMillis length of a lease in milliseconds
+   * @param leases lease table of the instance
+   * @param replica configuration
+   * @param appliedVersion version of a configuration kind up to which the replica has everything
+   * @param network reaches the peers
+   * @param clock monotonic clock
+   */
+  public VotedLimits(
+      String self,
+      String holder,
+      String domain,
+      List<String> domains,
+      long leaseMillis,
+      LeaseTable leases,
+      ConfigurationReplica replica,
+      ToLongFunction<String> appliedVersion,
+      PeerNetwork network,
+      MonotonicClock clock) {
+    this.leases = leases;
+    this.clock = clock;
+    this.domains = domains.isEmpty() ? List.of(domain) : List.copyOf(domains);
+    this.roster = HomeRoster.of(holder, leases, leaseMillis, appliedVersion);
+    this.home =
+        new GrantingHome(
+            roster,
+            this::find,
+            this::sharesOf,
+            records::all,
+            DomainAllowance.of(domain, this.domains));
+    this.gate = GrantedLimitGate.of(self, this::find, roster, home, network, clock);
+    replica.list(Kinds.LIMITS).forEach(this::apply);
+    replica.list(Kinds.SHARES).forEach(this::apply);
+    replica.addListener(this::apply);
+    network.handle(
+        GrantRequest.class, (sender, request) -> Optional.of(home.grant(request, clock.nanos())));
+  }
+
+  /** Returns the gate for this instance's requests. */
+  public GrantedLimitGate gate() {
+    return gate;
+  }
+
+  /** Returns the roster that chooses the homes of the failure domain. */
+  public HomeRoster roster() {
+    return roster;
+  }
+
+  /** Returns what the lease objects told when they were last read. */
+  public DomainRecords records() {
+    return records;
+  }
+
+  /** Returns the limits that apply to a member, empty if it is unlimited. */
+  public Optional<Limits> find(String member) {
+    Limits own = limits.get(member);
+    return Optional.ofNullable(own != null ? own : limits.get(Limits.DEFAULT_NAME));
+  }
+
+  /** Returns the fractions of a member. */
+  public MemberShares sharesOf(String member) {
+    return shares.getOrDefault(Shares.shardOf(member), Shares.none()).of(member, domains);
+  }
+
+  /**
+   * Records a successful reading of all lease objects, after the lease table has observed it.
+   *
+   * @param leaseObjects the lease objects of all failure domains
+   * @param sentAtNanos time before the reading was sent
+   */
+  public void leasesRead(List<StoredObject> leaseObjects, long sentAtNanos) {
+    Map<String, DomainRecord> read =
+        records.update(leaseObjects, holder -> leases.isExpired(holder, clock.nanos()));
+    roster.recordsRead(read, sentAtNanos);
+  }
+
+  private void apply(StoredObject object) {
+    if (object.kind().equals(Kinds.LIMITS)) {
+      if (object.isDeleted()) {
+        limits.remove(object.name());
+      } else {
+        limits.merge(
+            object.name(),
+            Limits.fromObject(object),
+            (held, read) -> read.version() > held.version() ? read : held);
+      }
+    } else if (object.kind().equals(Kinds.SHARES) && !object.isDeleted()) {
+      shares.merge(
+          object.name(),
+          Shares.fromSpec(object.version(), object.spec()),
+          (held, read) -> read.version() > held.version() ? read : held);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/LonePeerNetwork.java
@@ -0,0 +1,64 @@
+package org.sedgeroad.peer;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Network of a single instance: it reaches itself and nobody else. Thread-safe. */
+public final class LonePeerNetwork implements PeerNetwork {
+  private final Map<Class<?>, PeerHandler<? extends PeerMessage>> handlers =
+      new ConcurrentHashMap<>();
+  private final String self;
+
+  private LonePeerNetwork(String self) {
+    this.self = self;
+  }
+
+  /** Returns a network without handlers for the instance of the given name. */
+  public static LonePeerNetwork of(String self) {
+    return new LonePeerNetwork(self);
+  }
+
+  @Override
+  public void send(String instance, PeerMessage message) {
+    if (instance.equals(self)) {
+      answer(message);
+    }
+  }
+
+  @Override
+  public CompletableFuture<PeerMessage> call(
+      String instance, PeerMessage request, long deadlineNanos) {
+    if (!instance.equals(self)) {
+      return CompletableFuture.failedFuture(
+          new IllegalArgumentException("unknown peer " + instance));
+    }
+    return answer(request)
+        .map(CompletableFuture::completedFuture)
+        .orElseGet(
+            () -> CompletableFuture.failedFuture(new IllegalStateException("request not handled")));
+  }
+
+  @Override
+  public <T extends PeerMessage> void handle(Class<T> type, PeerHandler<T> handler) {
+    handlers.put(type, handler);
+  }
+
+  @Override
+  public void close() {
+    handlers.clear();
+  }
+
+  private Optional<PeerMessage> answer(PeerMessage message) {
+    PeerHandler<? extends PeerMessage> handler = handlers.get(message.getClass());
+    return handler == null ? Optional.empty() : handle(handler, message);
+  }
+
+  @SuppressWarnings("unchecked")
+  private <T extends PeerMessage> Optional<PeerMessage> handle(
+      PeerHandler<T> handler, PeerMessage message) {
+    // Handlers are kept by the class of the messages that they accept.
+    return handler.handle(self, (T) message);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/limit/LimitSimulationTest.java
@@ -0,0 +1,295 @@
+package org.sedgeroad.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.store.ObjectList;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoredObject;
+
+/** Runs the homes of all failure domains in virtual time under random faults. */
+class LimitSimulationTest {
+  private static final int STEP_MILLIS = 50;
+  private static final List<String> DOMAINS = List.of("a", "b", "c");
+  private static final String MEMBER = "lenga";
+  // Lease of a failure domain that is cut off just after the vote, and the 2 s of propagation.
+  private static final long IN_FORCE_MILLIS = 8_000;
+
+  @Nested
+  class WithFaults {
+
+    /** Guards against use over the limit through any mix of cuts, pauses, restarts and votes. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
+    void useStaysWithinTheLimitInForce(int seed) {
+      World world = new World(seed);
+      for (int step = 0; step < 12_000; step++) {
+        world.step(true);
+      }
+      assertTrue(world.granted > 1_000, "seed " + seed + " granted only " + world.granted);
+      assertTrue(world.votes > 3, "seed " + seed + " accepted only " + world.votes + " votes");
+    }
+  }
+
+  @Nested
+  class WithoutFaults {
+
+    /** Guards against a limit that can't be used although nothing is wrong. */
+    @Test
+    void nearlyTheWholeLimitCanBeUsed() {
+      World world = new World(99);
+      for (int step = 0; step < 600; step++) {
+        world.step(false);
+      }
+      long before = world.granted;
+      for (int step = 0; step < 1_200; step++) {
+        world.step(false);
+      }
+      long used = world.granted - before;
+      assertTrue(used >= 0.95 * 100 * 60, "used " + used + " of 6000");
+    }
+  }
+
+  /** Three failure domains with three instances each. */
+  private static final class World {
+    final Random random;
+    final SimulatedStore store = new SimulatedStore();
+    final Map<String, SimulatedInstance> instances = new TreeMap<>();
+    final Map<String, Long> seenVersion = new TreeMap<>();
+    final Deque<long[]> accepted = new ArrayDeque<>();
+    final VoteRule rule = new VoteRule(DOMAINS);
+    final LeaseTable observer = LeaseTable.ofMillis(SimulatedInstance.LEASE_MILLIS);
+    final int seed;
+    final List<Transfer> open = new ArrayList<>();
+    Limits announced;
+    LimitValues beforeAnnounced;
+    long announcedAt;
+    long millis;
+    long granted;
+    long votes;
+    int restarts;
+    double level;
+
+    World(int seed) {
+      this.seed = seed;
+      this.random = new Random(seed);
+      LimitValues first = LimitValues.unlimited().with(LimitKind.REQUESTS_PER_SECOND, 100);
+      store.create(Kinds.LIMITS, MEMBER, Limits.spec(first, List.of()));
+      accepted.add(new long[] {0, 100});
+      for (String domain : DOMAINS) {
+        for (int i = 0; i < 3; i++) {
+          start(domain, domain + i);
+        }
+      }
+    }
+
+    void start(String domain, String name) {
+      instances.put(
+          name,
+          new SimulatedInstance(
+              name + "#" + restarts++, domain, DOMAINS, store, new Random(random.nextLong())));
+    }
+
+    void step(boolean faults) {
+      millis += STEP_MILLIS;
+      if (faults) {
+        fail();
+        vote();
+        moveShares();
+      }
+      instances.values().forEach(instance -> instance.step(millis));
+      use();
+      checkVersions();
+    }
+
+    private void fail() {
+      int dice = random.nextInt(2_000);
+      List<SimulatedInstance> all = List.copyOf(instances.values());
+      SimulatedInstance one = all.get(random.nextInt(all.size()));
+      if (dice < 6) {
+        boolean cut = random.nextBoolean();
+        String domain = DOMAINS.get(random.nextInt(3));
+        all.stream().filter(i -> i.domain.equals(domain)).forEach(i -> i.cutOff = cut);
+      } else if (dice < 16) {
+        one.cutOff = !one.cutOff;
+      } else if (dice < 24) {
+        one.pausedUntilMillis = millis + random.nextInt(15_000);
+      } else if (dice < 30) {
+        instances.remove(one.name);
+        start(one.domain, one.name);
+      } else if (dice < 34) {
+        all.forEach(instance -> instance.cutOff = false);
+      }
+    }
+
+    private Map<String, DomainRecord> readRecords() {
+      List<StoredObject> all =
+          ((StoreResult.Done<ObjectList>) store.list(Kinds.LEASES, "")).value().objects();
+      Map<String, Long> counters = new TreeMap<>();
+      all.forEach(
+          o ->
+              o.spec()
+                  .path("holders")
+                  .fields()
+                  .forEachRemaining(f -> counters.put(f.getKey(), f.getValue().asLong())));
+      long now = millis * 1_000_000;
+      observer.observeAll(counters, now, now);
+      return new DomainRecords().update(all, holder -> observer.isExpired(holder, now));
+    }
+
+    /** Votes as {@link VoteService} does, spread over virtual time. */
+    private void vote() {
+      Map<String, DomainRecord> known = readRecords();
+      StoredObject held =
+          ((StoreResult.Done<StoredObject>) store.get(Kinds.LIMITS, MEMBER)).value();
+      if (announced != null) {
+        boolean holds = rule.overWhenUnconfirmed(announced, ledger(), known).isEmpty();
+        if (holds || millis - announcedAt > 4_000) {
+          List<OlderLimits> older = new ArrayList<>(announced.older());
+          older.add(new OlderLimits(announced.version(), announced.current()));
+          store.update(
+              Kinds.LIMITS,
+              MEMBER,
+              held.version(),
+              Limits.spec(holds ? announced.current() : beforeAnnounced, older));
+          if (holds) {
+            accept(announced.current());
+          }
+          announced = null;
+        }
+      } else if (random.nextInt(200) == 0) {
+        Limits before = Limits.fromObject(held);
+        List<OlderLimits> older = VoteRule.stillPossible(before, known);
+        if (older.size() > VoteRule.MOST_OLDER) {
+          return;
+        }
+        LimitValues wanted =
+            before
+                .current()
+                .with(LimitKind.REQUESTS_PER_SECOND, 10 + random.nextInt(200))
+                .withIsolatedPpm(300_000 + random.nextInt(500_000));
+        boolean holds =
+            rule.overWhenCutOff(new Limits(Long.MAX_VALUE, wanted, older), known).isEmpty();
+        store.update(Kinds.LIMITS, MEMBER, held.version(), Limits.spec(wanted, older));
+        if (holds) {
+          accept(wanted);
+        } else {
+          beforeAnnounced = before.current();
+          announcedAt = millis;
+          announced =
+              Limits.fromObject(
+                  ((StoreResult.Done<StoredObject>) store.get(Kinds.LIMITS, MEMBER)).value());
+        }
+      }
+    }
+
+    private void accept(LimitValues values) {
+      accepted.add(new long[] {millis, values.value(LimitKind.REQUESTS_PER_SECOND).getAsLong()});
+      votes++;
+    }
+
+    private MemberShares ledger() {
+      String shard = Shares.shardOf(MEMBER);
+      return store.get(Kinds.SHARES, shard) instanceof StoreResult.Done<StoredObject> done
+          ? Shares.fromSpec(done.value().version(), done.value().spec()).of(MEMBER, DOMAINS)
+          : MemberShares.equalSplit(DOMAINS);
+    }
+
+    private void moveShares() {
+      if (random.nextInt(60) != 0) {
+        return;
+      }
+      MemberShares now = ledger();
+      if (!open.isEmpty()) {
+        Transfer transfer = open.get(0);
+        if (readRecords().get(transfer.giver()).sharesVersion() >= transfer.version()) {
+          write(now.withTaken(transfer.taker(), transfer.giver(), transfer.ppm()));
+          open.remove(0);
+        }
+        return;
+      }
+      String giver = DOMAINS.get(random.nextInt(3));
+      String taker = DOMAINS.get(random.nextInt(3));
+      int ppm = now.fraction(giver) / 2;
+      if (!giver.equals(taker) && ppm > 0 && readRecords().containsKey(giver)) {
+        long version = write(now.withGiven(giver, ppm));
+        open.add(new Transfer(giver, taker, ppm, version));
+      }
+    }
+
+    private long write(MemberShares shares) {
+      String shard = Shares.shardOf(MEMBER);
+      long base =
+          store.get(Kinds.SHARES, shard) instanceof StoreResult.Done<StoredObject> done
+              ? done.value().version()
+              : 0;
+      var spec = Shares.none().with(MEMBER, shares).toSpec();
+      var result =
+          base == 0
+              ? store.create(Kinds.SHARES, shard, spec)
+              : store.update(Kinds.SHARES, shard, base, spec);
+      return ((StoreResult.Done<StoredObject>) result).value().version();
+    }
+
+    private void use() {
+      while (accepted.size() > 1 && secondAcceptedAt() < millis - IN_FORCE_MILLIS) {
+        accepted.removeFirst();
+      }
+      long bound = accepted.stream().mapToLong(entry -> entry[1]).max().getAsLong();
+      level = Math.max(0, level - bound * STEP_MILLIS / 1000.0);
+      for (SimulatedInstance instance : instances.values()) {
+        long units = instance.ask(MEMBER, 1, millis);
+        while (units > 0) {
+          granted += units;
+          level += units;
+          units = instance.ask(MEMBER, 1, millis);
+        }
+      }
+      // Each failure domain may save up one second of its rate and one whole unit.
+      double burst = bound + DOMAINS.size();
+      assertTrue(
+          level <= burst,
+          () -> "seed " + seed + " at " + millis + " ms: " + level + " above " + burst);
+      for (String domain : DOMAINS) {
+        long homes =
+            instances.values().stream()
+                .filter(i -> i.domain.equals(domain) && i.runs(millis))
+                .filter(i -> i.standing(MEMBER, millis) != Standing.NONE)
+                .filter(i -> i.standing(MEMBER, millis) != Standing.ISOLATED)
+                .count();
+        assertTrue(homes <= 1, () -> "seed " + seed + ": two homes in " + domain);
+      }
+    }
+
+    private long secondAcceptedAt() {
+      var times = accepted.iterator();
+      times.next();
+      return times.next()[0];
+    }
+
+    private void checkVersions() {
+      for (SimulatedInstance instance : instances.values()) {
+        long applied = instance.appliedLimit(MEMBER);
+        String key = instance + instance.name;
+        long before = seenVersion.getOrDefault(key, 0L);
+        assertEquals(Math.max(before, applied), applied, "version went back on " + key);
+        seenVersion.put(key, applied);
+      }
+    }
+  }
+
+  private record Transfer(String giver, String taker, int ppm, long version) {}
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/limit/SimulatedInstance.java
@@ -0,0 +1,171 @@
+package org.sedgeroad.limit;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.peer.Grant;
+import org.sedgeroad.peer.GrantRequest;
+import org.sedgeroad.store.ObjectList;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoredObject;
+
+/** One instance in virtual time; its clock has its own origin. */
+final class SimulatedInstance {
+  static final long LEASE_MILLIS = 6_000;
+  private static final long MILLI = 1_000_000L;
+
+  final String name;
+  final String domain;
+  boolean cutOff;
+  long pausedUntilMillis;
+
+  private final SimulatedStore store;
+  private final Random random;
+  private final String holder;
+  private final long origin;
+  private final LeaseTable leases = LeaseTable.ofMillis(LEASE_MILLIS);
+  private final ConfigurationReplica replica = new ConfigurationReplica();
+  private final DomainRecords records = new DomainRecords();
+  private final TreeMap<String, Limits> limits = new TreeMap<>();
+  private final TreeMap<String, Shares> shares = new TreeMap<>();
+  private final HomeRoster roster;
+  private final GrantingHome home;
+  private final List<String> domains;
+  private int appliedChanges;
+  private long lagMillis;
+  private long nextRenewalMillis;
+  private long counter;
+  private StoredObject read;
+  private long readSentMillis;
+
+  SimulatedInstance(
+      String holder, String domain, List<String> domains, SimulatedStore store, Random random) {
+    this.holder = holder;
+    this.name = holder.substring(0, holder.indexOf('#'));
+    this.domain = domain;
+    this.domains = domains;
+    this.store = store;
+    this.random = random;
+    this.origin = random.nextLong();
+    this.roster = HomeRoster.of(holder, leases, LEASE_MILLIS, replica::highestVersion);
+    this.home =
+        new GrantingHome(
+            roster,
+            member -> java.util.Optional.ofNullable(limits.get(member)),
+            this::sharesOf,
+            records::all,
+            DomainAllowance.of(domain, domains));
+  }
+
+  MemberShares sharesOf(String member) {
+    return shares.getOrDefault(Shares.shardOf(member), Shares.none()).of(member, domains);
+  }
+
+  boolean runs(long millis) {
+    return millis >= pausedUntilMillis;
+  }
+
+  long appliedLimit(String member) {
+    return limits.containsKey(member) ? limits.get(member).version() : 0;
+  }
+
+  /** Advances to the given time: applies configuration and renews the lease. */
+  void step(long millis) {
+    if (cutOff || !runs(millis)) {
+      return;
+    }
+    // A change arrives within 2 s; all changes of one instance arrive in order.
+    if (random.nextInt(20) == 0) {
+      lagMillis = random.nextInt(1_500);
+    }
+    if (random.nextInt(1 + (int) lagMillis / 50) == 0) {
+      while (appliedChanges < store.changes.size()) {
+        apply(store.changes.get(appliedChanges++));
+      }
+    }
+    if (read != null) {
+      write(millis);
+    } else if (millis >= nextRenewalMillis) {
+      readSentMillis = millis;
+      read =
+          store.get(Kinds.LEASES, domain) instanceof StoreResult.Done<StoredObject> done
+              ? done.value()
+              : new StoredObject(Kinds.LEASES, domain, 0, JsonNodeFactory.instance.objectNode());
+      roster.adopt(read.spec(), nanos(readSentMillis), nanos(millis));
+    }
+  }
+
+  /** Asks this instance as if it were the home; returns the units granted. */
+  long ask(String member, long units, long millis) {
+    if (!runs(millis)) {
+      return 0;
+    }
+    Grant grant =
+        home.grant(
+            new GrantRequest("test", member, LimitKind.REQUESTS_PER_SECOND.toText(), units),
+            nanos(millis));
+    return grant.granted();
+  }
+
+  Standing standing(String member, long millis) {
+    return roster.standing(member, nanos(millis));
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void apply(StoredObject object) {
+    replica.apply(object);
+    if (object.kind().equals(Kinds.LIMITS)) {
+      limits.put(object.name(), Limits.fromObject(object));
+    } else {
+      shares.put(object.name(), Shares.fromSpec(object.version(), object.spec()));
+    }
+  }
+
+  private void write(long millis) {
+    ObjectNode spec = read.spec().deepCopy();
+    roster.prepare(spec, nanos(millis));
+    spec.withObject("/holders").put(holder, ++counter);
+    StoreResult<StoredObject> result =
+        read.version() == 0
+            ? store.create(Kinds.LEASES, domain, spec)
+            : store.update(Kinds.LEASES, domain, read.version(), spec);
+    long sent = readSentMillis;
+    read = null;
+    if (!(result instanceof StoreResult.Done<StoredObject> done)) {
+      nextRenewalMillis = millis + 50;
+      return;
+    }
+    nextRenewalMillis = millis + 1_000 + random.nextInt(700);
+    if (random.nextInt(20) == 0) {
+      // The answer is lost; the write took effect.
+      return;
+    }
+    roster.renewed(nanos(sent), leases.isHeld(nanos(millis)), nanos(millis));
+    leases.renewed(nanos(sent));
+    roster.adopt(done.value().spec(), nanos(sent), nanos(millis));
+    List<StoredObject> all =
+        ((StoreResult.Done<ObjectList>) store.list(Kinds.LEASES, "")).value().objects();
+    TreeMap<String, Long> counters = new TreeMap<>();
+    all.forEach(
+        object ->
+            object
+                .spec()
+                .path("holders")
+                .fields()
+                .forEachRemaining(
+                    field -> counters.put(field.getKey(), field.getValue().asLong())));
+    leases.observeAll(counters, nanos(millis), nanos(millis));
+    roster.recordsRead(
+        records.update(all, other -> leases.isExpired(other, nanos(millis))), nanos(millis));
+  }
+
+  private long nanos(long millis) {
+    return origin + millis * MILLI;
+  }
+}
