--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -28,7 +28,7 @@
 import org.sedgeroad.job.JobRunnerParts;
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.lease.LeaseTable;
-import org.sedgeroad.limit.Admission;
+import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
@@ -37,6 +37,7 @@
 import org.sedgeroad.route.BatchPolicies;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.RoutingPolicies;
+import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.HttpObjectStore;
 import org.sedgeroad.store.ObjectStore;
@@ -57,6 +58,7 @@
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
   private final LeaseTable leases;
+  private final VotedLimits limits;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final ExecutorService storeWorkers =
       new ThreadPoolExecutor(
@@ -93,7 +95,19 @@
     this.peers = PeerGroup.of(settings, clock, log);
     MembershipView membership = peers.membership();
     this.relay = peers.createRelay(store, replica);
-    this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
+    this.limits =
+        new VotedLimits(
+            settings.instance(),
+            holder,
+            settings.domain(),
+            settings.domains().stream().map(DomainSetting::domain).toList(),
+            settings.leaseMillis(),
+            leases,
+            replica,
+            replica::highestVersion,
+            peers.network(),
+            clock);
+    this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
             settings.instanceListAddress(),
@@ -152,7 +166,7 @@
                 livePressure,
                 RoutingPolicies.named(settings.routing()),
                 HttpEngineClient.of(caller),
-                (member, serviceClass, tokens) -> new Admission.Admitted(),
+                limits.gate(),
                 ClaimBook.of(writer),
                 clock,
                 new java.util.Random(),
@@ -233,6 +247,7 @@
     administration.close();
     relay.close();
     timer.shutdownNow();
+    leaseKeeper.release();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
     uploadWorkers.shutdownNow();
