Protect short requests, find stragglers, hedge within a budget

Cause: least-cost ignored slots, peers' counts and slowness, all entries chose the same endpoint, long requests could fill each endpoint, and a slow endpoint kept its share of the work.

Change: least-cost prefers free slots in this region and compares two random near-equal endpoints; LongRequestGuard limits requests over 8 times the median cost to a quarter of the slots and keeps a quarter of the endpoints free of them; AffinityPolicy follows hints up to 1.25 times the mean load; speeds are compared with the peers' median over 5 s, slow endpoints are ejected softly and probed after 3 s; BudgetedHedging starts a second attempt after the 95th percentile for at most 5% of the requests.

Result: new tests of each pass.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -36,6 +36,8 @@
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicies;
 import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.HedgePolicies;
+import org.sedgeroad.route.PrefixHints;
 import org.sedgeroad.route.RoutingPolicies;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.HttpObjectStore;
@@ -55,6 +57,7 @@
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
+  private final PrefixHints prefixHints = new PrefixHints(clock);
   private final LeaseTable leases;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final ExecutorService storeWorkers =
@@ -140,7 +143,9 @@
             new LiveServiceParts(
                 endpoints,
                 livePressure,
-                RoutingPolicies.named(settings.routing()),
+                RoutingPolicies.named(settings.routing(), endpoints.costs(), prefixHints),
+                prefixHints,
+                HedgePolicies.named(settings.hedging()),
                 HttpEngineClient.of(caller),
                 (member, serviceClass, tokens) -> new Admission.Admitted(),
                 ClaimBook.of(writer),
--- a/sedgeroad/src/main/java/org/sedgeroad/live/Attempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/Attempt.java
@@ -3,17 +3,16 @@
 import java.net.URI;
 import org.sedgeroad.engine.EngineStream;
 import org.sedgeroad.http.HttpHead;
-import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.Placement;
 
 /** One sending of a live request to an endpoint. Used by the request's thread only. */
 final class Attempt implements AutoCloseable {
   private final int number;
-  private final Placement placement;
-  private final EndpointTable endpoints;
-  private final PlacementListener listener;
+  private final AttemptTimes times;
+  private final LiveServiceParts parts;
   private final String runId;
   private final boolean resumed;
+  private Placement placement;
   private EngineStream stream;
   private HttpHead head;
   private int received;
@@ -22,15 +21,14 @@
   private Attempt(
       int number,
       Placement placement,
-      EndpointTable endpoints,
-      PlacementListener listener,
+      LiveServiceParts parts,
       String runId,
       int received,
       boolean resumed) {
     this.number = number;
     this.placement = placement;
-    this.endpoints = endpoints;
-    this.listener = listener;
+    this.parts = parts;
+    this.times = new AttemptTimes(parts);
     this.runId = runId;
     this.received = received;
     this.resumed = resumed;
@@ -38,12 +36,12 @@
 
   /** Returns an attempt that runs the request from its start. */
   static Attempt of(int number, Placement placement, LiveServiceParts parts, String runId) {
-    return new Attempt(number, placement, parts.endpoints(), parts.placements(), runId, 0, false);
+    return new Attempt(number, placement, parts, runId, 0, false);
   }
 
   /** Returns an attempt that continues the run of a broken one. */
   Attempt toResumed(int newNumber, Placement newPlacement) {
-    return new Attempt(newNumber, newPlacement, endpoints, listener, runId, received, true);
+    return new Attempt(newNumber, newPlacement, parts, runId, received, true);
   }
 
   int number() {
@@ -86,6 +84,14 @@
 
   void eventReceived() {
     received++;
+    if (!resumed) {
+      placement = times.event(placement, received);
+    }
+  }
+
+  /** Notes that the first event is late. */
+  void overdue() {
+    times.overdue(placement);
   }
 
   /** Cancels the sending at the endpoint if it has not ended, and ends the placement. */
@@ -100,8 +106,8 @@
         stream.close();
       }
     } finally {
-      endpoints.end(placement);
-      listener.ended(placement);
+      parts.endpoints().end(placement);
+      parts.placements().ended(placement);
     }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/live/AttemptStarter.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/AttemptStarter.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.sedgeroad.ServiceClass;
@@ -32,11 +33,21 @@
     return chosen.map(view -> start(shape, view));
   }
 
+  /** Runs the request also at a second endpoint; empty if none has a free slot. */
+  Optional<Attempt> startSecond(RequestShape shape) {
+    List<EndpointView> idle =
+        parts.endpoints().candidates(shape).stream()
+            .filter(view -> view.live() < view.slots() && view.local() && !view.isSlow())
+            .toList();
+    return parts.policy().choose(shape, idle, parts.random()).map(view -> start(shape, view));
+  }
+
   private Attempt start(RequestShape shape, EndpointView view) {
     Placement placement = parts.endpoints().begin(view.endpoint(), shape);
     int number = ++numbers;
     String runId = request.id() + "-" + number;
     Attempt attempt = Attempt.of(number, placement, parts, runId);
+    parts.hints().placed(runId, shape.prefixHash(), placement.endpoint());
     // The home is told before the request is sent, so that batch work starts to give way first.
     parts.placements().placed(placement, view);
     return send(
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/Hedge.java
@@ -0,0 +1,65 @@
+package org.sedgeroad.live;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
+import org.sedgeroad.route.RequestShape;
+
+/** The second attempt of one live request. Used by the request's thread only. */
+final class Hedge {
+  private static final Pattern STREAMED = Pattern.compile("\"stream\"\\s*:\\s*true");
+
+  private final LiveServiceParts parts;
+  private final LiveRequest request;
+  private final AttemptStarter starter;
+  private boolean pending;
+  private long dueNanos;
+
+  Hedge(LiveServiceParts parts, LiveRequest request, AttemptStarter starter) {
+    this.parts = parts;
+    this.request = request;
+    this.starter = starter;
+  }
+
+  /** Starts to wait for the first event. */
+  void begin() {
+    long now = parts.clock().nanos();
+    OptionalLong delay = parts.hedging().delayNanos(request.shape(), now);
+    // Only the time to the first event of a stream is comparable between requests.
+    if (delay.isPresent() && request.shape().idempotent() && isStreamed()) {
+      pending = true;
+      dueNanos = now + delay.getAsLong();
+    }
+  }
+
+  /** Returns when to stop waiting for an event, at the latest the deadline. */
+  long nextWake(long deadlineNanos) {
+    return pending && dueNanos - deadlineNanos < 0 ? dueNanos : deadlineNanos;
+  }
+
+  /** Starts the second attempt if the budget allows it. */
+  void start(RequestShape shape, List<Attempt> active) {
+    if (!pending || !parts.clock().hasPassed(dueNanos)) {
+      return;
+    }
+    pending = false;
+    if (active.size() != 1) {
+      return;
+    }
+    Attempt first = active.get(0);
+    first.overdue();
+    if (parts.hedging().tryHedge()) {
+      starter.startSecond(shape.withExcluded(first.placement().endpoint())).ifPresent(active::add);
+    }
+  }
+
+  /** Ends the wait: the first event came. */
+  void end() {
+    pending = false;
+  }
+
+  private boolean isStreamed() {
+    return STREAMED.matcher(new String(request.body(), StandardCharsets.ISO_8859_1)).find();
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LiveRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveRun.java
@@ -20,6 +20,7 @@
   private final Delivery delivery;
   private final AttemptStarter starter;
   private final List<Attempt> active = new ArrayList<>();
+  private final Hedge hedge;
   private RequestShape shape;
   private int broken;
   private boolean mayHaveRun;
@@ -33,32 +34,35 @@
     this.shape = request.shape();
     this.delivery = new Delivery(sink, request.deterministic() && shape.idempotent());
     this.starter = new AttemptStarter(parts, request, call);
+    this.hedge = new Hedge(parts, request, starter);
   }
 
   /** Serves the request to its end. */
   void serve() throws IOException, InterruptedException {
     try {
       boolean more = startNext();
+      hedge.begin();
       while (more) {
-        LiveEvent event = call.next(request.deadlineNanos(), parts.clock());
-        if (event == null) {
+        LiveEvent event = call.next(hedge.nextWake(request.deadlineNanos()), parts.clock());
+        if (event == null && !parts.clock().hasPassed(request.deadlineNanos())) {
+          hedge.start(shape, active);
+        } else if (event == null) {
           mayHaveRun = true;
           reason = "deadline passed";
-          break;
-        }
-        if (event instanceof LiveEvent.CallerGone) {
+          more = false;
+        } else if (event instanceof LiveEvent.CallerGone) {
           parts.log().log(LogEvent.CALLER_GONE, EventField.of("request", request.id()));
           throw new IOException("caller went away");
+        } else {
+          // What still comes from an attempt that was given up is not part of the answer.
+          Optional<Attempt> attempt = find(event.attempt());
+          if (attempt.isPresent()) {
+            if (event instanceof LiveEvent.Whole whole && isAnswer(attempt.get(), whole)) {
+              return;
+            }
+            more = take(attempt.get(), event);
+          }
         }
-        Optional<Attempt> attempt = find(event.attempt());
-        if (attempt.isEmpty()) {
-          // The attempt was given up before; what still comes from it is not part of the answer.
-          continue;
-        }
-        if (event instanceof LiveEvent.Whole whole && isAnswer(attempt.get(), whole)) {
-          return;
-        }
-        more = take(attempt.get(), event);
       }
     } finally {
       active.forEach(Attempt::close);
@@ -79,19 +83,35 @@
       return true;
     }
     if (event instanceof LiveEvent.Data data) {
+      win(attempt);
       attempt.eventReceived();
       return delivery.event(data.data()) || diverged(attempt);
     }
-    EngineFailure failure =
-        event instanceof LiveEvent.Failed failed
-            ? failed.failure()
-            : new EngineFailure.Broken("the endpoint can't continue the stream");
-    return failed(attempt, failure);
+    if (event instanceof LiveEvent.Failed failed) {
+      note(attempt, failed.failure());
+      return failed(attempt, failed.failure());
+    }
+    // The endpoint answers, so that it stays in use.
+    return failed(attempt, new EngineFailure.Broken("the endpoint could not go on"));
   }
 
   private boolean isAnswer(Attempt attempt, LiveEvent.Whole whole) throws IOException {
-    boolean refusedResume = attempt.isResumed() && attempt.head().status() != 200;
-    return !refusedResume && delivery.whole(attempt.head(), whole.body());
+    int status = attempt.head().status();
+    boolean refused = attempt.isResumed() ? status != 200 : active.size() > 1 && status >= 500;
+    if (refused) {
+      return false;
+    }
+    win(attempt);
+    return delivery.whole(attempt.head(), whole.body());
+  }
+
+  /** Gives up all other attempts: the first one with an event gives the answer. */
+  private void win(Attempt winner) {
+    hedge.end();
+    if (active.size() > 1) {
+      mayHaveRun = true;
+      List.copyOf(active).stream().filter(attempt -> attempt != winner).forEach(this::giveUp);
+    }
   }
 
   private boolean diverged(Attempt attempt) {
@@ -116,7 +136,6 @@
   /** Decides after a failed attempt; returns whether an attempt is active. */
   private boolean failed(Attempt attempt, EngineFailure failure) {
     giveUp(attempt);
-    note(attempt, failure);
     boolean notRun = failure instanceof EngineFailure.NotRun;
     shape = shape.withExcluded(attempt.placement().endpoint());
     if (!notRun) {
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LiveServiceParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveServiceParts.java
@@ -6,6 +6,8 @@
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.limit.LimitGate;
 import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.HedgePolicy;
+import org.sedgeroad.route.PrefixHints;
 import org.sedgeroad.route.RoutingPolicy;
 
 /**
@@ -14,6 +16,8 @@
  * @param endpoints endpoints and counts
  * @param placements learns of the requests' placements
  * @param policy routing policy
+ * @param hints learns which endpoint got which prefix
+ * @param hedging when second attempts are made
  * @param engine client for the endpoints
  * @param limits voted limits
  * @param claims claims of non-idempotent requests
@@ -25,6 +29,8 @@
     EndpointTable endpoints,
     PlacementListener placements,
     RoutingPolicy policy,
+    PrefixHints hints,
+    HedgePolicy hedging,
     EngineClient engine,
     LimitGate limits,
     ClaimBook claims,
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/AffinityPolicy.java
@@ -0,0 +1,55 @@
+package org.sedgeroad.route;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Prefers an endpoint that probably holds the prompt's prefix, if it has little more load. */
+final class AffinityPolicy implements RoutingPolicy {
+  /** Bounded load: a hint counts only up to this many times the mean load. */
+  private static final double LOAD_BOUND = 1.25;
+
+  private final PrefixHints hints;
+  private final RoutingPolicy otherwise;
+
+  AffinityPolicy(PrefixHints hints, RoutingPolicy otherwise) {
+    this.hints = hints;
+    this.otherwise = otherwise;
+  }
+
+  @Override
+  public Optional<EndpointView> choose(
+      RequestShape request, List<EndpointView> candidates, RandomGenerator random) {
+    if (request.prefixHash() != 0) {
+      List<String> names = hints.find(request.prefixHash());
+      if (!names.isEmpty()) {
+        double most = bound(candidates);
+        for (String name : names) {
+          for (EndpointView view : candidates) {
+            if (view.endpoint().name().equals(name) && isOpen(view, most)) {
+              return Optional.of(view);
+            }
+          }
+        }
+      }
+    }
+    return otherwise.choose(request, candidates, random);
+  }
+
+  private static boolean isOpen(EndpointView view, double most) {
+    return view.local() && !view.isSlow() && view.live() < view.slots() && view.live() <= most;
+  }
+
+  /** Returns the live requests that an endpoint may have before it gets the new one. */
+  private static double bound(List<EndpointView> candidates) {
+    int live = 0;
+    int count = 0;
+    for (EndpointView view : candidates) {
+      if (view.local()) {
+        live += view.live();
+        count++;
+      }
+    }
+    return count == 0 ? 0 : LOAD_BOUND * live / count;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/BudgetedHedging.java
@@ -0,0 +1,103 @@
+package org.sedgeroad.route;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Starts a second attempt when the first event takes longer than for 95 in 100 requests, for at
+ * most 5% of the requests.
+ */
+final class BudgetedHedging implements HedgePolicy {
+  /** Second attempts in 100 requests. */
+  private static final int PERCENT = 5;
+
+  /** Unused second attempts that are kept, so that a short slowdown can be bridged. */
+  private static final int MOST_KEPT = 10;
+
+  private static final double PERCENTILE = 95;
+  private static final int LEAST_SAMPLES = 40;
+
+  /** Shorter waits would send second attempts because of scheduling delays. */
+  private static final long LEAST_DELAY_NANOS = 10_000_000L;
+
+  private static final long WINDOW_NANOS = 30_000_000_000L;
+
+  /** As in {@link EndpointSpeed}: part of the time does not depend on the prompt. */
+  private static final int PROMPT_OFFSET = 64;
+
+  private final Map<String, Times> services = new ConcurrentHashMap<>();
+  private int hundredths;
+
+  @Override
+  public OptionalLong delayNanos(RequestShape request, long nowNanos) {
+    synchronized (this) {
+      hundredths = Math.min(MOST_KEPT * 100, hundredths + PERCENT);
+    }
+    Times times = services.get(request.service());
+    if (times == null || !request.idempotent()) {
+      return OptionalLong.empty();
+    }
+    long perToken = times.percentile();
+    return perToken == 0
+        ? OptionalLong.empty()
+        : OptionalLong.of(Math.max(LEAST_DELAY_NANOS, perToken * tokens(request)));
+  }
+
+  @Override
+  public synchronized boolean tryHedge() {
+    if (hundredths < 100) {
+      return false;
+    }
+    hundredths -= 100;
+    return true;
+  }
+
+  @Override
+  public void observeFirstEvent(RequestShape request, long elapsedNanos, long nowNanos) {
+    services
+        .computeIfAbsent(request.service(), name -> new Times(nowNanos))
+        .add(elapsedNanos / tokens(request), nowNanos);
+  }
+
+  private static int tokens(RequestShape request) {
+    return request.promptTokens() + PROMPT_OFFSET;
+  }
+
+  /** Times to the first event for each prompt token, of the last window and the running one. */
+  private static final class Times {
+    private static final long HIGHEST_NANOS = 60_000_000_000L;
+    private static final int RECOMPUTE_EACH = 16;
+
+    private Histogram last = new Histogram(HIGHEST_NANOS, 2);
+    private Histogram running = new Histogram(HIGHEST_NANOS, 2);
+    private long windowEndNanos;
+    private long added;
+    private long percentile;
+
+    Times(long now) {
+      windowEndNanos = now + WINDOW_NANOS;
+    }
+
+    synchronized void add(long nanos, long now) {
+      if (now - windowEndNanos >= 0) {
+        Histogram oldest = last;
+        last = running;
+        running = oldest;
+        running.reset();
+        windowEndNanos = now + WINDOW_NANOS;
+      }
+      running.recordValue(Math.min(HIGHEST_NANOS, Math.max(1, nanos)));
+      if (++added >= LEAST_SAMPLES && added % RECOMPUTE_EACH == 0) {
+        Histogram both = last.copy();
+        both.add(running);
+        percentile = both.getValueAtPercentile(PERCENTILE);
+      }
+    }
+
+    synchronized long percentile() {
+      return percentile;
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointRecord.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointRecord.java
@@ -15,7 +15,9 @@
   long ejectedUntilNanos;
   int live;
   int batch;
+  int longLive;
   long cost;
+  final EndpointSpeed speed = new EndpointSpeed();
 
   EndpointRecord(long generation, Endpoint endpoint) {
     this.generation = generation;
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -10,9 +10,11 @@
 import java.util.Optional;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.sedgeroad.Endpoint;
 import org.sedgeroad.EndpointState;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.ServiceClass;
 
 /**
  * All endpoints that this instance knows, with its own counts of the work in flight.
@@ -34,15 +36,21 @@
   /** Generation of a placement that is not counted. */
   private static final long NO_GENERATION = 0;
 
+  /** Speeds are compared at most once in this time, because all endpoints are looked at. */
+  private static final long COMPARISON_NANOS = 200_000_000L;
+
   private static final int DEFAULT_SLOTS = 8;
 
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
   private final Map<String, Integer> slots = new HashMap<>();
+  private final RequestCosts costs = new RequestCosts();
   private final PeerLiveCounts peers = new PeerLiveCounts();
   private final String region;
   private final MonotonicClock clock;
   private long generations;
+  private boolean compared;
+  private long nextComparisonNanos;
 
   private EndpointTable(String region, MonotonicClock clock) {
     this.region = region;
@@ -173,11 +181,13 @@
   public List<EndpointView> candidates(RequestShape request) {
     lock.lock();
     try {
+      long now = clock.nanos();
+      compareSpeeds(now);
       List<EndpointView> views = new ArrayList<>();
       for (EndpointRecord endpoint : records.values()) {
         boolean serves = endpoint.endpoint.service().equals(request.service());
         if (serves && usable(endpoint) && !request.excluded().contains(endpoint.endpoint.name())) {
-          views.add(view(endpoint));
+          views.add(view(endpoint, now));
         }
       }
       return views;
@@ -190,7 +200,11 @@
   public List<EndpointView> usableEndpoints() {
     lock.lock();
     try {
-      return records.values().stream().filter(this::usable).map(this::view).toList();
+      long now = clock.nanos();
+      return records.values().stream()
+          .filter(this::usable)
+          .map(endpoint -> view(endpoint, now))
+          .toList();
     } finally {
       lock.unlock();
     }
@@ -221,19 +235,25 @@
    * endpoint that has gone since keeps its address in the placement, and is not counted.
    */
   public Placement begin(Endpoint endpoint, RequestShape request) {
+    boolean live = request.serviceClass() == ServiceClass.LIVE;
+    boolean isLong = live && costs.isLong(request);
+    if (live) {
+      costs.add(request);
+    }
     lock.lock();
     try {
       EndpointRecord target = records.get(endpoint.name());
       boolean known = target != null && target.endpoint.address().equals(endpoint.address());
-      if (known) {
-        target.add(request, 1);
-      }
-      return new Placement(
-          endpoint.name(),
-          endpoint.address(),
-          known ? target.generation : NO_GENERATION,
-          request,
-          clock.nanos());
+      Placement placement =
+          new Placement(
+              endpoint.name(),
+              endpoint.address(),
+              known ? target.generation : NO_GENERATION,
+              request,
+              isLong,
+              clock.nanos());
+      count(placement, 1);
+      return placement;
     } finally {
       lock.unlock();
     }
@@ -241,30 +261,102 @@
 
   /** Counts the request of an ended placement once more at the same endpoint. */
   public Placement beginAgain(Placement ended) {
-    change(
-        ended.endpoint(),
-        endpoint -> {
-          if (endpoint.generation == ended.generation()) {
-            endpoint.add(ended.request(), 1);
-          }
-        });
-    return new Placement(
-        ended.endpoint(), ended.address(), ended.generation(), ended.request(), clock.nanos());
+    lock.lock();
+    try {
+      count(ended, 1);
+      return new Placement(
+          ended.endpoint(),
+          ended.address(),
+          ended.generation(),
+          ended.request(),
+          ended.isLong(),
+          clock.nanos());
+    } finally {
+      lock.unlock();
+    }
   }
 
   /** Ends a placement; no effect on an endpoint that replaced the one of the placement. */
   public void end(Placement placement) {
-    change(
+    lock.lock();
+    try {
+      count(placement, -1);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Notes the first event of an answer, or that it has not come after some time. */
+  public void observeFirstEvent(Placement placement, long elapsedNanos) {
+    changeAt(
         placement.endpoint(),
-        endpoint -> {
-          if (endpoint.generation == placement.generation()) {
-            endpoint.add(placement.request(), -1);
-          }
-        });
+        placement.address(),
+        endpoint ->
+            endpoint.speed.firstEvent(
+                placement.request().promptTokens(), elapsedNanos, clock.nanos()));
+  }
+
+  /**
+   * Notes a further event of an answer.
+   *
+   * @param gapNanos time since the event before
+   * @param events events received so far, about the output tokens
+   * @return the placement, which counts as long if the request has become long
+   */
+  public Placement observeGap(Placement placement, long gapNanos, int events) {
+    RequestShape request = placement.request();
+    boolean becomesLong =
+        !placement.isLong()
+            && costs.isLong(request.service(), (long) request.promptTokens() + events);
+    lock.lock();
+    try {
+      EndpointRecord endpoint = records.get(placement.endpoint());
+      if (endpoint != null && endpoint.generation == placement.generation()) {
+        endpoint.speed.gap(gapNanos, clock.nanos());
+        endpoint.longLive += becomesLong ? 1 : 0;
+      }
+    } finally {
+      lock.unlock();
+    }
+    return becomesLong ? placement.toLong() : placement;
+  }
+
+  /** Returns the usual costs of the requests placed so far. */
+  public RequestCosts costs() {
+    return costs;
   }
 
   // -----------------------------------------------------------------------
 
+  private void count(Placement placement, int sign) {
+    EndpointRecord endpoint = records.get(placement.endpoint());
+    if (endpoint != null && endpoint.generation == placement.generation()) {
+      endpoint.add(placement.request(), sign);
+      endpoint.longLive += placement.isLong() ? sign : 0;
+      if (sign > 0) {
+        endpoint.speed.placed(clock.nanos());
+      }
+    }
+  }
+
+  /** Compares the speeds of each service's endpoints, at intervals. */
+  private void compareSpeeds(long now) {
+    if (compared && now - nextComparisonNanos < 0) {
+      return;
+    }
+    compared = true;
+    nextComparisonNanos = now + COMPARISON_NANOS;
+    records.values().stream()
+        .collect(
+            Collectors.groupingBy(
+                endpoint -> endpoint.endpoint.service(),
+                Collectors.mapping(endpoint -> endpoint.speed, Collectors.toList())))
+        .values()
+        .forEach(speeds -> SpeedComparison.update(speeds, now));
+  }
+
   private void drain(EndpointRecord endpoint) {
     endpoint.draining = true;
     endpoint.drainingSinceNanos = clock.nanos();
@@ -290,7 +382,7 @@
         && (!endpoint.ejected || clock.hasPassed(endpoint.ejectedUntilNanos));
   }
 
-  private EndpointView view(EndpointRecord endpoint) {
+  private EndpointView view(EndpointRecord endpoint, long now) {
     return new EndpointView(
         endpoint.endpoint,
         slots.getOrDefault(endpoint.endpoint.service(), DEFAULT_SLOTS),
@@ -298,8 +390,8 @@
         peers.sum(endpoint.endpoint.name()),
         endpoint.batch,
         endpoint.cost,
-        0,
-        1.0,
+        endpoint.longLive,
+        endpoint.speed.slowness(now),
         endpoint.endpoint.region().equals(region));
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointView.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointView.java
@@ -25,6 +25,8 @@
     int longLive,
     double slowness,
     boolean local) {
+  /** From this slowness on an endpoint gets work only if no other is free. */
+  private static final double SLOW = 2.0;
 
   /** Returns all requests known to be in flight. */
   public int inFlight() {
@@ -35,4 +37,9 @@
   public int live() {
     return ownLive + peerLive;
   }
+
+  /** Returns whether the endpoint is softly ejected because it is slow. */
+  public boolean isSlow() {
+    return slowness >= SLOW;
+  }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/LeastCostPolicy.java
@@ -0,0 +1,93 @@
+package org.sedgeroad.route;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses an endpoint with a free slot, in this region if its queue is short, with little expected
+ * work in flight.
+ *
+ * <p>Two random ones of the near-equal endpoints are compared, because all instances see about the
+ * same counts and would otherwise choose the same endpoint until the next report.
+ */
+final class LeastCostPolicy implements RoutingPolicy {
+  private static final double NEAR = 1.25;
+
+  /** Another region is used if each local endpoint has this part of its slots waiting. */
+  private static final double SPILL_QUEUE = 0.5;
+
+  private final RequestCosts costs;
+
+  LeastCostPolicy(RequestCosts costs) {
+    this.costs = costs;
+  }
+
+  @Override
+  public Optional<EndpointView> choose(
+      RequestShape request, List<EndpointView> candidates, RandomGenerator random) {
+    int size = candidates.size();
+    if (size == 0) {
+      return Optional.empty();
+    }
+    long typical = costs.typical(request.service(), request.cost());
+    boolean spill = isLocalQueueLong(candidates);
+    double[] scores = new double[size];
+    int bestTier = Integer.MAX_VALUE;
+    double bestScore = Double.MAX_VALUE;
+    int[] tiers = new int[size];
+    for (int index = 0; index < size; index++) {
+      EndpointView view = candidates.get(index);
+      tiers[index] = tier(view, spill);
+      scores[index] = score(view, request, typical);
+      if (tiers[index] < bestTier || (tiers[index] == bestTier && scores[index] < bestScore)) {
+        bestTier = tiers[index];
+        bestScore = scores[index];
+      }
+    }
+    int[] near = new int[size];
+    int count = 0;
+    for (int index = 0; index < size; index++) {
+      if (tiers[index] == bestTier && scores[index] <= bestScore * NEAR) {
+        near[count++] = index;
+      }
+    }
+    int first = near[random.nextInt(count)];
+    int second = near[random.nextInt(count)];
+    return Optional.of(candidates.get(scores[second] < scores[first] ? second : first));
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Returns whether no local endpoint could start a request soon. */
+  private static boolean isLocalQueueLong(List<EndpointView> candidates) {
+    for (EndpointView view : candidates) {
+      double queue = view.live() + 1.0 - view.slots();
+      if (view.local() && queue <= view.slots() * SPILL_QUEUE) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Orders by region and by the wait for a slot; a lower tier is always better. */
+  private static int tier(EndpointView view, boolean spill) {
+    int wait;
+    if (view.isSlow() || view.live() >= view.slots()) {
+      wait = 2;
+    } else {
+      // Batch work gives way, but only after it has been told.
+      wait = view.inFlight() < view.slots() ? 0 : 1;
+    }
+    if (view.local()) {
+      return wait;
+    }
+    return spill && wait < 2 ? 1 : 3 + wait;
+  }
+
+  private static double score(EndpointView view, RequestShape request, long typical) {
+    double inFlight = view.cost() + (double) view.peerLive() * typical;
+    double queue = Math.max(0, view.live() + 1.0 - view.slots());
+    return (inFlight / view.slots() + request.cost() + queue * typical) * view.slowness();
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/LongRequestGuard.java
@@ -0,0 +1,56 @@
+package org.sedgeroad.route;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.sedgeroad.peer.Rendezvous;
+
+/**
+ * Limits long requests to a part of each endpoint's slots and keeps some endpoints free of them.
+ *
+ * <p>Instances count only their own long requests; that all of them keep the same endpoints free is
+ * what holds between them.
+ */
+final class LongRequestGuard implements RoutingPolicy {
+  /** One endpoint in this many is kept free, and one slot in this many takes long requests. */
+  private static final int PART = 4;
+
+  private final RequestCosts costs;
+  private final RoutingPolicy policy;
+
+  LongRequestGuard(RequestCosts costs, RoutingPolicy policy) {
+    this.costs = costs;
+    this.policy = policy;
+  }
+
+  @Override
+  public Optional<EndpointView> choose(
+      RequestShape request, List<EndpointView> candidates, RandomGenerator random) {
+    if (candidates.size() < 2 || !costs.isLong(request)) {
+      return policy.choose(request, candidates, random);
+    }
+    List<EndpointView> allowed = new ArrayList<>(allowed(request, candidates, true));
+    allowed.addAll(allowed(request, candidates, false));
+    return policy.choose(request, allowed, random);
+  }
+
+  /** Returns the endpoints of one side that may get a long request; not empty if the side isn't. */
+  private static List<EndpointView> allowed(
+      RequestShape request, List<EndpointView> candidates, boolean local) {
+    List<EndpointView> side = candidates.stream().filter(view -> view.local() == local).toList();
+    List<String> names = side.stream().map(view -> view.endpoint().name()).toList();
+    Set<String> free =
+        Set.copyOf(Rendezvous.rank(request.service(), names).subList(0, names.size() / PART));
+    List<EndpointView> open =
+        side.stream().filter(view -> !free.contains(view.endpoint().name())).toList();
+    List<EndpointView> below =
+        open.stream().filter(view -> view.longLive() < Math.max(1, view.slots() / PART)).toList();
+    if (!below.isEmpty()) {
+      return below;
+    }
+    int least = open.stream().mapToInt(EndpointView::longLive).min().orElse(0);
+    return open.stream().filter(view -> view.longLive() == least).toList();
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/route/Placement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/Placement.java
@@ -9,7 +9,19 @@
  * @param address base address of the endpoint
  * @param generation number of the endpoint's entry in the table; a replaced endpoint has another
  * @param request the request
+ * @param isLong whether it counts as a long request
  * @param startedNanos monotonic start in nanoseconds
  */
 public record Placement(
-    String endpoint, URI address, long generation, RequestShape request, long startedNanos) {}
+    String endpoint,
+    URI address,
+    long generation,
+    RequestShape request,
+    boolean isLong,
+    long startedNanos) {
+
+  /** Returns a copy that counts as long. */
+  Placement toLong() {
+    return new Placement(endpoint, address, generation, request, true, startedNanos);
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/route/RoutingPolicies.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/RoutingPolicies.java
@@ -13,13 +13,18 @@
   /**
    * Returns the policy with a name of the settings.
    *
+   * @param name name of the policy
+   * @param costs usual costs of requests, as the endpoint table collects them
+   * @param hints hints on prefixes
    * @throws IllegalArgumentException if the name is unknown
    */
-  public static RoutingPolicy named(String name) {
+  public static RoutingPolicy named(String name, RequestCosts costs, PrefixHints hints) {
     return switch (name) {
       case "round-robin" -> roundRobin();
       case "least-outstanding" -> RoutingPolicies::leastOutstanding;
-      case "least-cost", "least-cost-affinity" -> RoutingPolicies::leastCost;
+      case "least-cost" -> new LongRequestGuard(costs, new LeastCostPolicy(costs));
+      case "least-cost-affinity" ->
+          new LongRequestGuard(costs, new AffinityPolicy(hints, new LeastCostPolicy(costs)));
       default -> throw new IllegalArgumentException("unknown routing policy: " + name);
     };
   }
@@ -37,15 +42,6 @@
     return best(candidates, Comparator.comparingInt(EndpointView::inFlight), random);
   }
 
-  private static Optional<EndpointView> leastCost(
-      RequestShape request, List<EndpointView> candidates, RandomGenerator random) {
-    Comparator<EndpointView> order =
-        Comparator.comparing((EndpointView view) -> !view.local())
-            .thenComparingDouble(
-                view -> (view.cost() + request.cost() * (view.live() + 1.0)) * view.slowness());
-    return best(candidates, order, random);
-  }
-
   /** Breaks ties at random, so that instances do not all choose the same endpoint. */
   private static Optional<EndpointView> best(
       List<EndpointView> candidates, Comparator<EndpointView> order, RandomGenerator random) {
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/SpeedWindow.java
@@ -0,0 +1,43 @@
+package org.sedgeroad.route;
+
+import java.util.Arrays;
+
+/** Mean of the values of the last five seconds, kept in buckets of one second. */
+final class SpeedWindow {
+  private static final int BUCKETS = 5;
+  private static final long BUCKET_NANOS = 1_000_000_000L;
+
+  private final double[] sums = new double[BUCKETS];
+  private final int[] counts = new int[BUCKETS];
+  private final long[] numbers = new long[BUCKETS];
+
+  SpeedWindow() {
+    Arrays.fill(numbers, Long.MIN_VALUE);
+  }
+
+  void add(double value, long now) {
+    long number = Math.floorDiv(now, BUCKET_NANOS);
+    int index = (int) Math.floorMod(number, (long) BUCKETS);
+    if (numbers[index] != number) {
+      numbers[index] = number;
+      sums[index] = 0;
+      counts[index] = 0;
+    }
+    sums[index] += value;
+    counts[index]++;
+  }
+
+  /** Returns the mean, NaN if there are fewer values than the least number. */
+  double mean(int least, long now) {
+    long oldest = Math.floorDiv(now, BUCKET_NANOS) - BUCKETS;
+    double sum = 0;
+    int count = 0;
+    for (int index = 0; index < BUCKETS; index++) {
+      if (numbers[index] > oldest) {
+        sum += sums[index];
+        count += counts[index];
+      }
+    }
+    return count < least ? Double.NaN : sum / count;
+  }
+}
--- a/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.live;
 
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -13,7 +14,10 @@
 import org.sedgeroad.limit.Admission;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.EndpointView;
+import org.sedgeroad.route.HedgePolicies;
+import org.sedgeroad.route.HedgePolicy;
 import org.sedgeroad.route.Placement;
+import org.sedgeroad.route.PrefixHints;
 import org.sedgeroad.route.RequestShape;
 import org.sedgeroad.route.RoutingPolicies;
 import org.sedgeroad.store.StoreWriter;
@@ -29,6 +33,8 @@
         @Override
         public void ended(Placement placement) {}
       };
+  HedgePolicy hedging = HedgePolicies.named("none");
+  private final PrefixHints hints = new PrefixHints(MonotonicClock.SYSTEM);
   final EndpointTable endpoints = EndpointTable.of("r", MonotonicClock.SYSTEM);
   private boolean idempotent = true;
   private boolean deterministic;
@@ -84,7 +90,9 @@
         new LiveServiceParts(
             endpoints,
             placements,
-            RoutingPolicies.named("least-cost"),
+            RoutingPolicies.named("least-cost", endpoints.costs(), hints),
+            hints,
+            hedging,
             engine,
             (member, serviceClass, tokens) -> new Admission.Admitted(),
             ClaimBook.of(StoreWriter.of(null, "test")),
@@ -99,7 +107,7 @@
         "POST",
         "/v1/completions",
         Map.of(),
-        new byte[0],
+        "{\"stream\":true}".getBytes(StandardCharsets.UTF_8),
         "",
         deterministic,
         MonotonicClock.SYSTEM.deadlineAfterMillis(deadlineMillis),
--- a/sedgeroad/src/test/java/org/sedgeroad/live/LiveServiceTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LiveServiceTest.java
@@ -8,9 +8,12 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sedgeroad.WorkState;
+import org.sedgeroad.route.HedgePolicy;
+import org.sedgeroad.route.RequestShape;
 
 class LiveServiceTest {
   private final LiveFixture fixture = new LiveFixture(3);
@@ -201,4 +204,74 @@
       assertEquals(0, fixture.inFlight());
     }
   }
+
+  @Nested
+  class Hedging {
+    private int budget = 1;
+
+    private void hedgeAfterMillis(long millis) {
+      fixture.hedging =
+          new HedgePolicy() {
+            @Override
+            public OptionalLong delayNanos(RequestShape request, long nowNanos) {
+              return OptionalLong.of(millis * 1_000_000L);
+            }
+
+            @Override
+            public boolean tryHedge() {
+              return budget-- > 0;
+            }
+
+            @Override
+            public void observeFirstEvent(RequestShape request, long elapsed, long nowNanos) {}
+          };
+    }
+
+    /** Guards against a mixture of two attempts, and against a loser that runs on. */
+    @Test
+    void theFirstEventWinsAndTheLoserIsCancelled() throws Exception {
+      hedgeAfterMillis(10);
+      FakeEngine.Sent[] first = new FakeEngine.Sent[1];
+      FakeEngine engine =
+          new FakeEngine(
+              sent -> first[0] = sent.head("text/event-stream"),
+              sent -> {
+                sent.stream("second");
+                first[0].stream("first").end();
+                sent.end();
+              });
+      FakeSink sink = fixture.serve(engine);
+      assertEquals("second", sink.text.toString());
+      assertTrue(sink.ended);
+      assertEquals(List.of("r-1", "r-2"), engine.cancelled);
+      assertEquals(0, fixture.inFlight());
+    }
+
+    /** Guards against an error of one attempt that ends the request while the other one runs. */
+    @Test
+    void aFailedAttemptLeavesTheOtherOne() throws Exception {
+      hedgeAfterMillis(10);
+      FakeEngine.Sent[] first = new FakeEngine.Sent[1];
+      FakeSink sink =
+          fixture.serve(
+              new FakeEngine(
+                  sent -> first[0] = sent,
+                  sent -> {
+                    sent.breaks();
+                    first[0].stream("first").end();
+                  }));
+      assertEquals("first", sink.text.toString());
+    }
+
+    /** Guards against a second run of work that must not be repeated, or beyond the budget. */
+    @Test
+    void isNotDoneForNonIdempotentRequestsOrWithoutBudget() throws Exception {
+      hedgeAfterMillis(1);
+      FakeEngine engine = new FakeEngine();
+      fixture.withIdempotent(false).withDeadlineMillis(30).serve(engine);
+      budget = 0;
+      fixture.withIdempotent(true).withDeadlineMillis(30).serve(engine);
+      assertEquals(2, engine.sent.size());
+    }
+  }
 }
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/route/RoutingPoliciesTest.java
@@ -0,0 +1,167 @@
+package org.sedgeroad.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RoutingPoliciesTest {
+  private final Random random = new Random(1);
+  private final RequestCosts costs = new RequestCosts();
+  private long nanos;
+  private final PrefixHints hints = new PrefixHints(() -> nanos);
+
+  private RoutingPolicy policy(String name) {
+    return RoutingPolicies.named(name, costs, hints);
+  }
+
+  private Map<String, Integer> choices(
+      RoutingPolicy policy, RequestShape request, List<EndpointView> views) {
+    Map<String, Integer> counts = new HashMap<>();
+    for (int index = 0; index < 1_000; index++) {
+      String name = policy.choose(request, views, random).orElseThrow().endpoint().name();
+      counts.merge(name, 1, Integer::sum);
+    }
+    return counts;
+  }
+
+  private static EndpointView remote(String name, int live) {
+    return new EndpointView(Views.endpoint(name, "x"), 8, live, 0, 0, 0, 0, 1.0, false);
+  }
+
+  private static EndpointView slow(String name, int live) {
+    return new EndpointView(Views.endpoint(name, "r"), 8, live, 0, 0, live * 20L, 0, 10.0, true);
+  }
+
+  @Nested
+  class LeastCost {
+    private final RoutingPolicy policy = policy("least-cost");
+    private final RequestShape request = Views.request(10);
+
+    /** Guards against a request that queues although another endpoint has a free slot. */
+    @Test
+    void neverQueuesBesideAFreeSlot() {
+      var views = List.of(Views.live("full", 0, 8), Views.live("free", 7, 0));
+      assertEquals(Map.of("free", 1_000), choices(policy, request, views));
+    }
+
+    /** Guards against work that crosses the region link although a local slot is free. */
+    @Test
+    void staysInItsRegionUntilTheQueueIsLong() {
+      var some = List.of(Views.live("local", 10, 0), remote("far", 0));
+      assertEquals(Map.of("local", 1_000), choices(policy, request, some));
+      var most = List.of(Views.live("local", 12, 0), remote("far", 0));
+      assertEquals(Map.of("far", 1_000), choices(policy, request, most));
+    }
+
+    /** Guards against new work at an endpoint that is known to be slow. */
+    @Test
+    void avoidsSlowEndpoints() {
+      var views = List.of(slow("slow", 0), Views.live("fast", 7, 0));
+      assertEquals(Map.of("fast", 1_000), choices(policy, request, views));
+    }
+
+    /** Guards against all instances sending to the one endpoint that looks best to each. */
+    @Test
+    void spreadsOverNearEqualEndpoints() {
+      var views = IntStream.range(0, 8).mapToObj(i -> Views.live("e" + i, i % 2, 0)).toList();
+      Map<String, Integer> counts = choices(policy, request, views);
+      assertTrue(counts.values().stream().allMatch(count -> count < 350), counts.toString());
+    }
+  }
+
+  @Nested
+  class LongRequests {
+    private final RoutingPolicy policy = policy("least-cost");
+    private final RequestShape request = Views.request(600);
+
+    private void learn() {
+      IntStream.range(0, 64).forEach(index -> costs.add(Views.request(10)));
+    }
+
+    private List<EndpointView> views(int longLive) {
+      List<EndpointView> views = new ArrayList<>();
+      for (int index = 0; index < 8; index++) {
+        views.add(
+            new EndpointView(
+                Views.endpoint("e" + index, "r"), 8, 2, 0, 0, 40, longLive, 1.0, true));
+      }
+      return views;
+    }
+
+    /** Guards against short requests that find long ones at each endpoint. */
+    @Test
+    void leaveAQuarterOfTheEndpointsFree() {
+      assertEquals(8, choices(policy, request, views(0)).size());
+      learn();
+      assertEquals(6, choices(policy, request, views(0)).size());
+      assertEquals(8, choices(policy, Views.request(10), views(0)).size());
+    }
+
+    /** Guards against an endpoint whose slots are all taken by long requests. */
+    @Test
+    void takePartOfTheSlotsOnly() {
+      learn();
+      List<EndpointView> views = views(2);
+      String open = choices(policy, request, views).keySet().iterator().next();
+      views.replaceAll(
+          view ->
+              view.endpoint().name().equals(open)
+                  ? new EndpointView(view.endpoint(), 8, 7, 0, 0, 900, 1, 1.0, true)
+                  : view);
+      assertEquals(Map.of(open, 1_000), choices(policy, request, views));
+    }
+  }
+
+  @Nested
+  class Affinity {
+    private final RoutingPolicy policy = policy("least-cost-affinity");
+    private final RequestShape request = Views.request(10);
+    private final List<EndpointView> views =
+        List.of(Views.live("a", 2, 0), Views.live("b", 1, 0), Views.live("c", 1, 0));
+
+    private boolean prefersA() {
+      return choices(policy, request, views).getOrDefault("a", 0) == 1_000;
+    }
+
+    /** Guards against prefixes that are computed again at another endpoint. */
+    @Test
+    void prefersTheEndpointWithThePrefixUntilTheHintIsOld() {
+      assertFalse(prefersA());
+      hints.placed("run", 7, "b");
+      assertEquals(Map.of("b", 1_000), choices(policy, request, views));
+      nanos += 121_000_000_000L;
+      assertFalse(choices(policy, request, views).get("b") == 1_000);
+    }
+
+    /** Guards against an endpoint that is overloaded by one popular prefix. */
+    @Test
+    void isBoundedByTheLoad() {
+      hints.placed("run", 7, "a");
+      assertFalse(prefersA());
+    }
+
+    /** Guards against hints on blocks that the engine has dropped, or may have dropped. */
+    @Test
+    void followsTheCacheEvents() {
+      hints.placed("run", 7, "b");
+      hints.stored("b", "run", List.of("1", "2"));
+      hints.evicted("b", List.of("9"));
+      assertEquals(List.of("b"), hints.find(7));
+      hints.evicted("b", List.of("2"));
+      assertEquals(List.of(), hints.find(7));
+      hints.stored("c", "run", List.of("1"));
+      hints.gap("c");
+      nanos += 21_000_000_000L;
+      assertEquals(List.of(), hints.find(7));
+    }
+  }
+}
