--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -45,6 +47,7 @@
   private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
   private final Map<String, Integer> slots = new HashMap<>();
   private final RequestCosts costs = new RequestCosts();
+  private final Set<String> drained = new HashSet<>();
   private final PeerLiveCounts peers = new PeerLiveCounts();
   private final String region;
   private final MonotonicClock clock;
@@ -103,6 +106,20 @@
     changeAt(name, address, this::drain);
   }
 
+  /** Takes an endpoint out of use, or back into use, because an operator says so. */
+  public void setDrained(String name, boolean value) {
+    lock.lock();
+    try {
+      if (value) {
+        drained.add(name);
+      } else {
+        drained.remove(name);
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** Takes an endpoint out of use for a moment because a connection failed. */
   public void markFailed(String name) {
     change(name, this::eject);
@@ -379,6 +396,7 @@
   private boolean usable(EndpointRecord endpoint) {
     return endpoint.endpoint.state() == EndpointState.LIVE
         && !endpoint.draining
+        && !drained.contains(endpoint.endpoint.name())
         && (!endpoint.ejected || clock.hasPassed(endpoint.ejectedUntilNanos));
   }
 
