Suspect and quarantine requests that crash endpoints

Cause: a request that crashes its endpoint was sent to three endpoints in one call, and again when its caller sent it again.

Change: after a broken connection the endpoint is probed; if it refuses connections, the requests in flight there become suspects, here and at the peers. A suspect runs where no other suspect runs. Two losses, one of them as the only suspect, quarantine the fingerprint for an hour, after 300 ms in which other instances can report who else was there. Quarantines go to peers and to the store, and are read from the replica.

Result: tests pass, among them ten innocent requests beside a crashing one that is sent five times: two endpoints are lost and only that one is quarantined. Batch items do not take part yet.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -3,6 +3,7 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
@@ -31,11 +32,13 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.limit.Admission;
 import org.sedgeroad.live.ClaimBook;
+import org.sedgeroad.live.CrashReports;
 import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicies;
+import org.sedgeroad.route.CrashSuspicion;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.HedgePolicies;
 import org.sedgeroad.route.PrefixHints;
@@ -74,6 +77,7 @@
   private final InstanceListReader instanceList;
   private final JobRunner runner;
   private final LivePressureExchange livePressure;
+  private final CrashReports crashes;
   private final Undertow server;
   private final AdministrationListener administration;
   private final DrainFollower drains;
@@ -114,6 +118,16 @@
             (peer, message) -> {},
             runner::wake,
             System.currentTimeMillis());
+    this.crashes =
+        new CrashReports(
+            settings.instance(),
+            new CrashSuspicion(InstantSource.system()),
+            membership,
+            (peer, message) -> {},
+            writer,
+            clock,
+            log);
+    replica.addListener(crashes::apply);
     this.server = createServer(writer);
     this.administration =
         Administration.create(settings, writer, replica, endpoints, membership, log);
@@ -155,6 +169,7 @@
                 RoutingPolicies.named(settings.routing(), endpoints.costs(), prefixHints),
                 prefixHints,
                 HedgePolicies.named(settings.hedging()),
+                crashes,
                 HttpEngineClient.of(caller),
                 (member, serviceClass, tokens) -> new Admission.Admitted(),
                 ClaimBook.of(writer),
@@ -199,6 +214,7 @@
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
+    timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
     watcher.start();
     runner.start();
     server.start();
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -32,6 +32,12 @@
   ENDPOINT_FAILED(4002, Level.WARNING, "endpoint failed"),
   /** The instance list could not be read. */
   INSTANCE_LIST_UNAVAILABLE(4003, Level.WARNING, "instance list unavailable"),
+  /** An endpoint died with requests in flight; they are suspects now. */
+  ENDPOINT_LOST(4004, Level.WARNING, "endpoint lost"),
+  /** A request crashed two endpoints and is refused from now on. */
+  REQUEST_QUARANTINED(4005, Level.WARNING, "request quarantined"),
+  /** A quarantine could not be written to the store yet. */
+  QUARANTINE_NOT_STORED(4006, Level.WARNING, "quarantine not stored"),
   /** A job was accepted. */
   JOB_ACCEPTED(5001, Level.INFO, "job accepted"),
   /** All segments of a job are finished. */
--- a/sedgeroad/src/main/java/org/sedgeroad/live/Attempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/Attempt.java
@@ -12,11 +12,13 @@
   private final LiveServiceParts parts;
   private final String runId;
   private final boolean resumed;
+  private final Placement first;
   private Placement placement;
   private EngineStream stream;
   private HttpHead head;
   private int received;
   private boolean closed;
+  private boolean dead;
 
   private Attempt(
       int number,
@@ -26,6 +28,7 @@
       int received,
       boolean resumed) {
     this.number = number;
+    this.first = placement;
     this.placement = placement;
     this.parts = parts;
     this.times = new AttemptTimes(parts);
@@ -70,6 +73,15 @@
     return received;
   }
 
+  /** Returns whether the endpoint was found dead after the attempt. */
+  boolean isDead() {
+    return dead;
+  }
+
+  void endpointDied() {
+    dead = true;
+  }
+
   HttpHead head() {
     return head;
   }
@@ -97,6 +109,15 @@
   /** Cancels the sending at the endpoint if it has not ended, and ends the placement. */
   @Override
   public void close() {
+    close(false);
+  }
+
+  /** Ends the placement after the connection broke. */
+  void closeBroken() {
+    close(true);
+  }
+
+  private void close(boolean connectionBroke) {
     if (closed) {
       return;
     }
@@ -106,6 +127,7 @@
         stream.close();
       }
     } finally {
+      parts.crashes().suspicion().end(first, connectionBroke, parts.clock().nanos());
       parts.endpoints().end(placement);
       parts.placements().ended(placement);
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/live/AttemptStarter.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/AttemptStarter.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.sedgeroad.ServiceClass;
 import org.sedgeroad.engine.EngineCall;
 import org.sedgeroad.route.EndpointView;
@@ -26,37 +28,58 @@
     this.call = call;
   }
 
-  /** Runs the request at the endpoint that the policy chooses; empty if there is none. */
+  /**
+   * Runs the request at the endpoint that the policy chooses; empty if there is none. A suspect is
+   * not sent to an endpoint where another suspect runs.
+   */
   Optional<Attempt> start(RequestShape shape) {
-    Optional<EndpointView> chosen =
-        parts.policy().choose(shape, parts.endpoints().candidates(shape), parts.random());
-    return chosen.map(view -> start(shape, view));
+    return choose(shape, view -> true);
   }
 
   /** Runs the request also at a second endpoint; empty if none has a free slot. */
   Optional<Attempt> startSecond(RequestShape shape) {
-    List<EndpointView> idle =
-        parts.endpoints().candidates(shape).stream()
-            .filter(view -> view.live() < view.slots() && view.local() && !view.isSlow())
-            .toList();
-    return parts.policy().choose(shape, idle, parts.random()).map(view -> start(shape, view));
+    return choose(shape, view -> view.live() < view.slots() && view.local() && !view.isSlow());
   }
 
-  private Attempt start(RequestShape shape, EndpointView view) {
+  private Optional<Attempt> choose(RequestShape shape, Predicate<EndpointView> filter) {
+    List<EndpointView> candidates = new ArrayList<>(parts.endpoints().candidates(shape));
+    candidates.removeIf(filter.negate());
+    while (true) {
+      Optional<EndpointView> chosen = parts.policy().choose(shape, candidates, parts.random());
+      if (chosen.isEmpty()) {
+        return Optional.empty();
+      }
+      Optional<Attempt> attempt = start(shape, chosen.get());
+      if (attempt.isPresent()) {
+        return attempt;
+      }
+      candidates.remove(chosen.get());
+    }
+  }
+
+  private Optional<Attempt> start(RequestShape shape, EndpointView view) {
     Placement placement = parts.endpoints().begin(view.endpoint(), shape);
+    if (!parts.crashes().suspicion().begin(placement, parts.clock().nanos())) {
+      parts.endpoints().end(placement);
+      return Optional.empty();
+    }
     int number = ++numbers;
     String runId = request.id() + "-" + number;
     Attempt attempt = Attempt.of(number, placement, parts, runId);
     parts.hints().placed(runId, shape.prefixHash(), placement.endpoint());
     // The home is told before the request is sent, so that batch work starts to give way first.
     parts.placements().placed(placement, view);
-    return send(
-        attempt, request.method(), request.path(), request.headers(), request.body(), runId);
+    return Optional.of(
+        send(attempt, request.method(), request.path(), request.headers(), request.body(), runId));
   }
 
-  /** Asks the endpoint of a broken attempt for the rest of its run. */
-  Attempt resume(Attempt broken) {
+  /** Asks the endpoint of a broken attempt for the rest of its run; empty if it must not. */
+  Optional<Attempt> resume(Attempt broken) {
     Placement placement = parts.endpoints().beginAgain(broken.placement());
+    if (!parts.crashes().suspicion().begin(placement, parts.clock().nanos())) {
+      parts.endpoints().end(placement);
+      return Optional.empty();
+    }
     int number = ++numbers;
     Attempt attempt = broken.toResumed(number, placement);
     String body =
@@ -65,13 +88,14 @@
             .put("request_id", broken.runId())
             .put("offset", broken.received())
             .toString();
-    return send(
-        attempt,
-        "POST",
-        RESUME_PATH,
-        Map.of("Content-Type", "application/json"),
-        body.getBytes(StandardCharsets.UTF_8),
-        request.id() + "-" + number);
+    return Optional.of(
+        send(
+            attempt,
+            "POST",
+            RESUME_PATH,
+            Map.of("Content-Type", "application/json"),
+            body.getBytes(StandardCharsets.UTF_8),
+            request.id() + "-" + number));
   }
 
   private Attempt send(
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/CrashReports.java
@@ -0,0 +1,167 @@
+package org.sedgeroad.live;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.peer.EndpointLost;
+import org.sedgeroad.peer.MembershipView;
+import org.sedgeroad.peer.PeerMessage;
+import org.sedgeroad.peer.QuarantineNews;
+import org.sedgeroad.route.CrashSuspicion;
+import org.sedgeroad.route.Placement;
+import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WriteOutcome;
+
+/**
+ * Tells other instances of lost endpoints and quarantines, keeps quarantines in the store, and
+ * takes in what peers and the store say. Thread-safe; only {@link #publish} blocks.
+ */
+public final class CrashReports {
+  private final String instance;
+  private final CrashSuspicion suspicion;
+  private final MembershipView membership;
+  private final BiConsumer<String, PeerMessage> network;
+  private final StoreWriter writer;
+  private final MonotonicClock clock;
+  private final EventLog log;
+  private final Map<String, Instant> toStore = new ConcurrentHashMap<>();
+
+  /**
+   * Creates an object.
+   *
+   * @param instance name of this instance
+   * @param suspicion what is known of requests
+   * @param membership live instances of the failure domain
+   * @param network sends a message to an instance without blocking
+   * @param writer writer of the store
+   * @param clock monotonic clock
+   * @param log event log
+   */
+  public CrashReports(
+      String instance,
+      CrashSuspicion suspicion,
+      MembershipView membership,
+      BiConsumer<String, PeerMessage> network,
+      StoreWriter writer,
+      MonotonicClock clock,
+      EventLog log) {
+    this.instance = instance;
+    this.suspicion = suspicion;
+    this.membership = membership;
+    this.network = network;
+    this.writer = writer;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Returns what is known of requests. */
+  public CrashSuspicion suspicion() {
+    return suspicion;
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Notes that the endpoint of a broken request is dead, and tells the peers. */
+  public void endpointLost(Placement placement) {
+    List<String> fingerprints = suspicion.lost(placement, clock.nanos());
+    log.log(
+        LogEvent.ENDPOINT_LOST,
+        EventField.of("endpoint", placement.endpoint()),
+        EventField.of("requests", fingerprints.size()));
+    tellPeers(
+        new EndpointLost(
+            instance, placement.endpoint(), placement.address().toString(), fingerprints));
+  }
+
+  /** Takes a peer's report. */
+  public void receive(EndpointLost report) {
+    suspicion.lostAt(report.endpoint(), report.address(), report.fingerprints(), clock.nanos());
+  }
+
+  /** Takes a peer's quarantine. */
+  public void receive(QuarantineNews news) {
+    suspicion.quarantine(news.fingerprint(), Instant.ofEpochMilli(news.deadlineMillis()));
+  }
+
+  /** Takes an object of the configuration; only quarantines have an effect. */
+  public void apply(StoredObject object) {
+    if (!object.kind().equals(Kinds.QUARANTINES)) {
+      return;
+    }
+    if (object.isDeleted()) {
+      toStore.remove(object.name());
+      suspicion.lift(object.name());
+      return;
+    }
+    try {
+      Instant deadline = Instant.parse(object.spec().path("deadline").asText());
+      suspicion.quarantine(object.name(), deadline);
+    } catch (DateTimeException invalid) {
+      log.log(
+          LogEvent.REQUEST_ERROR,
+          EventField.of("quarantine", object.name()),
+          EventField.of("cause", invalid));
+    }
+  }
+
+  /** Tells peers and the store of new quarantines; called at short intervals. */
+  public void publish() {
+    suspicion
+        .takeUnpublished()
+        .forEach(
+            (fingerprint, deadline) -> {
+              log.log(LogEvent.REQUEST_QUARANTINED, EventField.of("fingerprint", fingerprint));
+              tellPeers(new QuarantineNews(fingerprint, deadline.toEpochMilli()));
+              toStore.put(fingerprint, deadline);
+            });
+    toStore.entrySet().removeIf(entry -> store(entry.getKey(), entry.getValue()));
+  }
+
+  /** Writes a quarantine; returns false if it must be tried again. */
+  private boolean store(String fingerprint, Instant deadline) {
+    var spec = JsonNodeFactory.instance.objectNode().put("deadline", deadline.toString());
+    WriteOutcome outcome = writer.create(Kinds.QUARANTINES, fingerprint, spec);
+    if (outcome instanceof WriteOutcome.Lost lost && isPast(lost.current())) {
+      long version = lost.current().version();
+      outcome = writer.update(Kinds.QUARANTINES, fingerprint, version, spec);
+    }
+    boolean stored =
+        outcome instanceof WriteOutcome.Written || outcome instanceof WriteOutcome.Lost;
+    if (!stored) {
+      log.log(
+          LogEvent.QUARANTINE_NOT_STORED,
+          EventField.of("fingerprint", fingerprint),
+          EventField.of("result", outcome));
+    }
+    return stored;
+  }
+
+  private static boolean isPast(StoredObject held) {
+    if (held == null || held.isDeleted()) {
+      return false;
+    }
+    try {
+      return Instant.parse(held.spec().path("deadline").asText()).isBefore(Instant.now());
+    } catch (DateTimeException invalid) {
+      return true;
+    }
+  }
+
+  private void tellPeers(PeerMessage message) {
+    for (String peer : membership.liveInstances()) {
+      if (!peer.equals(instance)) {
+        network.accept(peer, message);
+      }
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/live/Hedge.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/Hedge.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.regex.Pattern;
+import org.sedgeroad.route.CrashVerdict;
 import org.sedgeroad.route.RequestShape;
 
 /** The second attempt of one live request. Used by the request's thread only. */
@@ -49,7 +50,10 @@
     }
     Attempt first = active.get(0);
     first.overdue();
-    if (parts.hedging().tryHedge()) {
+    boolean clear =
+        parts.crashes().suspicion().verdict(shape.fingerprint(), parts.clock().nanos())
+            == CrashVerdict.CLEAR;
+    if (clear && parts.hedging().tryHedge()) {
       starter.startSecond(shape.withExcluded(first.placement().endpoint())).ifPresent(active::add);
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LiveRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveRun.java
@@ -4,15 +4,23 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.sedgeroad.WorkState;
 import org.sedgeroad.engine.EngineFailure;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.route.CrashSuspicion;
+import org.sedgeroad.route.CrashVerdict;
 import org.sedgeroad.route.RequestShape;
 
 /** Serves one admitted live request over its attempts. Used by one thread. */
 final class LiveRun {
   private static final int ATTEMPTS = 3;
 
+  /** Longer waits for an endpoint without a suspect end with a refusal. */
+  private static final long SUSPECT_WAIT_MILLIS = 10_000;
+
+  private static final long SUSPECT_RETRY_MILLIS = 20;
+
   private final LiveServiceParts parts;
   private final LiveRequest request;
   private final LiveCall call;
@@ -20,10 +28,13 @@
   private final Delivery delivery;
   private final AttemptStarter starter;
   private final List<Attempt> active = new ArrayList<>();
+  private final CrashSuspicion suspicion;
+  private final EndpointProbe probe;
   private final Hedge hedge;
   private RequestShape shape;
   private int broken;
   private boolean mayHaveRun;
+  private boolean quarantined;
   private String reason = "no endpoint can take the request now";
 
   LiveRun(LiveServiceParts parts, LiveRequest request, LiveCall call, AnswerSink sink) {
@@ -34,6 +45,8 @@
     this.shape = request.shape();
     this.delivery = new Delivery(sink, request.deterministic() && shape.idempotent());
     this.starter = new AttemptStarter(parts, request, call);
+    this.suspicion = parts.crashes().suspicion();
+    this.probe = new EndpointProbe(parts.engine(), parts.clock());
     this.hedge = new Hedge(parts, request, starter);
   }
 
@@ -51,13 +64,13 @@
           reason = "deadline passed";
           more = false;
         } else if (event instanceof LiveEvent.CallerGone) {
-          parts.log().log(LogEvent.CALLER_GONE, EventField.of("request", request.id()));
-          throw new IOException("caller went away");
+          throw callerGone();
         } else {
           // What still comes from an attempt that was given up is not part of the answer.
           Optional<Attempt> attempt = find(event.attempt());
           if (attempt.isPresent()) {
             if (event instanceof LiveEvent.Whole whole && isAnswer(attempt.get(), whole)) {
+              suspicion.answered(shape.fingerprint());
               return;
             }
             more = take(attempt.get(), event);
@@ -77,7 +90,7 @@
   // -----------------------------------------------------------------------
 
   /** Takes an event that does not end the answer; returns whether an attempt is active. */
-  private boolean take(Attempt attempt, LiveEvent event) throws IOException {
+  private boolean take(Attempt attempt, LiveEvent event) throws IOException, InterruptedException {
     if (event instanceof LiveEvent.Head received) {
       attempt.headReceived(received.head());
       return true;
@@ -88,7 +101,7 @@
       return delivery.event(data.data()) || diverged(attempt);
     }
     if (event instanceof LiveEvent.Failed failed) {
-      note(attempt, failed.failure());
+      connectionFailed(attempt, failed.failure());
       return failed(attempt, failed.failure());
     }
     // The endpoint answers, so that it stays in use.
@@ -122,10 +135,28 @@
 
   // -----------------------------------------------------------------------
 
-  private boolean startNext() {
-    Optional<Attempt> next = starter.start(shape);
-    next.ifPresent(active::add);
-    return next.isPresent();
+  /** Starts an attempt; a suspect waits while another one is at each endpoint. */
+  private boolean startNext() throws IOException, InterruptedException {
+    long giveUpNanos = parts.clock().deadlineAfterMillis(SUSPECT_WAIT_MILLIS);
+    while (true) {
+      CrashVerdict verdict = suspicion.verdict(shape.fingerprint(), parts.clock().nanos());
+      quarantined = verdict == CrashVerdict.QUARANTINED;
+      Optional<Attempt> next = quarantined ? Optional.empty() : starter.start(shape);
+      next.ifPresent(active::add);
+      boolean wait = verdict == CrashVerdict.SUSPECT || verdict == CrashVerdict.HELD;
+      if (next.isPresent() || !wait || parts.clock().hasPassed(giveUpNanos)) {
+        return next.isPresent();
+      }
+      long wakeNanos = parts.clock().deadlineAfterMillis(SUSPECT_RETRY_MILLIS);
+      if (call.next(wakeNanos, parts.clock()) instanceof LiveEvent.CallerGone) {
+        throw callerGone();
+      }
+    }
+  }
+
+  private IOException callerGone() {
+    parts.log().log(LogEvent.CALLER_GONE, EventField.of("request", request.id()));
+    return new IOException("caller went away");
   }
 
   private void giveUp(Attempt attempt) {
@@ -134,7 +165,8 @@
   }
 
   /** Decides after a failed attempt; returns whether an attempt is active. */
-  private boolean failed(Attempt attempt, EngineFailure failure) {
+  private boolean failed(Attempt attempt, EngineFailure failure)
+      throws IOException, InterruptedException {
     giveUp(attempt);
     boolean notRun = failure instanceof EngineFailure.NotRun;
     shape = shape.withExcluded(attempt.placement().endpoint());
@@ -153,9 +185,16 @@
     if (broken >= ATTEMPTS) {
       return false;
     }
-    if (!notRun && !attempt.isResumed() && !delivery.isEmpty() && isGeneration()) {
-      active.add(starter.resume(attempt));
-      return true;
+    if (!notRun
+        && !attempt.isDead()
+        && !attempt.isResumed()
+        && !delivery.isEmpty()
+        && isGeneration()) {
+      Optional<Attempt> resumed = starter.resume(attempt);
+      if (resumed.isPresent()) {
+        active.add(resumed.get());
+        return true;
+      }
     }
     return delivery.restart() && startNext();
   }
@@ -165,6 +204,18 @@
         || request.path().startsWith("/v1/chat/completions");
   }
 
+  private void connectionFailed(Attempt attempt, EngineFailure failure)
+      throws InterruptedException {
+    note(attempt, failure);
+    if (failure instanceof EngineFailure.Broken) {
+      attempt.closeBroken();
+      if (probe.isDead(attempt.placement())) {
+        attempt.endpointDied();
+        parts.crashes().endpointLost(attempt.placement());
+      }
+    }
+  }
+
   private void note(Attempt attempt, EngineFailure failure) {
     parts.log().log(
         LogEvent.ENDPOINT_FAILED,
@@ -181,10 +232,16 @@
   }
 
   private void fail() throws IOException {
-    LiveFailure failure =
-        mayHaveRun
-            ? LiveFailure.unknown("endpoint_failed", reason)
-            : LiveFailure.notRun(503, "no_endpoint", "no endpoint can take the request now");
+    LiveFailure failure;
+    if (quarantined) {
+      WorkState work = mayHaveRun ? WorkState.UNKNOWN : WorkState.NOT_RUN;
+      String message = "the request crashed two endpoints and is refused";
+      failure = new LiveFailure(422, "quarantined", message, work, Optional.empty());
+    } else if (mayHaveRun) {
+      failure = LiveFailure.unknown("endpoint_failed", reason);
+    } else {
+      failure = LiveFailure.notRun(503, "no_endpoint", "no endpoint can take the request now");
+    }
     parts.log().log(
         LogEvent.REQUEST_FAILED,
         EventField.of("request", request.id()),
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LiveService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveService.java
@@ -5,6 +5,7 @@
 import org.sedgeroad.ServiceClass;
 import org.sedgeroad.WorkState;
 import org.sedgeroad.limit.Admission;
+import org.sedgeroad.route.CrashVerdict;
 import org.sedgeroad.route.RequestShape;
 
 /**
@@ -29,6 +30,15 @@
   public void serve(LiveRequest request, LiveCall call, AnswerSink sink)
       throws IOException, InterruptedException {
     RequestShape shape = request.shape();
+    long now = parts.clock().nanos();
+    if (parts.crashes().suspicion().verdict(shape.fingerprint(), now) == CrashVerdict.QUARANTINED) {
+      sink.fail(
+          LiveFailure.notRun(
+              422,
+              "quarantined",
+              "the request " + shape.fingerprint() + " crashed two endpoints and is refused"));
+      return;
+    }
     Admission admission = parts.limits().admit(shape.member(), ServiceClass.LIVE, shape.cost());
     if (admission instanceof Admission.OverLimit over) {
       sink.fail(
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LiveServiceParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LiveServiceParts.java
@@ -18,6 +18,7 @@
  * @param policy routing policy
  * @param hints learns which endpoint got which prefix
  * @param hedging when second attempts are made
+ * @param crashes requests that may crash endpoints
  * @param engine client for the endpoints
  * @param limits voted limits
  * @param claims claims of non-idempotent requests
@@ -31,6 +32,7 @@
     RoutingPolicy policy,
     PrefixHints hints,
     HedgePolicy hedging,
+    CrashReports crashes,
     EngineClient engine,
     LimitGate limits,
     ClaimBook claims,
--- a/sedgeroad/src/main/java/org/sedgeroad/peer/PeerMessage.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/PeerMessage.java
@@ -6,6 +6,8 @@
 public sealed interface PeerMessage
     permits Heartbeat,
         EndpointNews,
+        EndpointLost,
+        QuarantineNews,
         LivePressure,
         ConfigurationDelta,
         ConfigurationPull,
--- a/sedgeroad/src/test/java/org/sedgeroad/live/FakeEngine.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/FakeEngine.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.sedgeroad.engine.EngineCall;
 import org.sedgeroad.engine.EngineClient;
@@ -48,6 +50,10 @@
 
   final List<Sent> sent = new ArrayList<>();
   final List<String> cancelled = new ArrayList<>();
+
+  /** Ports of endpoints that refuse connections. */
+  Set<Integer> dead = new HashSet<>();
+
   private final List<Consumer<Sent>> scripts;
 
   @SafeVarargs
@@ -57,6 +63,15 @@
 
   @Override
   public synchronized EngineStream start(EngineCall call, EngineListener listener) {
+    if (call.address().getPath().equals("/load")) {
+      if (dead.contains(call.address().getPort())) {
+        listener.onFailure(new EngineFailure.NotRun("Connection refused", false));
+      } else {
+        listener.onHead(new HttpHead(200, Map.of()));
+        listener.onWhole(new byte[0]);
+      }
+      return () -> {};
+    }
     Sent next = new Sent(call, listener);
     sent.add(next);
     if (sent.size() <= scripts.size()) {
--- a/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
@@ -2,6 +2,9 @@
 
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -12,6 +15,8 @@
 import org.sedgeroad.ServiceClass;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.limit.Admission;
+import org.sedgeroad.peer.PeerMessage;
+import org.sedgeroad.route.CrashSuspicion;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.EndpointView;
 import org.sedgeroad.route.HedgePolicies;
@@ -24,6 +29,7 @@
 
 /** A live service with endpoints {@code e0}, {@code e1}, … and one request. */
 final class LiveFixture {
+  final List<PeerMessage> told = new ArrayList<>();
   final LiveCall call = new LiveCall();
   PlacementListener placements =
       new PlacementListener() {
@@ -33,6 +39,15 @@
         @Override
         public void ended(Placement placement) {}
       };
+  final CrashReports crashes =
+      new CrashReports(
+          "entry",
+          new CrashSuspicion(InstantSource.system()),
+          () -> List.of("entry", "peer"),
+          (peer, message) -> told.add(message),
+          null,
+          MonotonicClock.SYSTEM,
+          EventLog.of("test"));
   HedgePolicy hedging = HedgePolicies.named("none");
   private final PrefixHints hints = new PrefixHints(MonotonicClock.SYSTEM);
   final EndpointTable endpoints = EndpointTable.of("r", MonotonicClock.SYSTEM);
@@ -93,6 +108,7 @@
             RoutingPolicies.named("least-cost", endpoints.costs(), hints),
             hints,
             hedging,
+            crashes,
             engine,
             (member, serviceClass, tokens) -> new Admission.Admitted(),
             ClaimBook.of(StoreWriter.of(null, "test")),
--- a/sedgeroad/src/test/java/org/sedgeroad/live/LiveServiceTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LiveServiceTest.java
@@ -7,8 +7,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sedgeroad.WorkState;
@@ -274,4 +277,42 @@
       assertEquals(2, engine.sent.size());
     }
   }
+
+  @Nested
+  class Crashes {
+    private final FakeEngine engine;
+
+    Crashes() {
+      Set<Integer> dead = new HashSet<>();
+      Consumer<FakeEngine.Sent> crash =
+          sent -> {
+            dead.add(sent.call().address().getPort());
+            sent.breaks();
+          };
+      engine = new FakeEngine(crash, crash, crash, crash);
+      engine.dead = dead;
+    }
+
+    /** Guards against a request that takes down a third endpoint, and against a false not-run. */
+    @Test
+    void endInAQuarantineAfterTwoEndpoints() throws Exception {
+      FakeSink sink = fixture.serve(engine);
+      assertEquals(2, engine.sent.size());
+      assertEquals("quarantined", sink.failure.code());
+      assertEquals(WorkState.UNKNOWN, sink.failure.work());
+      FakeSink again = fixture.serve(engine);
+      assertEquals(2, engine.sent.size());
+      assertEquals("quarantined", again.failure.code());
+      assertEquals(WorkState.NOT_RUN, again.failure.work());
+      assertEquals(2, fixture.told.size());
+    }
+
+    /** Guards against a broken connection to a living endpoint that counts as a crash. */
+    @Test
+    void areNotSuspectedWhileTheEndpointAnswers() throws Exception {
+      FakeEngine alive = new FakeEngine(FakeEngine.Sent::breaks, sent -> sent.stream("a").end());
+      assertTrue(fixture.serve(alive).ended);
+      assertEquals(List.of(), fixture.told);
+    }
+  }
 }
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/route/CrashSuspicionTest.java
@@ -0,0 +1,168 @@
+package org.sedgeroad.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.ServiceClass;
+
+class CrashSuspicionTest {
+  private static final long MILLI = 1_000_000L;
+
+  private long nanos = -1_000 * MILLI;
+  private Instant wall = Instant.EPOCH;
+  private final CrashSuspicion suspicion = new CrashSuspicion(() -> wall);
+
+  private Placement placement(String endpoint, String fingerprint) {
+    RequestShape shape =
+        new RequestShape("s", "m", ServiceClass.LIVE, 1, 1, 0, fingerprint, true, Set.of());
+    URI address = URI.create("http://127.0.0.1:1");
+    return new Placement(endpoint, address, 1, shape, false, nanos);
+  }
+
+  private CrashVerdict verdict(String fingerprint) {
+    return suspicion.verdict(fingerprint, nanos);
+  }
+
+  /**
+   * Sends requests to an endpoint, which dies if {@code bad} runs there, or if {@code bad} is not
+   * among the requests, that is for another cause; returns those that were sent.
+   */
+  private List<String> crash(String endpoint, List<String> fingerprints) {
+    List<Placement> sent = new ArrayList<>();
+    for (String fingerprint : fingerprints) {
+      Placement placement = placement(endpoint, fingerprint);
+      if (suspicion.begin(placement, nanos)) {
+        sent.add(placement);
+      }
+    }
+    boolean dies =
+        sent.stream().anyMatch(placement -> placement.request().fingerprint().equals("bad"))
+            || !fingerprints.contains("bad");
+    for (Placement placement : sent) {
+      suspicion.end(placement, dies, nanos);
+      if (dies) {
+        suspicion.lost(placement, nanos);
+      } else {
+        suspicion.answered(placement.request().fingerprint());
+      }
+    }
+    nanos += 400 * MILLI;
+    return sent.stream().map(placement -> placement.request().fingerprint()).toList();
+  }
+
+  private List<String> innocent(int from) {
+    return IntStream.range(from, from + 10).mapToObj(index -> "ok" + index).toList();
+  }
+
+  private static List<String> with(String first, List<String> rest) {
+    List<String> all = new ArrayList<>(rest);
+    all.add(0, first);
+    return all;
+  }
+
+  @Nested
+  class Quarantine {
+    /** Guards against a request that crashes one endpoint after the other. */
+    @Test
+    void comesAfterTwoEndpoints() {
+      crash("e1", List.of("bad"));
+      assertEquals(CrashVerdict.SUSPECT, verdict("bad"));
+      crash("e2", List.of("bad"));
+      assertEquals(CrashVerdict.QUARANTINED, verdict("bad"));
+      assertEquals(Set.of("bad"), suspicion.takeUnpublished().keySet());
+      assertTrue(suspicion.takeUnpublished().isEmpty());
+      wall = wall.plusSeconds(3_601);
+      nanos += 601_000 * MILLI;
+      assertEquals(CrashVerdict.CLEAR, verdict("bad"));
+    }
+
+    /** Guards against a third lost endpoint while it is not yet known who was there. */
+    @Test
+    void holdsTheRequestUntilTheReportsAreIn() {
+      crash("e1", List.of("bad"));
+      crash("e2", List.of("bad"));
+      nanos -= 300 * MILLI;
+      assertEquals(CrashVerdict.HELD, verdict("bad"));
+      assertFalse(suspicion.begin(placement("e3", "bad"), nanos));
+    }
+
+    /** Guards against a quarantine of requests that were beside the one that crashes. */
+    @Test
+    void sparesTenInnocentRequestsThoughTheCrashingOneIsResentFiveTimes() {
+      int lost = 0;
+      for (int resent = 0; resent < 5; resent++) {
+        if (resent != 1) {
+          lost += crash("e" + resent, with("bad", innocent(0))).contains("bad") ? 1 : 0;
+          continue;
+        }
+        // An innocent suspect came first: the crashing one must go elsewhere.
+        Placement first = placement("e1", "ok0");
+        assertTrue(suspicion.begin(first, nanos));
+        assertFalse(suspicion.begin(placement("e1", "bad"), nanos));
+        suspicion.end(first, false, nanos);
+        suspicion.answered("ok0");
+      }
+      assertEquals(2, lost, "endpoints lost before the quarantine");
+      assertEquals(CrashVerdict.QUARANTINED, verdict("bad"));
+      innocent(0).forEach(name -> assertNotEquals(CrashVerdict.QUARANTINED, verdict(name)));
+      innocent(0).forEach(suspicion::answered);
+      innocent(0).forEach(name -> assertEquals(CrashVerdict.CLEAR, verdict(name)));
+    }
+
+    /** Guards against a quarantine of a suspect that met the crashing one from another entry. */
+    @Test
+    void needsASoleSuspectOverAllInstances() {
+      crash("e1", List.of("bad"));
+      suspicion.lostAt("e1", "http://127.0.0.1:1", List.of("ok"), nanos - 400 * MILLI);
+      crash("e2", List.of("ok"));
+      suspicion.lostAt("e2", "http://127.0.0.1:1", List.of("bad"), nanos - 400 * MILLI);
+      assertEquals(CrashVerdict.SUSPECT, verdict("ok"));
+      crash("e3", List.of("bad"));
+      assertEquals(CrashVerdict.QUARANTINED, verdict("bad"));
+      assertEquals(CrashVerdict.SUSPECT, verdict("ok"));
+    }
+
+    /** Guards against a lifted quarantine that comes back at once. */
+    @Test
+    void canBeLifted() {
+      crash("e1", List.of("bad"));
+      crash("e2", List.of("bad"));
+      suspicion.quarantine("bad", wall.plusSeconds(60));
+      suspicion.lift("bad");
+      assertEquals(CrashVerdict.CLEAR, verdict("bad"));
+    }
+  }
+
+  @Nested
+  class Suspects {
+    /** Guards against two suspects at one endpoint, which would hide who crashed it. */
+    @Test
+    void runWithoutAnotherSuspect() {
+      crash("e1", List.of("a", "b"));
+      assertTrue(suspicion.begin(placement("e2", "a"), nanos));
+      assertFalse(suspicion.begin(placement("e2", "b"), nanos));
+      assertTrue(suspicion.begin(placement("e3", "b"), nanos));
+      assertTrue(suspicion.begin(placement("e2", "other"), nanos));
+      assertEquals(Set.of("e2", "e3"), suspicion.endpointsWithSuspects(nanos));
+    }
+
+    /** Guards against an endpoint that restarts at its address and counts only once. */
+    @Test
+    void countARestartedEndpointAgain() {
+      crash("e1", List.of("bad"));
+      nanos += 3_000 * MILLI;
+      crash("e1", List.of("bad"));
+      assertEquals(CrashVerdict.QUARANTINED, verdict("bad"));
+    }
+  }
+}
