Test live requests against engines that break and crash

Cause: the fault paths of LiveService had only run against a fake engine.

Change: LiveServiceFaultTest serves over real connections: a connection that breaks after ten events, and a crashing request that is sent five times beside ten innocent ones on four engines.

--- /dev/null
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/live/LiveServiceFaultTest.java
@@ -0,0 +1,113 @@
+package org.sedgeroad.testing.live;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.WorkState;
+import org.sedgeroad.testing.engine.AnswerText;
+import org.sedgeroad.testing.engine.EngineEvent;
+import org.sedgeroad.testing.engine.EngineOptions;
+import org.sedgeroad.testing.engine.EngineStandIn;
+import org.sedgeroad.testing.engine.GenerationRequest;
+import org.sedgeroad.testing.proxy.FaultProxy;
+
+/** Live requests over real connections to engines that fail. */
+class LiveServiceFaultTest {
+  private final List<AutoCloseable> opened = new ArrayList<>();
+  private final List<EngineStandIn> engines = new ArrayList<>();
+
+  private URI engine(EngineOptions options) {
+    EngineStandIn engine = EngineStandIn.start(options);
+    opened.add(engine);
+    engines.add(engine);
+    return engine.address();
+  }
+
+  private LiveEntry entry(List<URI> addresses) {
+    LiveEntry entry = new LiveEntry("least-cost", "none", 4, addresses);
+    opened.add(entry);
+    return entry;
+  }
+
+  private long count(EngineEvent.Type type) {
+    return engines.stream()
+        .flatMap(engine -> engine.history(0).stream())
+        .filter(event -> event.type() == type)
+        .count();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    for (int index = opened.size() - 1; index >= 0; index--) {
+      opened.get(index).close();
+    }
+  }
+
+  @Nested
+  class BrokenConnections {
+    /** Guards against lost or repeated text, and against a second run, when a connection breaks. */
+    @Test
+    void areBridgedByResumingTheRun() throws Exception {
+      FaultProxy proxy = FaultProxy.start(engine(EngineOptions.DEFAULTS));
+      opened.add(proxy);
+      RecordingSink sink = new RecordingSink();
+      int[] events = {0};
+      sink.onEvent =
+          () -> {
+            if (++events[0] == 10) {
+              // The end of a black hole closes the connections and refuses none.
+              proxy.setBlackHole(true);
+              proxy.setBlackHole(false);
+            }
+          };
+      entry(List.of(proxy.address())).serve("hello", 40, sink);
+      assertEquals(AnswerText.whole("hello", 40), sink.text.toString());
+      assertTrue(sink.ended);
+    }
+  }
+
+  @Nested
+  class CrashingRequests {
+    /**
+     * Guards against a request that takes down more than two endpoints although it is sent five
+     * times, and against ten innocent requests beside it that fail or are refused afterwards.
+     */
+    @Test
+    void areQuarantinedAloneAfterTwoEndpoints() throws Exception {
+      LiveEntry entry =
+          entry(IntStream.range(0, 4).mapToObj(index -> engine(EngineOptions.DEFAULTS)).toList());
+      ExecutorService callers = Executors.newFixedThreadPool(10);
+      List<Future<RecordingSink>> innocent = new ArrayList<>();
+      for (int index = 0; index < 10; index++) {
+        String prompt = "innocent " + index;
+        innocent.add(callers.submit(() -> entry.serve(prompt, 200, new RecordingSink())));
+      }
+      Thread.sleep(100);
+      String crash = GenerationRequest.CRASH_MARK;
+      RecordingSink first = entry.serve(crash, 10, new RecordingSink());
+      assertEquals(WorkState.UNKNOWN, first.failure.work());
+      for (int index = 0; index < 4; index++) {
+        RecordingSink again = entry.serve(crash, 10, new RecordingSink());
+        assertEquals("quarantined", again.failure.code());
+        assertEquals(WorkState.NOT_RUN, again.failure.work());
+      }
+      for (int index = 0; index < 10; index++) {
+        assertEquals(
+            AnswerText.whole("innocent " + index, 200), innocent.get(index).get().text.toString());
+        assertTrue(entry.serve("innocent " + index, 5, new RecordingSink()).ended);
+      }
+      callers.shutdownNow();
+      assertEquals(2, count(EngineEvent.Type.CRASH));
+    }
+  }
+}
