--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -3,6 +3,7 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -30,12 +31,16 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.ClaimBook;
+import org.sedgeroad.live.CrashReports;
 import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicies;
+import org.sedgeroad.route.CrashSuspicion;
 import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.HedgePolicies;
+import org.sedgeroad.route.PrefixHints;
 import org.sedgeroad.route.RoutingPolicies;
 import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
@@ -57,6 +62,7 @@
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
+  private final PrefixHints prefixHints = new PrefixHints(clock);
   private final LeaseTable leases;
   private final VotedLimits limits;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
@@ -73,6 +79,7 @@
   private final PeerGroup peers;
   private final JobRunner runner;
   private final LivePressureExchange livePressure;
+  private final CrashReports crashes;
   private final Undertow server;
   private final AdministrationListener administration;
   private final DrainFollower drains;
@@ -104,7 +111,7 @@
             settings.leaseMillis(),
             leases,
             replica,
-            replica::highestVersion,
+            kind -> relay.versions().getOrDefault(kind, 0L),
             peers.network(),
             clock);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
@@ -123,9 +130,20 @@
             settings.domain(),
             endpoints,
             membership,
-            (peer, message) -> {},
+            peers.network()::send,
             runner::wake,
             System.currentTimeMillis());
+    this.crashes =
+        new CrashReports(
+            settings.instance(),
+            new CrashSuspicion(InstantSource.system()),
+            membership,
+            peers.network()::send,
+            writer,
+            clock,
+            log);
+    replica.addListener(crashes::apply);
+    crashes.listen(peers.network());
     this.server = createServer(writer);
     this.administration =
         Administration.create(settings, writer, replica, endpoints, membership, log);
@@ -164,7 +182,10 @@
             new LiveServiceParts(
                 endpoints,
                 livePressure,
-                RoutingPolicies.named(settings.routing()),
+                RoutingPolicies.named(settings.routing(), endpoints.costs(), prefixHints),
+                prefixHints,
+                HedgePolicies.named(settings.hedging()),
+                crashes,
                 HttpEngineClient.of(caller),
                 limits.gate(),
                 ClaimBook.of(writer),
@@ -209,6 +230,7 @@
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
+    timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
     peers.start();
     relay.start(peers.isAlone());
     runner.start();
