--- a/sedgeroad/src/test/resources/specification/segment.als
+++ b/sedgeroad/src/test/resources/specification/segment.als
@@ -457,10 +457,10 @@
 
 /** At most one instance with a valid lease works on the segment. */
 pred oneActiveHolder {
-  always lone i: Holds | leaseValid[i] and no i.pending and (Reclaim in On implies i not in Lapsed)
+  always lone i: Holds | leaseValid[i] and no i.pending
 }
 
-/** What an instance takes for committed is committed, unless it lost the segment. */
+/** The copy of a holder that has the current version equals the stored segment. */
 pred knownIsStored {
   always all i: Holds & Fresh | no i.pending implies
     (i.copyState = Segment.state and i.copyStarted = Segment.started)
