Add metrics in the Prometheus text format

Cause: operators can't see how requests, batch items, store calls, the lease and the endpoints do.

Change: package metric counts and times live requests, committed batch items and store calls; gauges read the state of an instance at each scrape. Members beyond the first 100 share the label other. GET /metrics of the callers' listener answers; docs/METRICS.md says what each metric means. The command line keeps start notices of libraries off standard error.

A test compares page and code in both directions.

--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/LogSetup.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/LogSetup.java
@@ -14,10 +14,15 @@
 
   private LogSetup() {}
 
-  static void install() {
+  /** Keeps notices of libraries about their start off standard error. */
+  static void quietLibraries() {
     for (Handler handler : Logger.getLogger("").getHandlers()) {
       handler.setLevel(Level.WARNING);
     }
+  }
+
+  static void install() {
+    quietLibraries();
     Handler handler = new ConsoleHandler();
     handler.setLevel(Level.ALL);
     handler.setFormatter(
--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/RemoteOptions.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/RemoteOptions.java
@@ -29,6 +29,7 @@
 
   /** Returns a client, empty after printing why there is none. */
   final Optional<AdministrationClient> connect() {
+    LogSetup.quietLibraries();
     if (address.getScheme() == null || address.getHost() == null) {
       System.err.println("--at: expected http://IP:PORT, found '" + address + "'");
       return Optional.empty();
--- a/sedgeroad/src/main/java/org/sedgeroad/api/ApiHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ApiHandler.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
@@ -16,6 +17,9 @@
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.live.LiveFailure;
+import org.sedgeroad.metric.CompletedRequest;
+import org.sedgeroad.metric.Metrics;
+import org.sedgeroad.metric.RequestOutcome;
 
 /** Root of the callers' HTTP interface: authentication and dispatch by path. */
 public final class ApiHandler implements HttpHandler {
@@ -38,7 +42,8 @@
             parts.live(),
             parts.clock(),
             parts.requestTimeoutMillis(),
-            parts.maximumBodyBytes());
+            parts.maximumBodyBytes(),
+            parts.observation().requests());
     this.files = new FilesHandler(parts.jobs(), parts.log());
     this.batches = new BatchesHandler(parts.jobs(), replica, parts.log());
     this.log = parts.log();
@@ -47,6 +52,10 @@
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     switch (exchange.getRequestPath()) {
+      case "/metrics" -> {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, Metrics.CONTENT_TYPE);
+        exchange.getResponseSender().send(parts.observation().metricsText().get());
+      }
       case "/healthz" -> exchange.getResponseSender().send("ok\n");
       case "/readyz" -> {
         boolean ready = parts.ready().getAsBoolean();
@@ -61,6 +70,7 @@
     try {
       exchange.dispatch(parts.workers(), this::serveBlocking);
     } catch (RejectedExecutionException full) {
+      parts.observation().requests().ended(CompletedRequest.refused("", RequestOutcome.QUEUE));
       ApiErrors.send(exchange, LiveFailure.notRun(503, "overloaded", "all workers are busy"), null);
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/api/ApiParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ApiParts.java
@@ -22,6 +22,7 @@
  * @param log event log
  * @param requestTimeoutMillis longest run of a live request in milliseconds
  * @param maximumBodyBytes largest body of a live request in bytes
+ * @param observation how the interface is watched
  */
 public record ApiParts(
     ConfigurationReplica replica,
@@ -33,4 +34,5 @@
     MonotonicClock clock,
     EventLog log,
     long requestTimeoutMillis,
-    long maximumBodyBytes) {}
+    long maximumBodyBytes,
+    Observation observation) {}
--- a/sedgeroad/src/main/java/org/sedgeroad/api/LiveHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/LiveHandler.java
@@ -23,6 +23,7 @@
 import org.sedgeroad.live.LiveFailure;
 import org.sedgeroad.live.LiveRequest;
 import org.sedgeroad.live.LiveService;
+import org.sedgeroad.metric.RequestObserver;
 import org.sedgeroad.route.RequestShape;
 
 /** Turns callers' requests into live requests and serves them. Runs on worker threads. */
@@ -38,18 +39,21 @@
   private final MonotonicClock clock;
   private final long timeoutMillis;
   private final long maximumBodyBytes;
+  private final RequestObserver observer;
 
   LiveHandler(
       ConfigurationReplica replica,
       LiveService service,
       MonotonicClock clock,
       long timeoutMillis,
-      long maximumBodyBytes) {
+      long maximumBodyBytes,
+      RequestObserver observer) {
     this.replica = replica;
     this.service = service;
     this.clock = clock;
     this.timeoutMillis = timeoutMillis;
     this.maximumBodyBytes = maximumBodyBytes;
+    this.observer = observer;
   }
 
   /** Serves a completion. */
@@ -142,10 +146,12 @@
     LiveCall call = new LiveCall();
     CallerWatch watch = CallerWatch.of(exchange.getConnection());
     watch.begin(call);
+    ObservedSink sink = new ObservedSink(new ExchangeSink(exchange), clock);
     try {
-      service.serve(request, call, new ExchangeSink(exchange));
+      service.serve(request, call, sink);
     } finally {
       watch.end();
+      observer.ended(sink.toCompleted(shape.member()));
     }
   }
 
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/Observation.java
@@ -0,0 +1,12 @@
+package org.sedgeroad.api;
+
+import java.util.function.Supplier;
+import org.sedgeroad.metric.RequestObserver;
+
+/**
+ * How the callers' interface is watched.
+ *
+ * @param requests receives the live requests that have ended
+ * @param metricsText renders the metrics in the Prometheus text format
+ */
+public record Observation(RequestObserver requests, Supplier<String> metricsText) {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ObservedSink.java
@@ -0,0 +1,68 @@
+package org.sedgeroad.api;
+
+import java.io.IOException;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.WorkState;
+import org.sedgeroad.live.AnswerSink;
+import org.sedgeroad.live.LiveFailure;
+import org.sedgeroad.metric.CompletedRequest;
+import org.sedgeroad.metric.RequestOutcome;
+
+/** Passes an answer on and notes when it began and how it ended. Used by one thread. */
+final class ObservedSink implements AnswerSink {
+  private final AnswerSink sink;
+  private final MonotonicClock clock;
+  private final long startNanos;
+  private long firstNanos = -1;
+  private RequestOutcome outcome = RequestOutcome.CALLER_GONE;
+
+  ObservedSink(AnswerSink sink, MonotonicClock clock) {
+    this.sink = sink;
+    this.clock = clock;
+    this.startNanos = clock.nanos();
+  }
+
+  /** Returns what is known of the request; it counts as broken off by the caller until it ends. */
+  CompletedRequest toCompleted(String member) {
+    return new CompletedRequest(member, outcome, firstNanos, clock.nanos() - startNanos);
+  }
+
+  @Override
+  public void event(String data) throws IOException {
+    noteFirst();
+    sink.event(data);
+  }
+
+  @Override
+  public void endStream() throws IOException {
+    noteFirst();
+    sink.endStream();
+    outcome = RequestOutcome.DONE;
+  }
+
+  @Override
+  public void whole(int status, String contentType, byte[] body) throws IOException {
+    noteFirst();
+    sink.whole(status, contentType, body);
+    outcome = status >= 500 ? RequestOutcome.ENDPOINT_ERROR : RequestOutcome.DONE;
+  }
+
+  @Override
+  public void fail(LiveFailure failure) throws IOException {
+    outcome = outcome(failure);
+    sink.fail(failure);
+  }
+
+  private static RequestOutcome outcome(LiveFailure failure) {
+    if (failure.work() != WorkState.NOT_RUN) {
+      return RequestOutcome.FAILED;
+    }
+    return failure.status() == 429 ? RequestOutcome.LIMIT : RequestOutcome.REFUSED;
+  }
+
+  private void noteFirst() {
+    if (firstNanos < 0) {
+      firstNanos = clock.nanos() - startNanos;
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -16,6 +16,7 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.api.Observation;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
@@ -33,6 +34,7 @@
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
+import org.sedgeroad.metric.Metrics;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicies;
 import org.sedgeroad.route.EndpointTable;
@@ -51,6 +53,7 @@
   private final Settings settings;
   private final EventLog log;
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
+  private final Metrics metrics = new Metrics();
   private final HttpCaller caller;
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
@@ -76,7 +79,9 @@
     this.settings = settings;
     this.log = EventLog.of(settings.instance());
     this.caller = HttpCaller.create(settings.ioThreads());
-    this.store = HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis());
+    this.store =
+        metrics.measure(
+            HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis()));
     this.endpoints = EndpointTable.of(settings.region(), clock);
     this.leases = LeaseTable.ofMillis(settings.leaseMillis());
     this.workers =
@@ -101,6 +106,14 @@
     this.administration =
         Administration.create(settings, writer, replica, endpoints, membership, log);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
+    InstanceGauges.register(
+        metrics,
+        replica,
+        endpoints,
+        () -> leases.isHeld(clock.nanos()),
+        this::isReady,
+        () -> membership.liveInstances().size(),
+        activeRequests::get);
     replica.addListener(
         object -> {
           if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
@@ -126,7 +139,8 @@
             clock,
             storeWorkers,
             log,
-            settings.requestTimeoutMillis()));
+            settings.requestTimeoutMillis(),
+            metrics));
   }
 
   private Undertow createServer(StoreWriter writer) {
@@ -153,7 +167,8 @@
                 clock,
                 log,
                 settings.requestTimeoutMillis(),
-                settings.maximumBodyBytes()));
+                settings.maximumBodyBytes(),
+                new Observation(metrics, metrics::toText)));
     return Undertow.builder()
         .addHttpListener(
             settings.callerAddress().getPort(), settings.callerAddress().getHostString())
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
@@ -73,6 +73,7 @@
   private final MonotonicClock clock;
   private final ExecutorService workers;
   private final EventLog log;
+  private final CommitListener commits;
   private final long itemTimeoutMillis;
   private final Thread thread = new Thread(this::run, "job-runner");
   private volatile boolean stopping;
@@ -93,6 +94,7 @@
     this.membership = parts.membership();
     this.workers = parts.workers();
     this.log = parts.log();
+    this.commits = parts.commits();
     this.itemTimeoutMillis = parts.itemTimeoutMillis();
   }
 
@@ -397,7 +399,10 @@
     if (result instanceof CommitResult.Committed committed) {
       segment.end(clock.nanos());
       segment.replaced(committed.segment(), committed.version());
-      segment.pending().subList(0, Math.min(results, segment.pending().size())).clear();
+      List<ItemResult> written =
+          segment.pending().subList(0, Math.min(results, segment.pending().size()));
+      commits.committed(segment.job(), List.copyOf(written));
+      written.clear();
       if (committed.segment().isFinished()) {
         segment.begin();
         inPool(
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
@@ -26,6 +26,7 @@
  * @param workers pool for store calls
  * @param log event log
  * @param itemTimeoutMillis longest run of one item in milliseconds
+ * @param commits receives the results of items that have ended
  */
 public record JobRunnerParts(
     String instance,
@@ -39,4 +40,5 @@
     MonotonicClock clock,
     ExecutorService workers,
     EventLog log,
-    long itemTimeoutMillis) {}
+    long itemTimeoutMillis,
+    CommitListener commits) {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/CompletedRequest.java
@@ -0,0 +1,18 @@
+package org.sedgeroad.metric;
+
+/**
+ * A live request that has ended.
+ *
+ * @param member member of the caller, empty if it is not known
+ * @param outcome how it ended
+ * @param firstNanos time to the first byte of the answer in nanoseconds, negative if there is none
+ * @param durationNanos time to the end in nanoseconds
+ */
+public record CompletedRequest(
+    String member, RequestOutcome outcome, long firstNanos, long durationNanos) {
+
+  /** Returns a request that was refused before anything was sent. */
+  public static CompletedRequest refused(String member, RequestOutcome outcome) {
+    return new CompletedRequest(member, outcome, -1, 0);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/MeasuredStore.java
@@ -0,0 +1,70 @@
+package org.sedgeroad.metric;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.sedgeroad.store.ObjectList;
+import org.sedgeroad.store.ObjectStore;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WatchListener;
+
+/** Passes calls on to a store and tells how long each took and how it ended. */
+final class MeasuredStore implements ObjectStore {
+  private final ObjectStore store;
+  private final Recorder recorder;
+
+  MeasuredStore(ObjectStore store, Recorder recorder) {
+    this.store = store;
+    this.recorder = recorder;
+  }
+
+  /** Receives one call. */
+  @FunctionalInterface
+  interface Recorder {
+    void record(String call, String outcome, long nanos);
+  }
+
+  @Override
+  public StoreResult<StoredObject> get(String kind, String name) {
+    return measure("get", () -> store.get(kind, name));
+  }
+
+  @Override
+  public StoreResult<StoredObject> create(String kind, String name, JsonNode spec) {
+    return measure("create", () -> store.create(kind, name, spec));
+  }
+
+  @Override
+  public StoreResult<StoredObject> update(String kind, String name, long version, JsonNode spec) {
+    return measure("update", () -> store.update(kind, name, version, spec));
+  }
+
+  @Override
+  public StoreResult<StoredObject> delete(String kind, String name, long version) {
+    return measure("delete", () -> store.delete(kind, name, version));
+  }
+
+  @Override
+  public StoreResult<ObjectList> list(String kind, String prefix) {
+    return measure("list", () -> store.list(kind, prefix));
+  }
+
+  @Override
+  public AutoCloseable watch(String kind, long afterVersion, WatchListener listener) {
+    return store.watch(kind, afterVersion, listener);
+  }
+
+  @Override
+  public void close() {
+    store.close();
+  }
+
+  private <T> StoreResult<T> measure(String call, Supplier<StoreResult<T>> operation) {
+    long start = System.nanoTime();
+    StoreResult<T> result = operation.get();
+    String outcome = result.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+    recorder.record(call, outcome, System.nanoTime() - start);
+    return result;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/MemberLabels.java
@@ -0,0 +1,37 @@
+package org.sedgeroad.metric;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Label values for members. The first members seen keep their names; further ones share the value
+ * {@code other}, so that the number of time series is bounded. Thread-safe.
+ */
+final class MemberLabels {
+  private static final String OTHER = "other";
+  private static final String NONE = "none";
+
+  private final Map<String, String> labels = new ConcurrentHashMap<>();
+  private final int most;
+
+  MemberLabels(int most) {
+    this.most = most;
+  }
+
+  /** Returns the label of a member, {@code none} for an empty name. */
+  String of(String member) {
+    if (member.isEmpty()) {
+      return NONE;
+    }
+    String known = labels.get(member);
+    if (known != null) {
+      return known;
+    }
+    synchronized (labels) {
+      if (labels.size() < most) {
+        labels.put(member, member);
+      }
+      return labels.getOrDefault(member, OTHER);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics in the Prometheus text format. */
+package org.sedgeroad.metric;
