--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -32,6 +32,7 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.limit.Admission;
 import org.sedgeroad.live.ClaimBook;
+import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
 import org.sedgeroad.metric.Metrics;
@@ -49,6 +50,7 @@
   private static final long INSTANCE_LIST_MILLIS = 500;
   private static final int RENEWALS_PER_LEASE = 4;
   private static final int STORE_THREADS = 8;
+  private static final int UPLOAD_THREADS = 16;
 
   private final Settings settings;
   private final EventLog log;
@@ -64,11 +66,14 @@
       new ThreadPoolExecutor(
           STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
   private final ThreadPoolExecutor workers;
+  private final ThreadPoolExecutor uploadWorkers =
+      new ThreadPoolExecutor(0, UPLOAD_THREADS, 30, TimeUnit.SECONDS, new SynchronousQueue<>());
   private final AtomicInteger activeRequests = new AtomicInteger();
   private final ConfigurationWatcher watcher;
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
   private final JobRunner runner;
+  private final LivePressureExchange livePressure;
   private final Undertow server;
   private final AdministrationListener administration;
   private final DrainFollower drains;
@@ -102,6 +107,15 @@
             log,
             settings.storeTimeoutMillis());
     this.runner = createRunner(writer, membership);
+    this.livePressure =
+        new LivePressureExchange(
+            settings.instance(),
+            settings.domain(),
+            endpoints,
+            membership,
+            (peer, message) -> {},
+            runner::wake,
+            System.currentTimeMillis());
     this.server = createServer(writer);
     this.administration =
         Administration.create(settings, writer, replica, endpoints, membership, log);
@@ -148,6 +162,7 @@
         new LiveService(
             new LiveServiceParts(
                 endpoints,
+                livePressure,
                 RoutingPolicies.named(settings.routing()),
                 HttpEngineClient.of(caller),
                 (member, serviceClass, tokens) -> new Admission.Admitted(),
@@ -162,6 +177,7 @@
                 live,
                 JobService.of(writer),
                 workers,
+                uploadWorkers,
                 this::isReady,
                 activeRequests,
                 clock,
@@ -192,6 +208,7 @@
         0,
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
     watcher.start();
     runner.start();
     server.start();
@@ -230,6 +247,7 @@
     timer.shutdownNow();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
+    uploadWorkers.shutdownNow();
     caller.close();
     log.log(LogEvent.INSTANCE_STOPPED);
   }
