Add the burn report of the members' error budgets

Cause: neither operators nor members see how fast an error budget is spent and by what.

Change: package burn keeps counts in rings of fixed size for 5 min, 1 h, 6 h and 3 d by member and service class. The cause is queue, endpoint, refusal or limit. GET /admin/burn answers in JSON; the subcommand burn adds up several instances and prints text, JSON or one HTML page without outside references. At most 4,096 records are kept; further members are counted together.

--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/RemoteOptions.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/RemoteOptions.java
@@ -27,20 +27,25 @@
     return address;
   }
 
-  /** Returns a client, empty after printing why there is none. */
+  /** Returns a client of the address given, empty after printing why there is none. */
   final Optional<AdministrationClient> connect() {
+    return connect(address);
+  }
+
+  /** Returns a client of an address, empty after printing why there is none. */
+  final Optional<AdministrationClient> connect(URI to) {
     LogSetup.quietLibraries();
-    if (address.getScheme() == null || address.getHost() == null) {
-      System.err.println("--at: expected http://IP:PORT, found '" + address + "'");
+    if (to.getScheme() == null || to.getHost() == null) {
+      System.err.println("expected an address http://IP:PORT, found '" + to + "'");
       return Optional.empty();
     }
     String variable = System.getenv(TOKEN_FILE_VARIABLE);
     Path file = tokenFile != null || variable == null ? tokenFile : Path.of(variable);
     if (file == null) {
-      return Optional.of(new AdministrationClient(address, ""));
+      return Optional.of(new AdministrationClient(to, ""));
     }
     try {
-      return Optional.of(new AdministrationClient(address, Files.readString(file).strip()));
+      return Optional.of(new AdministrationClient(to, Files.readString(file).strip()));
     } catch (IOException failure) {
       System.err.println("cannot read the token file " + file + ": " + failure);
       return Optional.empty();
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/burn/BurnLine.java
@@ -0,0 +1,117 @@
+package org.sedgeroad.burn;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.sedgeroad.ServiceClass;
+
+/**
+ * Counts of one member, service class and window.
+ *
+ * @param member member
+ * @param serviceClass service class
+ * @param window window
+ * @param total requests or items that count
+ * @param periodTotal those of the longest window, which decide the size of the budget
+ * @param bad how many of them were bad, by cause; every cause is present
+ */
+public record BurnLine(
+    String member,
+    ServiceClass serviceClass,
+    BurnWindow window,
+    long total,
+    long periodTotal,
+    Map<Cause, Long> bad) {
+
+  /** Copies the counts. */
+  public BurnLine {
+    Map<Cause, Long> copy = new EnumMap<>(Cause.class);
+    for (Cause cause : Cause.values()) {
+      copy.put(cause, bad.getOrDefault(cause, 0L));
+    }
+    bad = copy;
+  }
+
+  static BurnLine of(
+      String member,
+      ServiceClass serviceClass,
+      BurnWindow window,
+      long[] totalAndCauses,
+      long periodTotal) {
+    Map<Cause, Long> bad = new EnumMap<>(Cause.class);
+    for (Cause cause : Cause.values()) {
+      bad.put(cause, totalAndCauses[1 + cause.ordinal()]);
+    }
+    return new BurnLine(member, serviceClass, window, totalAndCauses[0], periodTotal, bad);
+  }
+
+  static BurnLine fromJson(JsonNode node) {
+    Map<Cause, Long> bad = new EnumMap<>(Cause.class);
+    for (Cause cause : Cause.values()) {
+      bad.put(cause, node.path(cause.toText()).asLong());
+    }
+    return new BurnLine(
+        node.path("member").asText(),
+        ServiceClass.valueOf(node.path("class").asText().toUpperCase(Locale.ROOT)),
+        BurnWindow.ofText(node.path("window").asText()),
+        node.path("total").asLong(),
+        node.path("period_total").asLong(),
+        bad);
+  }
+
+  void writeTo(ObjectNode node) {
+    node.put("member", member);
+    node.put("class", serviceClass.toText());
+    node.put("window", window.toText());
+    node.put("total", total);
+    node.put("period_total", periodTotal);
+    bad.forEach((cause, count) -> node.put(cause.toText(), count));
+    node.put("burn_rate", burnRate());
+    node.put("budget_spent", budgetSpent());
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Returns the sum of this line and one of another instance. */
+  BurnLine plus(BurnLine other) {
+    Map<Cause, Long> sum = new EnumMap<>(bad);
+    other.bad.forEach((cause, count) -> sum.merge(cause, count, Long::sum));
+    return new BurnLine(
+        member, serviceClass, window, total + other.total, periodTotal + other.periodTotal, sum);
+  }
+
+  /** Returns all bad requests or items. */
+  public long badTotal() {
+    return bad.values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  /**
+   * Returns how many times faster than allowed the budget is spent: 1 spends it exactly in the
+   * period, 0 not at all.
+   */
+  public double burnRate() {
+    double allowed = (1 - Objective.of(serviceClass).target()) * total;
+    return allowed == 0 ? 0 : badTotal() / allowed;
+  }
+
+  /**
+   * Returns which part of the budget of the longest window was spent within this one: 1 is all of
+   * it. The budget follows the traffic of that time.
+   */
+  public double budgetSpent() {
+    double budget = (1 - Objective.of(serviceClass).target()) * periodTotal;
+    return budget == 0 ? 0 : badTotal() / budget;
+  }
+
+  /** Returns the cause of most of the spending, empty if nothing was spent. */
+  public Optional<Cause> mainCause() {
+    return bad.entrySet().stream()
+        .filter(entry -> entry.getValue() > 0)
+        .max(Comparator.comparingLong(Map.Entry::getValue))
+        .map(Map.Entry::getKey);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/burn/BurnRecords.java
@@ -0,0 +1,126 @@
+package org.sedgeroad.burn;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.ServiceClass;
+import org.sedgeroad.job.CommitListener;
+import org.sedgeroad.job.ItemResult;
+import org.sedgeroad.job.ItemState;
+import org.sedgeroad.job.Job;
+import org.sedgeroad.metric.CompletedRequest;
+import org.sedgeroad.metric.RequestObserver;
+import org.sedgeroad.metric.RequestOutcome;
+
+/**
+ * Keeps for each member and service class what was good and what spent the error budget.
+ *
+ * <p>The records are in memory and begin anew with the process. Thread-safe.
+ */
+public final class BurnRecords implements RequestObserver, CommitListener {
+  /** Bounds the memory to 6 MB; the design page expects 2,000 members. */
+  private static final int MOST_RECORDS = 4_096;
+
+  private static final String OTHER = "(other members)";
+
+  private final Map<Key, Record> records = new ConcurrentHashMap<>();
+  private final String instance;
+  private final MonotonicClock monotonic;
+  private final Clock clock;
+
+  /** Creates empty records of an instance. */
+  public BurnRecords(String instance, MonotonicClock monotonic, Clock clock) {
+    this.instance = instance;
+    this.monotonic = monotonic;
+    this.clock = clock;
+  }
+
+  private record Key(String member, ServiceClass serviceClass) {}
+
+  /** Rings of one member and service class, guarded by itself. */
+  private static final class Record {
+    private final Map<BurnWindow, CountRing> rings = new EnumMap<>(BurnWindow.class);
+
+    Record(long nowNanos) {
+      for (BurnWindow window : BurnWindow.values()) {
+        rings.put(window, new CountRing(window, nowNanos));
+      }
+    }
+
+    synchronized void add(Cause cause, long nowNanos) {
+      rings.values().forEach(ring -> ring.add(cause, nowNanos));
+    }
+
+    synchronized long[] sum(BurnWindow window, long nowNanos) {
+      return rings.get(window).sum(nowNanos);
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  @Override
+  public void ended(CompletedRequest request) {
+    // A caller that goes away says nothing about the answer; an unknown one has no budget.
+    if (request.outcome() != RequestOutcome.CALLER_GONE && !request.member().isEmpty()) {
+      add(request.member(), ServiceClass.LIVE, cause(request));
+    }
+  }
+
+  @Override
+  public void committed(Job job, List<ItemResult> results) {
+    boolean late = clock.instant().isAfter(job.deadline());
+    for (ItemResult result : results) {
+      if (result.state() == ItemState.DONE) {
+        add(job.member(), ServiceClass.BATCH, late ? Cause.QUEUE : null);
+      } else if (result.state() != ItemState.CANCELLED) {
+        add(job.member(), ServiceClass.BATCH, Cause.ENDPOINT);
+      }
+    }
+  }
+
+  /** Returns the report of this instance. */
+  public BurnReport report() {
+    long now = monotonic.nanos();
+    List<BurnLine> lines = new ArrayList<>();
+    records.forEach(
+        (key, record) -> {
+          long periodTotal = record.sum(BurnWindow.THREE_DAYS, now)[0];
+          for (BurnWindow window : BurnWindow.values()) {
+            lines.add(
+                BurnLine.of(
+                    key.member(),
+                    key.serviceClass(),
+                    window,
+                    record.sum(window, now),
+                    periodTotal));
+          }
+        });
+    return BurnReport.of(List.of(instance), Instant.now(clock), lines);
+  }
+
+  // -----------------------------------------------------------------------
+
+  private static Cause cause(CompletedRequest request) {
+    return switch (request.outcome()) {
+      case DONE -> request.firstNanos() > Objective.FIRST_BYTE_NANOS ? Cause.ENDPOINT : null;
+      case ENDPOINT_ERROR, FAILED -> Cause.ENDPOINT;
+      case LIMIT -> Cause.LIMIT;
+      case QUEUE -> Cause.QUEUE;
+      default -> Cause.REFUSAL;
+    };
+  }
+
+  private void add(String member, ServiceClass serviceClass, Cause cause) {
+    long now = monotonic.nanos();
+    Key key = new Key(member, serviceClass);
+    if (!records.containsKey(key) && records.size() >= MOST_RECORDS) {
+      key = new Key(OTHER, serviceClass);
+    }
+    records.computeIfAbsent(key, absent -> new Record(now)).add(cause, now);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/burn/Objective.java
@@ -0,0 +1,26 @@
+package org.sedgeroad.burn;
+
+import org.sedgeroad.ServiceClass;
+
+/**
+ * What a service class promises.
+ *
+ * @param serviceClass service class
+ * @param target part of the requests or items that must be good, below 1
+ * @param description when one is good
+ */
+public record Objective(ServiceClass serviceClass, double target, String description) {
+  /** Longest time to the first byte of a good live answer: the target of the design page. */
+  static final long FIRST_BYTE_NANOS = 520_000_000;
+
+  private static final Objective LIVE =
+      new Objective(
+          ServiceClass.LIVE, 0.95, "whole answer, first byte within 0.52 s of the request");
+  private static final Objective BATCH =
+      new Objective(ServiceClass.BATCH, 0.999, "item done before the deadline of its job");
+
+  /** Returns the objective of a service class. */
+  public static Objective of(ServiceClass serviceClass) {
+    return serviceClass == ServiceClass.LIVE ? LIVE : BATCH;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/burn/package-info.java
@@ -0,0 +1,2 @@
+/** Error budgets of the members: objectives, records and reports. */
+package org.sedgeroad.burn;
--- a/sedgeroad/src/main/java/org/sedgeroad/command/AdministrationHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/AdministrationHandler.java
@@ -11,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Supplier;
+import org.sedgeroad.burn.BurnReport;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
@@ -26,12 +28,18 @@
   private final CommandExecutor executor;
   private final OperatorToken token;
   private final Executor workers;
+  private final Supplier<BurnReport> burn;
   private final EventLog log;
 
   /** Creates the handler; the workers may be blocked by calls to the store. */
   public AdministrationHandler(
-      CommandExecutor executor, OperatorToken token, Executor workers, EventLog log) {
+      CommandExecutor executor,
+      Supplier<BurnReport> burn,
+      OperatorToken token,
+      Executor workers,
+      EventLog log) {
     this.executor = executor;
+    this.burn = burn;
     this.token = token;
     this.workers = workers;
     this.log = log;
@@ -52,10 +60,14 @@
       return;
     }
     String request = exchange.getRequestMethod() + " " + exchange.getRequestPath();
-    if (!request.equals("POST /admin/commands")) {
-      send(exchange, 404, ResultJson.error("no such path: " + request));
-      return;
+    switch (request) {
+      case "POST /admin/commands" -> commands(exchange);
+      case "GET /admin/burn" -> send(exchange, 200, burn.get().toJson());
+      default -> send(exchange, 404, ResultJson.error("no such path: " + request));
     }
+  }
+
+  private void commands(HttpServerExchange exchange) throws IOException {
     byte[] body = exchange.getInputStream().readNBytes(MAXIMUM_TEXT_BYTES + 1);
     if (body.length > MAXIMUM_TEXT_BYTES) {
       exchange.setPersistent(false);
--- a/sedgeroad/src/main/java/org/sedgeroad/command/AdministrationListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/AdministrationListener.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.sedgeroad.burn.BurnReport;
 import org.sedgeroad.event.EventLog;
 
 /** Listens for operators, apart from the callers' listener and its workers. */
@@ -18,13 +20,17 @@
 
   /** Creates a listener; {@link #start} starts it. */
   public AdministrationListener(
-      InetSocketAddress address, CommandExecutor executor, OperatorToken token, EventLog log) {
+      InetSocketAddress address,
+      CommandExecutor executor,
+      Supplier<BurnReport> burn,
+      OperatorToken token,
+      EventLog log) {
     this.server =
         Undertow.builder()
             .addHttpListener(address.getPort(), address.getHostString())
             .setIoThreads(1)
             .setWorkerThreads(1)
-            .setHandler(new AdministrationHandler(executor, token, workers, log))
+            .setHandler(new AdministrationHandler(executor, burn, token, workers, log))
             .build();
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.entry;
 
 import java.util.Map;
+import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.command.CommandExecutor;
 import org.sedgeroad.command.CommandParts;
@@ -27,6 +28,7 @@
       ConfigurationReplica replica,
       EndpointTable endpoints,
       MembershipView membership,
+      BurnRecords burn,
       EventLog log) {
     CommandParts parts =
         new CommandParts(
@@ -43,6 +45,7 @@
     return new AdministrationListener(
         settings.adminAddress(),
         new CommandExecutor(parts),
+        burn::report,
         OperatorToken.of(settings.operatorTokenFile()),
         log);
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
 import java.util.UUID;
@@ -17,6 +18,7 @@
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
 import org.sedgeroad.api.Observation;
+import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
@@ -36,6 +38,7 @@
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
 import org.sedgeroad.metric.Metrics;
+import org.sedgeroad.metric.RequestObserver;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicies;
 import org.sedgeroad.route.EndpointTable;
@@ -56,6 +59,7 @@
   private final EventLog log;
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
   private final Metrics metrics = new Metrics();
+  private final BurnRecords burn;
   private final HttpCaller caller;
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
@@ -83,6 +87,7 @@
   public EntryInstance(Settings settings) {
     this.settings = settings;
     this.log = EventLog.of(settings.instance());
+    this.burn = new BurnRecords(settings.instance(), clock, Clock.systemUTC());
     this.caller = HttpCaller.create(settings.ioThreads());
     this.store =
         metrics.measure(
@@ -118,7 +123,7 @@
             System.currentTimeMillis());
     this.server = createServer(writer);
     this.administration =
-        Administration.create(settings, writer, replica, endpoints, membership, log);
+        Administration.create(settings, writer, replica, endpoints, membership, burn, log);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
     InstanceGauges.register(
         metrics,
@@ -154,7 +159,10 @@
             storeWorkers,
             log,
             settings.requestTimeoutMillis(),
-            metrics));
+            (job, results) -> {
+              metrics.committed(job, results);
+              burn.committed(job, results);
+            }));
   }
 
   private Undertow createServer(StoreWriter writer) {
@@ -184,7 +192,7 @@
                 log,
                 settings.requestTimeoutMillis(),
                 settings.maximumBodyBytes(),
-                new Observation(metrics, metrics::toText)));
+                new Observation(RequestObserver.both(metrics, burn), metrics::toText)));
     return Undertow.builder()
         .addHttpListener(
             settings.callerAddress().getPort(), settings.callerAddress().getHostString())
--- a/sedgeroad/src/test/java/org/sedgeroad/command/AdministrationListenerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/command/AdministrationListenerTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Clock;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.http.HttpCall;
@@ -59,6 +61,7 @@
         new AdministrationListener(
             new InetSocketAddress("127.0.0.1", port),
             new CommandExecutor(parts),
+            new BurnRecords("entry-1", MonotonicClock.SYSTEM, Clock.systemUTC())::report,
             OperatorToken.of(Optional.of(tokenFile.toString())),
             EventLog.of("entry-1"));
     listener.start();
