--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -4,7 +4,6 @@
 import io.undertow.UndertowOptions;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -32,7 +31,7 @@
 import org.sedgeroad.job.JobRunnerParts;
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.lease.LeaseTable;
-import org.sedgeroad.limit.Admission;
+import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
@@ -43,6 +42,7 @@
 import org.sedgeroad.route.BatchPolicies;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.RoutingPolicies;
+import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.HttpObjectStore;
 import org.sedgeroad.store.ObjectStore;
@@ -65,6 +65,7 @@
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
   private final LeaseTable leases;
+  private final VotedLimits limits;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final ExecutorService storeWorkers =
       new ThreadPoolExecutor(
@@ -73,9 +74,10 @@
   private final ThreadPoolExecutor uploadWorkers =
       new ThreadPoolExecutor(0, UPLOAD_THREADS, 30, TimeUnit.SECONDS, new SynchronousQueue<>());
   private final AtomicInteger activeRequests = new AtomicInteger();
-  private final ConfigurationWatcher watcher;
+  private final ConfigurationRelay relay;
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
+  private final PeerGroup peers;
   private final JobRunner runner;
   private final LivePressureExchange livePressure;
   private final Undertow server;
@@ -100,9 +102,22 @@
     // The name differs after each restart, so that a new run never counts as the old holder.
     String holder = settings.instance() + "#" + UUID.randomUUID().toString().substring(0, 8);
     StoreWriter writer = StoreWriter.of(store, holder);
-    MembershipView membership = () -> List.of(settings.instance());
-    this.watcher = new ConfigurationWatcher(store, replica, timer, log);
-    this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
+    this.peers = PeerGroup.of(settings, clock, log);
+    MembershipView membership = peers.membership();
+    this.relay = peers.createRelay(store, replica);
+    this.limits =
+        new VotedLimits(
+            settings.instance(),
+            holder,
+            settings.domain(),
+            settings.domains().stream().map(DomainSetting::domain).toList(),
+            settings.leaseMillis(),
+            leases,
+            replica,
+            replica::highestVersion,
+            peers.network(),
+            clock);
+    this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
             settings.instanceListAddress(),
@@ -173,7 +188,7 @@
                 livePressure,
                 RoutingPolicies.named(settings.routing()),
                 HttpEngineClient.of(caller),
-                (member, serviceClass, tokens) -> new Admission.Admitted(),
+                limits.gate(),
                 ClaimBook.of(writer),
                 clock,
                 new java.util.Random(),
@@ -217,7 +232,8 @@
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
-    watcher.start();
+    peers.start();
+    relay.start(peers.isAlone());
     runner.start();
     server.start();
     administration.start();
@@ -231,7 +247,7 @@
   public boolean isReady() {
     return !stopping
         && !drains.isDrained()
-        && watcher.isComplete()
+        && relay.isComplete()
         && !endpoints.endpoints().isEmpty();
   }
 
@@ -249,13 +265,16 @@
       sleep(Duration.ofMillis(20));
     }
     runner.close();
+    peers.leave();
     server.stop();
     administration.close();
-    watcher.close();
+    relay.close();
     timer.shutdownNow();
+    leaseKeeper.release();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
     uploadWorkers.shutdownNow();
+    peers.close();
     caller.close();
     log.log(LogEvent.INSTANCE_STOPPED);
   }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerGroup.java
@@ -0,0 +1,119 @@
+package org.sedgeroad.entry;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.peer.GossipMembership;
+import org.sedgeroad.peer.GossipSettings;
+import org.sedgeroad.peer.HeartbeatContent;
+import org.sedgeroad.peer.MembershipService;
+import org.sedgeroad.peer.TcpPeerNetwork;
+import org.sedgeroad.settings.DomainSetting;
+import org.sedgeroad.settings.Settings;
+import org.sedgeroad.store.ObjectStore;
+
+/** Network and membership of one instance. */
+final class PeerGroup implements AutoCloseable {
+  private final Settings settings;
+  private final MonotonicClock clock;
+  private final EventLog log;
+  private final TcpPeerNetwork network;
+  private final GossipMembership membership;
+  private final MembershipService service;
+  private volatile Supplier<HeartbeatContent> content = () -> HeartbeatContent.EMPTY;
+
+  private PeerGroup(Settings settings, MonotonicClock clock, EventLog log) throws IOException {
+    this.settings = settings;
+    this.clock = clock;
+    this.log = log;
+    this.network = TcpPeerNetwork.bind(settings.instance(), settings.peerAddress(), clock, log);
+    this.membership =
+        GossipMembership.of(
+            new GossipSettings(
+                settings.instance(),
+                settings.domain(),
+                text(network.address()),
+                System.currentTimeMillis(),
+                settings.seeds().stream().map(PeerGroup::text).toList(),
+                settings.domains().stream().map(DomainSetting::domain).toList()));
+    this.service =
+        new MembershipService(
+            settings.instance(), membership, network, () -> content.get(), clock, log);
+  }
+
+  /**
+   * Binds the peer address of the settings.
+   *
+   * @throws UncheckedIOException if the address can't be bound
+   */
+  static PeerGroup of(Settings settings, MonotonicClock clock, EventLog log) {
+    try {
+      return new PeerGroup(settings, clock, log);
+    } catch (IOException failure) {
+      throw new UncheckedIOException("can't listen on " + settings.peerAddress(), failure);
+    }
+  }
+
+  TcpPeerNetwork network() {
+    return network;
+  }
+
+  GossipMembership membership() {
+    return membership;
+  }
+
+  MembershipService service() {
+    return service;
+  }
+
+  /** Returns whether the settings name no other instance as a seed. */
+  boolean isAlone() {
+    return settings.seeds().stream().allMatch(seed -> text(seed).equals(text(network.address())));
+  }
+
+  /** Sets what other parts add to heartbeats. */
+  void setContent(Supplier<HeartbeatContent> supplier) {
+    content = supplier;
+  }
+
+  /** Returns a relay that keeps a replica current; the caller starts and closes it. */
+  ConfigurationRelay createRelay(ObjectStore store, ConfigurationReplica replica) {
+    ConfigurationRelay relay =
+        new ConfigurationRelay(
+            settings.instance(),
+            settings.domain(),
+            store,
+            replica,
+            network,
+            membership,
+            clock,
+            log);
+    setContent(relay::heartbeatContent);
+    service.addListener(relay::receive);
+    return relay;
+  }
+
+  void start() {
+    network.start(membership);
+    service.start();
+  }
+
+  /** Tells the other instances that this one is leaving. */
+  void leave() {
+    service.announceLeaving();
+  }
+
+  @Override
+  public void close() {
+    service.close();
+    network.close();
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+}
