--- a/sedgeroad/src/main/java/org/sedgeroad/api/ApiHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ApiHandler.java
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -18,6 +19,9 @@
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.live.LiveFailure;
+import org.sedgeroad.metric.CompletedRequest;
+import org.sedgeroad.metric.Metrics;
+import org.sedgeroad.metric.RequestOutcome;
 
 /** Root of the callers' HTTP interface: authentication and dispatch by path. */
 public final class ApiHandler implements HttpHandler {
@@ -34,7 +38,13 @@
     this.parts = parts;
     this.replica = parts.replica();
     this.authenticator = new Authenticator(replica);
-    this.live = new LiveHandler(replica, parts.live(), parts.clock(), parts.requestTimeoutMillis());
+    this.live =
+        new LiveHandler(
+            replica,
+            parts.live(),
+            parts.clock(),
+            parts.requestTimeoutMillis(),
+            parts.observation().requests());
     this.files = new FilesHandler(parts.jobs(), parts.log());
     this.batches = new BatchesHandler(parts.jobs(), replica, parts.log());
     this.log = parts.log();
@@ -43,6 +53,10 @@
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     switch (exchange.getRequestPath()) {
+      case "/metrics" -> {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, Metrics.CONTENT_TYPE);
+        exchange.getResponseSender().send(parts.observation().metricsText().get());
+      }
       case "/healthz" -> exchange.getResponseSender().send("ok\n");
       case "/readyz" -> {
         boolean ready = parts.ready().getAsBoolean();
@@ -104,6 +118,12 @@
     try {
       exchange.dispatch(pool, dispatched -> serveBlocking(dispatched, member));
     } catch (RejectedExecutionException full) {
+      if (pool == parts.workers()) {
+        parts
+            .observation()
+            .requests()
+            .ended(CompletedRequest.refused(member, RequestOutcome.QUEUE));
+      }
       ApiErrors.send(exchange, LiveFailure.notRun(503, "overloaded", "all workers are busy"), null);
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import java.time.Clock;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.UUID;
@@ -16,6 +17,8 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.api.Observation;
+import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
@@ -35,6 +38,8 @@
 import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
+import org.sedgeroad.metric.Metrics;
+import org.sedgeroad.metric.RequestObserver;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicies;
 import org.sedgeroad.route.CrashSuspicion;
@@ -58,6 +63,8 @@
   private final Settings settings;
   private final EventLog log;
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
+  private final Metrics metrics = new Metrics();
+  private final BurnRecords burn;
   private final HttpCaller caller;
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
@@ -89,8 +96,11 @@
   public EntryInstance(Settings settings) {
     this.settings = settings;
     this.log = EventLog.of(settings.instance());
+    this.burn = new BurnRecords(settings.instance(), clock, Clock.systemUTC());
     this.caller = HttpCaller.create(settings.ioThreads());
-    this.store = HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis());
+    this.store =
+        metrics.measure(
+            HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis()));
     this.endpoints = EndpointTable.of(settings.region(), clock);
     this.leases = LeaseTable.ofMillis(settings.leaseMillis());
     this.workers =
@@ -146,8 +156,16 @@
     crashes.listen(peers.network());
     this.server = createServer(writer);
     this.administration =
-        Administration.create(settings, writer, replica, endpoints, membership, log);
+        Administration.create(settings, writer, replica, endpoints, membership, burn, log);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
+    InstanceGauges.register(
+        metrics,
+        replica,
+        endpoints,
+        () -> leases.isHeld(clock.nanos()),
+        this::isReady,
+        () -> membership.liveInstances().size(),
+        activeRequests::get);
     replica.addListener(
         object -> {
           if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
@@ -173,7 +191,11 @@
             clock,
             storeWorkers,
             log,
-            settings.requestTimeoutMillis()));
+            settings.requestTimeoutMillis(),
+            (job, results) -> {
+              metrics.committed(job, results);
+              burn.committed(job, results);
+            }));
   }
 
   private Undertow createServer(StoreWriter writer) {
@@ -205,7 +227,8 @@
                 clock,
                 log,
                 settings.requestTimeoutMillis(),
-                settings.maximumBodyBytes()));
+                settings.maximumBodyBytes(),
+                new Observation(RequestObserver.both(metrics, burn), metrics::toText)));
     return Undertow.builder()
         .addHttpListener(
             settings.callerAddress().getPort(), settings.callerAddress().getHostString())
