Add the load generator and bin/bench with batch-interference and stragglers

Change: open-loop arrivals from a seed, streamed live requests checked against the engines' deterministic output, batch rates and queue waits from the engines' histories, two experiments with the least-outstanding baseline in the same run, one JSON line, an HTML page. The policies under test are still the first versions.

--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/BatchInterference.java
@@ -0,0 +1,182 @@
+package org.sedgeroad.testing.experiment;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.EngineProcess;
+import org.sedgeroad.testing.load.Arrivals;
+import org.sedgeroad.testing.load.BatchLoad;
+import org.sedgeroad.testing.load.EngineRuns;
+import org.sedgeroad.testing.load.LengthMix;
+import org.sedgeroad.testing.load.LiveLoad;
+import org.sedgeroad.testing.load.LoadResult;
+import org.sedgeroad.testing.load.PlannedRequest;
+import org.sedgeroad.testing.load.Saturation;
+
+/** Measures what batch at full load does to live requests, and what live leaves to batch. */
+final class BatchInterference implements Experiment {
+  private static final double LIVE_PART = 0.4;
+  private static final double LIVE_SECONDS = 5;
+  private static final double CALIBRATION_SECONDS = 2;
+
+  /** Batch needs this time to fill the engines; the items before it are not counted. */
+  private static final double FILL_SECONDS = 1.5;
+
+  private static final int ITEM_PROMPT = 100;
+  private static final int ITEM_ANSWER = 32;
+
+  /** Twice what the engines can finish in the measured time, so that batch never runs out. */
+  private static final int ITEMS = 2_500;
+
+  private static final int BURSTS = 2;
+  private static final int BURST_SIZE = 24;
+  private static final double BURST_SPREAD_MILLIS = 30;
+  private static final double BURST_INTERVAL_SECONDS = 1.5;
+  private static final String RATIO = "live-p99-first-token-ratio";
+  private static final String PART = "batch-part-of-left-capacity";
+  private static final String BURST = "burst-wait-behind-batch-ms";
+
+  /** Figures of one policy. */
+  private record Measured(Map<String, Double> figures, List<Chart.Line> first, Chart.Line batch) {}
+
+  @Override
+  public ExperimentResult run(Bench bench) {
+    Measured ours = measure(bench, Policy.DEFAULT);
+    Measured baseline = measure(bench, Policy.LEAST_OUTSTANDING);
+    Map<String, Double> values = ours.figures;
+    List<Figure> figures = new ArrayList<>();
+    figures.add(Figure.atMost(RATIO, values.get(RATIO), Targets.INTERFERENCE_RATIO));
+    figures.add(Figure.atLeast(PART, values.get(PART), Targets.BATCH_PART_OF_CAPACITY));
+    figures.add(Figure.atMost(BURST, values.get(BURST), Targets.BURST_WAIT_MILLIS));
+    values.forEach(
+        (name, value) -> {
+          if (!List.of(RATIO, PART, BURST).contains(name)) {
+            figures.add(Figure.reported(name, value));
+          }
+        });
+    List<Chart.Line> first = new ArrayList<>(ours.first);
+    first.addAll(baseline.first);
+    return new ExperimentResult(
+        "batch-interference",
+        bench.seed(),
+        figures,
+        Map.of(Policy.LEAST_OUTSTANDING.name(), baseline.figures),
+        List.of(),
+        List.of(
+            new Chart("Live time to first token, p99 per 0.5 s", "s", "ms", first),
+            new Chart(
+                "Batch items finished beside live",
+                "s",
+                "items/s",
+                List.of(ours.batch, baseline.batch))));
+  }
+
+  // -----------------------------------------------------------------------
+
+  private static Measured measure(Bench bench, Policy policy) {
+    try (Deployment deployment = bench.deploy(Bench.fullPlan(), policy)) {
+      long calibrated = calibrate(bench, deployment);
+      double rate = Bench.rate(deployment.plan(), LengthMix.ASSISTANT, LIVE_PART);
+      bench.say("live alone, " + Math.round(rate) + " requests/s");
+      LoadResult alone = live(bench, deployment, "alone", rate);
+      BatchLoad batch = new BatchLoad(deployment, "item", ITEM_PROMPT, ITEM_ANSWER);
+      batch.submit(ITEMS);
+      batch.submit(ITEMS);
+      Bench.pause(FILL_SECONDS);
+      bench.say("live beside batch");
+      LoadResult beside = live(bench, deployment, "beside", rate);
+      Bench.pause(0.5);
+      bench.say("bursts from idle");
+      LoadResult bursts = bursts(bench, deployment);
+      EngineRuns runs = EngineRuns.read(deployment);
+      return summarise(policy, calibrated, runs, alone, beside, bursts);
+    }
+  }
+
+  /** Fills all slots with batch items sent straight to the engines; returns the start. */
+  private static long calibrate(Bench bench, Deployment deployment) {
+    bench.say("calibrating the capacity of the engines");
+    long start = LiveLoad.nowMicros();
+    Saturation saturation =
+        new Saturation(
+            bench.caller(),
+            Map.of("X-Service-Class", "calibration"),
+            deployment.plan().model(),
+            ITEM_PROMPT,
+            ITEM_ANSWER,
+            CALIBRATION_SECONDS);
+    List<URI> engines = deployment.engines().stream().map(EngineProcess::address).toList();
+    saturation.start(engines, 2 * Bench.SLOTS);
+    // The last items end after the calibration; they must not run beside the live requests.
+    Bench.pause(CALIBRATION_SECONDS + 1);
+    return start;
+  }
+
+  private static LoadResult live(Bench bench, Deployment deployment, String label, double rate) {
+    return bench.poisson(deployment, label, LengthMix.ASSISTANT, rate, LIVE_SECONDS).await();
+  }
+
+  private static LoadResult bursts(Bench bench, Deployment deployment) {
+    List<Long> arrivals =
+        Arrivals.bursts(
+            bench.seed(), BURSTS, BURST_SIZE, BURST_SPREAD_MILLIS, BURST_INTERVAL_SECONDS);
+    LengthMix mix = LengthMix.fixed(ITEM_PROMPT, ITEM_ANSWER);
+    return bench
+        .start(deployment, PlannedRequest.plan(bench.seed(), "burst", arrivals, mix))
+        .await();
+  }
+
+  private static Measured summarise(
+      Policy policy,
+      long calibrated,
+      EngineRuns runs,
+      LoadResult alone,
+      LoadResult beside,
+      LoadResult bursts) {
+    long end = calibrated + (long) (CALIBRATION_SECONDS * 1e6);
+    double capacity =
+        runs.finishedPerSecond(
+            run -> run.serviceClass().equals("calibration"), calibrated + 700_000, end);
+    long from = beside.startMicros() + 500_000;
+    long to = beside.startMicros() + (long) (LIVE_SECONDS * 1e6);
+    int slots = Bench.SLOTS * 8;
+    double liveSlots = runs.meanSlots(run -> !run.isBatch(), from, to) / slots;
+    double batch = runs.batchPerSecond(from, to);
+    Map<String, Double> figures = new LinkedHashMap<>();
+    figures.put(RATIO, beside.firstTokenMillis(99) / alone.firstTokenMillis(99));
+    figures.put(PART, batch / (capacity * (1 - liveSlots)));
+    figures.put(BURST, burstWait(runs, bursts.startMicros()));
+    figures.put("live-p99-first-token-alone-ms", alone.firstTokenMillis(99));
+    figures.put("live-p99-first-token-beside-ms", beside.firstTokenMillis(99));
+    figures.put("live-p50-first-token-alone-ms", alone.firstTokenMillis(50));
+    figures.put("live-p50-first-token-beside-ms", beside.firstTokenMillis(50));
+    figures.put("live-p99-gap-beside-ms", beside.gaps().getValueAtPercentile(99) / 1e6);
+    figures.put("live-part-of-slots", liveSlots);
+    figures.put("capacity-items-per-second", capacity);
+    figures.put("batch-items-per-second", batch);
+    figures.put(
+        "live-runs-behind-batch-beside", (double) QueueWaits.behindBatch(runs, from, to).size());
+    figures.put("live-failures", (double) alone.failures() + beside.failures() + bursts.failures());
+    List<Chart.Line> first = new ArrayList<>();
+    first.add(Series.firstTokens(policy.name() + ", alone", alone, 99));
+    first.add(Series.firstTokens(policy.name() + ", beside batch", beside, 99));
+    Chart.Line finished = Series.batch(policy.name(), runs, beside.startMicros(), to);
+    return new Measured(figures, first, finished);
+  }
+
+  /** Returns the time from a burst until no live request waits behind batch; the longest one. */
+  private static double burstWait(EngineRuns runs, long startMicros) {
+    double longest = 0;
+    for (int burst = 0; burst < BURSTS; burst++) {
+      long from = startMicros + (long) (burst * BURST_INTERVAL_SECONDS * 1e6);
+      long to = from + (long) (BURST_INTERVAL_SECONDS * 1e6);
+      for (QueueWaits.Wait wait : QueueWaits.behindBatch(runs, from, to)) {
+        longest = Math.max(longest, (wait.untilMicros() - from) / 1_000.0);
+      }
+    }
+    return longest;
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/BenchMain.java
@@ -0,0 +1,81 @@
+package org.sedgeroad.testing.experiment;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.sedgeroad.testing.http.ProcessMain;
+
+/** Runs one experiment and prints its figures; the last line of output is one JSON object. */
+public final class BenchMain {
+  /** With more of the machine in use, latencies include waits for a processor. */
+  private static final double BUSY_PART = 0.8;
+
+  private static final Map<String, Supplier<Experiment>> EXPERIMENTS =
+      new TreeMap<>(
+          Map.of("batch-interference", BatchInterference::new, "stragglers", Stragglers::new));
+
+  @Argument(metaVar = "EXPERIMENT", required = true, usage = "name of the experiment")
+  private String experiment = "";
+
+  @Option(name = "--seed", usage = "seed of arrivals, lengths and failures")
+  private long seed = 1;
+
+  @Option(name = "--html", usage = "file for a page with plots")
+  private Path html;
+
+  private BenchMain() {}
+
+  /** Runs the experiment; exit status 0 after a run, whatever the figures, 2 for a wrong name. */
+  public static void main(String[] arguments) throws IOException {
+    BenchMain main = new BenchMain();
+    ProcessMain.parse(main, arguments);
+    System.exit(main.run());
+  }
+
+  private int run() throws IOException {
+    Supplier<Experiment> chosen = EXPERIMENTS.get(experiment);
+    if (chosen == null) {
+      System.err.println("unknown experiment; known: " + String.join(", ", EXPERIMENTS.keySet()));
+      return 2;
+    }
+    ProcessorTime.Machine before = ProcessorTime.machine();
+    ExperimentResult result;
+    try (Bench bench = new Bench(seed)) {
+      result = chosen.get().run(bench);
+    }
+    double busy = before.busyPart(ProcessorTime.machine());
+    String note = String.format("machine: %.0f%% of the processors busy on average", busy * 100);
+    result = result.withNote(busy > BUSY_PART ? note + "; the figures are not reliable" : note);
+    print(result);
+    if (html != null) {
+      Files.writeString(html, HtmlPage.of(result));
+    }
+    System.out.println(result.toJsonLine());
+    return 0;
+  }
+
+  private static void print(ExperimentResult result) {
+    for (Figure figure : result.figures()) {
+      String target =
+          figure.target() == null
+              ? ""
+              : "  target " + figure.target() + (figure.met() ? "  met" : "  NOT MET");
+      System.out.printf("%-40s %12s%s%n", figure.name(), figure.shown(), target);
+    }
+    result
+        .baselines()
+        .forEach(
+            (name, values) ->
+                values.forEach(
+                    (figure, value) ->
+                        System.out.printf(
+                            "%-40s %12s  baseline %s%n",
+                            figure, Figure.reported(figure, value).shown(), name)));
+    result.notes().forEach(System.out::println);
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ExperimentResult.java
@@ -0,0 +1,55 @@
+package org.sedgeroad.testing.experiment;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Result of an experiment.
+ *
+ * @param experiment name of the experiment
+ * @param seed seed of the run
+ * @param figures figures of the deployment with its default policies
+ * @param baselines figures by name, for each baseline by name
+ * @param notes lines for the reader, for example that the machine was busy
+ * @param charts plots for the page
+ */
+public record ExperimentResult(
+    String experiment,
+    long seed,
+    List<Figure> figures,
+    Map<String, Map<String, Double>> baselines,
+    List<String> notes,
+    List<Chart> charts) {
+
+  /** Copies the lists. */
+  public ExperimentResult {
+    figures = List.copyOf(figures);
+    notes = List.copyOf(notes);
+    charts = List.copyOf(charts);
+  }
+
+  /** Returns the JSON line of section 13 of the design page. */
+  public String toJsonLine() {
+    ObjectNode root = new ObjectMapper().createObjectNode();
+    root.put("experiment", experiment).put("seed", seed);
+    ArrayNode list = root.putArray("figures");
+    figures.forEach(figure -> list.add(figure.toJson()));
+    ObjectNode others = root.putObject("baselines");
+    baselines.forEach(
+        (name, values) -> {
+          ObjectNode baseline = others.putObject(name);
+          values.forEach((figure, value) -> baseline.put(figure, Figure.rounded(value)));
+        });
+    return root.toString();
+  }
+
+  /** Returns a copy with one more note. */
+  public ExperimentResult withNote(String note) {
+    List<String> more = new java.util.ArrayList<>(notes);
+    more.add(note);
+    return new ExperimentResult(experiment, seed, figures, baselines, more, charts);
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Figure.java
@@ -0,0 +1,61 @@
+package org.sedgeroad.testing.experiment;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.math.BigDecimal;
+import java.math.MathContext;
+
+/**
+ * One measured figure of an experiment.
+ *
+ * @param name name of the figure
+ * @param value measured value, null if it could not be measured
+ * @param target bound of the value, null for a figure that is only reported
+ * @param met whether the value was measured and keeps the bound
+ */
+public record Figure(String name, Double value, Double target, boolean met) {
+  private static final MathContext DIGITS = new MathContext(4);
+
+  /** Returns a figure that may not be above its target. */
+  public static Figure atMost(String name, Double value, double target) {
+    Double checked = finite(value);
+    return new Figure(name, checked, target, checked != null && checked <= target);
+  }
+
+  /** Returns a figure that may not be below its target. */
+  public static Figure atLeast(String name, Double value, double target) {
+    Double checked = finite(value);
+    return new Figure(name, checked, target, checked != null && checked >= target);
+  }
+
+  /** Returns a figure without a target; it is met if it was measured. */
+  public static Figure reported(String name, Double value) {
+    Double checked = finite(value);
+    return new Figure(name, checked, null, checked != null);
+  }
+
+  /** Returns a value with four digits for output; null and values that are no number are null. */
+  static Double rounded(Double value) {
+    Double checked = finite(value);
+    return checked == null
+        ? null
+        : Double.valueOf(new BigDecimal(checked).round(DIGITS).doubleValue());
+  }
+
+  /** Returns the value as it is shown to readers. */
+  String shown() {
+    return value == null
+        ? "not measured"
+        : new BigDecimal(rounded(value)).round(DIGITS).toPlainString();
+  }
+
+  ObjectNode toJson() {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("name", name).put("value", rounded(value)).put("target", rounded(target));
+    return node.put("met", met);
+  }
+
+  private static Double finite(Double value) {
+    return value == null || !Double.isFinite(value) ? null : value;
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ProcessorTime.java
@@ -0,0 +1,60 @@
+package org.sedgeroad.testing.experiment;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Static methods that read processor time from {@code /proc}. */
+final class ProcessorTime {
+  /** USER_HZ of Linux, the unit of the counters in {@code /proc}. */
+  private static final double TICKS_PER_SECOND = 100;
+
+  private static final int USER_FIELD = 11;
+  private static final int IDLE_FIELD = 4;
+  private static final int IO_WAIT_FIELD = 5;
+
+  private ProcessorTime() {}
+
+  /**
+   * Ticks of all processors since the start of the machine.
+   *
+   * @param busy ticks with work
+   * @param total all ticks
+   */
+  record Machine(long busy, long total) {
+    /** Returns the busy part between this reading and a later one, from 0 to 1. */
+    double busyPart(Machine later) {
+      long all = later.total - total;
+      return all == 0 ? 0 : (double) (later.busy - busy) / all;
+    }
+  }
+
+  /** Reads the processor time of the machine. */
+  static Machine machine() {
+    String[] fields = read(Path.of("/proc/stat")).lines().findFirst().orElse("").split("\\s+");
+    long total = 0;
+    for (int index = 1; index < Math.min(fields.length, 9); index++) {
+      total += Long.parseLong(fields[index]);
+    }
+    long idle = Long.parseLong(fields[IDLE_FIELD]) + Long.parseLong(fields[IO_WAIT_FIELD]);
+    return new Machine(total - idle, total);
+  }
+
+  /** Returns the seconds of processor time of a process, user and system. */
+  static double seconds(long processId) {
+    String text = read(Path.of("/proc/" + processId + "/stat"));
+    // The name of the command may contain spaces; the fields after it are counted.
+    String[] fields = text.substring(text.lastIndexOf(')') + 2).split(" ");
+    long ticks = Long.parseLong(fields[USER_FIELD]) + Long.parseLong(fields[USER_FIELD + 1]);
+    return ticks / TICKS_PER_SECOND;
+  }
+
+  private static String read(Path file) {
+    try {
+      return Files.readString(file);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/QueueWaits.java
@@ -0,0 +1,60 @@
+package org.sedgeroad.testing.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.sedgeroad.testing.load.EngineRun;
+import org.sedgeroad.testing.load.EngineRuns;
+
+/** Static methods that find live requests in the queue of an engine whose slots hold batch. */
+final class QueueWaits {
+  /** A shorter wait comes from the scheduling of the engine stand-in, not from full slots. */
+  private static final long LEAST_MICROS = 5_000;
+
+  private QueueWaits() {}
+
+  /**
+   * A live run that waited while batch held a slot of its engine.
+   *
+   * @param run the live run
+   * @param untilMicros last time at which it waited beside a batch run
+   */
+  record Wait(EngineRun run, long untilMicros) {}
+
+  /** Returns the waits of live runs that arrived between two times. */
+  static List<Wait> behindBatch(EngineRuns runs, long fromMicros, long toMicros) {
+    List<EngineRun> batch = runs.stream(EngineRun::isBatch).toList();
+    List<Wait> waits = new ArrayList<>();
+    runs.stream(run -> run.serviceClass().equals("live"))
+        .filter(run -> run.acceptMicros() >= fromMicros && run.acceptMicros() < toMicros)
+        .filter(run -> run.waitMicros(endOfWait(run, runs)) > LEAST_MICROS)
+        .forEach(
+            run -> {
+              long until = lastBatch(run, endOfWait(run, runs), batch);
+              if (until - run.acceptMicros() > LEAST_MICROS) {
+                waits.add(new Wait(run, until));
+              }
+            });
+    return waits;
+  }
+
+  private static long endOfWait(EngineRun run, EngineRuns runs) {
+    if (run.startMicros() >= 0) {
+      return run.startMicros();
+    }
+    return run.endMicros() >= 0 ? run.endMicros() : runs.readMicros();
+  }
+
+  /** Returns the last time up to the end of the wait at which batch held a slot of the engine. */
+  private static long lastBatch(EngineRun run, long waitEnd, List<EngineRun> batch) {
+    long last = Long.MIN_VALUE / 2;
+    for (EngineRun other : batch) {
+      boolean beside =
+          other.engine().equals(run.engine()) && other.slotMicros(run.acceptMicros(), waitEnd) > 0;
+      if (beside) {
+        long end = other.endMicros() < 0 ? waitEnd : other.endMicros();
+        last = Math.max(last, Math.min(end, waitEnd));
+      }
+    }
+    return last;
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/EngineRuns.java
@@ -0,0 +1,125 @@
+package org.sedgeroad.testing.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.EngineProcess;
+
+/**
+ * The runs of all engines of a deployment, from their histories.
+ *
+ * @param runs runs in the order of arrival at each engine
+ * @param readMicros time of the reading, wall clock in microseconds since 1970
+ */
+public record EngineRuns(List<EngineRun> runs, long readMicros) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Copies the runs. */
+  public EngineRuns {
+    runs = List.copyOf(runs);
+  }
+
+  /** Reads the histories of all engines. */
+  public static EngineRuns read(Deployment deployment) {
+    List<EngineRun> all = new ArrayList<>();
+    for (EngineProcess engine : deployment.engines()) {
+      String history = deployment.read(engine.address().resolve("/control/history"));
+      if (!history.isEmpty()) {
+        all.addAll(parse(engine.endpoint().name(), history));
+      }
+    }
+    return new EngineRuns(all, LiveLoad.nowMicros());
+  }
+
+  /** Returns the runs in the JSON of one engine's history. */
+  public static List<EngineRun> parse(String engine, String history) {
+    Map<Long, EngineRun> runs = new LinkedHashMap<>();
+    Map<String, Long> open = new LinkedHashMap<>();
+    try {
+      for (JsonNode event : MAPPER.readTree(history).path("events")) {
+        apply(engine, event, runs, open);
+      }
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+    return new ArrayList<>(runs.values());
+  }
+
+  /** Returns the runs that satisfy a condition. */
+  public Stream<EngineRun> stream(Predicate<EngineRun> condition) {
+    return runs.stream().filter(condition);
+  }
+
+  /** Returns the batch items per second that finished between two times. */
+  public double batchPerSecond(long fromMicros, long toMicros) {
+    return finishedPerSecond(EngineRun::isBatch, fromMicros, toMicros);
+  }
+
+  /** Returns the runs per second that satisfy a condition and finished between two times. */
+  public double finishedPerSecond(Predicate<EngineRun> kind, long fromMicros, long toMicros) {
+    long count =
+        stream(kind)
+            .filter(run -> run.finished() && run.endMicros() >= fromMicros)
+            .filter(run -> run.endMicros() < toMicros)
+            .count();
+    return count * 1e6 / (toMicros - fromMicros);
+  }
+
+  /** Returns the mean number of slots that runs of a kind held between two times. */
+  public double meanSlots(Predicate<EngineRun> kind, long fromMicros, long toMicros) {
+    long micros = stream(kind).mapToLong(run -> run.slotMicros(fromMicros, toMicros)).sum();
+    return (double) micros / (toMicros - fromMicros);
+  }
+
+  // -----------------------------------------------------------------------
+
+  private static void apply(
+      String engine, JsonNode event, Map<Long, EngineRun> runs, Map<String, Long> open) {
+    long micros = event.path("time_micros").asLong();
+    String id = event.path("request_id").asText();
+    int tokens = event.path("tokens").asInt();
+    switch (event.path("event").asText()) {
+      case "accept" -> {
+        long index = event.path("index").asLong();
+        open.put(id, index);
+        runs.put(
+            index,
+            new EngineRun(
+                engine,
+                id,
+                event.path("service_class").asText(),
+                event.path("fingerprint").asText(),
+                micros,
+                -1,
+                -1,
+                false,
+                0));
+      }
+      case "start" -> change(runs, open.get(id), run -> run.started(micros));
+      case "finish" -> change(runs, open.remove(id), run -> run.ended(micros, true, tokens));
+      case "cancel" -> change(runs, open.remove(id), run -> run.ended(micros, false, tokens));
+      case "crash" -> {
+        open.values().forEach(index -> change(runs, index, run -> run.ended(micros, false, 0)));
+        open.clear();
+      }
+      default -> {
+        // The first token and refusals do not change a run.
+      }
+    }
+  }
+
+  private static void change(
+      Map<Long, EngineRun> runs, Long index, java.util.function.UnaryOperator<EngineRun> change) {
+    if (index != null) {
+      runs.computeIfPresent(index, (key, run) -> change.apply(run));
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveListener.java
@@ -0,0 +1,142 @@
+package org.sedgeroad.testing.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.http.HttpFailure;
+import org.sedgeroad.http.HttpHead;
+import org.sedgeroad.http.HttpListener;
+import org.sedgeroad.http.LineSplitter;
+import org.sedgeroad.testing.engine.AnswerText;
+
+/** Reads the streamed answer to one live request, takes the times and checks the text. */
+final class LiveListener implements HttpListener {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String DATA = "data: ";
+
+  private final PlannedRequest request;
+  private final long intendedNanos;
+  private final long intendedMicros;
+  private final LongConsumer gaps;
+  private final Consumer<LiveRecord> ended;
+  private final LineSplitter lines = new LineSplitter(this::readLine);
+  private final StringBuilder text = new StringBuilder();
+  private final StringBuilder other = new StringBuilder();
+  private HttpHead head;
+  private long firstNanos = -1;
+  private long lastNanos;
+  private boolean marker;
+  private String error = "";
+  private String work = "";
+
+  LiveListener(
+      PlannedRequest request,
+      long intendedNanos,
+      long intendedMicros,
+      LongConsumer gaps,
+      Consumer<LiveRecord> ended) {
+    this.request = request;
+    this.intendedNanos = intendedNanos;
+    this.intendedMicros = intendedMicros;
+    this.gaps = gaps;
+    this.ended = ended;
+  }
+
+  @Override
+  public void onHead(HttpHead received) {
+    head = received;
+  }
+
+  @Override
+  public void onBytes(ByteBuffer bytes) {
+    lines.accept(bytes);
+  }
+
+  @Override
+  public void onEnd() {
+    lines.finish();
+    if (head.status() != 200) {
+      readError(other.toString());
+      end(Outcome.ERROR, error.isEmpty() ? other.toString() : error);
+    } else if (!error.isEmpty()) {
+      end(Outcome.ERROR, error);
+    } else if (!marker) {
+      end(Outcome.CUT, "ended without its end marker");
+    } else if (!text.toString().equals(AnswerText.whole(request.prompt(), request.tokens()))) {
+      end(Outcome.WRONG, "not the answer to this request");
+    } else {
+      end(Outcome.WHOLE, "");
+    }
+  }
+
+  @Override
+  public void onFailure(HttpFailure failure) {
+    boolean sent = !(failure instanceof HttpFailure.NotSent);
+    end(sent ? Outcome.CUT : Outcome.NOT_SENT, failure.reason());
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void readLine(String line) {
+    if (head.status() != 200) {
+      other.append(line);
+    } else if (line.equals(DATA + "[DONE]")) {
+      marker = true;
+    } else if (line.startsWith(DATA)) {
+      readEvent(line.substring(DATA.length()));
+    }
+  }
+
+  private void readEvent(String json) {
+    long now = MonotonicClock.SYSTEM.nanos();
+    try {
+      JsonNode event = MAPPER.readTree(json);
+      if (event.has("error")) {
+        readError(json);
+        return;
+      }
+      String part = event.path("choices").path(0).path("text").asText("");
+      if (!part.isEmpty()) {
+        text.append(part);
+        if (firstNanos < 0) {
+          firstNanos = now;
+        } else {
+          gaps.accept(now - lastNanos);
+        }
+        lastNanos = now;
+      }
+    } catch (JsonProcessingException invalid) {
+      error = "not JSON: " + json;
+    }
+  }
+
+  private void readError(String json) {
+    try {
+      JsonNode node = MAPPER.readTree(json).path("error");
+      error = node.path("message").asText(json);
+      work = node.path("work").asText("");
+    } catch (JsonProcessingException invalid) {
+      error = json;
+    }
+  }
+
+  private void end(Outcome outcome, String detail) {
+    long total = MonotonicClock.SYSTEM.nanos() - intendedNanos;
+    String header = head == null ? "" : head.header("X-Work").orElse("");
+    ended.accept(
+        new LiveRecord(
+            request,
+            outcome,
+            head == null ? 0 : head.status(),
+            work.isEmpty() ? header : work,
+            head == null ? "" : head.header("X-Request-Id").orElse(""),
+            intendedMicros,
+            firstNanos < 0 ? -1 : firstNanos - intendedNanos,
+            total,
+            detail));
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveLoad.java
@@ -0,0 +1,150 @@
+package org.sedgeroad.testing.load;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Histogram;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.testing.deployment.ApiClient;
+
+/**
+ * Sends planned live requests at their intended times, whether earlier ones have ended or not, and
+ * collects what the callers see. One thread starts the requests; the answers are read on the I/O
+ * threads of the caller.
+ */
+public final class LiveLoad {
+  private static final long GRACE_MILLIS = 5_000;
+
+  private final HttpCaller caller;
+  private final List<URI> targets;
+  private final String key;
+  private final String model;
+  private final List<PlannedRequest> plan;
+  private final long patienceMillis;
+  private final Histogram gaps = LoadResult.histogram();
+  private final List<LiveRecord> records = new ArrayList<>();
+  private final CompletableFuture<Void> done = new CompletableFuture<>();
+  private final long startNanos = MonotonicClock.SYSTEM.nanos();
+  private final long startMicros = nowMicros();
+
+  private LiveLoad(
+      HttpCaller caller,
+      List<URI> targets,
+      String key,
+      String model,
+      List<PlannedRequest> plan,
+      long patienceMillis) {
+    this.caller = caller;
+    this.targets = List.copyOf(targets);
+    this.key = key;
+    this.model = model;
+    this.plan = List.copyOf(plan);
+    this.patienceMillis = patienceMillis;
+  }
+
+  /**
+   * Starts a load; {@link #await} returns its result.
+   *
+   * @param patienceMillis time after which a caller closes its connection
+   */
+  public static LiveLoad start(
+      HttpCaller caller,
+      List<URI> targets,
+      String key,
+      String model,
+      List<PlannedRequest> plan,
+      long patienceMillis) {
+    LiveLoad load = new LiveLoad(caller, targets, key, model, plan, patienceMillis);
+    Thread thread = new Thread(load::send, "live-load");
+    thread.setDaemon(true);
+    thread.start();
+    return load;
+  }
+
+  /** Returns the wall clock in microseconds since 1970. */
+  public static long nowMicros() {
+    return ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+  }
+
+  /** Returns the start of the load on the wall clock, in microseconds since 1970. */
+  public long startMicros() {
+    return startMicros;
+  }
+
+  /**
+   * Waits until all requests have ended.
+   *
+   * @throws IllegalStateException if a request did not end within its deadline
+   */
+  public LoadResult await() {
+    long last = plan.isEmpty() ? 0 : plan.get(plan.size() - 1).offsetNanos() / 1_000_000;
+    try {
+      if (!plan.isEmpty()) {
+        done.get(last + patienceMillis + GRACE_MILLIS, TimeUnit.MILLISECONDS);
+      }
+    } catch (TimeoutException late) {
+      throw new IllegalStateException("a live request did not end at its deadline", late);
+    } catch (Exception failure) {
+      throw new IllegalStateException("the load was interrupted", failure);
+    }
+    synchronized (records) {
+      return new LoadResult(startMicros, nowMicros(), records, gaps, patienceMillis * 1_000_000);
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void send() {
+    for (PlannedRequest request : plan) {
+      long due = startNanos + request.offsetNanos();
+      long wait = due - MonotonicClock.SYSTEM.nanos();
+      while (wait > 0) {
+        LockSupport.parkNanos(wait);
+        wait = due - MonotonicClock.SYSTEM.nanos();
+      }
+      start(request, due);
+    }
+  }
+
+  private void start(PlannedRequest request, long due) {
+    String body = ApiClient.completion(model, request.prompt(), request.tokens(), true).toString();
+    URI target = targets.get(request.target() % targets.size());
+    LiveListener listener =
+        new LiveListener(
+            request, due, startMicros + request.offsetNanos() / 1_000, this::addGap, this::add);
+    caller.start(
+        new HttpCall(
+            "POST",
+            target.resolve("/v1/completions"),
+            Map.of("Authorization", "Bearer " + key),
+            body.getBytes(StandardCharsets.UTF_8),
+            false,
+            MonotonicClock.SYSTEM.deadlineAfterMillis(patienceMillis)),
+        listener);
+  }
+
+  private void addGap(long nanos) {
+    synchronized (records) {
+      gaps.recordValue(nanos);
+    }
+  }
+
+  private void add(LiveRecord record) {
+    synchronized (records) {
+      records.add(record);
+      if (records.size() == plan.size()) {
+        done.complete(null);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/Saturation.java
@@ -0,0 +1,85 @@
+package org.sedgeroad.testing.load;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.HttpResult;
+import org.sedgeroad.testing.deployment.ApiClient;
+
+/** Closed-loop load that keeps a number of requests in flight at each target until a deadline. */
+public final class Saturation {
+  private static final long TIMEOUT_MILLIS = 10_000;
+
+  private final HttpCaller caller;
+  private final Map<String, String> headers;
+  private final String model;
+  private final int promptTokens;
+  private final int answerTokens;
+  private final long endNanos;
+  private final AtomicLong sent = new AtomicLong();
+  private final AtomicLong answered = new AtomicLong();
+
+  /**
+   * Creates a load; {@link #start} starts it.
+   *
+   * @param seconds time after which no request is sent
+   */
+  public Saturation(
+      HttpCaller caller,
+      Map<String, String> headers,
+      String model,
+      int promptTokens,
+      int answerTokens,
+      double seconds) {
+    this.caller = caller;
+    this.headers = Map.copyOf(headers);
+    this.model = model;
+    this.promptTokens = promptTokens;
+    this.answerTokens = answerTokens;
+    this.endNanos = MonotonicClock.SYSTEM.nanos() + (long) (seconds * 1e9);
+  }
+
+  /** Starts the requests. */
+  public void start(List<URI> targets, int inFlight) {
+    for (URI target : targets) {
+      for (int index = 0; index < inFlight; index++) {
+        send(target);
+      }
+    }
+  }
+
+  /** Returns the number of answers with status 200. */
+  public long answered() {
+    return answered.get();
+  }
+
+  private void send(URI target) {
+    if (MonotonicClock.SYSTEM.nanos() >= endNanos) {
+      return;
+    }
+    String prompt = PlannedRequest.prompt("saturation-" + sent.incrementAndGet(), promptTokens);
+    String body = ApiClient.completion(model, prompt, answerTokens, false).toString();
+    caller
+        .sendLater(
+            new HttpCall(
+                "POST",
+                target.resolve("/v1/completions"),
+                headers,
+                body.getBytes(StandardCharsets.UTF_8),
+                false,
+                MonotonicClock.SYSTEM.deadlineAfterMillis(TIMEOUT_MILLIS)))
+        .thenAccept(
+            result -> {
+              // A failed request ends its chain, so that a dead target is not called in a loop.
+              if (result instanceof HttpResult.Answered whole && whole.head().status() == 200) {
+                answered.incrementAndGet();
+                send(target);
+              }
+            });
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load: planned arrivals, streamed live requests, batch jobs and measured latencies. */
+package org.sedgeroad.testing.load;
