--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Bench.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Bench.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.List;
+import java.util.function.IntFunction;
 import org.sedgeroad.http.HttpCaller;
 import org.sedgeroad.testing.deployment.Deployment;
 import org.sedgeroad.testing.deployment.DeploymentPlan;
@@ -59,6 +60,15 @@
     System.out.printf("%6.1f s  %s%n", (System.nanoTime() - startNanos) / 1e9, text);
   }
 
+  /** Returns a plan with the same number of instances in each of three failure domains. */
+  static DeploymentPlan plan(int entriesPerDomain, int enginesPerDomain) {
+    return fullPlan()
+        .withDomains(
+            new DomainPlan("neuquen-a", "patagonia-norte", entriesPerDomain, enginesPerDomain, 0),
+            new DomainPlan("neuquen-b", "patagonia-norte", entriesPerDomain, enginesPerDomain, 0),
+            new DomainPlan("mendoza-a", "cuyo", entriesPerDomain, enginesPerDomain, 0));
+  }
+
   /** Returns the plan of Taller Lenga's deployment without its plain services. */
   static DeploymentPlan fullPlan() {
     return DeploymentPlan.tallerLenga()
@@ -92,16 +102,29 @@
   /** Starts a load of Poisson arrivals over all entry instances. */
   LiveLoad poisson(
       Deployment deployment, String label, LengthMix mix, double perSecond, double seconds) {
-    return start(
-        deployment,
-        PlannedRequest.plan(seed, label, Arrivals.poisson(seed, perSecond, seconds), mix));
+    return start(deployment, plan(label, mix, perSecond, seconds));
   }
 
   /** Starts planned requests over all entry instances. */
   LiveLoad start(Deployment deployment, List<PlannedRequest> requests) {
-    List<URI> entries = deployment.entries().stream().map(EntryProcess::callers).toList();
+    List<URI> entries = entries(deployment);
+    return start(deployment, requests, number -> entries.get(number % entries.size()));
+  }
+
+  /** Starts planned requests at the entry instances that are chosen by their numbers. */
+  LiveLoad start(Deployment deployment, List<PlannedRequest> requests, IntFunction<URI> targets) {
     DeploymentPlan plan = deployment.plan();
-    return LiveLoad.start(caller, entries, plan.key(), plan.model(), requests, PATIENCE_MILLIS);
+    return LiveLoad.start(caller, targets, plan.key(), plan.model(), requests, PATIENCE_MILLIS);
+  }
+
+  /** Returns the addresses of the entry instances for callers. */
+  static List<URI> entries(Deployment deployment) {
+    return deployment.entries().stream().map(EntryProcess::callers).toList();
+  }
+
+  /** Returns Poisson arrivals of a mix as planned requests. */
+  List<PlannedRequest> plan(String label, LengthMix mix, double perSecond, double seconds) {
+    return PlannedRequest.plan(seed, label, Arrivals.poisson(seed, perSecond, seconds), mix);
   }
 
   /** Waits; an interrupt ends the experiment. */
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/BenchMain.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/BenchMain.java
@@ -17,7 +17,13 @@
 
   private static final Map<String, Supplier<Experiment>> EXPERIMENTS =
       new TreeMap<>(
-          Map.of("batch-interference", BatchInterference::new, "stragglers", Stragglers::new));
+          Map.of(
+              "batch-interference", BatchInterference::new,
+              "drain", Drain::new,
+              "head-of-line", HeadOfLine::new,
+              "overhead", Overhead::new,
+              "stragglers", Stragglers::new,
+              "takeover", Takeover::new));
 
   @Argument(metaVar = "EXPERIMENT", required = true, usage = "name of the experiment")
   private String experiment = "";
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Figure.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Figure.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.math.BigDecimal;
 import java.math.MathContext;
+import java.util.List;
+import java.util.Map;
 
 /**
  * One measured figure of an experiment.
@@ -34,6 +36,17 @@
     return new Figure(name, checked, null, checked != null);
   }
 
+  /** Returns figures; those with a target by their name may not be above it. */
+  static List<Figure> atMost(Map<String, Double> values, Map<String, Double> targets) {
+    return values.entrySet().stream()
+        .map(
+            entry ->
+                targets.containsKey(entry.getKey())
+                    ? atMost(entry.getKey(), entry.getValue(), targets.get(entry.getKey()))
+                    : reported(entry.getKey(), entry.getValue()))
+        .toList();
+  }
+
   /** Returns a value with four digits for output; null and values that are no number are null. */
   static Double rounded(Double value) {
     Double checked = finite(value);
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/HeadOfLine.java
@@ -0,0 +1,74 @@
+package org.sedgeroad.testing.experiment;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.load.LengthMix;
+import org.sedgeroad.testing.load.LoadResult;
+
+/** Measures short requests while 2% of the requests are 30 times longer. */
+final class HeadOfLine implements Experiment {
+  /** The long requests raise it by 0.02 × 29, to 71% of all slots. */
+  private static final double LIVE_PART = 0.45;
+
+  private static final double SECONDS = 6;
+  private static final double LONG_PART = 0.02;
+  private static final int LONG_FACTOR = 30;
+
+  /** Answers of 8 tokens: a long one has 240 and ends within the measured time. */
+  private static final LengthMix SHORT = new LengthMix(100, 1_000, 8, 8, 0, 1);
+
+  private static final String RATIO = "short-p99-first-token-ratio";
+
+  /** Figures of one policy and the time to first token over time. */
+  private record Measured(Map<String, Double> figures, Chart.Line line) {}
+
+  @Override
+  public ExperimentResult run(Bench bench) {
+    Measured ours = measure(bench, Policy.DEFAULT);
+    Map<String, Map<String, Double>> baselines = new LinkedHashMap<>();
+    List<Chart.Line> lines = new ArrayList<>(List.of(ours.line));
+    for (Policy policy : List.of(Policy.ROUND_ROBIN, Policy.LEAST_OUTSTANDING)) {
+      Measured measured = measure(bench, policy);
+      baselines.put(policy.name(), measured.figures);
+      lines.add(measured.line);
+    }
+    return new ExperimentResult(
+        "head-of-line",
+        bench.seed(),
+        Figure.atMost(ours.figures, Map.of(RATIO, Targets.HEAD_OF_LINE_RATIO)),
+        baselines,
+        List.of(),
+        List.of(
+            new Chart(
+                "Time to first token beside long requests, p99 per 0.5 s", "s", "ms", lines)));
+  }
+
+  private static Measured measure(Bench bench, Policy policy) {
+    try (Deployment deployment = bench.deploy(Bench.fullPlan(), policy)) {
+      double rate = Bench.rate(deployment.plan(), SHORT, LIVE_PART);
+      bench.say("short requests only, " + Math.round(rate) + " requests/s");
+      LoadResult without = bench.poisson(deployment, "without", SHORT, rate, SECONDS).await();
+      bench.say("2% of the requests 30 times longer");
+      LengthMix mix = SHORT.withLong(LONG_PART, LONG_FACTOR);
+      LoadResult with = bench.poisson(deployment, "with", mix, rate, SECONDS).await();
+      double before = shortPercentile(without, 99);
+      double beside = shortPercentile(with, 99);
+      Map<String, Double> figures = new LinkedHashMap<>();
+      figures.put(RATIO, beside / before);
+      figures.put("short-p99-first-token-without-ms", before);
+      figures.put("short-p99-first-token-with-ms", beside);
+      figures.put("short-p50-first-token-without-ms", shortPercentile(without, 50));
+      figures.put("short-p50-first-token-with-ms", shortPercentile(with, 50));
+      figures.put("live-failures", (double) without.failures() + with.failures());
+      return new Measured(figures, Series.firstTokens(policy.name(), with, 99));
+    }
+  }
+
+  private static double shortPercentile(LoadResult result, double percentile) {
+    return result.firstTokens(record -> !record.request().isLong()).getValueAtPercentile(percentile)
+        / 1e6;
+  }
+}
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Stragglers.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Stragglers.java
@@ -1,6 +1,5 @@
 package org.sedgeroad.testing.experiment;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,19 +29,11 @@
   public ExperimentResult run(Bench bench) {
     Measured ours = measure(bench, Policy.DEFAULT);
     Measured baseline = measure(bench, Policy.LEAST_OUTSTANDING);
-    List<Figure> figures = new ArrayList<>();
-    ours.figures.forEach(
-        (name, value) ->
-            figures.add(
-                switch (name) {
-                  case RATIO -> Figure.atMost(name, value, Targets.STRAGGLER_RATIO);
-                  case EXTRA -> Figure.atMost(name, value, Targets.EXTRA_WORK);
-                  default -> Figure.reported(name, value);
-                }));
     return new ExperimentResult(
         "stragglers",
         bench.seed(),
-        figures,
+        Figure.atMost(
+            ours.figures, Map.of(RATIO, Targets.STRAGGLER_RATIO, EXTRA, Targets.EXTRA_WORK)),
         Map.of(Policy.LEAST_OUTSTANDING.name(), baseline.figures),
         List.of(),
         List.of(
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Takeover.java
@@ -0,0 +1,133 @@
+package org.sedgeroad.testing.experiment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.sedgeroad.testing.deployment.ApiClient;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.EntryProcess;
+import org.sedgeroad.testing.load.BatchLoad;
+import org.sedgeroad.testing.load.EngineRun;
+import org.sedgeroad.testing.load.EngineRuns;
+import org.sedgeroad.testing.load.JobOutput;
+import org.sedgeroad.testing.load.LiveLoad;
+
+/** Kills the entry instance that holds most segments and measures when their items go on. */
+final class Takeover implements Experiment {
+  private static final int ITEMS = 1_536;
+  private static final double CLAIM_SECONDS = 4;
+  private static final long END_MILLIS = 40_000;
+  private static final String PROGRESS = "killed-to-progress-s";
+
+  @Override
+  public ExperimentResult run(Bench bench) {
+    try (Deployment deployment = bench.deploy(Bench.plan(2, 1), Policy.DEFAULT)) {
+      String job = new BatchLoad(deployment, "item", 100, 32).submit(ITEMS);
+      Bench.pause(CLAIM_SECONDS);
+      Map<String, List<String>> held = heldSegments(deployment);
+      bench.say("segments by holder: " + held);
+      EntryProcess victim = chooseVictim(deployment, held);
+      List<String> segments = held.getOrDefault(victim.name(), List.of());
+      long killed = LiveLoad.nowMicros();
+      victim.process().kill();
+      bench.say("killed " + victim.name() + ", which holds " + segments);
+      EntryProcess other = deployment.entries().get(victim == deployment.entries().get(0) ? 1 : 0);
+      ApiClient client =
+          new ApiClient(deployment.caller(), other.callers(), deployment.plan().key());
+      JobOutput output = JobOutput.await(client, job, END_MILLIS);
+      bench.say("job " + job + " " + output.status());
+      boolean completed = output.status().equals("completed");
+      EngineRuns runs = EngineRuns.read(deployment);
+      Map<String, Double> figures = new LinkedHashMap<>();
+      figures.put(PROGRESS, segments.isEmpty() ? null : progress(runs, segments, killed));
+      figures.put("items-lost", completed ? (double) output.lost(ITEMS) : null);
+      figures.put("items-completed-twice", completed ? (double) output.completedTwice() : null);
+      figures.put("segments-held-by-killed", (double) segments.size());
+      figures.put("items-run-again", (double) runAgain(runs));
+      return new ExperimentResult(
+          "takeover",
+          bench.seed(),
+          Figure.atMost(
+              figures,
+              Map.of(
+                  PROGRESS,
+                  Targets.TAKEOVER_SECONDS,
+                  "items-lost",
+                  Targets.NONE,
+                  "items-completed-twice",
+                  Targets.NONE)),
+          Map.of(),
+          completed ? List.of() : List.of("the job did not complete: " + output.status()),
+          List.of(
+              new Chart(
+                  "Batch items finished, instance killed at 0",
+                  "s",
+                  "items/s",
+                  List.of(Series.batch("all engines", runs, killed, killed + 20_000_000)))));
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Returns the unfinished segments by the name of the instance that holds them. */
+  private static Map<String, List<String>> heldSegments(Deployment deployment) {
+    Map<String, List<String>> held = new HashMap<>();
+    String list =
+        deployment.read(deployment.store().resolve("/apis/sedgeroad.org/v1/segments?limit=500"));
+    try {
+      for (JsonNode object : new ObjectMapper().readTree(list).path("items")) {
+        String holder = object.path("spec").path("holder").asText();
+        boolean unfinished = object.path("spec").path("states").asText().indexOf('W') >= 0;
+        if (unfinished && holder.indexOf('#') > 0) {
+          held.computeIfAbsent(holder.substring(0, holder.indexOf('#')), key -> new ArrayList<>())
+              .add(object.path("metadata").path("name").asText());
+        }
+      }
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+    return held;
+  }
+
+  private static EntryProcess chooseVictim(Deployment deployment, Map<String, List<String>> held) {
+    EntryProcess victim = deployment.entries().get(0);
+    for (EntryProcess entry : deployment.entries()) {
+      int count = held.getOrDefault(entry.name(), List.of()).size();
+      if (count > held.getOrDefault(victim.name(), List.of()).size()) {
+        victim = entry;
+      }
+    }
+    return victim;
+  }
+
+  /** Returns the seconds until an item of each segment was sent again; the longest one. */
+  private static Double progress(EngineRuns runs, List<String> segments, long killed) {
+    double longest = 0;
+    for (String segment : segments) {
+      long first =
+          runs.stream(run -> run.requestId().startsWith(segment + "."))
+              .mapToLong(EngineRun::acceptMicros)
+              .filter(micros -> micros > killed)
+              .min()
+              .orElse(-1);
+      if (first < 0) {
+        return null;
+      }
+      longest = Math.max(longest, (first - killed) / 1e6);
+    }
+    return longest;
+  }
+
+  private static long runAgain(EngineRuns runs) {
+    Map<String, Integer> finished = new HashMap<>();
+    runs.stream(run -> run.isBatch() && run.finished())
+        .forEach(run -> finished.merge(run.fingerprint(), 1, Integer::sum));
+    return finished.values().stream().filter(count -> count > 1).count();
+  }
+}
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveLoad.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveLoad.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.IntFunction;
 import org.HdrHistogram.Histogram;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.http.HttpCall;
@@ -26,7 +27,7 @@
   private static final long GRACE_MILLIS = 5_000;
 
   private final HttpCaller caller;
-  private final List<URI> targets;
+  private final IntFunction<URI> targets;
   private final String key;
   private final String model;
   private final List<PlannedRequest> plan;
@@ -39,13 +40,13 @@
 
   private LiveLoad(
       HttpCaller caller,
-      List<URI> targets,
+      IntFunction<URI> targets,
       String key,
       String model,
       List<PlannedRequest> plan,
       long patienceMillis) {
     this.caller = caller;
-    this.targets = List.copyOf(targets);
+    this.targets = targets;
     this.key = key;
     this.model = model;
     this.plan = List.copyOf(plan);
@@ -55,11 +56,12 @@
   /**
    * Starts a load; {@link #await} returns its result.
    *
+   * @param targets gives the address for the number of a request; called on the sending thread
    * @param patienceMillis time after which a caller closes its connection
    */
   public static LiveLoad start(
       HttpCaller caller,
-      List<URI> targets,
+      IntFunction<URI> targets,
       String key,
       String model,
       List<PlannedRequest> plan,
@@ -118,7 +120,7 @@
 
   private void start(PlannedRequest request, long due) {
     String body = ApiClient.completion(model, request.prompt(), request.tokens(), true).toString();
-    URI target = targets.get(request.target() % targets.size());
+    URI target = targets.apply(request.target());
     LiveListener listener =
         new LiveListener(
             request, due, startMicros + request.offsetNanos() / 1_000, this::addGap, this::add);
