Add the soak and the experiments limits, link and control

Cause: the invariants P1 to P9 had no check under mixed failures. Change: bin/bench soak with a schedule that is a pure function of the seed, checkers over the histories of the stand-ins and the callers' records; limits, link and control; engine stand-ins can survive a crash with their history (--crash-millis); the busy part of the machine is a figure of each result.

--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineMain.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/engine/EngineMain.java
@@ -41,6 +41,9 @@
   @Option(name = "--resume-millis", usage = "time for which an ended run can be resumed")
   private long resumeMillis = 30_000;
 
+  @Option(name = "--crash-millis", usage = "time without connections after a crash, 0 to halt")
+  private long crashMillis;
+
   @Option(name = "--seed", usage = "seed of random gaps")
   private long seed = 1;
 
@@ -68,8 +71,8 @@
         reportLagMillis,
         eventGapProbability,
         resumeMillis,
-        0,
-        true,
+        crashMillis,
+        crashMillis == 0,
         seed);
   }
 }
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/BenchMain.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/BenchMain.java
@@ -19,8 +19,11 @@
       new TreeMap<>(
           Map.of(
               "batch-interference", BatchInterference::new,
+              "control", Control::new,
               "drain", Drain::new,
               "head-of-line", HeadOfLine::new,
+              "limits", Limits::new,
+              "link", Link::new,
               "overhead", Overhead::new,
               "stragglers", Stragglers::new,
               "takeover", Takeover::new));
@@ -31,6 +34,9 @@
   @Option(name = "--seed", usage = "seed of arrivals, lengths and failures")
   private long seed = 1;
 
+  @Option(name = "--seconds", usage = "length of the soak")
+  private int seconds = 60;
+
   @Option(name = "--html", usage = "file for a page with plots")
   private Path html;
 
@@ -44,9 +50,11 @@
   }
 
   private int run() throws IOException {
-    Supplier<Experiment> chosen = EXPERIMENTS.get(experiment);
+    Supplier<Experiment> chosen =
+        experiment.equals("soak") ? () -> new Soak(seconds) : EXPERIMENTS.get(experiment);
     if (chosen == null) {
-      System.err.println("unknown experiment; known: " + String.join(", ", EXPERIMENTS.keySet()));
+      System.err.println(
+          "unknown experiment; known: " + String.join(", ", EXPERIMENTS.keySet()) + ", soak");
       return 2;
     }
     ProcessorTime.Machine before = ProcessorTime.machine();
@@ -56,6 +64,7 @@
     }
     double busy = before.busyPart(ProcessorTime.machine());
     String note = String.format("machine: %.0f%% of the processors busy on average", busy * 100);
+    result = result.withFigure(Figure.reported("machine-busy-part", busy));
     result = result.withNote(busy > BUSY_PART ? note + "; the figures are not reliable" : note);
     print(result);
     if (html != null) {
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ExperimentResult.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ExperimentResult.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -46,9 +47,16 @@
     return root.toString();
   }
 
+  /** Returns a copy with one more figure. */
+  public ExperimentResult withFigure(Figure figure) {
+    List<Figure> more = new ArrayList<>(figures);
+    more.add(figure);
+    return new ExperimentResult(experiment, seed, more, baselines, notes, charts);
+  }
+
   /** Returns a copy with one more note. */
   public ExperimentResult withNote(String note) {
-    List<String> more = new java.util.ArrayList<>(notes);
+    List<String> more = new ArrayList<>(notes);
     more.add(note);
     return new ExperimentResult(experiment, seed, figures, baselines, more, charts);
   }
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Limits.java
@@ -0,0 +1,172 @@
+package org.sedgeroad.testing.experiment;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.store.HttpObjectStore;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.DeploymentPlan;
+import org.sedgeroad.testing.load.LengthMix;
+import org.sedgeroad.testing.load.LiveLoad;
+import org.sedgeroad.testing.load.LiveRecord;
+import org.sedgeroad.testing.load.LoadResult;
+
+/** Votes a limit on requests per second under load and cuts a failure domain from the store. */
+final class Limits implements Experiment {
+  private static final double OFFERED = 120;
+  private static final long LIMIT = 30;
+  private static final double BEFORE_SECONDS = 2;
+  private static final double IN_FORCE_SECONDS = 8;
+  private static final double PARTITION_SECONDS = 12;
+  private static final double AFTER_SECONDS = 4;
+  private static final double WINDOW_SECONDS = 2;
+  private static final int LIMITED = 429;
+  private static final long TIMEOUT_MILLIS = 2_000;
+  private static final String IN_FORCE = "accepted-to-in-force-s";
+  private static final String REVERTS = "reverts";
+  private static final String OVER = "use-over-limit-in-partition";
+
+  /** Times of a run, wall clock in microseconds since 1970. */
+  private record Times(long accepted, long cut, long healed, long end) {}
+
+  @Override
+  public ExperimentResult run(Bench bench) {
+    DeploymentPlan plan = Bench.plan(2, 1);
+    try (StoreLinks links = new StoreLinks();
+        Deployment deployment = Deployment.start(plan, links::route)) {
+      bench.say("deployment started, store behind one proxy per failure domain");
+      double seconds = BEFORE_SECONDS + IN_FORCE_SECONDS + PARTITION_SECONDS + AFTER_SECONDS;
+      LiveLoad load = bench.poisson(deployment, "live", LengthMix.fixed(50, 2), OFFERED, seconds);
+      Bench.pause(BEFORE_SECONDS);
+      vote(deployment);
+      final long accepted = LiveLoad.nowMicros();
+      bench.say("limit of " + LIMIT + " requests/s accepted, offered " + OFFERED);
+      Bench.pause(IN_FORCE_SECONDS);
+      final long cut = LiveLoad.nowMicros();
+      links.of("mendoza-a").setCut(true);
+      bench.say("mendoza-a cut from the store");
+      Bench.pause(PARTITION_SECONDS);
+      links.of("mendoza-a").setCut(false);
+      final long healed = LiveLoad.nowMicros();
+      LoadResult live = load.await();
+      return summarise(bench, deployment, live, new Times(accepted, cut, healed, live.endMicros()));
+    }
+  }
+
+  private static void vote(Deployment deployment) {
+    HttpObjectStore store =
+        HttpObjectStore.of(deployment.store(), deployment.caller(), TIMEOUT_MILLIS);
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    spec.put("requests_per_second", LIMIT).put("writer", "bench").put("writeNumber", 1);
+    StoreResult<?> result = store.create(Kinds.LIMITS, deployment.plan().member(), spec);
+    if (!(result instanceof StoreResult.Done)) {
+      throw new IllegalStateException("vote not accepted: " + result);
+    }
+  }
+
+  private static ExperimentResult summarise(
+      Bench bench, Deployment deployment, LoadResult live, Times times) {
+    int entries = deployment.entries().size();
+    Double inForce = inForce(live, times, entries);
+    Map<String, Double> figures = new LinkedHashMap<>();
+    figures.put(IN_FORCE, inForce);
+    figures.put(REVERTS, inForce == null ? null : reverts(live, times));
+    figures.put(OVER, over(live, times.cut, times.healed));
+    figures.put("admitted-per-second-before", rate(live, live.startMicros(), times.accepted));
+    figures.put("admitted-per-second-in-force", rate(live, times.accepted, times.cut));
+    figures.put("admitted-per-second-in-partition", rate(live, times.cut, times.healed));
+    List<String> notes =
+        inForce == null
+            ? List.of("not every instance refused a request: the limit is not in force everywhere")
+            : List.of();
+    return new ExperimentResult(
+        "limits",
+        bench.seed(),
+        Figure.atMost(
+            figures,
+            Map.of(
+                IN_FORCE,
+                Targets.LIMIT_IN_FORCE_SECONDS,
+                REVERTS,
+                Targets.NONE,
+                OVER,
+                Targets.NONE)),
+        Map.of(),
+        notes,
+        List.of(
+            new Chart(
+                "Admitted requests, limit " + LIMIT + " per second",
+                "s",
+                "requests/s",
+                List.of(admitted(live)))));
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Returns the time until each instance has refused a request, null if one never did. */
+  private static Double inForce(LoadResult live, Times times, int entries) {
+    double longest = 0;
+    for (int entry = 0; entry < entries; entry++) {
+      int number = entry;
+      long first =
+          live.records().stream()
+              .filter(record -> record.request().target() % entries == number)
+              .filter(record -> record.status() == LIMITED)
+              .mapToLong(LiveRecord::startMicros)
+              .min()
+              .orElse(-1);
+      if (first < 0) {
+        return null;
+      }
+      longest = Math.max(longest, (first - times.accepted) / 1e6);
+    }
+    return longest;
+  }
+
+  /** Counts the windows, from 2 s after the vote on, in which more was admitted than allowed. */
+  private static double reverts(LoadResult live, Times times) {
+    int reverts = 0;
+    long step = (long) (WINDOW_SECONDS * 1e6);
+    for (long from = times.accepted + step; from + step <= times.end; from += step) {
+      if (excess(live, from, from + step) > 0) {
+        reverts++;
+      }
+    }
+    return reverts;
+  }
+
+  private static double over(LoadResult live, long from, long to) {
+    return Math.max(0, excess(live, from, to)) / (LIMIT * (to - from) / 1e6);
+  }
+
+  /** Returns the admitted requests beyond the limit and one second's burst of its bucket. */
+  private static double excess(LoadResult live, long from, long to) {
+    return count(live, from, to) - LIMIT * ((to - from) / 1e6 + 1);
+  }
+
+  private static double rate(LoadResult live, long from, long to) {
+    return count(live, from, to) * 1e6 / (to - from);
+  }
+
+  private static long count(LoadResult live, long from, long to) {
+    return live.records().stream()
+        .filter(LiveRecord::isWhole)
+        .filter(record -> record.startMicros() >= from && record.startMicros() < to)
+        .count();
+  }
+
+  private static Chart.Line admitted(LoadResult live) {
+    List<Chart.Point> points = new ArrayList<>();
+    long step = 1_000_000;
+    for (long from = live.startMicros(); from + step <= live.endMicros(); from += step) {
+      double seconds = (from - live.startMicros()) / 1e6;
+      points.add(new Chart.Point(seconds, rate(live, from, from + step)));
+    }
+    return new Chart.Line("admitted", points);
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/SoakCheckers.java
@@ -0,0 +1,251 @@
+package org.sedgeroad.testing.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.sedgeroad.testing.engine.AnswerText;
+import org.sedgeroad.testing.load.EngineRun;
+import org.sedgeroad.testing.load.EngineRuns;
+import org.sedgeroad.testing.load.JobOutput;
+import org.sedgeroad.testing.load.LiveRecord;
+import org.sedgeroad.testing.load.Outcome;
+
+/** Static methods that find violations of the invariants in what a soak recorded. */
+final class SoakCheckers {
+  private static final long SECOND = 1_000_000;
+  private static final long CANCEL_MICROS = 2 * SECOND;
+  private static final long LEASE_MICROS = 6 * SECOND;
+  private static final long DRAIN_MICROS = 3 * SECOND;
+
+  /** Section 1.8: no live request waits behind batch for longer after a burst from idle. */
+  private static final long LIVE_WAIT_MICROS = 100_000;
+
+  private SoakCheckers() {}
+
+  /** P1: each item of an accepted job has one result, and the job has ended. */
+  static List<Violation> exactlyOnce(
+      SoakJournal journal, Map<String, JobOutput> first, Map<String, JobOutput> second) {
+    List<Violation> found = new ArrayList<>();
+    Set<String> cancelled = new HashSet<>();
+    journal.cancellations.forEach(cancel -> cancelled.add(cancel.job()));
+    for (SoakJournal.SubmittedJob job : journal.jobs) {
+      JobOutput output = first.get(job.id());
+      String status = output == null ? "missing" : output.status();
+      if (cancelled.contains(job.id())) {
+        if (!status.equals("cancelled")) {
+          found.add(new Violation("P1", "cancelled job " + job.id() + " is " + status));
+        }
+        continue;
+      }
+      if (!status.equals("completed")) {
+        found.add(new Violation("P1", "job " + job.id() + " is " + status));
+        continue;
+      }
+      addAll(found, output.lost(job.items()), "P1", "item lost in job " + job.id());
+      addAll(found, output.completedTwice(), "P1", "item completed twice in job " + job.id());
+      if (!output.equals(second.get(job.id()))) {
+        found.add(new Violation("P1", "results of job " + job.id() + " differ when read again"));
+      }
+    }
+    for (SoakJournal.Resubmission again : journal.resubmissions) {
+      if (!again.earlier().equals(again.answered())) {
+        String detail = again.earlier() + " submitted again became " + again.answered();
+        found.add(new Violation("P1", detail));
+      }
+    }
+    return found;
+  }
+
+  /** P2: no work of a cancelled job starts 2 s after the answer; a cut-off holder has its lease. */
+  static List<Violation> cancelled(SoakJournal journal, EngineRuns runs) {
+    List<Violation> found = new ArrayList<>();
+    for (SoakJournal.Cancellation cancel : journal.cancellations) {
+      long from = cancel.answered() - LEASE_MICROS;
+      boolean disturbed = overlaps(journal.failures, from, cancel.answered() + LEASE_MICROS);
+      long limit = cancel.answered() + (disturbed ? LEASE_MICROS + CANCEL_MICROS : CANCEL_MICROS);
+      runs.stream(run -> run.requestId().startsWith(cancel.job() + "."))
+          .filter(run -> run.acceptMicros() > limit)
+          .forEach(
+              run ->
+                  found.add(
+                      new Violation(
+                          "P2",
+                          describe(run)
+                              + " began "
+                              + late(run.acceptMicros(), cancel.answered()))));
+    }
+    return found;
+  }
+
+  /** P3: no live run waits for a slot beside batch for longer than 100 ms. */
+  static List<Violation> liveFirst(EngineRuns runs) {
+    List<Violation> found = new ArrayList<>();
+    for (QueueWaits.Wait wait : QueueWaits.behindBatch(runs, 0, Long.MAX_VALUE)) {
+      long micros = wait.untilMicros() - wait.run().acceptMicros();
+      if (micros > LIVE_WAIT_MICROS) {
+        String detail = describe(wait.run()) + " waited " + micros / 1_000 + " ms behind batch";
+        found.add(new Violation("P3", detail));
+      }
+    }
+    return found;
+  }
+
+  /** P4: no wrong answer, and no answer that ends without its end marker or an error. */
+  static List<Violation> wholeAnswers(List<LiveRecord> records) {
+    return records.stream()
+        .filter(
+            record ->
+                record.outcome() == Outcome.WRONG
+                    || record.outcome() == Outcome.CUT
+                        && record.detail().contains("without its end marker"))
+        .map(record -> new Violation("P4", describe(record)))
+        .toList();
+  }
+
+  /** P5: a request refused with {@code not-run} got no slot of an engine and no execution. */
+  static List<Violation> refusals(
+      List<LiveRecord> records,
+      EngineRuns runs,
+      SoakJournal journal,
+      Map<String, Integer> executions) {
+    Map<String, EngineRun> started = new HashMap<>();
+    runs.stream(run -> run.startMicros() >= 0).forEach(run -> started.put(run.fingerprint(), run));
+    List<Violation> found = new ArrayList<>();
+    for (LiveRecord record : records) {
+      String prompt = record.request().prompt();
+      EngineRun run = started.get(AnswerText.toText(AnswerText.fingerprint(prompt)));
+      if (record.work().equals("not-run") && run != null) {
+        found.add(new Violation("P5", describe(record) + " ran as " + describe(run)));
+      }
+    }
+    for (SoakJournal.ServiceCall call : journal.serviceCalls) {
+      boolean refused = !call.work().isEmpty() && call.work().stream().allMatch("not-run"::equals);
+      if (refused && executions.containsKey(call.bodyHash())) {
+        found.add(new Violation("P5", "call with body " + call.bodyHash() + " was executed"));
+      }
+    }
+    return found;
+  }
+
+  /** P6: a call that must not be repeated was executed at most once. */
+  static List<Violation> atMostOnce(SoakJournal journal, Map<String, Integer> executions) {
+    List<Violation> found = new ArrayList<>();
+    for (SoakJournal.ServiceCall call : journal.serviceCalls) {
+      int count = executions.getOrDefault(call.bodyHash(), 0);
+      if (count > 1) {
+        String detail = "call with body " + call.bodyHash() + " executed " + count + " times";
+        found.add(new Violation("P6", detail));
+      }
+    }
+    return found;
+  }
+
+  /** P7: a leaving engine accepts no new work after 3 s. */
+  static List<Violation> leaving(SoakJournal journal, EngineRuns runs) {
+    List<Violation> found = new ArrayList<>();
+    for (SoakJournal.Absence drain : journal.drains) {
+      runs.stream(run -> run.engine().equals(drain.name()))
+          .filter(run -> run.acceptMicros() > drain.from() + DRAIN_MICROS)
+          .filter(run -> run.acceptMicros() < drain.to())
+          .forEach(
+              run ->
+                  found.add(
+                      new Violation(
+                          "P7",
+                          describe(run) + " came " + late(run.acceptMicros(), drain.from()))));
+    }
+    return found;
+  }
+
+  /** P8: no request at an instance that was stopped as planned lost its connection. */
+  static List<Violation> plannedStops(SoakJournal journal, List<LiveRecord> records) {
+    List<Violation> found = new ArrayList<>();
+    for (SoakJournal.PlannedStop stop : journal.stops) {
+      records.stream()
+          .filter(record -> record.target().equals(stop.entry()))
+          .filter(record -> record.outcome() == Outcome.CUT || record.outcome() == Outcome.NOT_SENT)
+          .filter(record -> record.startMicros() < stop.to())
+          .filter(record -> record.startMicros() + record.totalNanos() / 1_000 >= stop.from())
+          .forEach(record -> found.add(new Violation("P8", describe(record))));
+    }
+    return found;
+  }
+
+  /**
+   * P9: from 2 s after the first vote on, no window of 2 s has more admissions than the highest
+   * limit that any instance may still hold, with the burst of one second.
+   */
+  static List<Violation> limits(SoakJournal journal, long endMicros) {
+    List<Violation> found = new ArrayList<>();
+    if (journal.votes.isEmpty()) {
+      return found;
+    }
+    long step = 2 * SECOND;
+    long first = journal.votes.get(0).accepted() + step;
+    for (long from = first; from + step <= endMicros; from += step) {
+      long start = from;
+      long limit = highestLimit(journal.votes, from, from + step);
+      long admitted =
+          journal.limitedAdmissions.stream()
+              .filter(micros -> micros >= start && micros < start + step)
+              .count();
+      if (admitted > 3 * limit) {
+        String detail =
+            admitted + " admitted in 2 s from " + from + " with a limit of " + limit + "/s";
+        found.add(new Violation("P9", detail));
+      }
+    }
+    return found;
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Returns the highest limit of the window and of a lease before it. */
+  private static long highestLimit(List<SoakJournal.Vote> votes, long from, long to) {
+    long highest = 0;
+    long before = from - LEASE_MICROS - CANCEL_MICROS;
+    for (int index = 0; index < votes.size(); index++) {
+      long end = index + 1 < votes.size() ? votes.get(index + 1).accepted() : Long.MAX_VALUE;
+      if (votes.get(index).accepted() < to && end > before) {
+        highest = Math.max(highest, votes.get(index).requestsPerSecond());
+      }
+    }
+    return highest;
+  }
+
+  private static boolean overlaps(List<SoakJournal.Absence> times, long from, long to) {
+    return times.stream().anyMatch(time -> time.from() < to && time.to() > from);
+  }
+
+  private static void addAll(List<Violation> found, long count, String invariant, String detail) {
+    for (long index = 0; index < count; index++) {
+      found.add(new Violation(invariant, detail));
+    }
+  }
+
+  private static String late(long micros, long since) {
+    return (micros - since) / 1_000 + " ms late";
+  }
+
+  private static String describe(EngineRun run) {
+    return "run " + run.requestId() + " at " + run.engine();
+  }
+
+  private static String describe(LiveRecord record) {
+    return "request "
+        + record.requestId()
+        + " at "
+        + record.target()
+        + ": "
+        + record.outcome()
+        + " "
+        + record.status()
+        + " "
+        + record.work()
+        + " "
+        + record.detail();
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/SoakFaults.java
@@ -0,0 +1,183 @@
+package org.sedgeroad.testing.experiment;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.EndpointState;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.DomainPlan;
+import org.sedgeroad.testing.deployment.EngineProcess;
+import org.sedgeroad.testing.deployment.EntryProcess;
+import org.sedgeroad.testing.load.LiveLoad;
+
+/**
+ * Makes the failures of a soak. A step whose part has already failed, or that would leave too few
+ * parts, is passed over.
+ */
+final class SoakFaults {
+  /** Of six entry instances or engines; the others must be able to carry the load. */
+  private static final int MOST_DOWN = 2;
+
+  private static final long READY_MILLIS = 15_000;
+  private static final String STORE = "store";
+
+  private final Deployment deployment;
+  private final StoreLinks links;
+  private final SoakJournal journal;
+  private final Set<String> down = ConcurrentHashMap.newKeySet();
+
+  SoakFaults(Deployment deployment, StoreLinks links, SoakJournal journal) {
+    this.deployment = deployment;
+    this.links = links;
+    this.journal = journal;
+  }
+
+  /** Carries out a step to its end; steps that are not failures have no effect. */
+  void run(SoakStep step) {
+    switch (step.action()) {
+      case KILL_ENTRY, PAUSE_ENTRY, STOP_ENTRY -> disturbEntry(step);
+      case CRASH_ENGINE, DRAIN_ENGINE -> disturbEngine(step);
+      case STORE_UNAVAILABLE -> store(step, "/control/outage", "{\"mode\":\"unavailable\"}");
+      case STORE_HANG -> store(step, "/control/outage", "{\"mode\":\"hang\"}");
+      case STORE_SLOW -> store(step, "/control/delay", "{\"millis\":300,\"jitter_millis\":700}");
+      case STORE_LOSES_ANSWERS -> store(step, "/control/lose-answers", "{\"probability\":0.3}");
+      case STORE_LIMITS ->
+          store(step, "/control/rate", "{\"writes_per_second\":5,\"reads_per_second\":30}");
+      case CUT_DOMAIN -> cut(step);
+      default -> {
+        // Jobs, requests and votes are made by the callers.
+      }
+    }
+  }
+
+  /** Ends all failures and starts the entry instances that are not running. */
+  void heal() {
+    deployment.control(deployment.store(), "/control/outage", "{\"mode\":\"none\"}");
+    healStore();
+    for (DomainPlan domain : deployment.plan().domains()) {
+      links.of(domain.name()).restore();
+    }
+    for (EntryProcess entry : deployment.entries()) {
+      if (!entry.process().isAlive()) {
+        entry.start();
+      }
+      deployment.awaitReady(entry);
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void disturbEntry(SoakStep step) {
+    EntryProcess entry = deployment.entries().get(step.target() % deployment.entries().size());
+    if (!take("entry ", entry.name())) {
+      return;
+    }
+    long from = LiveLoad.nowMicros();
+    if (step.action() == SoakAction.PAUSE_ENTRY) {
+      entry.process().pause();
+      pause(step.durationMillis());
+      entry.process().resume();
+    } else {
+      if (step.action() == SoakAction.STOP_ENTRY) {
+        entry.process().requestStop();
+        entry.process().awaitEnd();
+        journal.stops.add(new SoakJournal.PlannedStop(entry.callers(), from, LiveLoad.nowMicros()));
+      }
+      entry.process().kill();
+      pause(step.durationMillis());
+      entry.start();
+      awaitReady(entry);
+    }
+    release("entry ", entry.name(), from);
+  }
+
+  /** Waits only for a time: with the store down an instance is not ready, which is no fault. */
+  private void awaitReady(EntryProcess entry) {
+    long end = System.nanoTime() + READY_MILLIS * 1_000_000;
+    while (System.nanoTime() < end
+        && !deployment.read(entry.callers().resolve("/readyz")).startsWith("ready")) {
+      pause(100);
+    }
+  }
+
+  private void disturbEngine(SoakStep step) {
+    EngineProcess engine = deployment.engines().get(step.target() % deployment.engines().size());
+    String name = engine.endpoint().name();
+    if (!take("engine ", name)) {
+      return;
+    }
+    long from = LiveLoad.nowMicros();
+    if (step.action() == SoakAction.CRASH_ENGINE) {
+      deployment.control(
+          engine.address(), "/control/crash", "{\"millis\":" + step.durationMillis() + "}");
+      pause(step.durationMillis());
+    } else {
+      deployment.changeInstance(withState(engine.endpoint(), EndpointState.LEAVING));
+      deployment.control(engine.address(), "/control/drain", "{\"draining\":true}");
+      long left = LiveLoad.nowMicros();
+      pause(step.durationMillis() + 3_000);
+      journal.drains.add(new SoakJournal.Absence(name, left, LiveLoad.nowMicros()));
+      deployment.control(engine.address(), "/control/drain", "{\"draining\":false}");
+      deployment.changeInstance(engine.endpoint());
+    }
+    release("engine ", name, from);
+  }
+
+  private void store(SoakStep step, String path, String body) {
+    if (!down.add(STORE)) {
+      return;
+    }
+    long from = LiveLoad.nowMicros();
+    deployment.control(deployment.store(), path, body);
+    pause(step.durationMillis());
+    if (path.endsWith("outage")) {
+      deployment.control(deployment.store(), path, "{\"mode\":\"none\"}");
+    }
+    healStore();
+    release("", STORE, from);
+  }
+
+  private void healStore() {
+    deployment.control(deployment.store(), "/control/delay", "{}");
+    deployment.control(deployment.store(), "/control/lose-answers", "{}");
+    deployment.control(deployment.store(), "/control/rate", "{}");
+  }
+
+  private void cut(SoakStep step) {
+    String domain = deployment.plan().domains().get(step.target() % links.size()).name();
+    if (!take("domain ", domain)) {
+      return;
+    }
+    long from = LiveLoad.nowMicros();
+    links.of(domain).setCut(true);
+    pause(step.durationMillis());
+    links.of(domain).setCut(false);
+    release("domain ", domain, from);
+  }
+
+  // -----------------------------------------------------------------------
+
+  private synchronized boolean take(String kind, String name) {
+    long others = down.stream().filter(part -> part.startsWith(kind)).count();
+    return others < MOST_DOWN && down.add(kind + name);
+  }
+
+  private void release(String kind, String name, long from) {
+    down.remove(kind + name);
+    journal.failures.add(new SoakJournal.Absence(kind + name, from, LiveLoad.nowMicros()));
+  }
+
+  private static Endpoint withState(Endpoint endpoint, EndpointState state) {
+    return new Endpoint(
+        endpoint.name(),
+        endpoint.service(),
+        endpoint.address(),
+        endpoint.domain(),
+        endpoint.region(),
+        state);
+  }
+
+  private static void pause(long millis) {
+    Bench.pause(millis / 1_000.0);
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/SoakSchedule.java
@@ -0,0 +1,40 @@
+package org.sedgeroad.testing.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Static methods that make the schedule of a soak, a pure function of seed and length. */
+final class SoakSchedule {
+  private static final int LEAST_GAP_MILLIS = 400;
+  private static final int MOST_GAP_MILLIS = 1_600;
+  private static final int LEAST_DURATION_MILLIS = 500;
+
+  /** Above the lease of 6 s, so that some pauses and cuts outlast it. */
+  private static final int MOST_DURATION_MILLIS = 9_000;
+
+  /** A job at the start, so that the first failures meet batch work. */
+  private static final int FIRST_JOBS = 2;
+
+  private SoakSchedule() {}
+
+  /** Returns the steps in ascending order of their start. */
+  static List<SoakStep> of(long seed, int seconds) {
+    SplittableRandom random = new SplittableRandom(seed);
+    SoakAction[] actions = SoakAction.values();
+    List<SoakStep> steps = new ArrayList<>();
+    long at = 0;
+    while (at < seconds * 1_000L) {
+      SoakAction drawn = actions[random.nextInt(actions.length)];
+      SoakAction action = steps.size() < FIRST_JOBS ? SoakAction.SUBMIT_JOB : drawn;
+      int target = random.nextInt(1_000);
+      // Squared, so that short failures are frequent and long ones still occur.
+      double part = Math.pow(random.nextDouble(), 2);
+      long duration =
+          LEAST_DURATION_MILLIS + (long) (part * (MOST_DURATION_MILLIS - LEAST_DURATION_MILLIS));
+      steps.add(new SoakStep(steps.size(), at, action, target, duration));
+      at += random.nextInt(LEAST_GAP_MILLIS, MOST_GAP_MILLIS);
+    }
+    return steps;
+  }
+}
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Takeover.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Takeover.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -46,6 +48,7 @@
       EngineRuns runs = EngineRuns.read(deployment);
       Map<String, Double> figures = new LinkedHashMap<>();
       figures.put(PROGRESS, segments.isEmpty() ? null : progress(runs, segments, killed));
+      figures.put("killed-to-claimed-s", claimed(deployment, segments, victim.name(), killed));
       figures.put("items-lost", completed ? (double) output.lost(ITEMS) : null);
       figures.put("items-completed-twice", completed ? (double) output.completedTwice() : null);
       figures.put("segments-held-by-killed", (double) segments.size());
@@ -80,17 +83,13 @@
     Map<String, List<String>> held = new HashMap<>();
     String list =
         deployment.read(deployment.store().resolve("/apis/sedgeroad.org/v1/segments?limit=500"));
-    try {
-      for (JsonNode object : new ObjectMapper().readTree(list).path("items")) {
-        String holder = object.path("spec").path("holder").asText();
-        boolean unfinished = object.path("spec").path("states").asText().indexOf('W') >= 0;
-        if (unfinished && holder.indexOf('#') > 0) {
-          held.computeIfAbsent(holder.substring(0, holder.indexOf('#')), key -> new ArrayList<>())
-              .add(object.path("metadata").path("name").asText());
-        }
+    for (JsonNode object : json(list).path("items")) {
+      String holder = object.path("spec").path("holder").asText();
+      boolean unfinished = object.path("spec").path("states").asText().indexOf('W') >= 0;
+      if (unfinished && holder.indexOf('#') > 0) {
+        held.computeIfAbsent(holder.substring(0, holder.indexOf('#')), key -> new ArrayList<>())
+            .add(object.path("metadata").path("name").asText());
       }
-    } catch (IOException failure) {
-      throw new UncheckedIOException(failure);
     }
     return held;
   }
@@ -124,6 +123,37 @@
     return longest;
   }
 
+  /** Returns the seconds until another instance wrote each segment; the longest one. */
+  private static Double claimed(
+      Deployment deployment, List<String> segments, String victim, long killed) {
+    Map<String, Long> first = new HashMap<>();
+    for (JsonNode write :
+        json(deployment.read(deployment.store().resolve("/control/history"))).path("writes")) {
+      Instant time = Instant.parse(write.path("time").asText());
+      long micros = ChronoUnit.MICROS.between(Instant.EPOCH, time);
+      boolean other = !write.path("writer").asText().startsWith(victim + "#");
+      if (write.path("kind").asText().equals("segments") && other && micros > killed) {
+        first.putIfAbsent(write.path("name").asText(), micros);
+      }
+    }
+    double longest = 0;
+    for (String segment : segments) {
+      if (!first.containsKey(segment)) {
+        return null;
+      }
+      longest = Math.max(longest, (first.get(segment) - killed) / 1e6);
+    }
+    return segments.isEmpty() ? null : longest;
+  }
+
+  private static JsonNode json(String text) {
+    try {
+      return new ObjectMapper().readTree(text);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
   private static long runAgain(EngineRuns runs) {
     Map<String, Integer> finished = new HashMap<>();
     runs.stream(run -> run.isBatch() && run.finished())
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveListener.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveListener.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -19,6 +20,7 @@
   private static final String DATA = "data: ";
 
   private final PlannedRequest request;
+  private final URI target;
   private final long intendedNanos;
   private final long intendedMicros;
   private final LongConsumer gaps;
@@ -35,11 +37,13 @@
 
   LiveListener(
       PlannedRequest request,
+      URI target,
       long intendedNanos,
       long intendedMicros,
       LongConsumer gaps,
       Consumer<LiveRecord> ended) {
     this.request = request;
+    this.target = target;
     this.intendedNanos = intendedNanos;
     this.intendedMicros = intendedMicros;
     this.gaps = gaps;
@@ -130,6 +134,7 @@
     ended.accept(
         new LiveRecord(
             request,
+            target,
             outcome,
             head == null ? 0 : head.status(),
             work.isEmpty() ? header : work,
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveLoad.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveLoad.java
@@ -123,7 +123,12 @@
     URI target = targets.apply(request.target());
     LiveListener listener =
         new LiveListener(
-            request, due, startMicros + request.offsetNanos() / 1_000, this::addGap, this::add);
+            request,
+            target,
+            due,
+            startMicros + request.offsetNanos() / 1_000,
+            this::addGap,
+            this::add);
     caller.start(
         new HttpCall(
             "POST",
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveRecord.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/LiveRecord.java
@@ -1,9 +1,12 @@
 package org.sedgeroad.testing.load;
 
+import java.net.URI;
+
 /**
  * What a caller saw of one live request.
  *
  * @param request the request
+ * @param target address that the request was sent to
  * @param outcome how it ended
  * @param status HTTP status, 0 without an answer
  * @param work value of the error's {@code work}, empty without one
@@ -15,6 +18,7 @@
  */
 public record LiveRecord(
     PlannedRequest request,
+    URI target,
     Outcome outcome,
     int status,
     String work,
