Tell peers of draining endpoints and stop without cutting requests

Cause: an endpoint's refusal was known to one instance only, live pressure had no network, and a stop closed kept-alive connections without notice and waited for the runner without a deadline.

Change: EndpointTable tells a listener when this instance sees an endpoint go out of use; PeerExchange sends that to the domain's peers, who act on draining only, and carries LivePressure and the counts of heartbeats. StopHandler counts requests until their answer is sent, closes connections with their next answer during a stop and refuses as not-run at its end. StopSequence orders the steps within the deadline.

PausedInstanceTest: dead to others within 7 s of SIGSTOP, live within 3 s of SIGCONT, no death seen by the paused process.

--- /dev/null
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/entry/GracefulStopTest.java
@@ -0,0 +1,136 @@
+package org.sedgeroad.testing.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.DeploymentPlan;
+import org.sedgeroad.testing.deployment.DomainPlan;
+import org.sedgeroad.testing.deployment.EntryProcess;
+
+/** Guards against requests that a planned stop cuts off. */
+class GracefulStopTest {
+  private static final int CALLERS = 16;
+
+  private final Queue<String> cut = new ConcurrentLinkedQueue<>();
+  private final Set<URI> ready = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger served = new AtomicInteger();
+  private final AtomicInteger closing = new AtomicInteger();
+  private final CountDownLatch end = new CountDownLatch(1);
+
+  private Deployment deployment;
+
+  /** Sends streams on kept-alive connections to instances that the balancer holds for ready. */
+  private void call() {
+    HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    while (end.getCount() > 0) {
+      List<URI> targets = new ArrayList<>(ready);
+      if (!targets.isEmpty()) {
+        send(client, targets.get(ThreadLocalRandom.current().nextInt(targets.size())));
+      }
+    }
+  }
+
+  private void send(HttpClient client, URI target) {
+    int tokens = ThreadLocalRandom.current().nextInt(8) == 0 ? 150 : 5;
+    HttpRequest request =
+        HttpRequest.newBuilder(target.resolve("/v1/completions"))
+            .header("Authorization", "Bearer " + deployment.plan().key())
+            .POST(
+                HttpRequest.BodyPublishers.ofString(
+                    "{\"model\":\""
+                        + deployment.plan().model()
+                        + "\",\"prompt\":\"ribbon\",\"stream\":true,\"max_tokens\":"
+                        + tokens
+                        + "}"))
+            .build();
+    try {
+      HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+      if (answer.statusCode() != 200 || !answer.body().endsWith("data: [DONE]\n\n")) {
+        cut.add(answer.statusCode() + " " + answer.body());
+      }
+      served.incrementAndGet();
+      if (answer.headers().firstValue("connection").orElse("").equalsIgnoreCase("close")) {
+        closing.incrementAndGet();
+      }
+    } catch (Exception failure) {
+      cut.add(target + " " + failure);
+    }
+  }
+
+  /** Stands for the load balancer: takes an instance out 300 ms after it is not ready. */
+  private void balance() {
+    try {
+      while (!end.await(50, TimeUnit.MILLISECONDS)) {
+        for (EntryProcess entry : deployment.entries()) {
+          if (deployment.read(entry.callers().resolve("/readyz")).startsWith("ready")) {
+            ready.add(entry.callers());
+          } else if (ready.contains(entry.callers())) {
+            Thread.sleep(300);
+            ready.remove(entry.callers());
+          }
+        }
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Nested
+  class Close {
+    @Test
+    void cutsNoRequestOffDuringARollingRestart() throws Exception {
+      DeploymentPlan plan =
+          DeploymentPlan.demo()
+              .withDomains(new DomainPlan("neuquen-a", "patagonia-norte", 3, 4, 0))
+              .withSetting("stop.notice-millis", "1000");
+      List<Thread> threads = new ArrayList<>();
+      try (Deployment started = Deployment.start(plan)) {
+        deployment = started;
+        started.entries().forEach(entry -> ready.add(entry.callers()));
+        threads.add(new Thread(GracefulStopTest.this::balance));
+        for (int i = 0; i < CALLERS; i++) {
+          threads.add(new Thread(GracefulStopTest.this::call));
+        }
+        threads.forEach(Thread::start);
+        for (EntryProcess entry : started.entries()) {
+          Thread.sleep(1_000);
+          final long stopped = System.nanoTime();
+          entry.process().requestStop();
+          assertTrue(entry.process().awaitEnd());
+          System.out.printf(
+              "%s stopped in %d ms%n", entry.name(), (System.nanoTime() - stopped) / 1_000_000);
+          entry.start();
+          started.awaitReady(entry);
+        }
+        end.countDown();
+        for (Thread thread : threads) {
+          thread.join(20_000);
+        }
+        System.out.printf(
+            "rolling restart of 3: %d served, %d with Connection: close, %d cut%n",
+            served.get(), closing.get(), cut.size());
+        assertEquals(List.of(), List.copyOf(cut));
+        assertTrue(closing.get() > 0 && served.get() > 100);
+      } finally {
+        end.countDown();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/entry/PausedInstanceTest.java
@@ -0,0 +1,60 @@
+package org.sedgeroad.testing.entry;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.DeploymentPlan;
+import org.sedgeroad.testing.deployment.DomainPlan;
+import org.sedgeroad.testing.deployment.EntryProcess;
+
+/** Guards against an instance that is lost for good, or loses its peers, after a pause. */
+class PausedInstanceTest {
+  private static final int LIVE = 6010;
+  private static final int DEAD = 6012;
+  private static final int PAUSED = 6014;
+
+  private static long count(Deployment deployment, EntryProcess entry, int event, String about) {
+    try (var lines = Files.lines(deployment.folder().resolve(entry.name() + ".log"))) {
+      return lines
+          .filter(line -> line.contains("\"event\":" + event))
+          .filter(line -> line.contains("\"peer\":\"" + about))
+          .count();
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  @Nested
+  class Pause {
+    @Test
+    void isSeenAsDeathAndReturnByTheOthersOnly() throws Exception {
+      DeploymentPlan plan =
+          DeploymentPlan.demo().withDomains(new DomainPlan("a", "patagonia-norte", 3, 1, 0));
+      try (Deployment deployment = Deployment.start(plan)) {
+        final EntryProcess first = deployment.entries().get(0);
+        final EntryProcess second = deployment.entries().get(1);
+        await()
+            .atMost(Duration.ofSeconds(10))
+            .until(() -> count(deployment, first, LIVE, second.name()) == 1);
+        second.process().pause();
+        await()
+            .atMost(Duration.ofSeconds(7))
+            .until(() -> count(deployment, first, DEAD, second.name()) == 1);
+        second.process().resume();
+        await()
+            .atMost(Duration.ofSeconds(3))
+            .until(() -> count(deployment, first, LIVE, second.name()) == 2);
+        deployment.awaitReady(second);
+        assertEquals(1, count(deployment, second, PAUSED, second.name()));
+        assertEquals(0, count(deployment, second, DEAD, ""));
+      }
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -2,7 +2,6 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import java.time.Duration;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -15,6 +14,7 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.api.StopHandler;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
@@ -71,6 +71,8 @@
   private final PeerGroup peers;
   private final JobRunner runner;
   private final LivePressureExchange livePressure;
+  private final PeerExchange exchange;
+  private final StopHandler requests;
   private final Undertow server;
   private final AdministrationListener administration;
   private final DrainFollower drains;
@@ -109,10 +111,12 @@
             settings.domain(),
             endpoints,
             membership,
-            (peer, message) -> {},
+            peers.network()::send,
             runner::wake,
             System.currentTimeMillis());
-    this.server = createServer(writer);
+    this.exchange = peers.createExchange(endpoints, livePressure);
+    this.requests = createHandler(writer);
+    this.server = createServer();
     this.administration =
         Administration.create(settings, writer, replica, endpoints, membership, log);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
@@ -144,7 +148,7 @@
             settings.requestTimeoutMillis()));
   }
 
-  private Undertow createServer(StoreWriter writer) {
+  private StopHandler createHandler(StoreWriter writer) {
     LiveService live =
         new LiveService(
             new LiveServiceParts(
@@ -171,6 +175,10 @@
                 log,
                 settings.requestTimeoutMillis(),
                 settings.maximumBodyBytes()));
+    return new StopHandler(api);
+  }
+
+  private Undertow createServer() {
     return Undertow.builder()
         .addHttpListener(
             settings.callerAddress().getPort(), settings.callerAddress().getHostString())
@@ -179,7 +187,7 @@
         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-        .setHandler(api)
+        .setHandler(requests)
         .build();
   }
 
@@ -195,6 +203,7 @@
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
+    exchange.start();
     peers.start();
     relay.start(peers.isAlone());
     runner.start();
@@ -215,20 +224,20 @@
   }
 
   /**
-   * Stops in order: not ready, wait for the balancer, finish requests, release segments, close.
-   * Takes at most the stop timeout of the settings.
+   * Stops in order: not ready, wait for the balancer, finish requests, release segments, tell the
+   * peers, close. Takes at most the stop timeout of the settings.
    */
   @Override
   public void close() {
     stopping = true;
     log.log(LogEvent.INSTANCE_STOPPING);
-    long deadline = clock.deadlineAfterMillis(settings.stopTimeoutMillis());
-    sleep(Duration.ofMillis(settings.stopNoticeMillis()));
-    while (activeRequests.get() > 0 && !clock.hasPassed(deadline)) {
-      sleep(Duration.ofMillis(20));
-    }
-    runner.close();
-    peers.leave();
+    new StopSequence(clock, log)
+        .run(
+            requests,
+            settings.stopNoticeMillis(),
+            settings.stopTimeoutMillis(),
+            runner::close,
+            peers::leave);
     server.stop();
     administration.close();
     relay.close();
@@ -258,12 +267,4 @@
       }
     };
   }
-
-  private static void sleep(Duration duration) {
-    try {
-      Thread.sleep(duration.toMillis());
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/PeerGroup.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerGroup.java
@@ -7,11 +7,13 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.event.EventLog;
+import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.peer.GossipMembership;
 import org.sedgeroad.peer.GossipSettings;
 import org.sedgeroad.peer.HeartbeatContent;
 import org.sedgeroad.peer.MembershipService;
 import org.sedgeroad.peer.TcpPeerNetwork;
+import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.ObjectStore;
@@ -75,11 +77,6 @@
     return settings.seeds().stream().allMatch(seed -> text(seed).equals(text(network.address())));
   }
 
-  /** Sets what other parts add to heartbeats. */
-  void setContent(Supplier<HeartbeatContent> supplier) {
-    content = supplier;
-  }
-
   /** Returns a relay that keeps a replica current; the caller starts and closes it. */
   ConfigurationRelay createRelay(ObjectStore store, ConfigurationReplica replica) {
     ConfigurationRelay relay =
@@ -92,11 +89,21 @@
             membership,
             clock,
             log);
-    setContent(relay::heartbeatContent);
+    content = relay::heartbeatContent;
     service.addListener(relay::receive);
     return relay;
   }
 
+  /** Returns an exchange of what instances tell each other about endpoints. */
+  PeerExchange createExchange(EndpointTable endpoints, LivePressureExchange livePressure) {
+    PeerExchange exchange =
+        new PeerExchange(settings.instance(), network, membership, endpoints, livePressure, log);
+    Supplier<HeartbeatContent> other = content;
+    content = () -> other.get().withLiveCounts(exchange::liveCounts);
+    service.addListener(exchange::receive);
+    return exchange;
+  }
+
   void start() {
     network.start(membership);
     service.start();
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/StopSequence.java
@@ -0,0 +1,73 @@
+package org.sedgeroad.entry;
+
+import java.util.function.BooleanSupplier;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.api.StopHandler;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+
+/** The part of a planned stop in which callers and peers are left without a cut. */
+final class StopSequence {
+  /** Time kept back before the deadline to tell peers and close connections. */
+  private static final long CLOSING_MILLIS = 1_000;
+
+  /** Time in which a request that was on its way is refused instead of cut. */
+  private static final long LINGER_MILLIS = 100;
+
+  private static final long POLL_MILLIS = 10;
+
+  private final MonotonicClock clock;
+  private final EventLog log;
+
+  StopSequence(MonotonicClock clock, EventLog log) {
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /**
+   * Runs the steps up to the closing of connections.
+   *
+   * @param requests handler of the callers' requests
+   * @param noticeMillis time that the load balancer gets to notice
+   * @param timeoutMillis longest duration of the whole stop
+   * @param releaseWork finishes and releases batch work; may block past the deadline
+   * @param leave tells the peers
+   */
+  void run(
+      StopHandler requests,
+      long noticeMillis,
+      long timeoutMillis,
+      Runnable releaseWork,
+      Runnable leave) {
+    long deadline = clock.deadlineAfterMillis(timeoutMillis - CLOSING_MILLIS);
+    requests.closeConnections();
+    waitUntil(() -> false, clock.deadlineAfterMillis(Math.min(noticeMillis, timeoutMillis)));
+    Thread release = new Thread(releaseWork, "release-work");
+    release.setDaemon(true);
+    release.start();
+    waitUntil(() -> requests.active() == 0 && !release.isAlive(), deadline);
+    if (requests.active() > 0 || release.isAlive()) {
+      log.log(
+          LogEvent.STOP_DEADLINE_PASSED,
+          EventField.of("requests", requests.active()),
+          EventField.of("batch_released", !release.isAlive()));
+    }
+    requests.refuse();
+    leave.run();
+    waitUntil(() -> false, clock.deadlineAfterMillis(LINGER_MILLIS));
+    // Requests that slipped in between the last count and the refusal.
+    waitUntil(() -> requests.active() == 0, deadline);
+  }
+
+  private void waitUntil(BooleanSupplier condition, long deadlineNanos) {
+    while (!condition.getAsBoolean() && !clock.hasPassed(deadlineNanos)) {
+      try {
+        Thread.sleep(POLL_MILLIS);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/peer/HeartbeatContent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/HeartbeatContent.java
@@ -17,4 +17,9 @@
   /** Content of an instance without configuration and requests. */
   public static final HeartbeatContent EMPTY =
       new HeartbeatContent(Map.of(), target -> Map.of(), false);
+
+  /** Returns a copy with other live counts. */
+  public HeartbeatContent withLiveCounts(Function<String, Map<String, Integer>> replacement) {
+    return new HeartbeatContent(versions, replacement, cutOff);
+  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.sedgeroad.Endpoint;
 import org.sedgeroad.EndpointState;
 import org.sedgeroad.MonotonicClock;
@@ -43,6 +44,7 @@
   private final Map<String, Integer> slots = new HashMap<>();
   private final Set<String> drained = new HashSet<>();
   private final PeerLiveCounts peers = new PeerLiveCounts();
+  private volatile EndpointListener listener = EndpointListener.NONE;
   private final String region;
   private final MonotonicClock clock;
   private long generations;
@@ -90,12 +92,18 @@
 
   /** Takes an endpoint out of use because it said that it is leaving. */
   public void markDraining(String name) {
-    change(name, this::drain);
+    observe(name, endpoint -> true, this::drain, endpoint -> listener.draining(endpoint));
   }
 
   /** Takes an endpoint out of use because it said so; no effect if it was replaced since. */
   public void markDraining(String name, URI address) {
-    changeAt(name, address, this::drain);
+    observe(name, isAt(address), this::drain, endpoint -> listener.draining(endpoint));
+  }
+
+  /** Takes an endpoint out of use because another instance says that it is leaving. */
+  public void markDrainingByPeer(String name, URI address) {
+    // The listener is not told: each instance would tell all others of the same endpoint.
+    observe(name, isAt(address), this::drain, endpoint -> {});
   }
 
   /** Takes an endpoint out of use, or back into use, because an operator says so. */
@@ -114,12 +122,17 @@
 
   /** Takes an endpoint out of use for a moment because a connection failed. */
   public void markFailed(String name) {
-    change(name, this::eject);
+    observe(name, endpoint -> true, this::eject, endpoint -> listener.failed(endpoint));
   }
 
   /** Takes an endpoint out of use for a moment; no effect if it was replaced since. */
   public void markFailed(String name, URI address) {
-    changeAt(name, address, this::eject);
+    observe(name, isAt(address), this::eject, endpoint -> listener.failed(endpoint));
+  }
+
+  /** Sets who learns of endpoints that this instance sees go out of use. */
+  public void setListener(EndpointListener replacement) {
+    listener = replacement;
   }
 
   /**
@@ -282,14 +295,20 @@
 
   // -----------------------------------------------------------------------
 
-  private void drain(EndpointRecord endpoint) {
+  /** Returns whether the endpoint was not draining before. */
+  private boolean drain(EndpointRecord endpoint) {
+    boolean news = !endpoint.draining;
     endpoint.draining = true;
     endpoint.drainingSinceNanos = clock.nanos();
+    return news;
   }
 
-  private void eject(EndpointRecord endpoint) {
+  /** Returns whether the endpoint was in use before. */
+  private boolean eject(EndpointRecord endpoint) {
+    boolean news = !endpoint.ejected || clock.hasPassed(endpoint.ejectedUntilNanos);
     endpoint.ejected = true;
     endpoint.ejectedUntilNanos = clock.deadlineAfterMillis(EJECTION_MILLIS);
+    return news;
   }
 
   private void clearDraining(EndpointRecord held, Endpoint listed) {
@@ -321,14 +340,29 @@
         endpoint.endpoint.region().equals(region));
   }
 
-  private void changeAt(String name, URI address, Consumer<EndpointRecord> change) {
-    change(
-        name,
-        endpoint -> {
-          if (endpoint.endpoint.address().equals(address)) {
-            change.accept(endpoint);
-          }
-        });
+  private static Predicate<EndpointRecord> isAt(URI address) {
+    return endpoint -> endpoint.endpoint.address().equals(address);
+  }
+
+  /** Changes an endpoint and passes it on, without the lock, if the change was news. */
+  private void observe(
+      String name,
+      Predicate<EndpointRecord> condition,
+      Predicate<EndpointRecord> change,
+      Consumer<Endpoint> notice) {
+    Endpoint changed = null;
+    lock.lock();
+    try {
+      EndpointRecord endpoint = records.get(name);
+      if (endpoint != null && condition.test(endpoint) && change.test(endpoint)) {
+        changed = endpoint.endpoint;
+      }
+    } finally {
+      lock.unlock();
+    }
+    if (changed != null) {
+      notice.accept(changed);
+    }
   }
 
   private void change(String name, Consumer<EndpointRecord> change) {
