--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -3,7 +3,6 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import java.time.Clock;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
@@ -18,6 +17,7 @@
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
 import org.sedgeroad.api.Observation;
+import org.sedgeroad.api.StopHandler;
 import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
@@ -87,6 +87,8 @@
   private final JobRunner runner;
   private final LivePressureExchange livePressure;
   private final CrashReports crashes;
+  private final PeerExchange exchange;
+  private final StopHandler requests;
   private final Undertow server;
   private final AdministrationListener administration;
   private final DrainFollower drains;
@@ -154,7 +156,9 @@
             log);
     replica.addListener(crashes::apply);
     crashes.listen(peers.network());
-    this.server = createServer(writer);
+    this.exchange = peers.createExchange(endpoints, livePressure);
+    this.requests = createHandler(writer);
+    this.server = createServer();
     this.administration =
         Administration.create(settings, writer, replica, endpoints, membership, burn, log);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
@@ -198,7 +202,7 @@
             }));
   }
 
-  private Undertow createServer(StoreWriter writer) {
+  private StopHandler createHandler(StoreWriter writer) {
     LiveService live =
         new LiveService(
             new LiveServiceParts(
@@ -229,6 +233,10 @@
                 settings.requestTimeoutMillis(),
                 settings.maximumBodyBytes(),
                 new Observation(RequestObserver.both(metrics, burn), metrics::toText)));
+    return new StopHandler(api);
+  }
+
+  private Undertow createServer() {
     return Undertow.builder()
         .addHttpListener(
             settings.callerAddress().getPort(), settings.callerAddress().getHostString())
@@ -237,7 +245,7 @@
         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-        .setHandler(api)
+        .setHandler(requests)
         .build();
   }
 
@@ -254,6 +262,7 @@
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
     timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
+    exchange.start();
     peers.start();
     relay.start(peers.isAlone());
     runner.start();
@@ -274,20 +283,20 @@
   }
 
   /**
-   * Stops in order: not ready, wait for the balancer, finish requests, release segments, close.
-   * Takes at most the stop timeout of the settings.
+   * Stops in order: not ready, wait for the balancer, finish requests, release segments, tell the
+   * peers, close. Takes at most the stop timeout of the settings.
    */
   @Override
   public void close() {
     stopping = true;
     log.log(LogEvent.INSTANCE_STOPPING);
-    long deadline = clock.deadlineAfterMillis(settings.stopTimeoutMillis());
-    sleep(Duration.ofMillis(settings.stopNoticeMillis()));
-    while (activeRequests.get() > 0 && !clock.hasPassed(deadline)) {
-      sleep(Duration.ofMillis(20));
-    }
-    runner.close();
-    peers.leave();
+    new StopSequence(clock, log)
+        .run(
+            requests,
+            settings.stopNoticeMillis(),
+            settings.stopTimeoutMillis(),
+            runner::close,
+            peers::leave);
     server.stop();
     administration.close();
     relay.close();
@@ -318,12 +327,4 @@
       }
     };
   }
-
-  private static void sleep(Duration duration) {
-    try {
-      Thread.sleep(duration.toMillis());
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
