--- a/sedgeroad/src/main/java/org/sedgeroad/limit/HomeRoster.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/HomeRoster.java
@@ -60,6 +60,8 @@
   private long limitsFloor;
   private long sharesFloor;
   private long resumeFloor;
+  private long behindVersion;
+  private long behindSinceNanos;
   // Read with the leases only, since the applied version may take a scan of the replica.
   private long limitsApplied;
   private long sharesApplied;
@@ -222,14 +224,20 @@
   public void recordsRead(Map<String, DomainRecord> records, long sentAtNanos) {
     lock.lock();
     try {
-      if (sentAtNanos - resumeAtNanos < 0) {
-        for (DomainRecord record : records.values()) {
-          if (record.limitsVersion() != Long.MAX_VALUE) {
-            resumeFloor = Math.max(resumeFloor, record.limitsVersion());
-          }
+      readApplied();
+      long recorded = 0;
+      for (DomainRecord record : records.values()) {
+        if (record.limitsVersion() != Long.MAX_VALUE) {
+          recorded = Math.max(recorded, record.limitsVersion());
         }
       }
-      readApplied();
+      if (sentAtNanos - resumeAtNanos < 0) {
+        resumeFloor = Math.max(resumeFloor, recorded);
+      }
+      if (limitsApplied >= behindVersion && recorded > limitsApplied) {
+        behindVersion = recorded;
+        behindSinceNanos = sentAtNanos;
+      }
       recordsReadAtNanos = sentAtNanos;
       recordsRead = true;
     } finally {
@@ -271,7 +279,10 @@
     boolean held = leases.isHeld(nowNanos);
     lock.lock();
     try {
-      if (!established
+      boolean stale = limitsApplied < limitsFloor || sharesApplied < sharesFloor;
+      if (stopped
+          || stale
+          || !established
           || nowNanos - establishedAtNanos < QUIET_NANOS
           || !isFirst(member, nowNanos)) {
         return Standing.NONE;
@@ -280,6 +291,7 @@
         boolean over = nowNanos - renewedAtNanos > ISOLATION_NANOS;
         return over || absentMayBeHome(member, nowNanos) ? Standing.NONE : Standing.ISOLATED;
       }
+      boolean behind = limitsApplied < behindVersion && nowNanos - behindSinceNanos >= leaseNanos;
       boolean recent = recordsRead && nowNanos - recordsReadAtNanos < leaseNanos;
       boolean resuming = !recent || nowNanos - resumeAtNanos < 0 || limitsApplied < resumeFloor;
       if (absentMayBeHome(member, nowNanos)) {
