--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -170,6 +170,10 @@
         this::isReady,
         () -> membership.liveInstances().size(),
         activeRequests::get);
+    followConfiguration();
+  }
+
+  private void followConfiguration() {
     replica.addListener(
         object -> {
           if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
