Pass on why a watch expired, report complete versions in the lease object

The highest version held says nothing of a change that was missed below it; the lease object would have claimed a limit in force that was not. PlatformStandInTest.refuseForgottenVersions found the lost reason.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationRelay.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationRelay.java
@@ -120,6 +120,11 @@
     return watcher.isWatching();
   }
 
+  /** Returns the version up to which every change of a kind was applied, 0 if none is. */
+  long completeVersion(String kind) {
+    return Math.max(0, versions.get(kind));
+  }
+
   /** Returns the versions up to which this instance has applied every change, by kind. */
   Map<String, Long> versions() {
     return versions.toMap();
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationWatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationWatcher.java
@@ -216,7 +216,7 @@
     }
 
     @Override
-    public void onExpired() {
+    public void onExpired(String reason) {
       if (!ended) {
         ended = true;
         schedule(
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -106,7 +106,7 @@
             settings.leaseMillis(),
             leases,
             replica,
-            replica::highestVersion,
+            relay::completeVersion,
             peers.network(),
             clock);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
--- a/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
@@ -10,7 +10,7 @@
   void onClosed(String reason);
 
   /** Receives the refusal of a version that the store no longer knows; a list is needed. */
-  default void onExpired() {
-    onClosed("version expired");
+  default void onExpired(String reason) {
+    onClosed(reason);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/store/WatchReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/WatchReader.java
@@ -39,10 +39,11 @@
 
   @Override
   public void onEnd() {
+    String reason = "watch ended with status " + status;
     if (status == GONE) {
-      listener.onExpired();
+      listener.onExpired(reason);
     } else {
-      listener.onClosed("watch ended with status " + status);
+      listener.onClosed(reason);
     }
   }
 
