--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -2,6 +2,8 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import java.time.Clock;
+import java.time.InstantSource;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -14,7 +16,9 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.api.Observation;
 import org.sedgeroad.api.StopHandler;
+import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
@@ -30,12 +34,18 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.ClaimBook;
+import org.sedgeroad.live.CrashReports;
 import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
+import org.sedgeroad.metric.Metrics;
+import org.sedgeroad.metric.RequestObserver;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicies;
+import org.sedgeroad.route.CrashSuspicion;
 import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.HedgePolicies;
+import org.sedgeroad.route.PrefixHints;
 import org.sedgeroad.route.RoutingPolicies;
 import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
@@ -53,10 +63,13 @@
   private final Settings settings;
   private final EventLog log;
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
+  private final Metrics metrics = new Metrics();
+  private final BurnRecords burn;
   private final HttpCaller caller;
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
+  private final PrefixHints prefixHints = new PrefixHints(clock);
   private final LeaseTable leases;
   private final VotedLimits limits;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
@@ -73,6 +86,7 @@
   private final PeerGroup peers;
   private final JobRunner runner;
   private final LivePressureExchange livePressure;
+  private final CrashReports crashes;
   private final PeerExchange exchange;
   private final StopHandler requests;
   private final Undertow server;
@@ -84,8 +98,11 @@
   public EntryInstance(Settings settings) {
     this.settings = settings;
     this.log = EventLog.of(settings.instance());
+    this.burn = new BurnRecords(settings.instance(), clock, Clock.systemUTC());
     this.caller = HttpCaller.create(settings.ioThreads());
-    this.store = HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis());
+    this.store =
+        metrics.measure(
+            HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis()));
     this.endpoints = EndpointTable.of(settings.region(), clock);
     this.leases = LeaseTable.ofMillis(settings.leaseMillis());
     this.workers =
@@ -106,7 +123,7 @@
             settings.leaseMillis(),
             leases,
             replica,
-            relay::completeVersion,
+            kind -> relay.versions().getOrDefault(kind, 0L),
             peers.network(),
             clock);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
@@ -128,12 +145,31 @@
             peers.network()::send,
             runner::wake,
             System.currentTimeMillis());
+    this.crashes =
+        new CrashReports(
+            settings.instance(),
+            new CrashSuspicion(InstantSource.system()),
+            membership,
+            peers.network()::send,
+            writer,
+            clock,
+            log);
+    replica.addListener(crashes::apply);
+    crashes.listen(peers.network());
     this.exchange = peers.createExchange(endpoints, livePressure);
     this.requests = createHandler(writer);
     this.server = createServer();
     this.administration =
-        Administration.create(settings, writer, replica, endpoints, membership, log);
+        Administration.create(settings, writer, replica, endpoints, membership, burn, log);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
+    InstanceGauges.register(
+        metrics,
+        replica,
+        endpoints,
+        () -> leases.isHeld(clock.nanos()),
+        this::isReady,
+        () -> membership.liveInstances().size(),
+        activeRequests::get);
     replica.addListener(
         object -> {
           if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
@@ -159,7 +195,11 @@
             clock,
             storeWorkers,
             log,
-            settings.requestTimeoutMillis()));
+            settings.requestTimeoutMillis(),
+            (job, results) -> {
+              metrics.committed(job, results);
+              burn.committed(job, results);
+            }));
   }
 
   private StopHandler createHandler(StoreWriter writer) {
@@ -168,7 +208,10 @@
             new LiveServiceParts(
                 endpoints,
                 livePressure,
-                RoutingPolicies.named(settings.routing()),
+                RoutingPolicies.named(settings.routing(), endpoints.costs(), prefixHints),
+                prefixHints,
+                HedgePolicies.named(settings.hedging()),
+                crashes,
                 HttpEngineClient.of(caller),
                 limits.gate(),
                 ClaimBook.of(writer),
@@ -188,7 +231,8 @@
                 clock,
                 log,
                 settings.requestTimeoutMillis(),
-                settings.maximumBodyBytes()));
+                settings.maximumBodyBytes(),
+                new Observation(RequestObserver.both(metrics, burn), metrics::toText)));
     return new StopHandler(api);
   }
 
@@ -217,6 +261,7 @@
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
+    timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
     exchange.start();
     peers.start();
     relay.start(peers.isAlone());
--- a/sedgeroad/src/main/java/org/sedgeroad/peer/MessageCodecs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/MessageCodecs.java
@@ -80,7 +80,15 @@
               10,
               Acknowledgement.class,
               (packer, acknowledgement) -> packer.packBoolean(acknowledgement.done()),
-              unpacker -> new Acknowledgement(unpacker.unpackBoolean())));
+              unpacker -> new Acknowledgement(unpacker.unpackBoolean())),
+          new MessageCodec<>(
+              11, EndpointLost.class, MessageCodecs::writeLost, MessageCodecs::readLost),
+          new MessageCodec<>(
+              12,
+              QuarantineNews.class,
+              (packer, news) ->
+                  packer.packString(news.fingerprint()).packLong(news.deadlineMillis()),
+              unpacker -> new QuarantineNews(unpacker.unpackString(), unpacker.unpackLong())));
 
   private static final Map<Integer, MessageCodec<?>> BY_TYPE =
       ALL.stream().collect(Collectors.toUnmodifiableMap(MessageCodec::type, Function.identity()));
@@ -132,6 +140,29 @@
     return new ConfigurationDelta(kind, above, complete, items);
   }
 
+  private static void writeLost(MessagePacker packer, EndpointLost lost) throws IOException {
+    packer
+        .packString(lost.sender())
+        .packString(lost.endpoint())
+        .packString(lost.address())
+        .packArrayHeader(lost.fingerprints().size());
+    for (String fingerprint : lost.fingerprints()) {
+      packer.packString(fingerprint);
+    }
+  }
+
+  private static EndpointLost readLost(MessageUnpacker unpacker) throws IOException {
+    String sender = unpacker.unpackString();
+    String endpoint = unpacker.unpackString();
+    String address = unpacker.unpackString();
+    int count = unpacker.unpackArrayHeader();
+    List<String> fingerprints = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      fingerprints.add(unpacker.unpackString());
+    }
+    return new EndpointLost(sender, endpoint, address, fingerprints);
+  }
+
   private static void writeGrant(MessagePacker packer, Grant grant) throws IOException {
     packer
         .packString(grant.member())
--- a/sedgeroad/src/test/java/org/sedgeroad/peer/MessageCodecsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/peer/MessageCodecsTest.java
@@ -33,7 +33,9 @@
         new Grant("m", "l", 1, 2, 3, 4),
         new LeaseRenewal("a#1", 3),
         new Leaving("a"),
-        new Acknowledgement(true));
+        new Acknowledgement(true),
+        new EndpointLost("a", "w", "http://127.0.0.1:1", List.of("f1", "f2")),
+        new QuarantineNews("f1", 1_796_000_000_000L));
   }
 
   @Nested
