--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -80,11 +80,16 @@
         new ThreadPoolExecutor(
             4, settings.workerThreads(), 30, TimeUnit.SECONDS, new SynchronousQueue<>());
     // The name differs after each restart, so that a new run never counts as the old holder.
-    String holder = settings.instance() + "#" + UUID.randomUUID().toString().substring(0, 8);
+    String holder =
+        settings.domain()
+            + "/"
+            + settings.instance()
+            + "#"
+            + UUID.randomUUID().toString().substring(0, 8);
     StoreWriter writer = StoreWriter.of(store, holder);
     MembershipView membership = () -> List.of(settings.instance());
     this.watcher = new ConfigurationWatcher(store, replica, timer, log);
-    this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
+    this.leaseKeeper = new LeaseKeeper(writer, leases, settings.instance(), membership, clock, log);
     this.instanceList =
         new InstanceListReader(
             settings.instanceListAddress(),
@@ -167,9 +172,9 @@
     timer.scheduleWithFixedDelay(
         quietly(instanceList::read), 0, INSTANCE_LIST_MILLIS, TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(
-        quietly(leaseKeeper::renew),
+        quietly(leaseKeeper::tick),
         0,
-        settings.leaseMillis() / RENEWALS_PER_LEASE,
+        settings.leaseMillis() / RENEWALS_PER_LEASE / LeaseKeeper.TICKS_PER_PERIOD,
         TimeUnit.MILLISECONDS);
     watcher.start();
     runner.start();
@@ -198,7 +203,8 @@
     while (activeRequests.get() > 0 && !clock.hasPassed(deadline)) {
       sleep(Duration.ofMillis(20));
     }
-    runner.close();
+    runner.stop(deadline);
+    leaseKeeper.leave();
     server.stop();
     watcher.close();
     timer.shutdownNow();
--- a/sedgeroad/src/main/java/org/sedgeroad/job/CommitResult.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/CommitResult.java
@@ -3,7 +3,7 @@
 /** Outcome of a conditional update of a held segment. */
 sealed interface CommitResult {
 
-  /** The update took effect. */
+  /** The segment as it is stored now; this instance holds it. */
   record Committed(Segment segment, long version) implements CommitResult {}
 
   /** Another instance holds the segment now; the results do not count. */
@@ -12,6 +12,12 @@
   /** The job is cancelled; the results do not count. */
   record JobCancelled() implements CommitResult {}
 
-  /** The store could not serve the update; nothing is known to have changed. */
+  /** The segment has been given back, or was not held any more. */
+  record Released() implements CommitResult {}
+
+  /** The update may have taken effect; the segment must be read before the next update. */
+  record Uncertain(String reason) implements CommitResult {}
+
+  /** The store could not serve the update; the segment has not changed. */
   record Retry(String reason) implements CommitResult {}
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
@@ -4,23 +4,35 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** A segment that this instance holds, with the work in progress. Used by one thread only. */
 final class HeldSegment {
+  /** Uncompressed size of a result chunk, so that it stays well below the store's 1 MB. */
+  static final int CHUNK_BYTES = 512 * 1024;
+
   private final Job job;
   private final List<BatchItem> items;
   private final Deque<BatchItem> waiting = new ArrayDeque<>();
+  private final PriorityQueue<DelayedItem> delayed = new PriorityQueue<>();
   private final Map<Integer, Integer> attempts = new HashMap<>();
-  private final Set<RunningItem> running = new java.util.LinkedHashSet<>();
+  private final Map<Integer, Integer> refusals = new HashMap<>();
+  private final Set<RunningItem> running = new LinkedHashSet<>();
   private final List<ItemResult> pending = new ArrayList<>();
   private Segment segment;
   private long version;
+  private long pendingBytes;
   private long pendingSinceNanos;
+  private long progressNanos;
   private long retryAtNanos;
   private boolean busy;
+  private boolean uncertain;
   private boolean cancelled;
 
   HeldSegment(Job job, Segment segment, long version, List<BatchItem> items, long nowNanos) {
@@ -29,6 +41,7 @@
     this.version = version;
     this.items = items;
     this.retryAtNanos = nowNanos;
+    this.progressNanos = nowNanos;
     items.stream()
         .filter(item -> segment.state(item.index()) == ItemState.WAITING)
         .forEach(waiting::add);
@@ -50,46 +63,112 @@
     return version;
   }
 
-  BatchItem item(int index) {
-    return items.get(index);
+  List<BatchItem> items() {
+    return items;
   }
 
-  Deque<BatchItem> waiting() {
-    return waiting;
+  // ----------------------------------------------------------------------- items
+
+  /** Removes and returns the first item that may be sent and passes the test, null if none. */
+  BatchItem takeSendable(Predicate<BatchItem> test, long nowNanos) {
+    while (!delayed.isEmpty() && nowNanos - delayed.peek().readyAtNanos() >= 0) {
+      waiting.addFirst(delayed.poll().item());
+    }
+    for (Iterator<BatchItem> each = waiting.iterator(); each.hasNext(); ) {
+      BatchItem item = each.next();
+      if (isSendable(item) && test.test(item)) {
+        each.remove();
+        return item;
+      }
+    }
+    return null;
   }
 
-  Set<RunningItem> running() {
-    return running;
+  private boolean isSendable(BatchItem item) {
+    return item.idempotent() || segment.state(item.index()) == ItemState.STARTED;
   }
 
-  List<ItemResult> pending() {
-    return pending;
+  /** Returns the items that wait for an endpoint or for their next attempt. */
+  List<BatchItem> waiting() {
+    List<BatchItem> all = new ArrayList<>(waiting);
+    delayed.forEach(each -> all.add(each.item()));
+    return all;
   }
 
-  boolean isBusy() {
-    return busy;
+  /** Returns non-idempotent waiting items that must be marked before they may be sent. */
+  List<BatchItem> unmarked(Predicate<BatchItem> test, int limit) {
+    return waiting.stream()
+        .filter(item -> !isSendable(item) && test.test(item))
+        .limit(limit)
+        .toList();
   }
 
-  boolean isCancelled() {
-    return cancelled;
+  /** Returns marked items that were not sent. */
+  List<BatchItem> markedUnsent() {
+    return waiting().stream().filter(item -> !item.idempotent() && isSendable(item)).toList();
   }
 
-  void markCancelled() {
-    cancelled = true;
-    waiting.clear();
-    pending.clear();
+  /** Puts an item back that did not run. */
+  void putBack(BatchItem item) {
+    if (!cancelled) {
+      waiting.addFirst(item);
+    }
+  }
+
+  /** Puts an item back for another attempt at a later time. */
+  void putBackLater(BatchItem item, long readyAtNanos) {
+    if (!cancelled) {
+      delayed.add(new DelayedItem(item, readyAtNanos));
+    }
   }
 
-  /** Counts an attempt and returns how many there have been. */
+  /** Counts a failed attempt and returns how many there have been. */
   int countAttempt(BatchItem item) {
     return attempts.merge(item.index(), 1, Integer::sum);
   }
 
+  /** Counts a refusal by a busy endpoint and returns how many there have been. */
+  int countRefusal(BatchItem item) {
+    return refusals.merge(item.index(), 1, Integer::sum);
+  }
+
+  Set<RunningItem> running() {
+    return running;
+  }
+
+  // ----------------------------------------------------------------------- results
+
   void addPending(ItemResult result, long nowNanos) {
+    if (cancelled) {
+      return;
+    }
     if (pending.isEmpty()) {
       pendingSinceNanos = nowNanos;
     }
     pending.add(result);
+    pendingBytes += result.bytes();
+  }
+
+  int pendingItems() {
+    return pending.size();
+  }
+
+  long pendingBytes() {
+    return pendingBytes;
+  }
+
+  /** Returns the results for the next chunk, as many as fit into it and at least one if any. */
+  List<ItemResult> nextBatch() {
+    List<ItemResult> batch = new ArrayList<>();
+    long bytes = 0;
+    for (ItemResult result : pending) {
+      bytes += result.bytes();
+      if (!batch.isEmpty() && bytes > CHUNK_BYTES) {
+        break;
+      }
+      batch.add(result);
+    }
+    return batch;
   }
 
   boolean isOlderThan(long nanos, long nowNanos) {
@@ -98,9 +177,11 @@
 
   /** Returns whether each item has a result that is committed or waits for a commit. */
   boolean isDrained() {
-    return waiting.isEmpty() && running.isEmpty();
+    return waiting.isEmpty() && delayed.isEmpty() && running.isEmpty();
   }
 
+  // ----------------------------------------------------------------------- store operations
+
   boolean mayTry(long nowNanos) {
     return !busy && nowNanos - retryAtNanos >= 0;
   }
@@ -115,8 +196,58 @@
     retryAtNanos = retryAt;
   }
 
-  void replaced(Segment written, long writtenVersion) {
-    segment = written;
-    version = writtenVersion;
+  /** Returns whether a write may have taken effect, so that the segment must be read first. */
+  boolean isUncertain() {
+    return uncertain;
+  }
+
+  void markUncertain() {
+    uncertain = true;
+  }
+
+  /** Takes over the segment as stored; results of items that ended in it are committed. */
+  void replaced(Segment stored, long storedVersion, long nowNanos) {
+    segment = stored;
+    version = storedVersion;
+    uncertain = false;
+    pending.removeIf(result -> stored.state(result.item()).isEnded());
+    pendingBytes = pending.stream().mapToLong(ItemResult::bytes).sum();
+    pendingSinceNanos = nowNanos;
+  }
+
+  // ----------------------------------------------------------------------- cancel and idleness
+
+  boolean isCancelled() {
+    return cancelled;
+  }
+
+  /** Stops all work on the segment and drops what is not committed. */
+  void cancel() {
+    cancelled = true;
+    waiting.clear();
+    delayed.clear();
+    pending.clear();
+    pendingBytes = 0;
+    List.copyOf(running).forEach(RunningItem::cancel);
+  }
+
+  void progressed(long nowNanos) {
+    progressNanos = nowNanos;
+  }
+
+  /** Returns whether items wait although nothing has happened for the given time. */
+  boolean isIdle(long nanos, long nowNanos) {
+    return running.isEmpty()
+        && delayed.isEmpty()
+        && !waiting.isEmpty()
+        && nowNanos - progressNanos >= nanos;
+  }
+
+  /** An item with the time of its next attempt. */
+  private record DelayedItem(BatchItem item, long readyAtNanos) implements Comparable<DelayedItem> {
+    @Override
+    public int compareTo(DelayedItem other) {
+      return Long.signum(readyAtNanos - other.readyAtNanos);
+    }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemResult.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemResult.java
@@ -14,6 +14,7 @@
  * @param status HTTP status of the answer, 0 if there is none
  * @param body body of the answer, null if there is none
  * @param error description of the error, null if there is none
+ * @param size size of the body in bytes
  */
 public record ItemResult(
     int item,
@@ -22,11 +23,17 @@
     String requestId,
     int status,
     JsonNode body,
-    String error) {
+    String error,
+    int size) {
 
   /** Returns a result without an answer. */
   public static ItemResult ofError(BatchItem item, ItemState state, String error) {
-    return new ItemResult(item.index(), item.customId(), state, "", 0, null, error);
+    return new ItemResult(item.index(), item.customId(), state, "", 0, null, error, 0);
+  }
+
+  /** Returns the approximate size of the line in bytes. */
+  long bytes() {
+    return size + 200L + (error == null ? 0 : error.length());
   }
 
   /** Returns the line of the output or error file. */
--- a/sedgeroad/src/main/java/org/sedgeroad/job/Job.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/Job.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.math.BigInteger;
 import java.time.Instant;
 import java.util.BitSet;
 
@@ -102,6 +103,31 @@
         counts.plus(segmentCounts));
   }
 
+  /** Returns whether every segment is counted. */
+  public boolean isCounted() {
+    return finishedBits().cardinality() == segmentCount;
+  }
+
+  /** Returns the segments that are counted as finished. */
+  public BitSet finishedSegments() {
+    return finishedBits();
+  }
+
+  /**
+   * Returns a copy of a cancelled job in which every segment is counted. Items of segments that
+   * were never claimed count as cancelled.
+   *
+   * @param ended ended items of all segments that were claimed
+   */
+  public Job withAllCounted(ItemCounts ended) {
+    BitSet bits = new BitSet();
+    bits.set(0, segmentCount);
+    int others = ended.done() + ended.failed() + ended.unknown();
+    ItemCounts all =
+        new ItemCounts(ended.done(), ended.failed(), itemCount - others, ended.unknown());
+    return with(state, endedAt, toHex(bits), all);
+  }
+
   /** Returns a cancelled copy. */
   public Job withCancelled(Instant now) {
     return with(JobState.CANCELLED, now, finished, counts);
@@ -126,7 +152,7 @@
   }
 
   private BitSet finishedBits() {
-    byte[] bytes = new java.math.BigInteger(finished, 16).toByteArray();
+    byte[] bytes = new BigInteger(finished, 16).toByteArray();
     byte[] reversed = new byte[bytes.length];
     for (int index = 0; index < bytes.length; index++) {
       reversed[index] = bytes[bytes.length - 1 - index];
@@ -135,7 +161,7 @@
   }
 
   private static String toHex(BitSet bits) {
-    java.math.BigInteger number = java.math.BigInteger.ZERO;
+    BigInteger number = BigInteger.ZERO;
     for (int bit = bits.nextSetBit(0); bit >= 0; bit = bits.nextSetBit(bit + 1)) {
       number = number.setBit(bit);
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
@@ -1,6 +1,6 @@
 package org.sedgeroad.job;
 
-import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executor;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.engine.EngineClient;
@@ -37,6 +37,6 @@
     MembershipView membership,
     LeaseTable leases,
     MonotonicClock clock,
-    ExecutorService workers,
+    Executor workers,
     EventLog log,
     long itemTimeoutMillis) {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/RunnerDecisions.java
@@ -0,0 +1,87 @@
+package org.sedgeroad.job;
+
+import java.util.Collection;
+import java.util.function.Predicate;
+
+/** Decisions of the runner on held segments, without I/O. */
+final class RunnerDecisions {
+  static final int MARK_ITEMS = 16;
+  static final int ATTEMPTS = 3;
+
+  /** An endpoint that refuses because it is busy did not run the item; such tries count less. */
+  static final int REFUSALS = 20;
+
+  private static final int COMMIT_ITEMS = 32;
+  private static final long COMMIT_BYTES = HeldSegment.CHUNK_BYTES / 2;
+  private static final long COMMIT_NANOS = 2_000_000_000L;
+
+  /** A segment without progress for this long is given back, as this instance can't serve it. */
+  private static final long IDLE_NANOS = 10_000_000_000L;
+
+  /** Finished results held in memory while the store can't take them; sending stops beyond. */
+  private static final long PENDING_BYTES = 32L * 1024 * 1024;
+
+  private static final long ITEM_RETRY_NANOS = 500_000_000L;
+  private static final long ITEM_RETRY_LIMIT_NANOS = 30_000_000_000L;
+
+  private RunnerDecisions() {}
+
+  // -----------------------------------------------------------------------
+
+  /**
+   * Returns what a segment needs next.
+   *
+   * @param hasRoom whether an endpoint has room for an item; items are marked as started only then,
+   *     since a marked item ends as outcome-unknown if this instance is lost
+   */
+  static StoreAction nextAction(
+      HeldSegment segment, long nowNanos, boolean stopping, Predicate<BatchItem> hasRoom) {
+    if (!segment.mayTry(nowNanos)) {
+      return StoreAction.NONE;
+    }
+    if (segment.isUncertain()) {
+      return StoreAction.RELOAD;
+    }
+    if (segment.segment().isFinished()) {
+      return StoreAction.COUNT;
+    }
+    boolean quiet = segment.running().isEmpty();
+    if (segment.isCancelled()) {
+      return quiet ? StoreAction.CANCEL_REST : StoreAction.NONE;
+    }
+    if (mustCommit(segment, nowNanos, stopping)) {
+      return StoreAction.COMMIT;
+    }
+    if (stopping) {
+      return quiet ? StoreAction.RELEASE : StoreAction.NONE;
+    }
+    if (!segment.unmarked(hasRoom, 1).isEmpty()) {
+      return StoreAction.MARK;
+    }
+    return segment.isIdle(IDLE_NANOS, nowNanos) && segment.pendingItems() == 0
+        ? StoreAction.RELEASE
+        : StoreAction.NONE;
+  }
+
+  private static boolean mustCommit(HeldSegment segment, long nowNanos, boolean stopping) {
+    return segment.pendingItems() >= COMMIT_ITEMS
+        || segment.pendingBytes() >= COMMIT_BYTES
+        || segment.isOlderThan(COMMIT_NANOS, nowNanos)
+        || (segment.pendingItems() > 0
+            && (segment.isDrained() || (stopping && segment.running().isEmpty())));
+  }
+
+  /** Returns whether results may be added to those that wait for the store. */
+  static boolean mayHoldMore(Collection<HeldSegment> segments) {
+    long bytes = 0;
+    for (HeldSegment segment : segments) {
+      bytes += segment.pendingBytes();
+    }
+    return bytes < PENDING_BYTES;
+  }
+
+  /** Returns the pause before the next attempt of an item. */
+  static long itemPauseNanos(int tries) {
+    return Math.min(ITEM_RETRY_LIMIT_NANOS, ITEM_RETRY_NANOS << Math.min(tries - 1, 10));
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/job/RunningItem.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/RunningItem.java
@@ -40,6 +40,8 @@
   /** Cancels the item at the endpoint without counting an attempt. */
   void cancel() {
     preempted = true;
-    stream.close();
+    if (stream != null) {
+      stream.close();
+    }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/job/SegmentStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/SegmentStore.java
@@ -10,8 +10,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.UUID;
 import java.util.function.Predicate;
 import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.store.ObjectList;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoreWriter;
 import org.sedgeroad.store.StoredObject;
@@ -19,20 +21,26 @@
 
 /** Claims, commits and counts segments in the store. Calls block; thread-safe. */
 final class SegmentStore {
-  private static final int COUNT_TRIES = 50;
+  /** Tries to count a segment in its job; the caller waits before it calls again. */
+  private static final int COUNT_TRIES = 5;
+
+  private static final String LOST_MESSAGE =
+      "the instance that sent this item was lost; it may have run";
+  private static final String CANCELLED_MESSAGE =
+      "the job was cancelled while this item was in flight; it may have run";
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final StoreWriter writer;
   private final String holder;
   private final Predicate<String> leaseExpired;
 
-  SegmentStore(StoreWriter writer, String holder, Predicate<String> leaseExpired) {
+  SegmentStore(StoreWriter writer, Predicate<String> leaseExpired) {
     this.writer = writer;
-    this.holder = holder;
+    this.holder = writer.name();
     this.leaseExpired = leaseExpired;
   }
 
-  // -----------------------------------------------------------------------
+  // ----------------------------------------------------------------------- claims
 
   /** Claims a segment, or takes it over from a holder whose lease has expired. */
   ClaimResult claim(SegmentKey key) {
@@ -44,115 +52,175 @@
     if (job.state() != JobState.ACCEPTED || job.isFinished(key.index())) {
       return new ClaimResult.Ended(job);
     }
-    StoreResult<StoredObject> input =
-        writer.store().get(Kinds.INPUTS, job.fileId() + "." + key.index());
-    if (!(input instanceof StoreResult.Done<StoredObject> read)) {
-      return new ClaimResult.Failed("input: " + input);
+    StoreResult<StoredObject> current = writer.store().get(Kinds.SEGMENTS, key.toName());
+    if (current instanceof StoreResult.Done<StoredObject> existing) {
+      return takeOver(job, key, existing.value());
+    }
+    return current instanceof StoreResult.Absent
+        ? create(job, key)
+        : new ClaimResult.Failed(current.toString());
+  }
+
+  private ClaimResult create(Job job, SegmentKey key) {
+    List<BatchItem> items = readItems(job, key);
+    if (items == null) {
+      return new ClaimResult.Failed("input not readable");
     }
-    List<BatchItem> items = items(read.value());
     Segment claimed = Segment.claimed(key, holder, items.size());
     WriteOutcome outcome = writer.create(Kinds.SEGMENTS, key.toName(), claimed.toSpec());
     if (outcome instanceof WriteOutcome.Written written) {
       return new ClaimResult.Claimed(job, claimed, written.object().version(), items, false);
     }
-    if (outcome instanceof WriteOutcome.Lost lost && lost.current() != null) {
-      return takeOver(job, key, lost.current(), items);
-    }
-    return new ClaimResult.Failed(outcome.toString());
+    return outcome instanceof WriteOutcome.Lost lost && lost.current() != null
+        ? takeOver(job, key, lost.current())
+        : new ClaimResult.Failed(outcome.toString());
   }
 
-  private ClaimResult takeOver(
-      Job job, SegmentKey key, StoredObject current, List<BatchItem> items) {
+  private ClaimResult takeOver(Job job, SegmentKey key, StoredObject current) {
     Segment segment = Segment.fromSpec(key, current.spec());
     if (segment.isFinished()) {
       return countFinished(segment) ? new ClaimResult.Ended(job) : new ClaimResult.Failed("count");
     }
-    boolean released = segment.holder().isEmpty();
-    if (!released && !leaseExpired.test(segment.holder())) {
+    if (!isFree(segment)) {
       return new ClaimResult.HeldByOther(segment.holder());
     }
+    List<BatchItem> items = readItems(job, key);
+    if (items == null) {
+      return new ClaimResult.Failed("input not readable");
+    }
     // A started non-idempotent item may have run at the former holder: it is never sent again.
-    List<ItemResult> unknown =
-        items.stream()
-            .filter(item -> segment.state(item.index()) == ItemState.STARTED)
-            .map(
-                item ->
-                    ItemResult.ofError(
-                        item,
-                        ItemState.OUTCOME_UNKNOWN,
-                        "the instance that sent this item was lost; it may have run"))
-            .toList();
+    List<ItemResult> unknown = startedAsUnknown(segment, items, LOST_MESSAGE);
     Segment taken = segment.withHolder(holder);
     if (!unknown.isEmpty()) {
-      String chunk = createChunk(key, unknown);
-      if (chunk == null) {
-        return new ClaimResult.Failed("result chunk not written");
+      ChunkResult chunk = createChunk(key, unknown);
+      if (chunk.name() == null) {
+        return new ClaimResult.Failed(chunk.reason());
       }
-      taken = taken.withStates(states(unknown), chunk);
+      taken = taken.withStates(states(unknown), chunk.name());
     }
     WriteOutcome outcome =
         writer.update(Kinds.SEGMENTS, key.toName(), current.version(), taken.toSpec());
-    if (outcome instanceof WriteOutcome.Written written) {
-      return new ClaimResult.Claimed(job, taken, written.object().version(), items, !released);
-    }
-    return new ClaimResult.Failed(outcome.toString());
+    boolean fromOther = !segment.holder().isEmpty() && !segment.holder().equals(holder);
+    return outcome instanceof WriteOutcome.Written written
+        ? new ClaimResult.Claimed(job, taken, written.object().version(), items, fromOther)
+        : new ClaimResult.Failed(outcome.toString());
+  }
+
+  /** Returns whether a segment may be taken; one that names this holder was dropped by it. */
+  private boolean isFree(Segment segment) {
+    return segment.holder().isEmpty()
+        || segment.holder().equals(holder)
+        || leaseExpired.test(segment.holder());
   }
 
-  // -----------------------------------------------------------------------
+  // ----------------------------------------------------------------------- held segments
 
   /** Commits results; the segment must still have the given version. */
   CommitResult commit(Segment segment, long version, List<ItemResult> results) {
-    StoreResult<StoredObject> found = writer.store().get(Kinds.JOBS, segment.key().jobId());
-    if (!(found instanceof StoreResult.Done<StoredObject> done)) {
-      return new CommitResult.Retry(found.toString());
-    }
-    Job job = Job.fromSpec(segment.key().jobId(), done.value().spec());
-    if (job.state() == JobState.CANCELLED) {
-      return new CommitResult.JobCancelled();
-    }
-    String chunk = null;
-    if (!results.isEmpty()) {
-      chunk = createChunk(segment.key(), results);
-      if (chunk == null) {
-        return new CommitResult.Retry("result chunk not written");
-      }
+    CommitResult refusal = checkJob(segment.key());
+    if (refusal != null) {
+      return refusal;
     }
-    return write(segment.withStates(states(results), chunk), version);
+    ChunkResult chunk = createChunk(segment.key(), results);
+    return chunk.name() == null
+        ? new CommitResult.Retry(chunk.reason())
+        : write(segment.withStates(states(results), chunk.name()), version);
   }
 
   /** Marks non-idempotent items as started, before they are sent. */
   CommitResult markStarted(Segment segment, long version, List<BatchItem> items) {
-    Map<Integer, ItemState> changes = new HashMap<>();
-    items.forEach(item -> changes.put(item.index(), ItemState.STARTED));
-    return write(segment.withStates(changes, null), version);
+    CommitResult refusal = checkJob(segment.key());
+    return refusal == null
+        ? write(segment.withStates(states(items, ItemState.STARTED), null), version)
+        : refusal;
   }
 
   /** Ends the items of a cancelled job that have not ended. */
-  CommitResult cancelRest(Segment segment, long version) {
-    Segment ended =
-        segment
-            .withAll(ItemState.WAITING, ItemState.CANCELLED)
-            .withAll(ItemState.STARTED, ItemState.OUTCOME_UNKNOWN);
+  CommitResult cancelRest(Segment segment, long version, List<BatchItem> items) {
+    List<ItemResult> unknown = startedAsUnknown(segment, items, CANCELLED_MESSAGE);
+    Segment ended = segment.withAll(ItemState.WAITING, ItemState.CANCELLED);
+    if (!unknown.isEmpty()) {
+      ChunkResult chunk = createChunk(segment.key(), unknown);
+      if (chunk.name() == null) {
+        return new CommitResult.Retry(chunk.reason());
+      }
+      ended = ended.withStates(states(unknown), chunk.name());
+    }
     return write(ended, version);
   }
 
-  /** Gives a segment back, so that another instance can claim it at once. */
-  CommitResult release(Segment segment, long version) {
-    return write(segment.withHolder(""), version);
+  /**
+   * Gives a segment back, so that another instance can claim it at once.
+   *
+   * @param unsent items marked as started that were not sent
+   */
+  CommitResult release(Segment segment, long version, List<BatchItem> unsent) {
+    Segment free = segment.withStates(states(unsent, ItemState.WAITING), null).withHolder("");
+    CommitResult result = write(free, version);
+    return result instanceof CommitResult.Committed || result instanceof CommitResult.SegmentLost
+        ? new CommitResult.Released()
+        : result;
   }
 
+  /** Reads a segment back after a write whose outcome is not known. */
+  CommitResult reload(SegmentKey key) {
+    StoreResult<StoredObject> found = writer.store().get(Kinds.SEGMENTS, key.toName());
+    if (found instanceof StoreResult.Done<StoredObject> done) {
+      return held(key, done.value());
+    }
+    return found instanceof StoreResult.Absent
+        ? new CommitResult.SegmentLost()
+        : new CommitResult.Uncertain(found.toString());
+  }
+
+  private CommitResult checkJob(SegmentKey key) {
+    StoreResult<StoredObject> found = writer.store().get(Kinds.JOBS, key.jobId());
+    if (found instanceof StoreResult.Absent) {
+      return new CommitResult.SegmentLost();
+    }
+    if (!(found instanceof StoreResult.Done<StoredObject> done)) {
+      return new CommitResult.Retry(found.toString());
+    }
+    Job job = Job.fromSpec(key.jobId(), done.value().spec());
+    return job.state() == JobState.CANCELLED ? new CommitResult.JobCancelled() : null;
+  }
+
+  private CommitResult write(Segment changed, long version) {
+    SegmentKey key = changed.key();
+    WriteOutcome outcome = writer.update(Kinds.SEGMENTS, key.toName(), version, changed.toSpec());
+    if (outcome instanceof WriteOutcome.Written written) {
+      return new CommitResult.Committed(changed, written.object().version());
+    }
+    if (outcome instanceof WriteOutcome.Lost lost) {
+      return lost.current() == null ? new CommitResult.SegmentLost() : held(key, lost.current());
+    }
+    return outcome instanceof WriteOutcome.Unknown
+        ? new CommitResult.Uncertain(outcome.toString())
+        : new CommitResult.Retry(outcome.toString());
+  }
+
+  private CommitResult held(SegmentKey key, StoredObject stored) {
+    Segment segment = Segment.fromSpec(key, stored.spec());
+    return segment.holder().equals(holder)
+        ? new CommitResult.Committed(segment, stored.version())
+        : new CommitResult.SegmentLost();
+  }
+
+  // ----------------------------------------------------------------------- counting
+
   /** Counts a finished segment in its job; returns whether it is counted. */
   boolean countFinished(Segment segment) {
+    int index = segment.key().index();
     for (int attempt = 0; attempt < COUNT_TRIES; attempt++) {
       StoreResult<StoredObject> found = writer.store().get(Kinds.JOBS, segment.key().jobId());
       if (!(found instanceof StoreResult.Done<StoredObject> done)) {
-        return false;
+        return found instanceof StoreResult.Absent;
       }
       Job job = Job.fromSpec(segment.key().jobId(), done.value().spec());
-      if (job.isFinished(segment.key().index())) {
+      if (job.isFinished(index)) {
         return true;
       }
-      Job counted = job.withFinished(segment.key().index(), segment.counts(), Instant.now());
+      Job counted = job.withFinished(index, segment.counts(), Instant.now());
       WriteOutcome outcome =
           writer.update(Kinds.JOBS, job.id(), done.value().version(), counted.toSpec());
       if (outcome instanceof WriteOutcome.Written) {
@@ -165,41 +233,98 @@
     return false;
   }
 
-  // -----------------------------------------------------------------------
+  /**
+   * Counts all segments of a cancelled job at once, when no holder works on them any more. Segments
+   * whose holder is lost are ended first; those never claimed count as cancelled.
+   *
+   * @return whether the job is counted
+   */
+  boolean settleCancelled(String jobId) {
+    StoreResult<StoredObject> found = writer.store().get(Kinds.JOBS, jobId);
+    if (!(found instanceof StoreResult.Done<StoredObject> done)) {
+      return found instanceof StoreResult.Absent;
+    }
+    Job job = Job.fromSpec(jobId, done.value().spec());
+    if (job.state() != JobState.CANCELLED || job.isCounted()) {
+      return true;
+    }
+    StoreResult<ObjectList> listed = writer.store().list(Kinds.SEGMENTS, jobId + ".");
+    if (!(listed instanceof StoreResult.Done<ObjectList> objects)) {
+      return false;
+    }
+    ItemCounts counts = ItemCounts.ZERO;
+    boolean allEnded = true;
+    for (StoredObject object : objects.value().objects()) {
+      int index = Integer.parseInt(object.name().substring(jobId.length() + 1));
+      Segment segment = Segment.fromSpec(new SegmentKey(jobId, index), object.spec());
+      Segment ended = segment.isFinished() ? segment : endLost(job, segment, object.version());
+      allEnded &= ended != null;
+      counts = ended == null ? counts : counts.plus(ended.counts());
+    }
+    return allEnded
+        && writer.update(
+                Kinds.JOBS, jobId, done.value().version(), job.withAllCounted(counts).toSpec())
+            instanceof WriteOutcome.Written;
+  }
 
-  private CommitResult write(Segment changed, long version) {
-    WriteOutcome outcome =
-        writer.update(Kinds.SEGMENTS, changed.key().toName(), version, changed.toSpec());
-    if (outcome instanceof WriteOutcome.Written written) {
-      return new CommitResult.Committed(changed, written.object().version());
+  private Segment endLost(Job job, Segment segment, long version) {
+    if (!isFree(segment)) {
+      return null;
     }
-    return outcome instanceof WriteOutcome.Lost
-        ? new CommitResult.SegmentLost()
-        : new CommitResult.Retry(outcome.toString());
+    List<BatchItem> items = readItems(job, segment.key());
+    return items != null
+            && cancelRest(segment.withHolder(holder), version, items)
+                instanceof CommitResult.Committed committed
+            && committed.segment().isFinished()
+        ? committed.segment()
+        : null;
   }
 
+  // ----------------------------------------------------------------------- chunks and inputs
+
   private static Map<Integer, ItemState> states(List<ItemResult> results) {
     Map<Integer, ItemState> states = new HashMap<>();
     results.forEach(result -> states.put(result.item(), result.state()));
     return states;
   }
 
-  /** Creates a chunk that counts only once its segment names it; returns its name or null. */
-  private String createChunk(SegmentKey key, List<ItemResult> results) {
+  private static Map<Integer, ItemState> states(List<BatchItem> items, ItemState state) {
+    Map<Integer, ItemState> states = new HashMap<>();
+    items.forEach(item -> states.put(item.index(), state));
+    return states;
+  }
+
+  private static List<ItemResult> startedAsUnknown(
+      Segment segment, List<BatchItem> items, String message) {
+    return items.stream()
+        .filter(item -> segment.state(item.index()) == ItemState.STARTED)
+        .map(item -> ItemResult.ofError(item, ItemState.OUTCOME_UNKNOWN, message))
+        .toList();
+  }
+
+  /** Creates a chunk that counts only once its segment names it. */
+  private ChunkResult createChunk(SegmentKey key, List<ItemResult> results) {
     List<String> lines = new ArrayList<>();
     for (ItemResult result : results) {
       lines.add(result.toLine(key.toName() + "." + result.item()).toString());
     }
     ObjectNode spec = JsonNodeFactory.instance.objectNode();
     spec.put("lines", CompressedLines.compress(lines));
-    String name = key.toName() + "." + java.util.UUID.randomUUID();
+    String name = key.toName() + "." + UUID.randomUUID();
     WriteOutcome outcome = writer.create(Kinds.RESULTS, name, spec);
-    return outcome instanceof WriteOutcome.Written ? name : null;
+    return outcome instanceof WriteOutcome.Written
+        ? new ChunkResult(name, "")
+        : new ChunkResult(null, "result chunk: " + outcome);
   }
 
-  private List<BatchItem> items(StoredObject input) {
+  private List<BatchItem> readItems(Job job, SegmentKey key) {
+    StoreResult<StoredObject> input =
+        writer.store().get(Kinds.INPUTS, job.fileId() + "." + key.index());
+    if (!(input instanceof StoreResult.Done<StoredObject> done)) {
+      return null;
+    }
     List<BatchItem> items = new ArrayList<>();
-    for (String line : CompressedLines.expand(input.spec().path("lines").asText())) {
+    for (String line : CompressedLines.expand(done.value().spec().path("lines").asText())) {
       try {
         items.add(BatchItem.fromLine(items.size(), mapper.readTree(line)));
       } catch (IOException failure) {
@@ -208,4 +333,7 @@
     }
     return items;
   }
+
+  /** Name of a written chunk, null with a reason if it was not written. */
+  private record ChunkResult(String name, String reason) {}
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/store/StoreWriter.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/StoreWriter.java
@@ -19,11 +19,13 @@
 
   private final ObjectStore store;
   private final String writer;
+  private final Runnable pause;
   private final AtomicLong writeNumbers = new AtomicLong();
 
-  private StoreWriter(ObjectStore store, String writer) {
+  private StoreWriter(ObjectStore store, String writer, Runnable pause) {
     this.store = store;
     this.writer = writer;
+    this.pause = pause;
   }
 
   /**
@@ -33,7 +35,18 @@
    * @param writer name that no other process uses, now or after a restart
    */
   public static StoreWriter of(ObjectStore store, String writer) {
-    return new StoreWriter(store, Objects.requireNonNull(writer));
+    return of(store, writer, StoreWriter::sleep);
+  }
+
+  /**
+   * Returns a writer with its own pause between tries, for virtual time.
+   *
+   * @param store the store
+   * @param writer name that no other process uses, now or after a restart
+   * @param pause waits for a moment
+   */
+  public static StoreWriter of(ObjectStore store, String writer, Runnable pause) {
+    return new StoreWriter(store, Objects.requireNonNull(writer), pause);
   }
 
   /** Returns the store, for reads. */
@@ -83,7 +96,7 @@
       }
       mayHaveTakenEffect = true;
       reason = result.toString();
-      pause();
+      pause.run();
     }
     WriteOutcome last = readBack(kind, name, number, true);
     boolean unchanged =
@@ -95,7 +108,7 @@
   private WriteOutcome readBack(String kind, String name, long number, boolean mayHaveTakenEffect) {
     StoreResult<StoredObject> read = store.get(kind, name);
     for (int attempt = 1; attempt < READ_BACK_TRIES && !isAnswer(read); attempt++) {
-      pause();
+      pause.run();
       read = store.get(kind, name);
     }
     if (read instanceof StoreResult.Done<StoredObject> done) {
@@ -123,7 +136,7 @@
     return new WriteOutcome.NotWritten(result.toString(), Instant.now().plusSeconds(1));
   }
 
-  private static void pause() {
+  private static void sleep() {
     try {
       Thread.sleep(PAUSE_MILLIS);
     } catch (InterruptedException interrupted) {
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
@@ -0,0 +1,203 @@
+package org.sedgeroad.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.store.FakeStore.Fault;
+
+/** Guards against items that are lost, end twice, or run after they must not. */
+class JobRunnerTest {
+  private SimulatedFleet fleet = new SimulatedFleet(1);
+
+  @Nested
+  class Step {
+    @Test
+    void completesAJobWhoseItemsPartlyAlwaysFail() throws Exception {
+      fleet.createJob("wxw", "wn");
+      fleet.add("entry-1");
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+      assertEquals(new ItemCounts(4, 1, 0, 0), fleet.job().counts());
+      assertEquals(RunnerDecisions.ATTEMPTS, fleet.sent("poison1"));
+      fleet.runFor(100);
+      assertEquals(0, fleet.instances.get(0).runner.knownJobs());
+    }
+
+    @Test
+    void takesOverAfterALossWithinTenSecondsAndNeverResendsAStartedItem() throws Exception {
+      fleet.createJob("wwwwwwwwwwnn");
+      SimulatedInstance first = fleet.add("entry-1");
+      fleet.runUntil(() -> fleet.sent("item10") > 0);
+      first.alive = false;
+      SimulatedInstance second = fleet.add("entry-1");
+      long lostAt = fleet.clock.nanos();
+      fleet.runUntil(() -> second.runner.held(new SegmentKey(SimulatedFleet.JOB, 0)).isPresent());
+      long takenMillis = (fleet.clock.nanos() - lostAt) / 1_000_000;
+      assertTrue(
+          takenMillis >= SimulatedInstance.LEASE_MILLIS && takenMillis <= 10_000,
+          () -> "taken over after " + takenMillis + " ms");
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+      assertTrue(fleet.job().counts().unknown() > 0);
+    }
+
+    @Test
+    void resumesAfterAStoreOutageWithoutLosingAnItem() throws Exception {
+      fleet.createJob("wwwwwwww", "wwwwwwww");
+      fleet.add("entry-1");
+      fleet.runFor(100);
+      fleet.store.faults = (operation, kind) -> Fault.OUTAGE;
+      fleet.runFor(20_000);
+      assertTrue(fleet.instances.get(0).engine.openCalls() == 0, "sent without a lease");
+      fleet.store.faults = (operation, kind) -> Fault.NONE;
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+      assertEquals(16, fleet.job().counts().done());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {Kinds.SEGMENTS, Kinds.RESULTS, Kinds.JOBS})
+    void survivesLostAnswersToEveryWriteOfAKind(String kind) throws Exception {
+      fleet.createJob("wwn", "ww");
+      fleet.add("entry-1");
+      int[] calls = {0};
+      fleet.store.faults =
+          (operation, called) ->
+              called.equals(kind) && !operation.equals("get") && calls[0]++ % 2 == 0
+                  ? Fault.LOST_ANSWER
+                  : Fault.NONE;
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+      assertEquals(5, fleet.job().counts().done());
+    }
+
+    @Test
+    void readsBackACommitWhoseOutcomeIsUnknown() throws Exception {
+      fleet.createJob("ww");
+      fleet.add("entry-1");
+      // The update takes effect, then neither its answer nor any reading gets through.
+      boolean[] cut = {false};
+      fleet.store.faults =
+          (operation, kind) -> {
+            boolean hit = kind.equals(Kinds.SEGMENTS) && operation.equals("update");
+            Fault fault = cut[0] ? Fault.OUTAGE : hit ? Fault.LOST_ANSWER : Fault.NONE;
+            cut[0] |= hit;
+            return fault;
+          };
+      fleet.runUntil(() -> cut[0]);
+      fleet.store.faults = (operation, kind) -> Fault.NONE;
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+      assertEquals(1, fleet.store.objects(Kinds.RESULTS).size(), "committed twice");
+    }
+
+    @Test
+    void goesOnAfterAPoolCallThrows() throws Exception {
+      fleet.createJob("ww");
+      fleet.add("entry-1");
+      fleet.store.faults =
+          (operation, kind) -> {
+            if (kind.equals(Kinds.SEGMENTS) && fleet.random.nextInt(3) == 0) {
+              throw new IllegalStateException("broken client");
+            }
+            return Fault.NONE;
+          };
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+    }
+  }
+
+  @Nested
+  class Cancel {
+    @Test
+    void stopsStreamsAndCountsSegmentsThatWereNeverClaimed() throws Exception {
+      fleet.createJob("wwwwwwwwww", "wwwnn", "ww");
+      fleet.add("entry-1");
+      fleet.runFor(60);
+      assertInstanceOf(CancelResult.Cancelled.class, fleet.service.cancel(SimulatedFleet.JOB));
+      fleet.runFor(100);
+      assertEquals(0, fleet.instances.get(0).engine.openCalls());
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+      assertEquals(JobState.CANCELLED, fleet.job().state());
+    }
+
+    @Test
+    void endsTheSegmentsOfALostHolder() throws Exception {
+      fleet.createJob("wwwwwwwwwwwwwwwwwwwwwww");
+      SimulatedInstance first = fleet.add("entry-1");
+      fleet.runFor(60);
+      first.alive = false;
+      fleet.service.cancel(SimulatedFleet.JOB);
+      fleet.add("entry-2");
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+    }
+  }
+
+  @Nested
+  class Stop {
+    @Test
+    void releasesSegmentsSoThatAnotherInstanceClaimsThemAtOnce() throws Exception {
+      fleet.createJob("wwwwwwwwwwwwwwwwnnnn");
+      SimulatedInstance first = fleet.add("entry-1");
+      fleet.runFor(60);
+      first.runner.beginStop(fleet.clock.deadlineAfterMillis(30_000));
+      fleet.runUntil(() -> first.runner.isStopped());
+      assertTrue(first.runner.held(new SegmentKey(SimulatedFleet.JOB, 0)).isEmpty());
+      SimulatedInstance second = fleet.add("entry-2");
+      long releasedAt = fleet.clock.nanos();
+      fleet.runUntil(() -> second.engine.openCalls() > 0);
+      assertTrue(fleet.clock.nanos() - releasedAt <= 300_000_000L, "waited for the lease");
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+      assertEquals(20, fleet.job().counts().done());
+    }
+  }
+
+  /** Seeded schedules of three runners with faults everywhere; the seed names the schedule. */
+  @Nested
+  class Schedules {
+    @Test
+    void endEachItemOnce() throws Exception {
+      for (long seed = 1; seed <= 150; seed++) {
+        runSchedule(seed, false);
+      }
+    }
+
+    @Test
+    void endEachItemOnceWhenTheJobIsCancelled() throws Exception {
+      for (long seed = 1; seed <= 100; seed++) {
+        runSchedule(seed, true);
+      }
+    }
+
+    private void runSchedule(long seed, boolean cancel) throws Exception {
+      try {
+        fleet = new SimulatedFleet(seed);
+        fleet.createJob("wwwnwwxw", "nnnn", "wwwwwwwwww", "wnw", "w");
+        fleet.add("entry-1");
+        fleet.add("entry-2");
+        fleet.add("entry-3");
+        fleet.runChaos(cancel ? 200 + fleet.random.nextInt(1_500) : 3_000);
+        CancelResult result = cancel ? fleet.service.cancel(SimulatedFleet.JOB) : null;
+        if (cancel) {
+          fleet.runChaos(500);
+        }
+        fleet.instances.forEach(each -> each.pausedUntilNanos = fleet.clock.nanos());
+        fleet.runToEnd();
+        fleet.assertEachItemEndedOnce();
+        boolean won = result instanceof CancelResult.Cancelled;
+        assertEquals(won ? JobState.CANCELLED : JobState.COMPLETED, fleet.job().state());
+      } catch (Exception | AssertionError failure) {
+        throw new AssertionError("seed " + seed + ", cancel " + cancel, failure);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedEngine.java
@@ -0,0 +1,88 @@
+package org.sedgeroad.job;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.sedgeroad.engine.EngineCall;
+import org.sedgeroad.engine.EngineClient;
+import org.sedgeroad.engine.EngineFailure;
+import org.sedgeroad.engine.EngineListener;
+import org.sedgeroad.engine.EngineStream;
+import org.sedgeroad.http.HttpHead;
+
+/** Endpoints whose answers come when the test says so. Items with "poison" always fail. */
+final class SimulatedEngine implements EngineClient {
+  private final List<Call> open = new ArrayList<>();
+  private final Map<String, Integer> sent = new HashMap<>();
+
+  @Override
+  public EngineStream start(EngineCall call, EngineListener listener) {
+    String body = new String(call.body(), StandardCharsets.UTF_8);
+    Call started = new Call(body, listener);
+    open.add(started);
+    sent.merge(promptOf(body), 1, Integer::sum);
+    return () -> end(started, () -> listener.onFailure(new EngineFailure.Broken("cancelled")));
+  }
+
+  int openCalls() {
+    return open.size();
+  }
+
+  /** Returns how often the item with a prompt was sent. */
+  int sent(String prompt) {
+    return sent.getOrDefault(prompt, 0);
+  }
+
+  /** Ends one open call by a whole answer or, with the given chance in 100, by a failure. */
+  void answerOne(Random random, int failureChance) {
+    if (open.isEmpty()) {
+      return;
+    }
+    Call call = open.get(random.nextInt(open.size()));
+    if (call.body().contains("poison")) {
+      end(call, () -> answer(call, 500));
+    } else if (random.nextInt(100) < failureChance) {
+      EngineFailure failure =
+          random.nextBoolean()
+              ? new EngineFailure.Broken("connection lost")
+              : new EngineFailure.NotRun("refused", false);
+      if (failure instanceof EngineFailure.NotRun) {
+        sent.merge(promptOf(call.body()), -1, Integer::sum);
+      }
+      end(call, () -> call.listener().onFailure(failure));
+    } else {
+      end(call, () -> answer(call, 200));
+    }
+  }
+
+  private static void answer(Call call, int status) {
+    call.listener().onHead(new HttpHead(status, Map.of()));
+    call.listener().onWhole("{\"choices\":[]}".getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void end(Call call, Runnable last) {
+    if (open.remove(call)) {
+      last.run();
+    }
+  }
+
+  private static String promptOf(String body) {
+    int start = body.indexOf("\"prompt\":\"") + 10;
+    return body.substring(start, body.indexOf('"', start));
+  }
+
+  private record Call(String body, EngineListener listener) {
+    @Override
+    public boolean equals(Object other) {
+      return this == other;
+    }
+
+    @Override
+    public int hashCode() {
+      return System.identityHashCode(this);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
@@ -0,0 +1,124 @@
+package org.sedgeroad.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URI;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.EndpointState;
+import org.sedgeroad.VirtualClock;
+import org.sedgeroad.configuration.ConfigurationReplica;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.lease.RenewalBook;
+import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.store.FakeStore;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WriteOutcome;
+
+/** A runner with its own lease, replica and endpoint, driven step by step in virtual time. */
+final class SimulatedInstance {
+  static final String DOMAIN = "neuquen-a";
+  static final long LEASE_MILLIS = 6_000;
+
+  final JobRunner runner;
+  final SimulatedEngine engine = new SimulatedEngine();
+  final Deque<Runnable> pool = new ArrayDeque<>();
+  final LeaseTable leases = LeaseTable.ofMillis(LEASE_MILLIS);
+  final String holder;
+  boolean alive = true;
+  long pausedUntilNanos;
+
+  private final Deque<StoredObject> news = new ArrayDeque<>();
+  private final ConfigurationReplica replica = new ConfigurationReplica();
+  private final VirtualClock clock;
+  private final StoreWriter writer;
+  private final RenewalBook book;
+
+  SimulatedInstance(String name, int run, FakeStore store, VirtualClock clock) {
+    this.clock = clock;
+    this.holder = DOMAIN + "/" + name + "#" + run;
+    this.writer = StoreWriter.of(store, holder, () -> clock.advanceMillis(20));
+    this.book = new RenewalBook(holder);
+    EndpointTable endpoints = EndpointTable.of("patagonia-norte", clock);
+    endpoints.replace(
+        List.of(
+            new Endpoint(
+                "engine-" + name,
+                "tallador-lm",
+                URI.create("http://127.0.0.1:1"),
+                DOMAIN,
+                "patagonia-norte",
+                EndpointState.LIVE)));
+    List.of(Kinds.MODELS, Kinds.JOBS).forEach(kind -> store.objects(kind).forEach(replica::apply));
+    store.addWatcher(news::add);
+    this.runner =
+        new JobRunner(
+            new JobRunnerParts(
+                name,
+                writer,
+                replica,
+                endpoints,
+                engine,
+                (view, now) -> 6,
+                () -> List.of(name),
+                leases,
+                clock,
+                pool::add,
+                EventLog.of(name),
+                60_000));
+  }
+
+  /** Writes the own counter and reads the others', as the lease keeper does. */
+  void renew() {
+    long sentAt = clock.nanos();
+    book.next(sentAt);
+    StoreResult<StoredObject> found = writer.store().get(Kinds.LEASES, DOMAIN);
+    WriteOutcome outcome = null;
+    if (found instanceof StoreResult.Done<StoredObject> done) {
+      outcome =
+          writer.update(
+              Kinds.LEASES,
+              DOMAIN,
+              done.value().version(),
+              book.merge(done.value().spec(), clock.nanos()));
+    } else if (found instanceof StoreResult.Absent) {
+      outcome = writer.create(Kinds.LEASES, DOMAIN, book.merge(null, clock.nanos()));
+    }
+    if (outcome instanceof WriteOutcome.Written written) {
+      Map<String, Long> counters = new HashMap<>();
+      JsonNode holders = written.object().spec().path("holders");
+      holders
+          .fields()
+          .forEachRemaining(each -> counters.put(each.getKey(), each.getValue().asLong()));
+      leases.observe(DOMAIN, counters, sentAt, clock.nanos());
+      book.confirm(counters.get(holder)).ifPresent(leases::renewed);
+    }
+  }
+
+  /** Hands changed objects on, as the watch does. */
+  void deliverNews() {
+    List<StoredObject> batch = new ArrayList<>(news);
+    news.clear();
+    batch.forEach(replica::apply);
+  }
+
+  /** Runs the oldest store call that waits for a thread. */
+  void runPooled() {
+    Runnable task = pool.poll();
+    if (task != null) {
+      task.run();
+    }
+  }
+
+  boolean isRunning() {
+    return alive && clock.nanos() - pausedUntilNanos >= 0;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/store/FakeStore.java
@@ -0,0 +1,160 @@
+package org.sedgeroad.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** The object API in memory, with faults on demand. Calls are serialized by its lock. */
+public final class FakeStore implements ObjectStore {
+  /** What goes wrong with one call. */
+  public enum Fault {
+    /** Nothing. */
+    NONE,
+    /** The call is refused and has no effect. */
+    OUTAGE,
+    /** The call is refused by rate. */
+    THROTTLED,
+    /** A write finds another version. */
+    CONFLICT,
+    /** The call has no effect, but the caller can't know. */
+    LOST_REQUEST,
+    /** The call takes effect, but its answer is lost. */
+    LOST_ANSWER
+  }
+
+  private final Map<String, TreeMap<String, StoredObject>> kinds = new TreeMap<>();
+  private final List<Consumer<StoredObject>> watchers = new ArrayList<>();
+  private long version;
+
+  /** Chooses the fault of a call from its operation and kind; may also delay it. */
+  public BiFunction<String, String, Fault> faults = (operation, kind) -> Fault.NONE;
+
+  /** Makes the next calls of one operation on one kind fail, then all others succeed. */
+  public void failNext(String operation, String kind, Fault fault, int count) {
+    int[] left = {count};
+    faults =
+        (calledOperation, calledKind) ->
+            calledOperation.equals(operation) && calledKind.equals(kind) && left[0]-- > 0
+                ? fault
+                : Fault.NONE;
+  }
+
+  /** Returns all objects of a kind in name order. */
+  public synchronized List<StoredObject> objects(String kind) {
+    return List.copyOf(kinds.computeIfAbsent(kind, key -> new TreeMap<>()).values());
+  }
+
+  /** Passes every change on, in version order. */
+  public synchronized void addWatcher(Consumer<StoredObject> watcher) {
+    watchers.add(watcher);
+  }
+
+  // -----------------------------------------------------------------------
+
+  @Override
+  public StoreResult<StoredObject> get(String kind, String name) {
+    return call(
+        "get",
+        kind,
+        () -> {
+          StoredObject found = table(kind).get(name);
+          return found == null ? new StoreResult.Absent<>() : new StoreResult.Done<>(found);
+        });
+  }
+
+  @Override
+  public StoreResult<StoredObject> create(String kind, String name, JsonNode spec) {
+    return call(
+        "create",
+        kind,
+        () ->
+            table(kind).containsKey(name)
+                ? new StoreResult.Conflict<>()
+                : new StoreResult.Done<>(put(kind, name, spec)));
+  }
+
+  @Override
+  public StoreResult<StoredObject> update(String kind, String name, long expected, JsonNode spec) {
+    return call("update", kind, () -> replace(kind, name, expected, spec));
+  }
+
+  @Override
+  public StoreResult<StoredObject> delete(String kind, String name, long expected) {
+    return call("delete", kind, () -> replace(kind, name, expected, null));
+  }
+
+  @Override
+  public StoreResult<ObjectList> list(String kind, String prefix) {
+    return call(
+        "list",
+        kind,
+        () ->
+            new StoreResult.Done<>(
+                new ObjectList(
+                    version,
+                    table(kind).values().stream()
+                        .filter(object -> object.name().startsWith(prefix))
+                        .toList())));
+  }
+
+  @Override
+  public AutoCloseable watch(String kind, long afterVersion, WatchListener listener) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void close() {
+    // Nothing is open.
+  }
+
+  // -----------------------------------------------------------------------
+
+  private <T> StoreResult<T> call(
+      String operation, String kind, Supplier<StoreResult<T>> execution) {
+    Fault fault = faults.apply(operation, kind);
+    synchronized (this) {
+      return switch (fault) {
+        case OUTAGE -> new StoreResult.Unavailable<>("outage");
+        case THROTTLED -> new StoreResult.Throttled<>(java.time.Instant.EPOCH);
+        case CONFLICT -> new StoreResult.Conflict<>();
+        case LOST_REQUEST -> new StoreResult.Unknown<>("request lost");
+        case LOST_ANSWER -> {
+          execution.get();
+          yield new StoreResult.Unknown<>("answer lost");
+        }
+        default -> execution.get();
+      };
+    }
+  }
+
+  private StoreResult<StoredObject> replace(
+      String kind, String name, long expected, JsonNode spec) {
+    StoredObject found = table(kind).get(name);
+    if (found == null) {
+      return new StoreResult.Absent<>();
+    }
+    return found.version() == expected
+        ? new StoreResult.Done<>(put(kind, name, spec))
+        : new StoreResult.Conflict<>();
+  }
+
+  private StoredObject put(String kind, String name, JsonNode spec) {
+    StoredObject object = new StoredObject(kind, name, ++version, spec);
+    if (spec == null) {
+      table(kind).remove(name);
+    } else {
+      table(kind).put(name, object);
+    }
+    watchers.forEach(watcher -> watcher.accept(object));
+    return object;
+  }
+
+  private TreeMap<String, StoredObject> table(String kind) {
+    return kinds.computeIfAbsent(kind, key -> new TreeMap<>());
+  }
+}
