--- a/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
@@ -205,14 +205,17 @@
     uncertain = true;
   }
 
-  /** Takes over the segment as stored; results of items that ended in it are committed. */
-  void replaced(Segment stored, long storedVersion, long nowNanos) {
+  /** Takes over the segment as stored; returns the results that are committed with it. */
+  List<ItemResult> replaced(Segment stored, long storedVersion, long nowNanos) {
     segment = stored;
     version = storedVersion;
     uncertain = false;
-    pending.removeIf(result -> stored.state(result.item()).isEnded());
+    List<ItemResult> committed =
+        pending.stream().filter(result -> stored.state(result.item()).isEnded()).toList();
+    pending.removeAll(committed);
     pendingBytes = pending.stream().mapToLong(ItemResult::bytes).sum();
     pendingSinceNanos = nowNanos;
+    return committed;
   }
 
   // ----------------------------------------------------------------------- cancel and idleness
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemResult.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemResult.java
@@ -26,6 +26,18 @@
     String error,
     int size) {
 
+  /** Creates a result whose body, if any, is small. */
+  public ItemResult(
+      int item,
+      String customId,
+      ItemState state,
+      String requestId,
+      int status,
+      JsonNode body,
+      String error) {
+    this(item, customId, state, requestId, status, body, error, 0);
+  }
+
   /** Returns a result without an answer. */
   public static ItemResult ofError(BatchItem item, ItemState state, String error) {
     return new ItemResult(item.index(), item.customId(), state, "", 0, null, error, 0);
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -157,7 +157,7 @@
     Placement placement =
         parts
             .endpoints()
-            .begin(view.endpoint().name(), shape(segment.job(), item, view.endpoint().service()));
+            .begin(view.endpoint(), shape(segment.job(), item, view.endpoint().service()));
     RunningItem run = new RunningItem(segment, item, placement);
     String requestId = segment.key().toName() + "." + item.index() + "-" + UUID.randomUUID();
     EngineCall call =
--- a/sedgeroad/src/main/java/org/sedgeroad/job/SegmentKeeper.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/SegmentKeeper.java
@@ -89,7 +89,10 @@
 
   private void updated(HeldSegment held, CommitResult result) {
     if (result instanceof CommitResult.Committed committed) {
-      held.replaced(committed.segment(), committed.version(), state.now());
+      List<ItemResult> ended = held.replaced(committed.segment(), committed.version(), state.now());
+      if (!ended.isEmpty()) {
+        state.parts().commits().committed(held.job(), ended);
+      }
     } else if (result instanceof CommitResult.SegmentLost) {
       state.parts().log().log(LogEvent.SEGMENT_LOST, EventField.of("segment", held.key().toName()));
       forget(held, ClaimPlanner.RETRY_NANOS);
--- a/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
@@ -1,6 +1,8 @@
 package org.sedgeroad.job;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -15,7 +17,6 @@
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.lease.LeaseTable;
-import org.sedgeroad.lease.RenewalBook;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.store.FakeStore;
 import org.sedgeroad.store.StoreResult;
@@ -40,13 +41,12 @@
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final VirtualClock clock;
   private final StoreWriter writer;
-  private final RenewalBook book;
+  private long counter;
 
   SimulatedInstance(String name, int run, FakeStore store, VirtualClock clock) {
     this.clock = clock;
-    this.holder = DOMAIN + "/" + name + "#" + run;
+    this.holder = name + "#" + run;
     this.writer = StoreWriter.of(store, holder, () -> clock.advanceMillis(20));
-    this.book = new RenewalBook(holder);
     EndpointTable endpoints = EndpointTable.of("patagonia-norte", clock);
     endpoints.replace(
         List.of(
@@ -73,33 +73,33 @@
                 clock,
                 pool::add,
                 EventLog.of(name),
-                60_000));
+                60_000,
+                (job, results) -> {}));
   }
 
   /** Writes the own counter and reads the others', as the lease keeper does. */
   void renew() {
     long sentAt = clock.nanos();
-    book.next(sentAt);
     StoreResult<StoredObject> found = writer.store().get(Kinds.LEASES, DOMAIN);
+    ObjectNode spec =
+        found instanceof StoreResult.Done<StoredObject> done
+            ? done.value().spec().deepCopy()
+            : JsonNodeFactory.instance.objectNode();
+    spec.withObject("/holders").put(holder, ++counter);
     WriteOutcome outcome = null;
     if (found instanceof StoreResult.Done<StoredObject> done) {
-      outcome =
-          writer.update(
-              Kinds.LEASES,
-              DOMAIN,
-              done.value().version(),
-              book.merge(done.value().spec(), clock.nanos()));
+      outcome = writer.update(Kinds.LEASES, DOMAIN, done.value().version(), spec);
     } else if (found instanceof StoreResult.Absent) {
-      outcome = writer.create(Kinds.LEASES, DOMAIN, book.merge(null, clock.nanos()));
+      outcome = writer.create(Kinds.LEASES, DOMAIN, spec);
     }
     if (outcome instanceof WriteOutcome.Written written) {
+      leases.renewed(sentAt);
       Map<String, Long> counters = new HashMap<>();
       JsonNode holders = written.object().spec().path("holders");
       holders
           .fields()
           .forEachRemaining(each -> counters.put(each.getKey(), each.getValue().asLong()));
-      leases.observe(DOMAIN, counters, sentAt, clock.nanos());
-      book.confirm(counters.get(holder)).ifPresent(leases::renewed);
+      leases.observeAll(counters, sentAt, clock.nanos());
     }
   }
 
