--- a/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
@@ -16,6 +16,9 @@
   private static final long NEVER_SEEN = -1;
   private static final long REMOVED = -2;
 
+  /** Removed holders are remembered this long, so that memory does not grow with restarts. */
+  private static final int REMOVED_LENGTHS = 10;
+
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, Sighting> sightings = new HashMap<>();
   private final long lengthNanos;
@@ -86,7 +89,8 @@
 
   /**
    * Records a successful reading of the counters of all failure domains. A holder that is in none
-   * of them any more has been removed, which happens only after its lease expired or ended.
+   * of them has been removed, which happens only after its lease expired or ended: a holder writes
+   * its counter before it starts any work.
    *
    * @param counters counter of each holder
    * @param readAtNanos monotonic time before the reading was sent
@@ -96,9 +100,15 @@
     lock.lock();
     try {
       observe(counters, readAtNanos, answeredAtNanos);
+      sightings
+          .values()
+          .removeIf(
+              old ->
+                  old.counter() == REMOVED
+                      && readAtNanos - old.lastSeenNanos() > REMOVED_LENGTHS * lengthNanos);
       sightings.replaceAll(
           (holder, old) ->
-              counters.containsKey(holder) || old.counter() < 0 || !old.isBefore(readAtNanos)
+              counters.containsKey(holder) || old.counter() == REMOVED || !old.isBefore(readAtNanos)
                   ? old
                   : old.asRemoved());
     } finally {
@@ -107,21 +117,17 @@
   }
 
   /**
-   * Returns whether a holder's lease must have expired. A holder that was never seen counts from
-   * this call on, so that nobody is declared expired without a full length of waiting.
+   * Returns whether a holder's lease must have expired. Only readings show this: nobody is declared
+   * expired while the lease objects can't be read.
    */
   public boolean isExpired(String holder, long nowNanos) {
     lock.lock();
     try {
       Sighting sighting =
           sightings.computeIfAbsent(holder, key -> new Sighting(NEVER_SEEN, nowNanos, nowNanos));
-      if (sighting.counter() == REMOVED) {
-        return true;
-      }
-      if (sighting.counter() == NEVER_SEEN) {
-        return nowNanos - sighting.firstSeenNanos() >= lengthNanos;
-      }
-      return sighting.lastSeenNanos() - sighting.firstSeenNanos() >= lengthNanos;
+      return sighting.counter() == REMOVED
+          || (sighting.counter() != NEVER_SEEN
+              && sighting.lastSeenNanos() - sighting.firstSeenNanos() >= lengthNanos);
     } finally {
       lock.unlock();
     }
