Treat held segments as lost after the lease ended and began again

Cause: the specification (guard Reclaim) shows that a holder whose lease ends and is renewed could start items of a cancelled job, or work beside the instance that took the segment over. Change: the lease table counts lapses; the runner drops what it holds, and claims made before, when the count has changed.

--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
@@ -29,6 +29,7 @@
   private final SegmentClaimer claimer;
   private final Thread thread = new Thread(this::run, "job-runner");
   private volatile boolean stopping;
+  private long seenLapses;
   private volatile long stopAtNanos;
 
   /** Creates a runner; {@link #start} starts it. */
@@ -133,7 +134,10 @@
 
   private void schedule() {
     long now = state.now();
-    if (!parts.leases().isHeld(now)) {
+    long lapses = parts.leases().lapses();
+    if (!parts.leases().isHeld(now) || lapses != seenLapses) {
+      // Others may have taken the segments over while the lease was over, or cancelled their jobs.
+      seenLapses = lapses;
       state
           .held()
           .forEach(
--- a/sedgeroad/src/main/java/org/sedgeroad/job/SegmentClaimer.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/SegmentClaimer.java
@@ -84,15 +84,23 @@
 
   private void claim(SegmentKey key) {
     claiming++;
+    long lapses = state.parts().leases().lapses();
     calls.call(
         () -> segments.claim(key),
-        result -> claimed(key, result),
+        result -> claimed(key, afterLapses(lapses, result)),
         failure -> {
           state.parts().log().log(LogEvent.REQUEST_ERROR, EventField.of("cause", failure));
           claimed(key, new ClaimResult.Failed(failure.toString()));
         });
   }
 
+  /** Drops a claim that was made under a lease that has ended since; it is made again. */
+  private ClaimResult afterLapses(long lapses, ClaimResult result) {
+    boolean stale =
+        result instanceof ClaimResult.Claimed && state.parts().leases().lapses() != lapses;
+    return stale ? new ClaimResult.Failed("the lease ended during the claim") : result;
+  }
+
   private void claimed(SegmentKey key, ClaimResult result) {
     claiming--;
     long now = state.now();
--- a/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
@@ -24,6 +24,7 @@
   private final long lengthNanos;
   private long validUntilNanos;
   private boolean held;
+  private long lapses;
 
   private LeaseTable(long lengthNanos) {
     this.lengthNanos = lengthNanos;
@@ -40,10 +41,16 @@
 
   // -----------------------------------------------------------------------
 
-  /** Records that a renewal, sent at the given time, took effect. */
+  /**
+   * Records that a renewal, sent at the given time, took effect. A renewal sent after the end of
+   * the lease starts a new lease; what was held under the old one may have been taken over.
+   */
   public void renewed(long sentAtNanos) {
     lock.lock();
     try {
+      if (held && sentAtNanos - validUntilNanos >= 0) {
+        lapses++;
+      }
       long until = sentAtNanos + lengthNanos;
       validUntilNanos = held && validUntilNanos - until > 0 ? validUntilNanos : until;
       held = true;
@@ -52,6 +59,16 @@
     }
   }
 
+  /** Returns how often this instance's lease has ended and begun again. */
+  public long lapses() {
+    lock.lock();
+    try {
+      return lapses;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** Returns whether this instance's lease is valid. */
   public boolean isHeld(long nowNanos) {
     lock.lock();
