--- /dev/null
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/GracefulStopTest.java
@@ -0,0 +1,71 @@
+package org.sedgeroad.testing.failure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.testing.deployment.ApiAnswer;
+import org.sedgeroad.testing.deployment.ApiClient;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.DeploymentPlan;
+import org.sedgeroad.testing.deployment.EntryProcess;
+
+/** Guards against requests that a planned stop cuts off (P8). */
+class GracefulStopTest {
+  private static final int CALLERS = 8;
+
+  @Test
+  void aRollOverAllInstancesCutsNoRequest() throws Exception {
+    try (Deployment deployment = Deployment.start(DeploymentPlan.demo())) {
+      AtomicBoolean stopped = new AtomicBoolean();
+      ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+      try {
+        List<Future<List<ApiAnswer>>> calls = new ArrayList<>();
+        for (int caller = 0; caller < CALLERS; caller++) {
+          calls.add(callers.submit(() -> callUntil(deployment, stopped)));
+        }
+        for (EntryProcess entry : deployment.entries()) {
+          Thread.sleep(1_000);
+          entry.process().requestStop();
+          assertTrue(entry.process().awaitEnd(), "the instance did not end");
+          entry.start();
+          deployment.awaitReady(entry);
+        }
+        stopped.set(true);
+        int served = 0;
+        for (Future<List<ApiAnswer>> call : calls) {
+          for (ApiAnswer answer : call.get()) {
+            assertEquals(200, answer.status(), answer.body());
+            assertTrue(answer.body().contains("[DONE]"), answer.body());
+            served++;
+          }
+        }
+        assertTrue(served > CALLERS, "too few requests to show anything");
+      } finally {
+        stopped.set(true);
+        callers.shutdownNow();
+      }
+    }
+  }
+
+  /** Calls as the balancer would send: only to instances that are ready. */
+  private static List<ApiAnswer> callUntil(Deployment deployment, AtomicBoolean stopped) {
+    List<ApiAnswer> answers = new ArrayList<>();
+    while (!stopped.get()) {
+      for (EntryProcess entry : deployment.entries()) {
+        if (deployment.read(entry.callers().resolve("/readyz")).startsWith("ready")) {
+          ApiClient client =
+              new ApiClient(deployment.caller(), entry.callers(), deployment.plan().key());
+          answers.add(client.complete(deployment.plan().model(), "a question", 40, true));
+        }
+      }
+    }
+    return answers;
+  }
+}
--- /dev/null
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/Histories.java
@@ -0,0 +1,79 @@
+package org.sedgeroad.testing.failure;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
+import org.sedgeroad.testing.deployment.ApiClient;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.EngineProcess;
+
+/** Reads what the stand-ins recorded and what jobs left behind. */
+final class Histories {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private Histories() {}
+
+  /** Returns the events of one type at all engines that run. */
+  static List<JsonNode> engineEvents(Deployment deployment, String type) {
+    List<JsonNode> events = new ArrayList<>();
+    for (EngineProcess engine : deployment.engines()) {
+      if (engine.process().isAlive()) {
+        read(deployment, engine, "events")
+            .forEach(
+                event -> {
+                  if (event.path("event").asText().equals(type)) {
+                    events.add(event);
+                  }
+                });
+      }
+    }
+    return events;
+  }
+
+  /** Returns the executions at all plain services. */
+  static List<JsonNode> executions(Deployment deployment) {
+    List<JsonNode> executions = new ArrayList<>();
+    for (EngineProcess service : deployment.services()) {
+      read(deployment, service, "executions").forEach(executions::add);
+    }
+    return executions;
+  }
+
+  /** Returns the number of events of a type after an instant. */
+  static long countAfter(List<JsonNode> events, Instant instant) {
+    long micros = ChronoUnit.MICROS.between(Instant.EPOCH, instant);
+    return events.stream().filter(event -> event.path("time_micros").asLong() > micros).count();
+  }
+
+  /** Returns the custom ids in the output and error files of a batch. */
+  static List<String> resultIds(ApiClient client, JsonNode batch) {
+    List<String> ids = new ArrayList<>();
+    for (String field : List.of("output_file_id", "error_file_id")) {
+      String path = "/v1/files/" + batch.path(field).asText() + "/content";
+      client
+          .get(path)
+          .body()
+          .lines()
+          .filter(line -> !line.isBlank())
+          .forEach(line -> ids.add(parse(line).path("custom_id").asText()));
+    }
+    return ids;
+  }
+
+  static JsonNode parse(String text) {
+    try {
+      return MAPPER.readTree(text);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  private static JsonNode read(Deployment deployment, EngineProcess process, String list) {
+    return parse(deployment.read(process.address().resolve("/control/history"))).path(list);
+  }
+}
