--- a/sedgeroad/src/main/java/org/sedgeroad/job/FilePacker.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/FilePacker.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.job;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -26,7 +27,8 @@
 
   private static final Set<String> PATHS = Set.of("/v1/completions", "/v1/chat/completions");
 
-  private final ObjectMapper mapper = new ObjectMapper();
+  private final ObjectMapper mapper =
+      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
   private final StoreWriter writer;
   private final String fileId;
   private final List<String> lines = new ArrayList<>();
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/lease/LeaseTableTest.java
@@ -0,0 +1,70 @@
+package org.sedgeroad.lease;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against leases that are used too long or declared expired too early. */
+class LeaseTableTest {
+  private static final long SECOND = 1_000_000_000L;
+
+  private final LeaseTable table = LeaseTable.ofMillis(6_000);
+
+  @Nested
+  class IsHeld {
+    @Test
+    void countsFromBeforeTheRenewalWasSent() {
+      assertFalse(table.isHeld(0));
+      table.renewed(SECOND);
+      assertTrue(table.isHeld(7 * SECOND - 1));
+      assertFalse(table.isHeld(7 * SECOND));
+    }
+
+    @Test
+    void isNotShortenedByALateOlderRenewal() {
+      table.renewed(3 * SECOND);
+      table.renewed(SECOND);
+      assertTrue(table.isHeld(8 * SECOND));
+    }
+  }
+
+  @Nested
+  class IsExpired {
+    @Test
+    void countsFromTheEndOfTheFirstReadingToTheStartOfTheLast() {
+      table.observeAll(Map.of("a#1", 1L), 0, 2 * SECOND);
+      table.observeAll(Map.of("a#1", 1L), 8 * SECOND - 1, 9 * SECOND);
+      assertFalse(table.isExpired("a#1", 9 * SECOND));
+      table.observeAll(Map.of("a#1", 1L), 8 * SECOND, 9 * SECOND);
+      assertTrue(table.isExpired("a#1", 9 * SECOND));
+    }
+
+    @Test
+    void startsAgainWithEachNewCounter() {
+      table.observeAll(Map.of("a#1", 1L), 0, 0);
+      table.observeAll(Map.of("a#1", 2L), 5 * SECOND, 5 * SECOND);
+      table.observeAll(Map.of("a#1", 2L), 10 * SECOND, 10 * SECOND);
+      assertFalse(table.isExpired("a#1", 10 * SECOND));
+    }
+
+    @Test
+    void isNeverShownByTheMereLackOfReadings() {
+      table.observeAll(Map.of("a#1", 1L), 0, 0);
+      assertFalse(table.isExpired("a#1", 3600 * SECOND));
+      assertFalse(table.isExpired("unseen#1", 0));
+      assertFalse(table.isExpired("unseen#1", 3600 * SECOND));
+    }
+
+    @Test
+    void isShownByAHolderThatWasRemoved() {
+      assertFalse(table.isExpired("a#1", SECOND));
+      table.observeAll(Map.of(), SECOND, 2 * SECOND);
+      assertFalse(table.isExpired("a#1", 2 * SECOND), "the reading may be older than the segment");
+      table.observeAll(Map.of(), 3 * SECOND, 3 * SECOND);
+      assertTrue(table.isExpired("a#1", 3 * SECOND));
+    }
+  }
+}
