Take over the segments of a lost holder at once

Cause: segments were claimed only when an instance needed items. With two instances that each held a segment, the segments of a killed one were not taken within 10 s (TakeoverTest failed). The home of an endpoint was also chosen in every failure domain, so that several instances filled the same endpoint with batch items.

Change: one live instance, by rendezvous hash, looks for the segments of each holder whose lease has expired and claims them regardless of its own work; their items are sent first within a deadline. Only endpoints of the own failure domain are filled with batch items.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -189,6 +189,7 @@
     return new JobRunner(
         new JobRunnerParts(
             settings.instance(),
+            settings.domain(),
             writer,
             replica,
             endpoints,
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ClaimPlanner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ClaimPlanner.java
@@ -116,6 +116,35 @@
     return Optional.empty();
   }
 
+  /** Returns the ids of the unfinished jobs with the earliest deadlines. */
+  List<String> earliestJobs(int limit) {
+    return accepted.stream().limit(limit).map(claims -> claims.job.id()).toList();
+  }
+
+  /** Makes segments of a lost holder the next ones to claim. */
+  void orphaned(List<SegmentKey> keys) {
+    for (SegmentKey key : keys) {
+      JobClaims claims = jobs.get(key.jobId());
+      if (claims != null && claims.isIdle(key.index())) {
+        claims.paused.remove(key.index());
+        claims.open.clear(key.index());
+        claims.orphans.set(key.index());
+      }
+    }
+  }
+
+  /** Removes and returns a segment of a lost holder, as {@link #next} does. */
+  Optional<SegmentKey> nextOrphan() {
+    for (JobClaims claims : accepted) {
+      if (!claims.orphans.isEmpty()) {
+        int index = claims.orphans.nextSetBit(0);
+        claims.orphans.clear(index);
+        return Optional.of(new SegmentKey(claims.job.id(), index));
+      }
+    }
+    return Optional.empty();
+  }
+
   /** Tries a segment again at the given time. */
   void retryAt(SegmentKey key, long nanos) {
     JobClaims claims = jobs.get(key.jobId());
@@ -166,6 +195,7 @@
   private static final class JobClaims {
     private final Job job;
     private final BitSet open;
+    private final BitSet orphans = new BitSet();
     private final Map<Integer, Pause> paused = new HashMap<>();
     private BitSet own;
     private BitSet finished = new BitSet();
@@ -184,9 +214,15 @@
     void finish(BitSet segments) {
       finished = segments;
       open.andNot(segments);
+      orphans.andNot(segments);
       paused.keySet().removeIf(segments::get);
     }
 
+    /** Returns whether no claim is under way and this instance does not hold the segment. */
+    boolean isIdle(int index) {
+      return open.get(index) || paused.containsKey(index);
+    }
+
     SegmentKey take(int index) {
       open.clear(index);
       return new SegmentKey(job.id(), index);
--- a/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
@@ -34,6 +34,7 @@
   private boolean busy;
   private boolean uncertain;
   private boolean cancelled;
+  private boolean takenOver;
 
   HeldSegment(Job job, Segment segment, long version, List<BatchItem> items, long nowNanos) {
     this.job = job;
@@ -67,6 +68,15 @@
     return items;
   }
 
+  /** Returns whether it was taken over from a lost holder, so that its items have waited. */
+  boolean isTakenOver() {
+    return takenOver;
+  }
+
+  void markTakenOver(boolean fromLostHolder) {
+    takenOver = fromLostHolder;
+  }
+
   // ----------------------------------------------------------------------- items
 
   /** Removes and returns the first item that may be sent and passes the test, null if none. */
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -53,7 +53,9 @@
     List<HeldSegment> sources =
         state.held().stream()
             .filter(segment -> !segment.isCancelled())
-            .sorted(Comparator.comparing(segment -> segment.job().deadline()))
+            .sorted(
+                Comparator.comparing((HeldSegment segment) -> segment.job().deadline())
+                    .thenComparing(segment -> !segment.isTakenOver()))
             .toList();
     List<EndpointView> home = state.homeEndpoints();
     for (EndpointView view : home) {
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
@@ -15,6 +15,7 @@
  * What a {@link JobRunner} works with.
  *
  * @param instance name of this instance
+ * @param domain failure domain of this instance; endpoints of others have their home there
  * @param writer writer whose name marks the held segments
  * @param replica configuration, with the unfinished jobs
  * @param endpoints endpoints and counts
@@ -30,6 +31,7 @@
  */
 public record JobRunnerParts(
     String instance,
+    String domain,
     StoreWriter writer,
     ConfigurationReplica replica,
     EndpointTable endpoints,
--- a/sedgeroad/src/main/java/org/sedgeroad/job/RunnerState.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/RunnerState.java
@@ -67,6 +67,7 @@
   List<EndpointView> homeEndpoints() {
     List<String> live = parts.membership().liveInstances();
     return parts.endpoints().usableEndpoints().stream()
+        .filter(view -> view.endpoint().domain().equals(parts.domain()))
         .filter(view -> Rendezvous.isFirst(view.endpoint().name(), parts.instance(), live))
         .toList();
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/job/SegmentClaimer.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/SegmentClaimer.java
@@ -1,11 +1,15 @@
 package org.sedgeroad.job;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.peer.Rendezvous;
 
 /** Claims segments while endpoints have room for more. Used by the runner's thread only. */
 final class SegmentClaimer {
@@ -17,6 +21,9 @@
   /** Bounds the items in memory when no endpoint can serve the segments that are held. */
   private static final int HELD_LIMIT = 64;
 
+  /** A lost holder worked on the jobs with the earliest deadlines; one list call for each. */
+  private static final int SEARCHED_JOBS = 32;
+
   private static final long EMPTY_PAUSE_NANOS = 100_000_000L;
 
   private final RunnerState state;
@@ -24,7 +31,9 @@
   private final ItemSender sender;
   private final BackgroundCalls calls;
   private int claiming;
+  private final Deque<String> lost = new ArrayDeque<>();
   private boolean settling;
+  private boolean finding;
   private long notBeforeNanos;
 
   SegmentClaimer(
@@ -56,6 +65,14 @@
     }
     notBeforeNanos = now + EMPTY_PAUSE_NANOS;
     settle(now);
+    findOrphans(now);
+    while (claiming < PARALLEL_CLAIMS && state.held().size() + claiming < HELD_LIMIT) {
+      Optional<SegmentKey> orphan = state.planner().nextOrphan();
+      if (orphan.isEmpty()) {
+        break;
+      }
+      claim(orphan.get());
+    }
     while (claiming < PARALLEL_CLAIMS
         && state.held().size() + claiming < HELD_LIMIT
         && missingItems() > claiming * EXPECTED_ITEMS) {
@@ -75,6 +92,42 @@
     }
   }
 
+  /**
+   * Looks for the segments of holders that are lost, so that their items do not wait until some
+   * instance happens to need work. Of the live instances, one looks for each holder.
+   */
+  private void findOrphans(long now) {
+    lost.addAll(state.parts().leases().takeExpired(now));
+    if (finding || lost.isEmpty()) {
+      return;
+    }
+    String holder = lost.poll();
+    boolean first =
+        Rendezvous.isFirst(
+            "takeover/" + holder,
+            state.parts().instance(),
+            state.parts().membership().liveInstances());
+    if (!first || holder.equals(state.parts().writer().name()) || sender.freeSlots().isEmpty()) {
+      return;
+    }
+    finding = true;
+    List<String> jobs = state.planner().earliestJobs(SEARCHED_JOBS);
+    calls.call(
+        () -> segments.heldBy(holder, jobs),
+        found -> {
+          finding = false;
+          if (found == null) {
+            lost.add(holder);
+          } else {
+            state.planner().orphaned(found);
+          }
+        },
+        failure -> {
+          finding = false;
+          lost.add(holder);
+        });
+  }
+
   /** Returns the largest number of free slots of a service that no waiting item will use. */
   private int missingItems() {
     Map<String, Integer> missing = new HashMap<>(sender.freeSlots());
@@ -101,6 +154,7 @@
       HeldSegment held =
           new HeldSegment(
               claimed.job(), claimed.segment(), claimed.version(), claimed.items(), now);
+      held.markTakenOver(claimed.takenOver());
       state.add(held);
       if (isCancelled(key.jobId())) {
         held.cancel();
--- a/sedgeroad/src/main/java/org/sedgeroad/job/SegmentStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/SegmentStore.java
@@ -61,6 +61,27 @@
         : new ClaimResult.Failed(current.toString());
   }
 
+  /**
+   * Returns the unfinished segments of some jobs that a holder has, null if the store can't tell.
+   */
+  List<SegmentKey> heldBy(String other, List<String> jobIds) {
+    List<SegmentKey> keys = new ArrayList<>();
+    for (String jobId : jobIds) {
+      StoreResult<ObjectList> listed = writer.store().list(Kinds.SEGMENTS, jobId + ".");
+      if (!(listed instanceof StoreResult.Done<ObjectList> done)) {
+        return null;
+      }
+      for (StoredObject object : done.value().objects()) {
+        int index = Integer.parseInt(object.name().substring(jobId.length() + 1));
+        Segment segment = Segment.fromSpec(new SegmentKey(jobId, index), object.spec());
+        if (segment.holder().equals(other) && !segment.isFinished()) {
+          keys.add(segment.key());
+        }
+      }
+    }
+    return keys;
+  }
+
   private ClaimResult create(Job job, SegmentKey key) {
     List<BatchItem> items = readItems(job, key);
     if (items == null) {
--- a/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
@@ -1,7 +1,10 @@
 package org.sedgeroad.lease;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -21,6 +24,7 @@
 
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, Sighting> sightings = new HashMap<>();
+  private final Set<String> reported = new HashSet<>();
   private final long lengthNanos;
   private long validUntilNanos;
   private boolean held;
@@ -81,7 +85,13 @@
               sightings.merge(
                   holder,
                   new Sighting(counter, answeredAtNanos, answeredAtNanos),
-                  (old, seen) -> old.counter() == counter ? old.withLastSeen(readAtNanos) : seen));
+                  (old, seen) -> {
+                    if (old.counter() == counter) {
+                      return old.withLastSeen(readAtNanos);
+                    }
+                    reported.remove(holder);
+                    return seen;
+                  }));
     } finally {
       lock.unlock();
     }
@@ -133,6 +143,24 @@
     }
   }
 
+  /** Returns the holders whose lease has expired since the last call, in name order. */
+  public Set<String> takeExpired(long nowNanos) {
+    lock.lock();
+    try {
+      reported.removeIf(holder -> !sightings.containsKey(holder) || !isExpired(holder, nowNanos));
+      Set<String> expired = new TreeSet<>();
+      for (String holder : sightings.keySet()) {
+        if (!reported.contains(holder) && isExpired(holder, nowNanos)) {
+          expired.add(holder);
+        }
+      }
+      reported.addAll(expired);
+      return expired;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** A counter with the times of its first and last reading. */
   private record Sighting(long counter, long firstSeenNanos, long lastSeenNanos) {
     boolean isBefore(long nanos) {
--- a/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
@@ -47,6 +47,21 @@
       assertTrue(fleet.job().counts().unknown() > 0);
     }
 
+    @Test
+    void takesOverAlsoWhileItHasWorkOfItsOwn() throws Exception {
+      fleet.createJob("w".repeat(900), "w".repeat(900));
+      SimulatedInstance first = fleet.add("entry-1");
+      fleet.runFor(100);
+      SimulatedInstance second = fleet.add("entry-2");
+      fleet.runFor(200);
+      first.alive = false;
+      fleet.runFor(9_000);
+      assertTrue(second.runner.held(new SegmentKey(SimulatedFleet.JOB, 0)).isPresent());
+      assertTrue(second.runner.held(new SegmentKey(SimulatedFleet.JOB, 1)).isPresent());
+      fleet.runToEnd();
+      fleet.assertEachItemEndedOnce();
+    }
+
     @Test
     void resumesAfterAStoreOutageWithoutLosingAnItem() throws Exception {
       fleet.createJob("wwwwwwww", "wwwwwwww");
--- a/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
@@ -63,6 +63,7 @@
         new JobRunner(
             new JobRunnerParts(
                 name,
+                DOMAIN,
                 writer,
                 replica,
                 endpoints,
--- a/sedgeroad/src/test/java/org/sedgeroad/lease/LeaseTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/lease/LeaseTableTest.java
@@ -1,9 +1,11 @@
 package org.sedgeroad.lease;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -67,4 +69,19 @@
       assertTrue(table.isExpired("a#1", 3 * SECOND));
     }
   }
+
+  @Nested
+  class TakeExpired {
+    @Test
+    void namesEachLossOnce() {
+      table.observeAll(Map.of("a#1", 1L), 0, 0);
+      assertEquals(Set.of(), table.takeExpired(0));
+      table.observeAll(Map.of("a#1", 1L), 6 * SECOND, 6 * SECOND);
+      assertEquals(Set.of("a#1"), table.takeExpired(6 * SECOND));
+      assertEquals(Set.of(), table.takeExpired(6 * SECOND));
+      table.observeAll(Map.of("a#1", 2L), 7 * SECOND, 7 * SECOND);
+      table.observeAll(Map.of("a#1", 2L), 13 * SECOND, 13 * SECOND);
+      assertEquals(Set.of("a#1"), table.takeExpired(13 * SECOND));
+    }
+  }
 }
