--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -28,6 +28,7 @@
 import org.sedgeroad.job.JobRunnerParts;
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.limit.ShareCoordinator;
 import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.LiveService;
@@ -60,6 +61,7 @@
   private final LeaseTable leases;
   private final PeerNetwork network;
   private final VotedLimits limits;
+  private final ShareCoordinator shareCoordinator;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final ExecutorService storeWorkers =
       new ThreadPoolExecutor(
@@ -101,6 +103,7 @@
             replica::highestVersion,
             network,
             clock);
+    this.shareCoordinator = limits.coordinator(writer);
     this.watcher = new ConfigurationWatcher(store, replica, timer, log);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
@@ -189,6 +192,11 @@
         0,
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(
+        quietly(() -> shareCoordinator.step(clock.nanos())),
+        ShareCoordinator.STEP_MILLIS,
+        ShareCoordinator.STEP_MILLIS,
+        TimeUnit.MILLISECONDS);
     watcher.start();
     runner.start();
     server.start();
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/DomainRecord.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/DomainRecord.java
@@ -7,13 +7,18 @@
  * What the lease object of a failure domain tells about the configuration in use there.
  *
  * @param limitsVersion version of the limits that all instances holding a lease have applied
+ * @param newestLimitsVersion version of the limits that one of them has applied
  * @param sharesVersion version of the share ledgers that all of them have applied
  * @param absentLimitsVersion version of the limits that all absent instances have applied; {@link
  *     Long#MAX_VALUE} if there is no absent instance
  * @param leaseExpired whether the lease of every instance must have expired
  */
 public record DomainRecord(
-    long limitsVersion, long sharesVersion, long absentLimitsVersion, boolean leaseExpired) {
+    long limitsVersion,
+    long newestLimitsVersion,
+    long sharesVersion,
+    long absentLimitsVersion,
+    boolean leaseExpired) {
 
   /**
    * Reads a record from the content of a lease object.
@@ -23,12 +28,14 @@
    */
   public static DomainRecord fromSpec(JsonNode spec, Predicate<String> isExpired) {
     long limits = Long.MAX_VALUE;
+    long newest = 0;
     long shares = Long.MAX_VALUE;
     boolean expired = true;
     for (var holders = spec.path(LeaseFields.HOLDERS).fieldNames(); holders.hasNext(); ) {
       String holder = holders.next();
       JsonNode entry = spec.path(LeaseFields.ROSTER).path(holder);
       limits = Math.min(limits, entry.path(LeaseFields.LIMITS).asLong(0));
+      newest = Math.max(newest, entry.path(LeaseFields.LIMITS).asLong(0));
       shares = Math.min(shares, entry.path(LeaseFields.SHARES).asLong(0));
       expired &= isExpired.test(holder);
     }
@@ -36,6 +43,10 @@
     for (JsonNode entry : spec.path(LeaseFields.ABSENT)) {
       absent = Math.min(absent, entry.path(LeaseFields.LIMITS).asLong(0));
     }
-    return new DomainRecord(limits, shares, absent, expired);
+    if (shares == Long.MAX_VALUE) {
+      // An instance that starts there may apply a ledger as old as this.
+      shares = spec.path(LeaseFields.SHARES_FLOOR).asLong(0);
+    }
+    return new DomainRecord(limits, newest, shares, absent, expired);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/DomainRecords.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/DomainRecords.java
@@ -19,12 +19,18 @@
    */
   public Map<String, DomainRecord> update(
       List<StoredObject> leaseObjects, Predicate<String> isExpired) {
+    records = read(leaseObjects, isExpired);
+    return records;
+  }
+
+  /** Returns the records of a reading without keeping them. */
+  static Map<String, DomainRecord> read(
+      List<StoredObject> leaseObjects, Predicate<String> isExpired) {
     Map<String, DomainRecord> read = new TreeMap<>();
     for (StoredObject object : leaseObjects) {
       read.put(object.name(), DomainRecord.fromSpec(object.spec(), isExpired));
     }
-    records = Map.copyOf(read);
-    return records;
+    return Map.copyOf(read);
   }
 
   /** Returns the record of each failure domain that has a lease object. */
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/GrantingHome.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/GrantingHome.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -70,6 +71,28 @@
     return take(request, kind.get(), found.get().version(), rate.getAsLong(), nowNanos);
   }
 
+  /** Returns the demand on each member that this instance has a bucket for, and starts anew. */
+  public Map<String, Demand> takeDemands(long nowNanos) {
+    lock.lock();
+    try {
+      Map<String, Demand> demands = new TreeMap<>();
+      buckets.forEach(
+          (key, held) -> {
+            if (mayGrant(key.member(), nowNanos)) {
+              demands.merge(key.member(), held.bucket().takeDemand(nowNanos), Demand::or);
+            }
+          });
+      return demands;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns whether this instance is the home of a member and may grant. */
+  public boolean mayGrant(String member, long nowNanos) {
+    return homes.standing(member, nowNanos) != Standing.NONE;
+  }
+
   /** Returns the number of buckets held. */
   public int size() {
     lock.lock();
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/HomeRoster.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/HomeRoster.java
@@ -39,6 +39,9 @@
   // A region may be cut off for an hour; after two hours an instance must ask for nothing more.
   private static final long ISOLATION_NANOS = 2L * 3600 * 1000 * NANOS_PER_MILLI;
 
+  // A change reaches each instance within 2 s, a third of the usual lease.
+  private static final int PROPAGATIONS_PER_LEASE = 3;
+
   private final ReentrantLock lock = new ReentrantLock();
   private final String self;
   private final LeaseTable leases;
@@ -216,7 +219,8 @@
    * Records a successful reading of the lease objects of all failure domains. The share is used
    * only as long as a reading is younger than a lease. After a lapse it is used only when this
    * instance has applied the limits that others had recorded by then: a limit may have been lowered
-   * to what the isolated share allows.
+   * to what the isolated share allows. For the same reason, an instance whose limits stay behind
+   * those of another one for a third of a lease uses the isolated share only.
    *
    * @param records what the lease objects tell
    * @param sentAtNanos time before the reading was sent
@@ -227,9 +231,7 @@
       readApplied();
       long recorded = 0;
       for (DomainRecord record : records.values()) {
-        if (record.limitsVersion() != Long.MAX_VALUE) {
-          recorded = Math.max(recorded, record.limitsVersion());
-        }
+        recorded = Math.max(recorded, record.newestLimitsVersion());
       }
       if (sentAtNanos - resumeAtNanos < 0) {
         resumeFloor = Math.max(resumeFloor, recorded);
@@ -291,7 +293,9 @@
         boolean over = nowNanos - renewedAtNanos > ISOLATION_NANOS;
         return over || absentMayBeHome(member, nowNanos) ? Standing.NONE : Standing.ISOLATED;
       }
-      boolean behind = limitsApplied < behindVersion && nowNanos - behindSinceNanos >= leaseNanos;
+      boolean behind =
+          limitsApplied < behindVersion
+              && nowNanos - behindSinceNanos >= leaseNanos / PROPAGATIONS_PER_LEASE;
       boolean recent = recordsRead && nowNanos - recordsReadAtNanos < leaseNanos;
       boolean resuming = !recent || nowNanos - resumeAtNanos < 0 || limitsApplied < resumeFloor;
       if (absentMayBeHome(member, nowNanos)) {
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/MemberShares.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/MemberShares.java
@@ -13,8 +13,11 @@
  *
  * @param fractions fraction of each failure domain
  * @param freed fraction that each giver has given up and no taker has taken yet
+ * @param wanted fraction that each failure domain would like to have in addition
  */
-public record MemberShares(Map<String, Integer> fractions, Map<String, Integer> freed) {
+public record MemberShares(
+    Map<String, Integer> fractions, Map<String, Integer> freed, Map<String, Integer> wanted) {
+  private static final String WANTED = "wanted";
   private static final String FREED = "freed";
   private static final String FRACTIONS = "fractions";
 
@@ -26,6 +29,7 @@
   public MemberShares {
     fractions = Map.copyOf(fractions);
     freed = Map.copyOf(freed);
+    wanted = Map.copyOf(wanted);
     long sum = 0;
     for (Map<String, Integer> part : List.of(fractions, freed)) {
       for (int ppm : part.values()) {
@@ -44,15 +48,16 @@
   public static MemberShares equalSplit(Collection<String> domains) {
     Map<String, Integer> fractions = new TreeMap<>();
     domains.forEach(domain -> fractions.put(domain, LimitValues.MILLION / domains.size()));
-    return new MemberShares(fractions, Map.of());
+    return new MemberShares(fractions, Map.of(), Map.of());
   }
 
   /** Reads fractions from JSON; the result of a sum above the whole is no fraction at all. */
   static MemberShares fromSpec(JsonNode spec) {
     try {
-      return new MemberShares(read(spec.path(FRACTIONS)), read(spec.path(FREED)));
+      return new MemberShares(
+          read(spec.path(FRACTIONS)), read(spec.path(FREED)), read(spec.path(WANTED)));
     } catch (IllegalArgumentException invalid) {
-      return new MemberShares(Map.of(), Map.of());
+      return new MemberShares(Map.of(), Map.of(), Map.of());
     }
   }
 
@@ -84,13 +89,21 @@
     return changed(taker, ppm, giver, -ppm);
   }
 
+  /** Returns a copy in which a failure domain wants another fraction, 0 for none. */
+  MemberShares withWanted(String domain, int ppm) {
+    Map<String, Integer> changed = new TreeMap<>(wanted);
+    changed.put(domain, ppm);
+    changed.values().removeIf(value -> value == 0);
+    return new MemberShares(fractions, freed, changed);
+  }
+
   private MemberShares changed(String domain, int fractionChange, String giver, int freedChange) {
     Map<String, Integer> newFractions = new TreeMap<>(fractions);
     newFractions.merge(domain, fractionChange, Integer::sum);
     Map<String, Integer> newFreed = new TreeMap<>(freed);
     newFreed.merge(giver, freedChange, Integer::sum);
     newFreed.values().removeIf(ppm -> ppm == 0);
-    return new MemberShares(newFractions, newFreed);
+    return new MemberShares(newFractions, newFreed, wanted);
   }
 
   /** Returns the fractions as JSON. */
@@ -102,6 +115,10 @@
       ObjectNode open = spec.putObject(FREED);
       new TreeMap<>(freed).forEach(open::put);
     }
+    if (!wanted.isEmpty()) {
+      ObjectNode wishes = spec.putObject(WANTED);
+      new TreeMap<>(wanted).forEach(wishes::put);
+    }
     return spec;
   }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/ShareCoordinator.java
@@ -0,0 +1,142 @@
+package org.sedgeroad.limit;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.store.StoreWriter;
+
+/**
+ * Moves shares between failure domains by demand, with one conditional update of a ledger a step.
+ *
+ * <p>The coordinator of a member in a failure domain is the home of its token buckets, which knows
+ * the demand. A ledger that changed in the meantime, or a lost answer, only delays a step. Called
+ * by one thread.
+ */
+public final class ShareCoordinator {
+  /** Time between two steps, in milliseconds. */
+  public static final long STEP_MILLIS = 5_000;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long KEEP_NANOS = 3 * STEP_MILLIS * NANOS_PER_MILLI;
+  // Bounds the writes of 410 instances to 82 a second when all members' demand moves at once.
+  private static final int WRITES_PER_STEP = 1;
+
+  private final StoreWriter writer;
+  private final GrantingHome home;
+  private final Function<String, Shares> ledgers;
+  private final Supplier<Map<String, DomainRecord>> records;
+  private final List<String> domains;
+  private final SharePlanner planner;
+  private final Map<String, Long> takenAtNanos = new HashMap<>();
+  private final Map<Gift, Long> firstSeen = new HashMap<>();
+  private String lastWritten = "";
+
+  /**
+   * Creates a coordinator.
+   *
+   * @param writer writes the ledgers
+   * @param home measures the demand
+   * @param ledgers ledger of a shard as applied by this instance
+   * @param records what is known of the failure domains
+   * @param domain own failure domain
+   * @param domains all failure domains
+   */
+  public ShareCoordinator(
+      StoreWriter writer,
+      GrantingHome home,
+      Function<String, Shares> ledgers,
+      Supplier<Map<String, DomainRecord>> records,
+      String domain,
+      List<String> domains) {
+    this.writer = writer;
+    this.home = home;
+    this.ledgers = ledgers;
+    this.records = records;
+    this.domains = List.copyOf(domains);
+    this.planner = new SharePlanner(domain, domains.size());
+  }
+
+  /**
+   * Takes one step for the members for which this instance is the home; call it every {@link
+   * #STEP_MILLIS}. Blocks for the store's answers.
+   */
+  public void step(long nowNanos) {
+    takenAtNanos.values().removeIf(time -> nowNanos - time >= KEEP_NANOS);
+    int writes = 0;
+    Map<Gift, Long> seen = new HashMap<>();
+    // Starts after the member written last, so that each gets its turn.
+    TreeMap<String, Demand> demands = demands(nowNanos);
+    Map<String, Demand> inTurn = new LinkedHashMap<>(demands.tailMap(lastWritten, false));
+    inTurn.putAll(demands.headMap(lastWritten, true));
+    for (Map.Entry<String, Demand> entry : inTurn.entrySet()) {
+      String member = entry.getKey();
+      Shares ledger = ledgers.apply(Shares.shardOf(member));
+      MemberShares now = ledger.of(member, domains);
+      for (Map.Entry<String, Integer> freed : now.freed().entrySet()) {
+        Gift gift = new Gift(member, freed.getKey(), freed.getValue());
+        seen.put(gift, firstSeen.getOrDefault(gift, ledger.version()));
+      }
+      if (writes < WRITES_PER_STEP) {
+        Optional<MemberShares> next =
+            planner.next(
+                now,
+                entry.getValue(),
+                !takenAtNanos.containsKey(member),
+                giver -> isApplied(giver, seen.get(new Gift(member, giver, now.freedBy(giver)))));
+        if (next.isPresent()) {
+          writes++;
+          lastWritten = member;
+          write(member, ledger, now, next.get(), nowNanos);
+        }
+      }
+    }
+    firstSeen.clear();
+    firstSeen.putAll(seen);
+  }
+
+  /** Returns the demand on each member whose buckets are here, also if nobody asked for units. */
+  private TreeMap<String, Demand> demands(long nowNanos) {
+    TreeMap<String, Demand> demands = new TreeMap<>(home.takeDemands(nowNanos));
+    for (int shard = 0; shard < Shares.SHARDS; shard++) {
+      ledgers
+          .apply(Shares.nameOf(shard))
+          .members()
+          .forEach(
+              (member, shares) -> {
+                boolean open = !shares.wanted().isEmpty() || !shares.freed().isEmpty();
+                if (open && home.mayGrant(member, nowNanos)) {
+                  demands.putIfAbsent(member, new Demand(0, false));
+                }
+              });
+    }
+    return demands;
+  }
+
+  /** Returns whether all instances of a giver have applied the ledger that contains its gift. */
+  private boolean isApplied(String giver, long version) {
+    DomainRecord record = records.get().get(giver);
+    return record != null && record.sharesVersion() >= version;
+  }
+
+  private void write(
+      String member, Shares ledger, MemberShares before, MemberShares after, long nowNanos) {
+    String shard = Shares.shardOf(member);
+    var spec = ledger.with(member, after).toSpec();
+    if (ledger.version() == 0) {
+      writer.create(Kinds.SHARES, shard, spec);
+    } else {
+      writer.update(Kinds.SHARES, shard, ledger.version(), spec);
+    }
+    if (after.fraction(planner.domain()) > before.fraction(planner.domain())) {
+      takenAtNanos.put(member, nowNanos);
+    }
+  }
+
+  private record Gift(String member, String giver, int ppm) {}
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/SharePlanner.java
@@ -0,0 +1,63 @@
+package org.sedgeroad.limit;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Decides the next step of a failure domain in the transfer of one member's shares.
+ *
+ * <p>A failure domain that is refused units says what it wants; one with units to spare gives; the
+ * first takes once the giver's instances have all applied the gift. The gap between wanting (units
+ * refused) and giving (below half in use) keeps shares from moving back and forth.
+ *
+ * @param domain own failure domain
+ * @param domains number of failure domains
+ */
+record SharePlanner(String domain, int domains) {
+  private static final int HALF_PPM = LimitValues.MILLION / 2;
+  private static final int LEAST_STEP_PPM = 10_000;
+  private static final int KEPT_PART = 10;
+
+  /**
+   * Returns the member's fractions after the next step, empty if there is nothing to do.
+   *
+   * @param now fractions as in the ledger
+   * @param demand own demand since the last step
+   * @param mayGive false for some time after a taking
+   * @param isApplied whether all instances of a giver have applied what it has freed
+   */
+  Optional<MemberShares> next(
+      MemberShares now, Demand demand, boolean mayGive, Predicate<String> isApplied) {
+    int step =
+        Math.min(
+            Math.max(LEAST_STEP_PPM, now.fraction(domain) / 2),
+            LimitValues.MILLION - now.fraction(domain));
+    if (demand.refused()) {
+      for (String giver : now.freed().keySet()) {
+        if (giver.equals(domain) || isApplied.test(giver)) {
+          int taken = Math.min(step, now.freedBy(giver));
+          return Optional.of(now.withTaken(domain, giver, taken).withWanted(domain, 0));
+        }
+      }
+      boolean waits = step == 0 || now.wanted().containsKey(domain);
+      return waits ? Optional.empty() : Optional.of(now.withWanted(domain, step));
+    }
+    if (now.wanted().containsKey(domain)) {
+      return Optional.of(now.withWanted(domain, 0));
+    }
+    int wanted = now.wanted().values().stream().mapToInt(Integer::intValue).sum();
+    if (wanted == 0) {
+      int own = now.freedBy(domain);
+      return own > 0 ? Optional.of(now.withTaken(domain, domain, own)) : Optional.empty();
+    }
+    int open = wanted - now.freed().values().stream().mapToInt(Integer::intValue).sum();
+    if (!mayGive || demand.usedPpm() >= HALF_PPM || open <= 0) {
+      return Optional.empty();
+    }
+    int kept = LimitValues.MILLION / domains / KEPT_PART;
+    long unused =
+        now.fraction(domain) * (LimitValues.MILLION - demand.usedPpm()) / LimitValues.MILLION;
+    long given = Math.min(Math.min(open, unused / 2), now.fraction(domain) - kept);
+    return given <= 0 ? Optional.empty() : Optional.of(now.withGiven(domain, (int) given));
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/Shares.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/Shares.java
@@ -37,7 +37,12 @@
   /** Returns the name of the ledger object that holds a member. */
   public static String shardOf(String member) {
     long hash = Hashing.komihash5_0().hashCharsToLong(member);
-    return "shard-" + Long.remainderUnsigned(hash, SHARDS);
+    return nameOf((int) Long.remainderUnsigned(hash, SHARDS));
+  }
+
+  /** Returns the name of a ledger object, 0 to {@link #SHARDS} - 1. */
+  static String nameOf(int shard) {
+    return "shard-" + shard;
   }
 
   /** Reads a ledger from its content. */
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/TokenBucket.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/TokenBucket.java
@@ -17,10 +17,14 @@
   private long refilledAtNanos;
   private long lastRate;
   private long savingMicro;
+  private long takenMicro;
+  private long measuredAtNanos;
+  private boolean refused;
   private long savingUntilNanos;
 
   private TokenBucket(long nowNanos) {
     this.refilledAtNanos = nowNanos;
+    this.measuredAtNanos = nowNanos;
   }
 
   /** Returns an empty bucket. */
@@ -39,6 +43,7 @@
     long wanted = Math.multiplyExact(units, MICRO);
     refill(microRate, nowNanos);
     if (wanted > balanceMicro) {
+      refused = true;
       if (wanted <= largest(microRate)) {
         savingMicro = Math.max(savingMicro, wanted);
         savingUntilNanos = nowNanos + LARGEST_SAVING_SECONDS * NANOS_PER_SECOND;
@@ -46,6 +51,7 @@
       return false;
     }
     balanceMicro -= wanted;
+    takenMicro += wanted;
     if (wanted >= savingMicro) {
       savingMicro = 0;
     }
@@ -62,6 +68,17 @@
     return Math.min(LARGEST_SAVING_SECONDS * 1000, missing / Math.max(1, microRate / 1000) + 1);
   }
 
+  /** Returns the demand since the last call. */
+  Demand takeDemand(long nowNanos) {
+    double seconds = (nowNanos - measuredAtNanos) / (double) NANOS_PER_SECOND;
+    double allowed = Math.max(1, lastRate * seconds);
+    Demand demand = new Demand((long) (takenMicro / allowed * LimitValues.MILLION), refused);
+    takenMicro = 0;
+    refused = false;
+    measuredAtNanos = nowNanos;
+    return demand;
+  }
+
   /** Returns whole units held at the last call. */
   long units() {
     return balanceMicro / MICRO;
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/VotedLimits.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/VotedLimits.java
@@ -11,6 +11,10 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.peer.GrantRequest;
 import org.sedgeroad.peer.PeerNetwork;
+import org.sedgeroad.store.ObjectList;
+import org.sedgeroad.store.ObjectStore;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoreWriter;
 import org.sedgeroad.store.StoredObject;
 
 /** The parts of one instance that keep its members within the voted limits. Thread-safe. */
@@ -20,6 +24,7 @@
   private final DomainRecords records = new DomainRecords();
   private final LeaseTable leases;
   private final MonotonicClock clock;
+  private final String domain;
   private final List<String> domains;
   private final HomeRoster roster;
   private final GrantingHome home;
@@ -52,6 +57,7 @@
       MonotonicClock clock) {
     this.leases = leases;
     this.clock = clock;
+    this.domain = domain;
     this.domains = domains.isEmpty() ? List.of(domain) : List.copyOf(domains);
     this.roster = HomeRoster.of(holder, leases, leaseMillis, appliedVersion);
     this.home =
@@ -74,6 +80,17 @@
     return gate;
   }
 
+  /** Returns a coordinator that moves shares to and from this failure domain. */
+  public ShareCoordinator coordinator(StoreWriter writer) {
+    return new ShareCoordinator(writer, home, this::ledger, records::all, domain, domains);
+  }
+
+  /** Returns a service for votes; it reads the lease objects from the writer's store. */
+  public VoteService votes(StoreWriter writer) {
+    return new VoteService(
+        writer, () -> readRecords(writer.store()), this::sharesOf, domains, clock);
+  }
+
   /** Returns the roster that chooses the homes of the failure domain. */
   public HomeRoster roster() {
     return roster;
@@ -92,7 +109,19 @@
 
   /** Returns the fractions of a member. */
   public MemberShares sharesOf(String member) {
-    return shares.getOrDefault(Shares.shardOf(member), Shares.none()).of(member, domains);
+    return ledger(Shares.shardOf(member)).of(member, domains);
+  }
+
+  private Shares ledger(String shard) {
+    return shares.getOrDefault(shard, Shares.none());
+  }
+
+  private Optional<Map<String, DomainRecord>> readRecords(ObjectStore store) {
+    return store.list(Kinds.LEASES, "") instanceof StoreResult.Done<ObjectList> done
+        ? Optional.of(
+            DomainRecords.read(
+                done.value().objects(), holder -> leases.isExpired(holder, clock.nanos())))
+        : Optional.empty();
   }
 
   /**
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/limit/GrantedLimitGateTest.java
@@ -0,0 +1,155 @@
+package org.sedgeroad.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.ServiceClass;
+import org.sedgeroad.peer.Grant;
+import org.sedgeroad.peer.GrantRequest;
+import org.sedgeroad.peer.LonePeerNetwork;
+
+class GrantedLimitGateTest {
+  private static final long SECOND = 1_000_000_000L;
+
+  private final AtomicLong now = new AtomicLong(5 * SECOND);
+  private final AtomicLong generation = new AtomicLong();
+  private final HomeView homes =
+      new HomeView() {
+        @Override
+        public String homeOf(String member) {
+          return "home";
+        }
+
+        @Override
+        public Standing standing(String member, long nowNanos) {
+          return Standing.SHARE_AND_ISOLATED;
+        }
+
+        @Override
+        public long generation() {
+          return generation.get();
+        }
+      };
+  private final LimitValues values =
+      LimitValues.unlimited()
+          .with(LimitKind.REQUESTS_PER_SECOND, 10)
+          .with(LimitKind.TOKENS_PER_SECOND, 1_000);
+  private final GrantingHome home =
+      new GrantingHome(
+          homes,
+          member -> Optional.of(new Limits(7, values, List.of())),
+          member -> MemberShares.equalSplit(List.of("a")),
+          Map::of,
+          DomainAllowance.of("a", List.of("a")));
+
+  private GrantedLimitGate gate(LonePeerNetwork network, Optional<Limits> limits) {
+    return GrantedLimitGate.of("entry", member -> limits, homes, home, network, now::get);
+  }
+
+  private long grantAll() {
+    long sum = 0;
+    GrantRequest one = new GrantRequest("entry", "m", "requests-per-second", 1);
+    for (Grant grant = home.grant(one, now.get());
+        grant.granted() > 0;
+        grant = home.grant(one, now.get())) {
+      sum += grant.granted();
+    }
+    return sum;
+  }
+
+  @Nested
+  class AtTheGate {
+
+    /** Guards against sub-grants that are used after their second. */
+    @Test
+    void unitsEndASecondAfterTheyWereAskedFor() {
+      AtomicInteger asked = new AtomicInteger();
+      LonePeerNetwork network = LonePeerNetwork.of("home");
+      network.handle(
+          GrantRequest.class,
+          (sender, request) -> {
+            boolean granted = asked.incrementAndGet() == 1;
+            now.addAndGet(SECOND / 2);
+            return Optional.of(new Grant("m", request.limit(), granted ? 100 : 0, 1_000, 30, 7));
+          });
+      LimitValues requestsOnly = LimitValues.unlimited().with(LimitKind.REQUESTS_PER_SECOND, 10);
+      GrantedLimitGate gate = gate(network, Optional.of(new Limits(7, requestsOnly, List.of())));
+      assertTrue(asked.get() == 0);
+      var first = gate.admit("m", ServiceClass.LIVE, 5);
+      assertInstanceOf(Admission.Admitted.class, first);
+      now.addAndGet(SECOND / 2);
+      assertInstanceOf(Admission.OverLimit.class, gate.admit("m", ServiceClass.LIVE, 5));
+      assertEquals(2, asked.get());
+    }
+
+    /** Guards against a refusal, or a busy loop, for a member that voted no limit. */
+    @Test
+    void memberWithoutLimitsIsAdmitted() {
+      GrantedLimitGate gate = gate(LonePeerNetwork.of("entry"), Optional.empty());
+      assertInstanceOf(Admission.Admitted.class, gate.admit("m", ServiceClass.LIVE, 1 << 30));
+    }
+
+    /** Guards against admission without a grant when the home can't be reached. */
+    @Test
+    void unreachableHomeRefuses() {
+      GrantedLimitGate gate =
+          gate(LonePeerNetwork.of("entry"), Optional.of(new Limits(7, values, List.of())));
+      assertInstanceOf(Admission.OverLimit.class, gate.admit("m", ServiceClass.LIVE, 5));
+    }
+  }
+
+  @Nested
+  class AtTheHome {
+
+    /** Guards against a bucket that grants more than its rate and one second's worth. */
+    @Test
+    void grantsTheRateAndOneSecondsWorth() {
+      assertEquals(0, grantAll());
+      now.addAndGet(30 * SECOND);
+      assertEquals(10, grantAll());
+      long sum = 0;
+      for (int i = 0; i < 1_000; i++) {
+        now.addAndGet(SECOND / 100);
+        sum += grantAll();
+      }
+      assertEquals(100, sum);
+    }
+
+    /** Guards against a balance that was saved before another instance was the home. */
+    @Test
+    void changeOfHomeVoidsTheBalance() {
+      grantAll();
+      now.addAndGet(30 * SECOND);
+      generation.incrementAndGet();
+      assertEquals(0, grantAll());
+    }
+
+    /** Guards against a raised rate that counts for the time before it was raised. */
+    @Test
+    void raisedRateCountsFromNowOn() {
+      TokenBucket bucket = TokenBucket.emptyAt(0);
+      bucket.tryTake(1, 1_000_000, 0);
+      assertTrue(bucket.tryTake(1, 50_000_000, SECOND));
+      assertEquals(0, bucket.units());
+    }
+
+    /** Guards against a request of more than a second's worth that is never granted. */
+    @Test
+    void largeRequestIsSavedFor() {
+      GrantRequest large = new GrantRequest("entry", "m", "tokens-per-second", 5_000);
+      assertEquals(0, home.grant(large, now.get()).granted());
+      now.addAndGet(4 * SECOND);
+      assertEquals(0, home.grant(large, now.get()).granted());
+      now.addAndGet(2 * SECOND);
+      assertEquals(5_000, home.grant(large, now.get()).granted());
+    }
+  }
+}
