--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -32,6 +32,7 @@
 import org.sedgeroad.job.JobRunnerParts;
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.limit.ShareCoordinator;
 import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.CrashReports;
@@ -77,6 +78,7 @@
   private final PrefixHints prefixHints = new PrefixHints(clock);
   private final LeaseTable leases;
   private final VotedLimits limits;
+  private final ShareCoordinator shareCoordinator;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final ExecutorService storeWorkers =
       new ThreadPoolExecutor(
@@ -131,6 +133,7 @@
             kind -> relay.versions().getOrDefault(kind, 0L),
             peers.network(),
             clock);
+    this.shareCoordinator = limits.coordinator(writer);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
@@ -270,6 +273,11 @@
     exchange.start();
     peers.start();
     relay.start(peers.isAlone());
+    timer.scheduleWithFixedDelay(
+        quietly(() -> shareCoordinator.step(clock.nanos())),
+        ShareCoordinator.STEP_MILLIS,
+        ShareCoordinator.STEP_MILLIS,
+        TimeUnit.MILLISECONDS);
     runner.start();
     server.start();
     administration.start();
