--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -52,6 +52,7 @@
 import org.sedgeroad.store.HttpObjectStore;
 import org.sedgeroad.store.ObjectStore;
 import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
 
 /** One entry instance: wires all parts, owns the threads, starts and stops them in order. */
 public final class EntryInstance implements AutoCloseable {
@@ -170,15 +171,17 @@
         this::isReady,
         () -> membership.liveInstances().size(),
         activeRequests::get);
-    replica.addListener(
-        object -> {
-          if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
-            Model model = Model.fromSpec(object.name(), object.spec());
-            endpoints.setSlots(model.service(), model.slots());
-          } else if (object.kind().equals(Kinds.JOBS)) {
-            wakeRunner();
-          }
-        });
+    replica.addListener(this::apply);
+  }
+
+  /** Takes a changed object of the configuration. */
+  private void apply(StoredObject object) {
+    if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
+      Model model = Model.fromSpec(object.name(), object.spec());
+      endpoints.setSlots(model.service(), model.slots());
+    } else if (object.kind().equals(Kinds.JOBS)) {
+      wakeRunner();
+    }
   }
 
   private JobRunner createRunner(StoreWriter writer, MembershipView membership) {
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -432,6 +432,16 @@
         endpoint.endpoint.region().equals(region));
   }
 
+  private void changeAt(String name, URI address, Consumer<EndpointRecord> change) {
+    change(
+        name,
+        endpoint -> {
+          if (isAt(address).test(endpoint)) {
+            change.accept(endpoint);
+          }
+        });
+  }
+
   private static Predicate<EndpointRecord> isAt(URI address) {
     return endpoint -> endpoint.endpoint.address().equals(address);
   }
