--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -59,6 +59,10 @@
   private static final long INSTANCE_LIST_MILLIS = 500;
   private static final int RENEWALS_PER_LEASE = 4;
   private static final int STORE_THREADS = 8;
+
+  /** Part of a planned stop that follows the release of batch work. */
+  private static final long RELEASE_MARGIN_MILLIS = 1_500;
+
   private static final int UPLOAD_THREADS = 16;
 
   private final Settings settings;
@@ -171,16 +175,13 @@
         this::isReady,
         () -> membership.liveInstances().size(),
         activeRequests::get);
-    replica.addListener(this::apply);
+    replica.addListener(this::applyModel);
   }
 
-  /** Takes a changed object of the configuration. */
-  private void apply(StoredObject object) {
+  private void applyModel(StoredObject object) {
     if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
       Model model = Model.fromSpec(object.name(), object.spec());
       endpoints.setSlots(model.service(), model.slots());
-    } else if (object.kind().equals(Kinds.JOBS)) {
-      wakeRunner();
     }
   }
 
@@ -293,12 +294,13 @@
   public void close() {
     stopping = true;
     log.log(LogEvent.INSTANCE_STOPPING);
+    long released = clock.deadlineAfterMillis(settings.stopTimeoutMillis() - RELEASE_MARGIN_MILLIS);
     new StopSequence(clock, log)
         .run(
             requests,
             settings.stopNoticeMillis(),
             settings.stopTimeoutMillis(),
-            runner::close,
+            () -> runner.stop(released),
             peers::leave);
     server.stop();
     administration.close();
@@ -315,12 +317,6 @@
 
   // -----------------------------------------------------------------------
 
-  private void wakeRunner() {
-    if (runner != null) {
-      runner.wake();
-    }
-  }
-
   private Runnable quietly(Runnable task) {
     return () -> {
       try {
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/Settings.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/Settings.java
@@ -23,6 +23,9 @@
  * @param routing name of the routing policy
  * @param batch name of the batch policy
  * @param hedging name of the hedging policy
+ * @param spill name of the spill policy
+ * @param linkBytesPerSecond capacity of each link to another region, in bytes per second each way,
+ *     shared by all instances of this region
  * @param ioThreads number of I/O threads
  * @param workerThreads number of worker threads; bounds the live requests served at once
  * @param maximumBodyBytes largest body of a live request, in bytes
@@ -47,6 +50,8 @@
     String routing,
     String batch,
     String hedging,
+    String spill,
+    long linkBytesPerSecond,
     int ioThreads,
     int workerThreads,
     long maximumBodyBytes,
