--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ProcessorTime.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ProcessorTime.java
@@ -11,6 +11,10 @@
   private static final double TICKS_PER_SECOND = 100;
 
   private static final int USER_FIELD = 11;
+
+  /** User and system time of the process, then of its children. */
+  private static final int OWN_FIELDS = 4;
+
   private static final int IDLE_FIELD = 4;
   private static final int IO_WAIT_FIELD = 5;
 
@@ -28,6 +32,12 @@
       long all = later.total - total;
       return all == 0 ? 0 : (double) (later.busy - busy) / all;
     }
+
+    /** Returns the part of the machine that some seconds of one processor are, from 0 to 1. */
+    double part(Machine later, double seconds) {
+      long all = later.total - total;
+      return all == 0 ? 0 : seconds * TICKS_PER_SECOND / all;
+    }
   }
 
   /** Reads the processor time of the machine. */
@@ -50,6 +60,17 @@
     return ticks / TICKS_PER_SECOND;
   }
 
+  /** Returns the seconds of processor time of this process and of its children that have ended. */
+  static double ownSeconds() {
+    String text = read(Path.of("/proc/self/stat"));
+    String[] fields = text.substring(text.lastIndexOf(')') + 2).split(" ");
+    long ticks = 0;
+    for (int field = USER_FIELD; field < USER_FIELD + OWN_FIELDS; field++) {
+      ticks += Long.parseLong(fields[field]);
+    }
+    return ticks / TICKS_PER_SECOND;
+  }
+
   private static String read(Path file) {
     try {
       return Files.readString(file);
