--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
@@ -1,6 +1,6 @@
 package org.sedgeroad.job;
 
-import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executor;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.engine.EngineClient;
@@ -26,6 +26,7 @@
  * @param workers pool for store calls
  * @param log event log
  * @param itemTimeoutMillis longest run of one item in milliseconds
+ * @param commits receives the results of items that have ended
  */
 public record JobRunnerParts(
     String instance,
@@ -37,6 +38,7 @@
     MembershipView membership,
     LeaseTable leases,
     MonotonicClock clock,
-    ExecutorService workers,
+    Executor workers,
     EventLog log,
-    long itemTimeoutMillis) {}
+    long itemTimeoutMillis,
+    CommitListener commits) {}
--- a/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LiveFixture.java
@@ -1,6 +1,10 @@
 package org.sedgeroad.live;
 
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -11,15 +15,21 @@
 import org.sedgeroad.ServiceClass;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.limit.Admission;
+import org.sedgeroad.peer.PeerMessage;
+import org.sedgeroad.route.CrashSuspicion;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.route.EndpointView;
+import org.sedgeroad.route.HedgePolicies;
+import org.sedgeroad.route.HedgePolicy;
 import org.sedgeroad.route.Placement;
+import org.sedgeroad.route.PrefixHints;
 import org.sedgeroad.route.RequestShape;
 import org.sedgeroad.route.RoutingPolicies;
 import org.sedgeroad.store.StoreWriter;
 
 /** A live service with endpoints {@code e0}, {@code e1}, … and one request. */
 final class LiveFixture {
+  final List<PeerMessage> told = new ArrayList<>();
   final LiveCall call = new LiveCall();
   PlacementListener placements =
       new PlacementListener() {
@@ -29,6 +39,17 @@
         @Override
         public void ended(Placement placement) {}
       };
+  final CrashReports crashes =
+      new CrashReports(
+          "entry",
+          new CrashSuspicion(InstantSource.system()),
+          () -> List.of("entry", "peer"),
+          (peer, message) -> told.add(message),
+          null,
+          MonotonicClock.SYSTEM,
+          EventLog.of("test"));
+  HedgePolicy hedging = HedgePolicies.named("none");
+  private final PrefixHints hints = new PrefixHints(MonotonicClock.SYSTEM);
   final EndpointTable endpoints = EndpointTable.of("r", MonotonicClock.SYSTEM);
   private boolean idempotent = true;
   private boolean deterministic;
@@ -84,7 +105,10 @@
         new LiveServiceParts(
             endpoints,
             placements,
-            RoutingPolicies.named("least-cost"),
+            RoutingPolicies.named("least-cost", endpoints.costs(), hints),
+            hints,
+            hedging,
+            crashes,
             engine,
             (member, serviceClass, tokens) -> new Admission.Admitted(),
             ClaimBook.of(StoreWriter.of(null, "test")),
@@ -99,7 +123,7 @@
         "POST",
         "/v1/completions",
         Map.of(),
-        new byte[0],
+        "{\"stream\":true}".getBytes(StandardCharsets.UTF_8),
         "",
         deterministic,
         MonotonicClock.SYSTEM.deadlineAfterMillis(deadlineMillis),
