Read cache events into the prefix hints, test quarantines against the store

Cause: hints came from own placements only, and the way of a quarantine to peers and the store had not run.

Change: CacheEventReader asks one endpoint with hints each 500 ms and takes jumps in the sequence as gaps; it runs only under least-cost-affinity. A store that is down is asked for a quarantine every 2 s.

CrashReportsTest shows a quarantine that survives an outage of the store, reaches a peer and a second instance, and is lifted by a deletion. The reader has no test yet.

--- /dev/null
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/live/CrashReportsTest.java
@@ -0,0 +1,106 @@
+package org.sedgeroad.testing.live;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.net.URI;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.ServiceClass;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.live.CrashReports;
+import org.sedgeroad.peer.EndpointLost;
+import org.sedgeroad.peer.PeerMessage;
+import org.sedgeroad.peer.QuarantineNews;
+import org.sedgeroad.route.CrashSuspicion;
+import org.sedgeroad.route.CrashVerdict;
+import org.sedgeroad.route.Placement;
+import org.sedgeroad.route.RequestShape;
+import org.sedgeroad.store.HttpObjectStore;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.testing.TestClient;
+import org.sedgeroad.testing.platform.OutageMode;
+import org.sedgeroad.testing.platform.PlatformStandIn;
+
+class CrashReportsTest {
+  private final PlatformStandIn platform = PlatformStandIn.start();
+  private final TestClient client = new TestClient(platform.address());
+  private final HttpObjectStore store =
+      HttpObjectStore.of(platform.address(), client.caller(), 300);
+  private final List<PeerMessage> told = new ArrayList<>();
+  private long nanos = 1;
+  private final CrashReports here = reports("a");
+  private final CrashReports there = reports("b");
+
+  private CrashReports reports(String name) {
+    MonotonicClock clock = () -> nanos;
+    return new CrashReports(
+        name,
+        new CrashSuspicion(InstantSource.system()),
+        () -> List.of("a", "b"),
+        (peer, message) -> told.add(message),
+        StoreWriter.of(store, name),
+        clock,
+        EventLog.of(name));
+  }
+
+  private void lose(String endpoint) {
+    RequestShape shape =
+        new RequestShape("s", "m", ServiceClass.LIVE, 1, 1, 0, "f", true, Set.of());
+    Placement placement =
+        new Placement(endpoint, URI.create("http://127.0.0.1:1"), 1, shape, false, nanos);
+    here.suspicion().begin(placement, nanos);
+    here.suspicion().end(placement, true, nanos);
+    here.endpointLost(placement);
+    nanos += 400_000_000L;
+  }
+
+  private static CrashVerdict verdict(CrashReports reports, long nanos) {
+    return reports.suspicion().verdict("f", nanos);
+  }
+
+  @AfterEach
+  void close() {
+    client.close();
+    platform.close();
+  }
+
+  @Nested
+  class Quarantines {
+    /** Guards against a quarantine that is lost in an outage of the store, or can't be lifted. */
+    @Test
+    void reachPeersAndTheStoreAndCanBeLifted() {
+      lose("e1");
+      lose("e2");
+      assertEquals(CrashVerdict.QUARANTINED, verdict(here, nanos));
+      platform.setOutage(OutageMode.UNAVAILABLE, false);
+      here.publish();
+      assertEquals(2, told.stream().filter(EndpointLost.class::isInstance).count());
+      there.receive((QuarantineNews) told.get(2));
+      assertEquals(CrashVerdict.QUARANTINED, verdict(there, nanos));
+      platform.setOutage(OutageMode.NONE, false);
+      nanos += 2_000_000_000L;
+      here.publish();
+      StoredObject object =
+          ((StoreResult.Done<StoredObject>)
+                  assertInstanceOf(StoreResult.Done.class, store.get(Kinds.QUARANTINES, "f")))
+              .value();
+      CrashReports elsewhere = reports("c");
+      elsewhere.apply(object);
+      assertEquals(CrashVerdict.QUARANTINED, verdict(elsewhere, nanos));
+      for (CrashReports each : List.of(here, there, elsewhere)) {
+        each.apply(new StoredObject(Kinds.QUARANTINES, "f", object.version() + 1, null));
+        assertEquals(CrashVerdict.CLEAR, verdict(each, nanos));
+      }
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -31,6 +31,7 @@
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.limit.Admission;
+import org.sedgeroad.live.CacheEventReader;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.CrashReports;
 import org.sedgeroad.live.LivePressureExchange;
@@ -215,6 +216,10 @@
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
     timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
+    if (settings.routing().equals("least-cost-affinity")) {
+      CacheEventReader events = new CacheEventReader(caller, endpoints, prefixHints, clock);
+      timer.scheduleWithFixedDelay(quietly(events::readNext), 500, 500, TimeUnit.MILLISECONDS);
+    }
     watcher.start();
     runner.start();
     server.start();
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/CacheEventReader.java
@@ -0,0 +1,88 @@
+package org.sedgeroad.live;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sedgeroad.Endpoint;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.HttpResult;
+import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.PrefixHints;
+
+/**
+ * Reads the engines' cache events into the prefix hints, one endpoint at each call. Used by one
+ * thread.
+ */
+public final class CacheEventReader {
+  private static final long TIMEOUT_MILLIS = 500;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final HttpCaller caller;
+  private final EndpointTable endpoints;
+  private final PrefixHints hints;
+  private final MonotonicClock clock;
+  private final Map<URI, Long> readUpTo = new HashMap<>();
+  private int turn;
+
+  /** Creates a reader; the caller is not closed. */
+  public CacheEventReader(
+      HttpCaller caller, EndpointTable endpoints, PrefixHints hints, MonotonicClock clock) {
+    this.caller = caller;
+    this.endpoints = endpoints;
+    this.hints = hints;
+    this.clock = clock;
+  }
+
+  /** Reads the new events of the next endpoint that has hints; blocks for at most 500 ms. */
+  public void readNext() {
+    List<Endpoint> known = endpoints.endpoints();
+    readUpTo.keySet().retainAll(known.stream().map(Endpoint::address).toList());
+    List<Endpoint> hinted =
+        known.stream().filter(endpoint -> hints.hasHints(endpoint.name())).toList();
+    if (!hinted.isEmpty()) {
+      turn = (turn + 1) % hinted.size();
+      read(hinted.get(turn));
+    }
+  }
+
+  private void read(Endpoint endpoint) {
+    long since = readUpTo.getOrDefault(endpoint.address(), 0L);
+    URI uri = endpoint.address().resolve("/cache-events?since=" + since);
+    HttpResult result = caller.send(HttpCall.get(uri, clock.deadlineAfterMillis(TIMEOUT_MILLIS)));
+    // An engine that can't be asked keeps its hints until they are too old.
+    if (result instanceof HttpResult.Answered answered && answered.head().status() == 200) {
+      try {
+        apply(endpoint, since, mapper.readTree(answered.body()));
+      } catch (IOException invalid) {
+        hints.gap(endpoint.name());
+      }
+    }
+  }
+
+  private void apply(Endpoint endpoint, long since, JsonNode answer) {
+    long last = since;
+    for (JsonNode event : answer.path("events")) {
+      long sequence = event.path("sequence").asLong();
+      // The first answer starts wherever the engine's log does.
+      if (last > 0 && sequence != last + 1) {
+        hints.gap(endpoint.name());
+      }
+      last = Math.max(last, sequence);
+      List<String> blocks = new ArrayList<>();
+      event.path("blocks").forEach(block -> blocks.add(block.asText()));
+      if (event.path("type").asText().equals("stored")) {
+        hints.stored(endpoint.name(), event.path("request_id").asText(), blocks);
+      } else {
+        hints.evicted(endpoint.name(), blocks);
+      }
+    }
+    readUpTo.put(endpoint.address(), Math.max(last, answer.path("next").asLong()));
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/live/CrashReports.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/CrashReports.java
@@ -24,9 +24,13 @@
 
 /**
  * Tells other instances of lost endpoints and quarantines, keeps quarantines in the store, and
- * takes in what peers and the store say. Thread-safe; only {@link #publish} blocks.
+ * takes in what peers and the store say. Thread-safe; only {@link #publish}, which one thread
+ * calls, blocks.
  */
 public final class CrashReports {
+  /** A store that is down is not asked more often. */
+  private static final long RETRY_MILLIS = 2_000;
+
   private final String instance;
   private final CrashSuspicion suspicion;
   private final MembershipView membership;
@@ -35,6 +39,8 @@
   private final MonotonicClock clock;
   private final EventLog log;
   private final Map<String, Instant> toStore = new ConcurrentHashMap<>();
+  private boolean waiting;
+  private long retryNanos;
 
   /**
    * Creates an object.
@@ -124,7 +130,11 @@
               tellPeers(new QuarantineNews(fingerprint, deadline.toEpochMilli()));
               toStore.put(fingerprint, deadline);
             });
-    toStore.entrySet().removeIf(entry -> store(entry.getKey(), entry.getValue()));
+    if (!toStore.isEmpty() && (!waiting || clock.hasPassed(retryNanos))) {
+      toStore.entrySet().removeIf(entry -> store(entry.getKey(), entry.getValue()));
+      waiting = !toStore.isEmpty();
+      retryNanos = clock.deadlineAfterMillis(RETRY_MILLIS);
+    }
   }
 
   /** Writes a quarantine; returns false if it must be tried again. */
--- a/sedgeroad/src/main/java/org/sedgeroad/route/PrefixHints.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/PrefixHints.java
@@ -4,9 +4,11 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.sedgeroad.MonotonicClock;
 
 /**
@@ -36,6 +38,7 @@
   /** For each endpoint the prefixes by their first blocks. */
   private final Map<String, Map<String, Long>> blocksByEndpoint = new HashMap<>();
 
+  private final Set<String> hinted = new HashSet<>();
   private final Map<String, Long> runs = bounded(RUNS);
   private final MonotonicClock clock;
 
@@ -68,6 +71,11 @@
     return names;
   }
 
+  /** Returns whether there is any hint on an endpoint, be it an old one. */
+  public synchronized boolean hasHints(String endpoint) {
+    return hinted.contains(endpoint);
+  }
+
   /** Notes that a run with a prefix was sent to an endpoint. */
   public synchronized void placed(String runId, long prefix, String endpoint) {
     if (prefix == 0) {
@@ -111,6 +119,7 @@
   /** Drops all hints of an endpoint, whose cache is gone. */
   public synchronized void forget(String endpoint) {
     blocksByEndpoint.remove(endpoint);
+    hinted.remove(endpoint);
     prefixes.values().forEach(hints -> hints.remove(endpoint));
   }
 
@@ -121,5 +130,6 @@
       hints.remove(hints.keySet().iterator().next());
     }
     hints.put(endpoint, clock.nanos() + KEPT_NANOS);
+    hinted.add(endpoint);
   }
 }
