--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/RemoteOptions.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/RemoteOptions.java
@@ -11,10 +11,7 @@
 abstract class RemoteOptions extends Subcommand {
   private static final String TOKEN_FILE_VARIABLE = "SEDGEROAD_TOKEN_FILE";
 
-  @Option(
-      name = "--at",
-      metaVar = "URL",
-      usage = "address of an instance's [listen] operators, default http://127.0.0.1:8081")
+  @Option(name = "--at", metaVar = "URL", usage = "address of an instance's [listen] operators")
   private URI address = URI.create("http://127.0.0.1:8081");
 
   @Option(
@@ -27,19 +24,25 @@
     return address;
   }
 
-  /** Returns a client, empty after printing why there is none. */
+  /** Returns a client of the address given, empty after printing why there is none. */
   final Optional<AdministrationClient> connect() {
-    if (address.getScheme() == null || address.getHost() == null) {
-      System.err.println("--at: expected http://IP:PORT, found '" + address + "'");
+    return connect(address);
+  }
+
+  /** Returns a client of an address, empty after printing why there is none. */
+  final Optional<AdministrationClient> connect(URI to) {
+    LogSetup.quietLibraries();
+    if (to.getScheme() == null || to.getHost() == null) {
+      System.err.println("expected an address http://IP:PORT, found '" + to + "'");
       return Optional.empty();
     }
     String variable = System.getenv(TOKEN_FILE_VARIABLE);
     Path file = tokenFile != null || variable == null ? tokenFile : Path.of(variable);
     if (file == null) {
-      return Optional.of(new AdministrationClient(address, ""));
+      return Optional.of(new AdministrationClient(to, ""));
     }
     try {
-      return Optional.of(new AdministrationClient(address, Files.readString(file).strip()));
+      return Optional.of(new AdministrationClient(to, Files.readString(file).strip()));
     } catch (IOException failure) {
       System.err.println("cannot read the token file " + file + ": " + failure);
       return Optional.empty();
--- a/sedgeroad/src/main/java/org/sedgeroad/api/LiveHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/LiveHandler.java
@@ -22,6 +22,7 @@
 import org.sedgeroad.live.LiveFailure;
 import org.sedgeroad.live.LiveRequest;
 import org.sedgeroad.live.LiveService;
+import org.sedgeroad.metric.RequestObserver;
 import org.sedgeroad.route.RequestShape;
 
 /** Turns callers' requests into live requests and serves them. Runs on worker threads. */
@@ -36,13 +37,19 @@
   private final LiveService service;
   private final MonotonicClock clock;
   private final long timeoutMillis;
+  private final RequestObserver observer;
 
   LiveHandler(
-      ConfigurationReplica replica, LiveService service, MonotonicClock clock, long timeoutMillis) {
+      ConfigurationReplica replica,
+      LiveService service,
+      MonotonicClock clock,
+      long timeoutMillis,
+      RequestObserver observer) {
     this.replica = replica;
     this.service = service;
     this.clock = clock;
     this.timeoutMillis = timeoutMillis;
+    this.observer = observer;
   }
 
   /** Serves a completion. */
@@ -129,10 +136,12 @@
     LiveCall call = new LiveCall();
     CallerWatch watch = CallerWatch.of(exchange.getConnection());
     watch.begin(call);
+    ObservedSink sink = new ObservedSink(new ExchangeSink(exchange), clock);
     try {
-      service.serve(request, call, new ExchangeSink(exchange));
+      service.serve(request, call, sink);
     } finally {
       watch.end();
+      observer.ended(sink.toCompleted(shape.member()));
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -2,9 +2,8 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import java.time.Duration;
+import java.time.Clock;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -17,6 +16,9 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.api.Observation;
+import org.sedgeroad.api.StopHandler;
+import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
@@ -30,13 +32,15 @@
 import org.sedgeroad.job.JobRunnerParts;
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.lease.LeaseTable;
-import org.sedgeroad.limit.Admission;
+import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.CacheEventReader;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.CrashReports;
 import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
+import org.sedgeroad.metric.Metrics;
+import org.sedgeroad.metric.RequestObserver;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicies;
 import org.sedgeroad.route.CrashSuspicion;
@@ -44,6 +48,7 @@
 import org.sedgeroad.route.HedgePolicies;
 import org.sedgeroad.route.PrefixHints;
 import org.sedgeroad.route.RoutingPolicies;
+import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.HttpObjectStore;
 import org.sedgeroad.store.ObjectStore;
@@ -59,12 +64,15 @@
   private final Settings settings;
   private final EventLog log;
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
+  private final Metrics metrics = new Metrics();
+  private final BurnRecords burn;
   private final HttpCaller caller;
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
   private final PrefixHints prefixHints = new PrefixHints(clock);
   private final LeaseTable leases;
+  private final VotedLimits limits;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final ExecutorService storeWorkers =
       new ThreadPoolExecutor(
@@ -73,12 +81,15 @@
   private final ThreadPoolExecutor uploadWorkers =
       new ThreadPoolExecutor(0, UPLOAD_THREADS, 30, TimeUnit.SECONDS, new SynchronousQueue<>());
   private final AtomicInteger activeRequests = new AtomicInteger();
-  private final ConfigurationWatcher watcher;
+  private final ConfigurationRelay relay;
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
+  private final PeerGroup peers;
   private final JobRunner runner;
   private final LivePressureExchange livePressure;
   private final CrashReports crashes;
+  private final PeerExchange exchange;
+  private final StopHandler requests;
   private final Undertow server;
   private final AdministrationListener administration;
   private final DrainFollower drains;
@@ -88,8 +99,11 @@
   public EntryInstance(Settings settings) {
     this.settings = settings;
     this.log = EventLog.of(settings.instance());
+    this.burn = new BurnRecords(settings.instance(), clock, Clock.systemUTC());
     this.caller = HttpCaller.create(settings.ioThreads());
-    this.store = HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis());
+    this.store =
+        metrics.measure(
+            HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis()));
     this.endpoints = EndpointTable.of(settings.region(), clock);
     this.leases = LeaseTable.ofMillis(settings.leaseMillis());
     this.workers =
@@ -98,9 +112,22 @@
     // The name differs after each restart, so that a new run never counts as the old holder.
     String holder = settings.instance() + "#" + UUID.randomUUID().toString().substring(0, 8);
     StoreWriter writer = StoreWriter.of(store, holder);
-    MembershipView membership = () -> List.of(settings.instance());
-    this.watcher = new ConfigurationWatcher(store, replica, timer, log);
-    this.leaseKeeper = new LeaseKeeper(writer, leases, settings.domain(), clock, log);
+    this.peers = PeerGroup.of(settings, clock, log);
+    MembershipView membership = peers.membership();
+    this.relay = peers.createRelay(store, replica);
+    this.limits =
+        new VotedLimits(
+            settings.instance(),
+            holder,
+            settings.domain(),
+            settings.domains().stream().map(DomainSetting::domain).toList(),
+            settings.leaseMillis(),
+            leases,
+            replica,
+            kind -> relay.versions().getOrDefault(kind, 0L),
+            peers.network(),
+            clock);
+    this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
             settings.instanceListAddress(),
@@ -116,23 +143,26 @@
             settings.domain(),
             endpoints,
             membership,
-            (peer, message) -> {},
+            peers.network()::send,
             runner::wake,
             System.currentTimeMillis());
-    this.crashes =
-        new CrashReports(
-            settings.instance(),
-            new CrashSuspicion(InstantSource.system()),
-            membership,
-            (peer, message) -> {},
-            writer,
-            clock,
-            log);
+    this.crashes = createCrashReports(writer, membership);
     replica.addListener(crashes::apply);
-    this.server = createServer(writer);
+    crashes.listen(peers.network());
+    this.exchange = peers.createExchange(endpoints, livePressure);
+    this.requests = createHandler(writer);
+    this.server = createServer();
     this.administration =
-        Administration.create(settings, writer, replica, endpoints, membership, log);
+        Administration.create(settings, writer, replica, endpoints, membership, burn, log);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
+    InstanceGauges.register(
+        metrics,
+        replica,
+        endpoints,
+        () -> leases.isHeld(clock.nanos()),
+        this::isReady,
+        () -> membership.liveInstances().size(),
+        activeRequests::get);
     replica.addListener(
         object -> {
           if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
@@ -144,6 +174,17 @@
         });
   }
 
+  private CrashReports createCrashReports(StoreWriter writer, MembershipView membership) {
+    return new CrashReports(
+        settings.instance(),
+        new CrashSuspicion(InstantSource.system()),
+        membership,
+        peers.network()::send,
+        writer,
+        clock,
+        log);
+  }
+
   private JobRunner createRunner(StoreWriter writer, MembershipView membership) {
     return new JobRunner(
         new JobRunnerParts(
@@ -158,10 +199,14 @@
             clock,
             storeWorkers,
             log,
-            settings.requestTimeoutMillis()));
+            settings.requestTimeoutMillis(),
+            (job, results) -> {
+              metrics.committed(job, results);
+              burn.committed(job, results);
+            }));
   }
 
-  private Undertow createServer(StoreWriter writer) {
+  private StopHandler createHandler(StoreWriter writer) {
     LiveService live =
         new LiveService(
             new LiveServiceParts(
@@ -172,7 +217,7 @@
                 HedgePolicies.named(settings.hedging()),
                 crashes,
                 HttpEngineClient.of(caller),
-                (member, serviceClass, tokens) -> new Admission.Admitted(),
+                limits.gate(),
                 ClaimBook.of(writer),
                 clock,
                 new java.util.Random(),
@@ -190,7 +235,12 @@
                 clock,
                 log,
                 settings.requestTimeoutMillis(),
-                settings.maximumBodyBytes()));
+                settings.maximumBodyBytes(),
+                new Observation(RequestObserver.both(metrics, burn), metrics::toText)));
+    return new StopHandler(api);
+  }
+
+  private Undertow createServer() {
     return Undertow.builder()
         .addHttpListener(
             settings.callerAddress().getPort(), settings.callerAddress().getHostString())
@@ -199,7 +249,7 @@
         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-        .setHandler(api)
+        .setHandler(requests)
         .build();
   }
 
@@ -220,7 +270,9 @@
       CacheEventReader events = new CacheEventReader(caller, endpoints, prefixHints, clock);
       timer.scheduleWithFixedDelay(quietly(events::readNext), 500, 500, TimeUnit.MILLISECONDS);
     }
-    watcher.start();
+    exchange.start();
+    peers.start();
+    relay.start(peers.isAlone());
     runner.start();
     server.start();
     administration.start();
@@ -234,31 +286,34 @@
   public boolean isReady() {
     return !stopping
         && !drains.isDrained()
-        && watcher.isComplete()
+        && relay.isComplete()
         && !endpoints.endpoints().isEmpty();
   }
 
   /**
-   * Stops in order: not ready, wait for the balancer, finish requests, release segments, close.
-   * Takes at most the stop timeout of the settings.
+   * Stops in order: not ready, wait for the balancer, finish requests, release segments, tell the
+   * peers, close. Takes at most the stop timeout of the settings.
    */
   @Override
   public void close() {
     stopping = true;
     log.log(LogEvent.INSTANCE_STOPPING);
-    long deadline = clock.deadlineAfterMillis(settings.stopTimeoutMillis());
-    sleep(Duration.ofMillis(settings.stopNoticeMillis()));
-    while (activeRequests.get() > 0 && !clock.hasPassed(deadline)) {
-      sleep(Duration.ofMillis(20));
-    }
-    runner.close();
+    new StopSequence(clock, log)
+        .run(
+            requests,
+            settings.stopNoticeMillis(),
+            settings.stopTimeoutMillis(),
+            runner::close,
+            peers::leave);
     server.stop();
     administration.close();
-    watcher.close();
+    relay.close();
     timer.shutdownNow();
+    leaseKeeper.release();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
     uploadWorkers.shutdownNow();
+    peers.close();
     caller.close();
     log.log(LogEvent.INSTANCE_STOPPED);
   }
@@ -280,12 +335,4 @@
       }
     };
   }
-
-  private static void sleep(Duration duration) {
-    try {
-      Thread.sleep(duration.toMillis());
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/live/CrashReports.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/CrashReports.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import org.sedgeroad.MonotonicClock;
@@ -15,6 +16,7 @@
 import org.sedgeroad.peer.EndpointLost;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.peer.PeerMessage;
+import org.sedgeroad.peer.PeerNetwork;
 import org.sedgeroad.peer.QuarantineNews;
 import org.sedgeroad.route.CrashSuspicion;
 import org.sedgeroad.route.Placement;
@@ -89,6 +91,22 @@
             instance, placement.endpoint(), placement.address().toString(), fingerprints));
   }
 
+  /** Takes the reports that other instances send over a network. */
+  public void listen(PeerNetwork network) {
+    network.handle(
+        EndpointLost.class,
+        (sender, report) -> {
+          receive(report);
+          return Optional.empty();
+        });
+    network.handle(
+        QuarantineNews.class,
+        (sender, news) -> {
+          receive(news);
+          return Optional.empty();
+        });
+  }
+
   /** Takes a peer's report. */
   public void receive(EndpointLost report) {
     suspicion.lostAt(report.endpoint(), report.address(), report.fingerprints(), clock.nanos());
