--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -53,12 +53,17 @@
 import org.sedgeroad.store.HttpObjectStore;
 import org.sedgeroad.store.ObjectStore;
 import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
 
 /** One entry instance: wires all parts, owns the threads, starts and stops them in order. */
 public final class EntryInstance implements AutoCloseable {
   private static final long INSTANCE_LIST_MILLIS = 500;
   private static final int RENEWALS_PER_LEASE = 4;
   private static final int STORE_THREADS = 8;
+
+  /** Part of a planned stop that follows the release of batch work. */
+  private static final long RELEASE_MARGIN_MILLIS = 1_500;
+
   private static final int UPLOAD_THREADS = 16;
 
   private final Settings settings;
@@ -163,15 +168,14 @@
         this::isReady,
         () -> membership.liveInstances().size(),
         activeRequests::get);
-    replica.addListener(
-        object -> {
-          if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
-            Model model = Model.fromSpec(object.name(), object.spec());
-            endpoints.setSlots(model.service(), model.slots());
-          } else if (object.kind().equals(Kinds.JOBS)) {
-            wakeRunner();
-          }
-        });
+    replica.addListener(this::applyModel);
+  }
+
+  private void applyModel(StoredObject object) {
+    if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
+      Model model = Model.fromSpec(object.name(), object.spec());
+      endpoints.setSlots(model.service(), model.slots());
+    }
   }
 
   private CrashReports createCrashReports(StoreWriter writer, MembershipView membership) {
@@ -298,12 +302,13 @@
   public void close() {
     stopping = true;
     log.log(LogEvent.INSTANCE_STOPPING);
+    long released = clock.deadlineAfterMillis(settings.stopTimeoutMillis() - RELEASE_MARGIN_MILLIS);
     new StopSequence(clock, log)
         .run(
             requests,
             settings.stopNoticeMillis(),
             settings.stopTimeoutMillis(),
-            runner::close,
+            () -> runner.stop(released),
             peers::leave);
     server.stop();
     administration.close();
@@ -320,12 +325,6 @@
 
   // -----------------------------------------------------------------------
 
-  private void wakeRunner() {
-    if (runner != null) {
-      runner.wake();
-    }
-  }
-
   private Runnable quietly(Runnable task) {
     return () -> {
       try {
--- a/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
@@ -16,11 +16,15 @@
   private static final long NEVER_SEEN = -1;
   private static final long REMOVED = -2;
 
+  /** Removed holders are remembered this long, so that memory does not grow with restarts. */
+  private static final int REMOVED_LENGTHS = 10;
+
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, Sighting> sightings = new HashMap<>();
   private final long lengthNanos;
   private long validUntilNanos;
   private boolean held;
+  private long lapses;
 
   private LeaseTable(long lengthNanos) {
     this.lengthNanos = lengthNanos;
@@ -37,10 +41,16 @@
 
   // -----------------------------------------------------------------------
 
-  /** Records that a renewal, sent at the given time, took effect. */
+  /**
+   * Records that a renewal, sent at the given time, took effect. A renewal sent after the end of
+   * the lease starts a new lease; what was held under the old one may have been taken over.
+   */
   public void renewed(long sentAtNanos) {
     lock.lock();
     try {
+      if (held && sentAtNanos - validUntilNanos >= 0) {
+        lapses++;
+      }
       long until = sentAtNanos + lengthNanos;
       validUntilNanos = held && validUntilNanos - until > 0 ? validUntilNanos : until;
       held = true;
@@ -49,6 +59,16 @@
     }
   }
 
+  /** Returns how often this instance's lease has ended and begun again. */
+  public long lapses() {
+    lock.lock();
+    try {
+      return lapses;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** Returns whether this instance's lease is valid. */
   public boolean isHeld(long nowNanos) {
     lock.lock();
@@ -86,7 +106,8 @@
 
   /**
    * Records a successful reading of the counters of all failure domains. A holder that is in none
-   * of them any more has been removed, which happens only after its lease expired or ended.
+   * of them has been removed, which happens only after its lease expired or ended: a holder writes
+   * its counter before it starts any work.
    *
    * @param counters counter of each holder
    * @param readAtNanos monotonic time before the reading was sent
@@ -96,9 +117,15 @@
     lock.lock();
     try {
       observe(counters, readAtNanos, answeredAtNanos);
+      sightings
+          .values()
+          .removeIf(
+              old ->
+                  old.counter() == REMOVED
+                      && readAtNanos - old.lastSeenNanos() > REMOVED_LENGTHS * lengthNanos);
       sightings.replaceAll(
           (holder, old) ->
-              counters.containsKey(holder) || old.counter() < 0 || !old.isBefore(readAtNanos)
+              counters.containsKey(holder) || old.counter() == REMOVED || !old.isBefore(readAtNanos)
                   ? old
                   : old.asRemoved());
     } finally {
@@ -107,21 +134,17 @@
   }
 
   /**
-   * Returns whether a holder's lease must have expired. A holder that was never seen counts from
-   * this call on, so that nobody is declared expired without a full length of waiting.
+   * Returns whether a holder's lease must have expired. Only readings show this: nobody is declared
+   * expired while the lease objects can't be read.
    */
   public boolean isExpired(String holder, long nowNanos) {
     lock.lock();
     try {
       Sighting sighting =
           sightings.computeIfAbsent(holder, key -> new Sighting(NEVER_SEEN, nowNanos, nowNanos));
-      if (sighting.counter() == REMOVED) {
-        return true;
-      }
-      if (sighting.counter() == NEVER_SEEN) {
-        return nowNanos - sighting.firstSeenNanos() >= lengthNanos;
-      }
-      return sighting.lastSeenNanos() - sighting.firstSeenNanos() >= lengthNanos;
+      return sighting.counter() == REMOVED
+          || (sighting.counter() != NEVER_SEEN
+              && sighting.lastSeenNanos() - sighting.firstSeenNanos() >= lengthNanos);
     } finally {
       lock.unlock();
     }
