--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -34,6 +34,7 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.limit.ShareCoordinator;
 import org.sedgeroad.limit.VotedLimits;
+import org.sedgeroad.live.CacheEventReader;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.CrashReports;
 import org.sedgeroad.live.LivePressureExchange;
@@ -153,15 +154,7 @@
             peers.network()::send,
             runner::wake,
             System.currentTimeMillis());
-    this.crashes =
-        new CrashReports(
-            settings.instance(),
-            new CrashSuspicion(InstantSource.system()),
-            membership,
-            peers.network()::send,
-            writer,
-            clock,
-            log);
+    this.crashes = createCrashReports(writer, membership);
     replica.addListener(crashes::apply);
     crashes.listen(peers.network());
     this.exchange = peers.createExchange(endpoints, livePressure);
@@ -188,6 +181,17 @@
     }
   }
 
+  private CrashReports createCrashReports(StoreWriter writer, MembershipView membership) {
+    return new CrashReports(
+        settings.instance(),
+        new CrashSuspicion(InstantSource.system()),
+        membership,
+        peers.network()::send,
+        writer,
+        clock,
+        log);
+  }
+
   private JobRunner createRunner(StoreWriter writer, MembershipView membership) {
     return new JobRunner(
         new JobRunnerParts(
@@ -270,6 +274,10 @@
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
     timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
+    if (settings.routing().equals("least-cost-affinity")) {
+      CacheEventReader events = new CacheEventReader(caller, endpoints, prefixHints, clock);
+      timer.scheduleWithFixedDelay(quietly(events::readNext), 500, 500, TimeUnit.MILLISECONDS);
+    }
     exchange.start();
     peers.start();
     relay.start(peers.isAlone());
