--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -320,12 +320,15 @@
 
   /** Notes the first event of an answer, or that it has not come after some time. */
   public void observeFirstEvent(Placement placement, long elapsedNanos) {
-    changeAt(
-        placement.endpoint(),
-        placement.address(),
-        endpoint ->
-            endpoint.speed.firstEvent(
-                placement.request().promptTokens(), elapsedNanos, clock.nanos()));
+    lock.lock();
+    try {
+      EndpointRecord endpoint = records.get(placement.endpoint());
+      if (endpoint != null && endpoint.generation == placement.generation()) {
+        endpoint.speed.firstEvent(placement.request().promptTokens(), elapsedNanos, clock.nanos());
+      }
+    } finally {
+      lock.unlock();
+    }
   }
 
   /**
