Vote through the vote service, show versions of all instances

Cause: statements wrote limits in a form of their own, which the limits do not read, and IN FORCE and SHOW INSTANCES knew one instance only.

Change: SET LIMIT calls VoteService; a vote that lost only to a change of another limit of the member is repeated. FleetReader reads lease objects and the membership for IN FORCE, SHOW INSTANCES and the records that votes need. Kinds and values of limits come from package limit. A member cannot be named default, which stands for the limits of all others.

--- a/sedgeroad/src/main/java/org/sedgeroad/command/AppliedVersions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/AppliedVersions.java
@@ -2,10 +2,10 @@
 
 import java.util.Map;
 
-/** Tells which version of a member's limits each instance applies. */
+/** Tells up to which version each instance has applied all limits. */
 @FunctionalInterface
 public interface AppliedVersions {
 
-  /** Returns the version that each known instance applies, 0 if it has none. */
-  Map<String, Long> ofMember(String member);
+  /** Returns the version of each instance that is known. */
+  Map<String, Long> limitVersions();
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/command/LimitCommands.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/LimitCommands.java
@@ -1,17 +1,26 @@
 package org.sedgeroad.command;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.TreeMap;
+import java.util.OptionalLong;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.limit.InForceReport;
+import org.sedgeroad.limit.InstanceVersion;
+import org.sedgeroad.limit.LimitKind;
+import org.sedgeroad.limit.LimitValues;
+import org.sedgeroad.limit.Limits;
+import org.sedgeroad.limit.VoteResult;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoredObject;
 
 /** Statements about voted limits. */
 final class LimitCommands {
+  /** Marks limits that are applied already while the vote on them is not accepted yet. */
+  private static final String ANNOUNCED = "announced";
+
+  private static final int TRIES = 5;
+
   private final ObjectChanges changes;
   private final ConfigurationReplica replica;
   private final VoteAction votes;
@@ -28,80 +37,142 @@
     this.applied = applied;
   }
 
+  // -----------------------------------------------------------------------
+
   CommandResult set(Statement.SetLimit statement) {
-    Optional<String> value = statement.kind().normalize(statement.value());
+    OptionalLong value = LimitTexts.parse(statement.kind(), statement.value());
     if (value.isEmpty()) {
       return CommandResult.refused(
           statement.kind().toText()
               + " must be "
-              + statement.kind().expectation()
+              + LimitTexts.expectation(statement.kind())
               + ", found '"
               + statement.value()
               + "'");
     }
-    StoreResult<StoredObject> member = changes.get(Kinds.MEMBERS, statement.member());
-    if (member instanceof StoreResult.Absent) {
-      return MemberCommands.missing(statement.member());
+    if (!statement.member().equals(Limits.DEFAULT_NAME)) {
+      StoreResult<StoredObject> member = changes.get(Kinds.MEMBERS, statement.member());
+      if (member instanceof StoreResult.Absent) {
+        return MemberCommands.missing(statement.member());
+      }
+      if (!(member instanceof StoreResult.Done)) {
+        return ObjectChanges.unavailable(member);
+      }
+    }
+    StoreResult<StoredObject> read = changes.get(Kinds.LIMITS, statement.member());
+    if (read instanceof StoreResult.Done<StoredObject> done) {
+      return vote(statement, value.getAsLong(), Limits.fromObject(done.value()).current());
+    }
+    return read instanceof StoreResult.Absent
+        ? vote(statement, value.getAsLong(), LimitValues.unlimited())
+        : ObjectChanges.unavailable(read);
+  }
+
+  /** Votes again if only other limits of the member changed in between. */
+  private CommandResult vote(Statement.SetLimit statement, long value, LimitValues before) {
+    LimitKind kind = statement.kind();
+    VoteResult result = votes.vote(statement.member(), kind, value, statement.version());
+    for (int attempt = 1; attempt < TRIES; attempt++) {
+      boolean otherLimit =
+          result instanceof VoteResult.Conflict conflict
+              && statement.version().isEmpty()
+              && conflict.values().value(kind).equals(before.value(kind));
+      if (!otherLimit) {
+        break;
+      }
+      result = votes.vote(statement.member(), kind, value, statement.version());
+    }
+    return describe(statement, value, result);
+  }
+
+  private static CommandResult describe(
+      Statement.SetLimit statement, long value, VoteResult result) {
+    if (result instanceof VoteResult.Accepted accepted) {
+      return header()
+          .add(
+              statement.member(),
+              statement.kind().toText(),
+              LimitTexts.format(statement.kind(), value),
+              accepted.version(),
+              "accepted")
+          .done();
+    }
+    if (result instanceof VoteResult.Conflict conflict) {
+      return CommandResult.lost(
+          "another vote won",
+          "limits/"
+              + statement.member()
+              + " version "
+              + conflict.version()
+              + ": "
+              + conflict.values().toSpec());
     }
-    if (!(member instanceof StoreResult.Done)) {
-      return ObjectChanges.unavailable(member);
+    if (result instanceof VoteResult.Refused refused) {
+      return CommandResult.refused(refused.reason());
     }
-    return votes.vote(statement.member(), statement.kind(), value.get(), statement.version());
+    if (result instanceof VoteResult.Unavailable unavailable) {
+      return new CommandResult.Unavailable(unavailable.reason(), unavailable.retryAt());
+    }
+    return new CommandResult.OutcomeUnknown(((VoteResult.Unknown) result).reason());
   }
 
+  // -----------------------------------------------------------------------
+
   CommandResult show(Statement.ShowLimits statement) {
     if (statement.member().isEmpty()) {
-      return CommandResult.done(table(replica.list(Kinds.LIMITS), statement.inForce()));
+      return table(replica.list(Kinds.LIMITS), statement.inForce());
     }
     String member = statement.member().get();
     StoreResult<StoredObject> found = changes.get(Kinds.LIMITS, member);
     if (found instanceof StoreResult.Done<StoredObject> done) {
-      return CommandResult.done(table(List.of(done.value()), statement.inForce()));
+      return table(List.of(done.value()), statement.inForce());
     }
     if (!(found instanceof StoreResult.Absent)) {
       return ObjectChanges.unavailable(found);
     }
     return replica.find(Kinds.MEMBERS, member).isPresent()
-        ? CommandResult.done(table(List.of(), statement.inForce()))
+        ? table(List.of(), statement.inForce())
         : MemberCommands.missing(member);
   }
 
-  static TableBuilder header() {
-    return new TableBuilder("member", "limit", "value", "version");
-  }
-
-  // -----------------------------------------------------------------------
-
-  private Table table(List<StoredObject> objects, boolean inForce) {
+  private CommandResult table(List<StoredObject> objects, boolean inForce) {
     return inForce ? inForce(objects) : values(objects);
   }
 
-  private static Table values(List<StoredObject> objects) {
+  private static CommandResult values(List<StoredObject> objects) {
     TableBuilder table = header();
     for (StoredObject object : objects) {
+      Limits limits = Limits.fromObject(object);
+      String state = object.spec().has(ANNOUNCED) ? "announced" : "accepted";
       for (LimitKind kind : LimitKind.values()) {
-        JsonNode value = object.spec().path(kind.toField());
-        if (!value.isMissingNode()) {
-          table.add(object.name(), kind.toText(), value.asText(), object.version());
+        OptionalLong value = limits.current().value(kind);
+        if (value.isPresent()) {
+          String text = LimitTexts.format(kind, value.getAsLong());
+          table.add(object.name(), kind.toText(), text, object.version(), state);
         }
       }
     }
-    return table.build();
+    return table.done();
   }
 
-  private Table inForce(List<StoredObject> objects) {
+  private CommandResult inForce(List<StoredObject> objects) {
     TableBuilder table = new TableBuilder("member", "version", "instance", "applied", "in_force");
+    Map<String, Long> versions = applied.limitVersions();
     for (StoredObject object : objects) {
-      Map<String, Long> versions = new TreeMap<>(applied.ofMember(object.name()));
-      for (Map.Entry<String, Long> entry : versions.entrySet()) {
+      InForceReport report = InForceReport.of(object.name(), Limits.fromObject(object), versions);
+      for (InstanceVersion instance : report.instances()) {
         table.add(
-            object.name(),
-            object.version(),
-            entry.getKey(),
-            entry.getValue(),
-            entry.getValue() >= object.version() ? "yes" : "no");
+            report.member(),
+            report.version(),
+            instance.instance(),
+            instance.version(),
+            instance.inForce() ? "yes" : "no");
       }
     }
-    return table.build();
+    return table.done();
+  }
+
+  private static TableBuilder header() {
+    return new TableBuilder("member", "limit", "value", "version", "state");
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/command/MemberCommands.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/MemberCommands.java
@@ -12,6 +12,7 @@
 import org.sedgeroad.api.Authenticator;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.limit.Limits;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoredObject;
 
@@ -28,6 +29,10 @@
   }
 
   CommandResult create(Statement.CreateMember statement) {
+    if (statement.member().equals(Limits.DEFAULT_NAME)) {
+      return CommandResult.refused(
+          "the name 'default' stands for the limits of members without limits of their own");
+    }
     ObjectNode spec = JsonNodeFactory.instance.objectNode();
     setKeys(spec, hashes(statement.keys()));
     return changes.create(Kinds.MEMBERS, statement.member(), spec, MemberCommands::table);
--- a/sedgeroad/src/main/java/org/sedgeroad/command/Statement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/Statement.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import org.sedgeroad.job.ItemState;
 import org.sedgeroad.job.JobState;
+import org.sedgeroad.limit.LimitKind;
 
 /** One statement of the operators' language; docs/COMMANDS.md gives the grammar. */
 public sealed interface Statement {
--- a/sedgeroad/src/main/java/org/sedgeroad/command/StatementParser.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/StatementParser.java
@@ -16,6 +16,7 @@
 import org.sedgeroad.command.Statement.ListTarget;
 import org.sedgeroad.job.ItemState;
 import org.sedgeroad.job.JobState;
+import org.sedgeroad.limit.LimitKind;
 
 /** Parser of the operators' language. Immutable. */
 public final class StatementParser {
--- a/sedgeroad/src/main/java/org/sedgeroad/command/VoteAction.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/VoteAction.java
@@ -1,18 +1,20 @@
 package org.sedgeroad.command;
 
 import java.util.OptionalLong;
+import org.sedgeroad.limit.LimitKind;
+import org.sedgeroad.limit.VoteResult;
 
 /** Puts a voted limit in force. */
 @FunctionalInterface
 public interface VoteAction {
 
   /**
-   * Sets one limit of a member; blocks.
+   * Sets one limit of a member; blocks for up to some seconds.
    *
-   * @param member existing member
+   * @param member existing member, or {@code default}
    * @param kind kind of limit
-   * @param value value in stored form, see {@link LimitKind#normalize}
+   * @param value value in the unit of the kind
    * @param version version that the member's limits must still have, empty for any
    */
-  CommandResult vote(String member, LimitKind kind, String value, OptionalLong version);
+  VoteResult vote(String member, LimitKind kind, long value, OptionalLong version);
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
@@ -1,22 +1,21 @@
 package org.sedgeroad.entry;
 
-import java.util.Map;
+import java.util.List;
+import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.command.CommandExecutor;
 import org.sedgeroad.command.CommandParts;
-import org.sedgeroad.command.ConditionalVote;
-import org.sedgeroad.command.InstanceStatus;
 import org.sedgeroad.command.OperatorToken;
 import org.sedgeroad.configuration.ConfigurationReplica;
-import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.job.JobService;
-import org.sedgeroad.peer.MembershipView;
+import org.sedgeroad.limit.VoteService;
+import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.StoreWriter;
-import org.sedgeroad.store.StoredObject;
 
 /** Wires the administration API of an instance. */
 final class Administration {
@@ -27,21 +26,27 @@
       StoreWriter writer,
       ConfigurationReplica replica,
       EndpointTable endpoints,
-      MembershipView membership,
+      VotedLimits limits,
+      FleetReader fleet,
       BurnRecords burn,
       EventLog log) {
+    List<String> domains = settings.domains().stream().map(DomainSetting::domain).toList();
+    VoteService votes =
+        new VoteService(
+            writer,
+            fleet::records,
+            limits::sharesOf,
+            domains.isEmpty() ? List.of(settings.domain()) : domains,
+            MonotonicClock.SYSTEM);
     CommandParts parts =
         new CommandParts(
             writer,
             replica,
             JobService.of(writer),
             endpoints,
-            ConditionalVote.of(writer),
-            member -> Map.of(settings.instance(), appliedVersion(replica, member)),
-            () ->
-                membership.liveInstances().stream()
-                    .map(name -> new InstanceStatus(name, settings.domain(), "live"))
-                    .toList());
+            votes::vote,
+            fleet::limitVersions,
+            fleet::instances);
     return new AdministrationListener(
         settings.adminAddress(),
         new CommandExecutor(parts),
@@ -49,8 +54,4 @@
         OperatorToken.of(settings.operatorTokenFile()),
         log);
   }
-
-  private static long appliedVersion(ConfigurationReplica replica, String member) {
-    return replica.find(Kinds.LIMITS, member).map(StoredObject::version).orElse(0L);
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -20,6 +20,7 @@
 import org.sedgeroad.api.StopHandler;
 import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
+import org.sedgeroad.command.InstanceStatus;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.configuration.Model;
@@ -159,9 +160,24 @@
     this.exchange = peers.createExchange(endpoints, livePressure);
     this.requests = createHandler(writer);
     this.server = createServer();
-    this.administration =
-        Administration.create(settings, writer, replica, endpoints, membership, burn, log);
+    this.administration = createAdministration(writer);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
+    observe(membership);
+  }
+
+  private AdministrationListener createAdministration(StoreWriter writer) {
+    FleetReader fleet =
+        new FleetReader(
+            new InstanceStatus(settings.instance(), settings.domain(), "live"),
+            store,
+            leases,
+            clock,
+            peers.membership()::statuses,
+            () -> relay.versions().getOrDefault(Kinds.LIMITS, 0L));
+    return Administration.create(settings, writer, replica, endpoints, limits, fleet, burn, log);
+  }
+
+  private void observe(MembershipView membership) {
     InstanceGauges.register(
         metrics,
         replica,
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/FleetReader.java
@@ -0,0 +1,120 @@
+package org.sedgeroad.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.command.InstanceStatus;
+import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.limit.DomainRecord;
+import org.sedgeroad.peer.MemberStatus;
+import org.sedgeroad.store.ObjectList;
+import org.sedgeroad.store.ObjectStore;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoredObject;
+
+/** Reads what the lease objects and the peers tell of all instances. Calls block; thread-safe. */
+final class FleetReader {
+  private final InstanceStatus self;
+  private final ObjectStore store;
+  private final LeaseTable leases;
+  private final MonotonicClock clock;
+  private final java.util.function.Supplier<List<MemberStatus>> peers;
+  private final java.util.function.LongSupplier ownLimitsVersion;
+
+  FleetReader(
+      InstanceStatus self,
+      ObjectStore store,
+      LeaseTable leases,
+      MonotonicClock clock,
+      java.util.function.Supplier<List<MemberStatus>> peers,
+      java.util.function.LongSupplier ownLimitsVersion) {
+    this.self = self;
+    this.store = store;
+    this.leases = leases;
+    this.clock = clock;
+    this.peers = peers;
+    this.ownLimitsVersion = ownLimitsVersion;
+  }
+
+  /** Returns what the lease objects tell of each failure domain, empty if they can't be read. */
+  Optional<Map<String, DomainRecord>> records() {
+    return leaseObjects()
+        .map(
+            objects -> {
+              Map<String, DomainRecord> records = new TreeMap<>();
+              for (StoredObject object : objects) {
+                records.put(object.name(), DomainRecord.fromSpec(object.spec(), this::isExpired));
+              }
+              return records;
+            });
+  }
+
+  /** Returns up to which version each instance has applied all limits, from its last renewal. */
+  Map<String, Long> limitVersions() {
+    Map<String, Long> versions = new TreeMap<>();
+    leaseObjects()
+        .orElse(List.of())
+        .forEach(
+            object ->
+                forEachHolder(
+                    object,
+                    (name, entry) ->
+                        versions.merge(name, entry.path("limits").asLong(), Math::max)));
+    versions.put(self.name(), ownLimitsVersion.getAsLong());
+    return versions;
+  }
+
+  /** Returns all instances that peers or leases tell of, in name order. */
+  List<InstanceStatus> instances() {
+    Map<String, InstanceStatus> known = new TreeMap<>();
+    leaseObjects()
+        .orElse(List.of())
+        .forEach(
+            object ->
+                forEachHolder(
+                    object,
+                    (name, entry) ->
+                        known.put(name, new InstanceStatus(name, object.name(), "lease held"))));
+    for (MemberStatus peer : peers.get()) {
+      String state = peer.state().name().toLowerCase(Locale.ROOT);
+      known.put(peer.instance(), new InstanceStatus(peer.instance(), peer.domain(), state));
+    }
+    known.put(self.name(), self);
+    return List.copyOf(known.values());
+  }
+
+  // -----------------------------------------------------------------------
+
+  private Optional<List<StoredObject>> leaseObjects() {
+    StoreResult<ObjectList> listed = store.list(Kinds.LEASES, "");
+    return listed instanceof StoreResult.Done<ObjectList> done
+        ? Optional.of(done.value().objects())
+        : Optional.empty();
+  }
+
+  /** Passes on the instance name and roster entry of each holder with a lease. */
+  private void forEachHolder(StoredObject object, BiConsumer<String, JsonNode> action) {
+    JsonNode roster = object.spec().path("roster");
+    object
+        .spec()
+        .path("holders")
+        .fieldNames()
+        .forEachRemaining(
+            holder -> {
+              if (!isExpired(holder)) {
+                // A holder is the name of an instance and a suffix for each of its starts.
+                action.accept(holder.replaceFirst("#[^#]*$", ""), roster.path(holder));
+              }
+            });
+  }
+
+  private boolean isExpired(String holder) {
+    return leases.isExpired(holder, clock.nanos());
+  }
+}
--- a/sedgeroad/src/test/java/org/sedgeroad/command/AdministrationListenerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/command/AdministrationListenerTest.java
@@ -27,6 +27,7 @@
 import org.sedgeroad.http.HttpCaller;
 import org.sedgeroad.http.HttpResult;
 import org.sedgeroad.job.JobService;
+import org.sedgeroad.limit.VoteResult;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.store.StoreWriter;
 
@@ -54,8 +55,8 @@
             new ConfigurationReplica(),
             JobService.of(writer),
             EndpointTable.of("here", MonotonicClock.SYSTEM),
-            ConditionalVote.of(writer),
-            member -> Map.of(),
+            (member, kind, value, version) -> new VoteResult.Accepted(1),
+            Map::of,
             List::of);
     listener =
         new AdministrationListener(
--- a/sedgeroad/src/test/java/org/sedgeroad/command/CommandExecutorTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/command/CommandExecutorTest.java
@@ -6,10 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -17,6 +19,8 @@
 import org.sedgeroad.api.Authenticator;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.job.JobService;
+import org.sedgeroad.limit.MemberShares;
+import org.sedgeroad.limit.VoteService;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.store.StoreWriter;
 
@@ -29,6 +33,13 @@
   @BeforeEach
   void createExecutor() {
     StoreWriter writer = StoreWriter.of(store, "operator-side");
+    VoteService votes =
+        new VoteService(
+            writer,
+            () -> Optional.of(Map.of()),
+            member -> MemberShares.equalSplit(List.of("a")),
+            List.of("a"),
+            MonotonicClock.SYSTEM);
     executor =
         new CommandExecutor(
             new CommandParts(
@@ -36,8 +47,8 @@
                 replica,
                 JobService.of(writer),
                 EndpointTable.of("here", MonotonicClock.SYSTEM),
-                ConditionalVote.of(writer),
-                member -> Map.of("entry-1", 1L),
+                votes::vote,
+                () -> Map.of("entry-1", 2L),
                 List::of));
   }
 
@@ -54,8 +65,13 @@
         .get(0);
   }
 
-  private static ObjectNode object() {
-    return JsonNodeFactory.instance.objectNode();
+  private static ObjectNode limits(Object... kindsAndValues) {
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    ObjectNode current = spec.putObject("current");
+    for (int index = 0; index < kindsAndValues.length; index += 2) {
+      current.put((String) kindsAndValues[index], (int) kindsAndValues[index + 1]);
+    }
+    return spec;
   }
 
   @Test
@@ -114,10 +130,12 @@
 
     @Test
     void loserOfARaceIsToldTheWinner() {
-      store.beforeWrite.add(() -> store.put("limits", "m", object().put("priority", 9)));
+      store.beforeWrite.add(() -> store.put("limits", "m", limits("priority", 9)));
       CommandResult.Refused refused =
           assertInstanceOf(CommandResult.Refused.class, run("SET LIMIT priority OF MEMBER m TO 3"));
-      assertTrue(refused.winner().orElseThrow().contains("\"priority\":9"), refused.toString());
+      assertTrue(
+          refused.winner().orElseThrow().contains("version 3: {\"priority\":9"),
+          refused.toString());
     }
 
     @Test
@@ -130,10 +148,20 @@
     @Test
     void changeOfAnotherLimitAtTheSameTimeIsKept() {
       store.beforeWrite.add(
-          () -> store.put("limits", "m", object().put("priority", 5).put("batch_share", 40)));
+          () -> store.put("limits", "m", limits("priority", 5, "batch-share", 40)));
       row("SET LIMIT priority OF MEMBER m TO 3");
-      assertEquals(40, store.find("limits", "m").spec().path("batch_share").asInt());
-      assertEquals(3, store.find("limits", "m").spec().path("priority").asInt());
+      JsonNode current = store.find("limits", "m").spec().path("current");
+      assertEquals(40, current.path("batch-share").asInt());
+      assertEquals(3, current.path("priority").asInt());
+    }
+
+    @Test
+    void showsWhichInstancesApplyThem() {
+      assertEquals(
+          List.of("m", "2", "entry-1", "2", "yes"), row("SHOW LIMITS OF MEMBER m IN FORCE"));
+      row("SET LIMIT priority OF MEMBER m TO 6");
+      assertEquals("no", row("SHOW LIMITS OF MEMBER m IN FORCE").get(4));
+      assertEquals(List.of("m", "priority", "6", "3", "accepted"), row("SHOW LIMITS OF MEMBER m"));
     }
 
     @Test
--- a/sedgeroad/src/test/java/org/sedgeroad/command/StatementParserTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/command/StatementParserTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sedgeroad.job.ItemState;
+import org.sedgeroad.limit.LimitKind;
 
 /** Guards against statements that are read as something else than the operator wrote. */
 class StatementParserTest {
