--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -459,16 +459,4 @@
       notice.accept(changed);
     }
   }
-
-  private void change(String name, Consumer<EndpointRecord> change) {
-    lock.lock();
-    try {
-      EndpointRecord endpoint = records.get(name);
-      if (endpoint != null) {
-        change.accept(endpoint);
-      }
-    } finally {
-      lock.unlock();
-    }
-  }
 }
