--- a/sedgeroad/src/main/java/org/sedgeroad/settings/SettingsReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/SettingsReader.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -54,6 +55,11 @@
     return new SettingsReader(text).parse();
   }
 
+  /** Returns the known keys by section. */
+  static Map<String, Set<String>> keys() {
+    return KEYS;
+  }
+
   // -----------------------------------------------------------------------
 
   private SettingsResult parse() {
@@ -68,6 +74,7 @@
     }
     findUnknownKeys();
     Settings settings = build();
+    faults.sort(Comparator.comparingInt(SettingsFault::line));
     return faults.isEmpty()
         ? new SettingsResult.Valid(settings)
         : new SettingsResult.Invalid(faults);
@@ -75,7 +82,7 @@
 
   private Settings build() {
     List<DomainSetting> domains = domains();
-    URI store = address("store", "address", null);
+    URI store = address("store", "address", required("store", "address"), null);
     Settings settings =
         new Settings(
             required("instance", "name"),
@@ -87,7 +94,7 @@
             seeds(),
             domains,
             store,
-            address("store", "instance-list", store),
+            address("store", "instance-list", value("store", "instance-list"), store),
             number("store", "timeout-millis", 2_000, 10, 60_000),
             number("store", "lease-millis", 6_000, 500, 60_000),
             choice(
@@ -205,8 +212,7 @@
     }
   }
 
-  private URI address(String section, String key, URI fallback) {
-    String value = fallback == null ? required(section, key) : value(section, key);
+  private URI address(String section, String key, String value, URI fallback) {
     if (value == null || value.isEmpty()) {
       return fallback;
     }
