--- a/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
@@ -11,7 +11,6 @@
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.limit.VoteService;
-import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
@@ -26,7 +25,6 @@
       StoreWriter writer,
       ConfigurationReplica replica,
       EndpointTable endpoints,
-      VotedLimits limits,
       FleetReader fleet,
       BurnRecords burn,
       EventLog log) {
@@ -35,7 +33,6 @@
         new VoteService(
             writer,
             fleet::records,
-            limits::sharesOf,
             domains.isEmpty() ? List.of(settings.domain()) : domains,
             MonotonicClock.SYSTEM);
     CommandParts parts =
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -175,7 +175,7 @@
             clock,
             peers.membership()::statuses,
             () -> relay.versions().getOrDefault(Kinds.LIMITS, 0L));
-    return Administration.create(settings, writer, replica, endpoints, limits, fleet, burn, log);
+    return Administration.create(settings, writer, replica, endpoints, fleet, burn, log);
   }
 
   private void observe(MembershipView membership) {
--- a/sedgeroad/src/test/java/org/sedgeroad/command/CommandExecutorTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/command/CommandExecutorTest.java
@@ -19,7 +19,6 @@
 import org.sedgeroad.api.Authenticator;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.job.JobService;
-import org.sedgeroad.limit.MemberShares;
 import org.sedgeroad.limit.VoteService;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.store.StoreWriter;
@@ -34,12 +33,7 @@
   void createExecutor() {
     StoreWriter writer = StoreWriter.of(store, "operator-side");
     VoteService votes =
-        new VoteService(
-            writer,
-            () -> Optional.of(Map.of()),
-            member -> MemberShares.equalSplit(List.of("a")),
-            List.of("a"),
-            MonotonicClock.SYSTEM);
+        new VoteService(writer, () -> Optional.of(Map.of()), List.of("a"), MonotonicClock.SYSTEM);
     executor =
         new CommandExecutor(
             new CommandParts(
