Count a lapse by the answer to a renewal, check it before each send

Cause: a renewal sent before the end of the lease but answered after it was not counted as a lapse, although another instance may have taken segments over in between. A lapse within a round of sending was noticed only in the next round.

Change: LeaseTable.renewed takes the time of the answer; ItemSender stops a round when the count of lapses has changed.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/LeaseKeeper.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/LeaseKeeper.java
@@ -97,7 +97,7 @@
     if (outcome instanceof WriteOutcome.Written written) {
       long now = clock.nanos();
       limits.roster().renewed(sentAt, leases.isHeld(now), now);
-      leases.renewed(sentAt);
+      leases.renewed(sentAt, now);
       limits.roster().adopt(written.object().spec(), sentAt, now);
       return true;
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -37,6 +37,7 @@
   private final Consumer<Runnable> inbox;
   private final Map<String, String> services = new HashMap<>();
   private final Set<String> servicesWithRoom = new HashSet<>();
+  private long lapsesAtStart;
 
   ItemSender(RunnerState state, Consumer<Runnable> inbox) {
     this.state = state;
@@ -48,6 +49,7 @@
 
   /** Sends what the endpoints may get now and cancels what is beyond their allowance. */
   void schedule() {
+    lapsesAtStart = parts.leases().lapses();
     services.clear();
     servicesWithRoom.clear();
     List<HeldSegment> sources =
@@ -118,7 +120,9 @@
           break;
         }
         // A long pause may have come between the start of this round and this send.
-        if (!parts.leases().isHeld(state.now()) || !RunnerDecisions.mayHoldMore(sources)) {
+        boolean lapsed =
+            !parts.leases().isHeld(state.now()) || parts.leases().lapses() != lapsesAtStart;
+        if (lapsed || !RunnerDecisions.mayHoldMore(sources)) {
           source.putBack(item);
           return;
         }
--- a/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
@@ -50,9 +50,20 @@
    * the lease starts a new lease; what was held under the old one may have been taken over.
    */
   public void renewed(long sentAtNanos) {
+    renewed(sentAtNanos, sentAtNanos);
+  }
+
+  /**
+   * Records that a renewal took effect. If its answer came after the end of the lease, a new lease
+   * starts, since the renewal may also have taken effect only then.
+   *
+   * @param sentAtNanos monotonic time before the renewal was sent
+   * @param answeredAtNanos monotonic time after its answer came
+   */
+  public void renewed(long sentAtNanos, long answeredAtNanos) {
     lock.lock();
     try {
-      if (held && sentAtNanos - validUntilNanos >= 0) {
+      if (held && answeredAtNanos - validUntilNanos >= 0) {
         lapses++;
       }
       long until = sentAtNanos + lengthNanos;
--- a/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
@@ -94,7 +94,7 @@
       outcome = writer.create(Kinds.LEASES, DOMAIN, spec);
     }
     if (outcome instanceof WriteOutcome.Written written) {
-      leases.renewed(sentAt);
+      leases.renewed(sentAt, clock.nanos());
       Map<String, Long> counters = new HashMap<>();
       JsonNode holders = written.object().spec().path("holders");
       holders
--- a/sedgeroad/src/test/java/org/sedgeroad/lease/LeaseTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/lease/LeaseTableTest.java
@@ -33,6 +33,18 @@
     }
   }
 
+  @Nested
+  class Lapses {
+    @Test
+    void countARenewalThatWasAnsweredAfterTheEndOfTheLease() {
+      table.renewed(0, SECOND);
+      table.renewed(5 * SECOND, 6 * SECOND - 1);
+      assertEquals(0, table.lapses());
+      table.renewed(10 * SECOND, 11 * SECOND);
+      assertEquals(1, table.lapses());
+    }
+  }
+
   @Nested
   class IsExpired {
     @Test
