--- a/sedgeroad/src/main/java/org/sedgeroad/api/ApiParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/ApiParts.java
@@ -16,21 +16,25 @@
  * @param live live requests
  * @param jobs batch jobs
  * @param workers pool for blocking requests
+ * @param uploadWorkers pool for uploads, which may take long
  * @param ready whether the instance takes new requests
  * @param activeRequests counts requests in progress
  * @param clock monotonic clock
  * @param log event log
  * @param requestTimeoutMillis longest run of a live request in milliseconds
  * @param maximumBodyBytes largest body of a live request in bytes
+ * @param observation how the interface is watched
  */
 public record ApiParts(
     ConfigurationReplica replica,
     LiveService live,
     JobService jobs,
     Executor workers,
+    Executor uploadWorkers,
     BooleanSupplier ready,
     AtomicInteger activeRequests,
     MonotonicClock clock,
     EventLog log,
     long requestTimeoutMillis,
-    long maximumBodyBytes) {}
+    long maximumBodyBytes,
+    Observation observation) {}
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -2,8 +2,8 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import java.time.Duration;
-import java.util.List;
+import java.time.Clock;
+import java.time.InstantSource;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -16,6 +16,10 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.api.ApiHandler;
 import org.sedgeroad.api.ApiParts;
+import org.sedgeroad.api.Observation;
+import org.sedgeroad.api.StopHandler;
+import org.sedgeroad.burn.BurnRecords;
+import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.configuration.Model;
@@ -31,19 +35,25 @@
 import org.sedgeroad.limit.ShareCoordinator;
 import org.sedgeroad.limit.VotedLimits;
 import org.sedgeroad.live.ClaimBook;
+import org.sedgeroad.live.CrashReports;
+import org.sedgeroad.live.LivePressureExchange;
 import org.sedgeroad.live.LiveService;
 import org.sedgeroad.live.LiveServiceParts;
-import org.sedgeroad.peer.LonePeerNetwork;
+import org.sedgeroad.metric.Metrics;
+import org.sedgeroad.metric.RequestObserver;
 import org.sedgeroad.peer.MembershipView;
-import org.sedgeroad.peer.PeerNetwork;
 import org.sedgeroad.route.BatchPolicies;
+import org.sedgeroad.route.CrashSuspicion;
 import org.sedgeroad.route.EndpointTable;
+import org.sedgeroad.route.HedgePolicies;
+import org.sedgeroad.route.PrefixHints;
 import org.sedgeroad.route.RoutingPolicies;
 import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.HttpObjectStore;
 import org.sedgeroad.store.ObjectStore;
 import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
 
 /** One entry instance: wires all parts, owns the threads, starts and stops them in order. */
 public final class EntryInstance implements AutoCloseable {
@@ -51,15 +61,22 @@
   private static final int RENEWALS_PER_LEASE = 4;
   private static final int STORE_THREADS = 8;
 
+  /** Part of a planned stop that follows the release of batch work. */
+  private static final long RELEASE_MARGIN_MILLIS = 1_500;
+
+  private static final int UPLOAD_THREADS = 16;
+
   private final Settings settings;
   private final EventLog log;
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
+  private final Metrics metrics = new Metrics();
+  private final BurnRecords burn;
   private final HttpCaller caller;
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
+  private final PrefixHints prefixHints = new PrefixHints(clock);
   private final LeaseTable leases;
-  private final PeerNetwork network;
   private final VotedLimits limits;
   private final ShareCoordinator shareCoordinator;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
@@ -67,20 +84,32 @@
       new ThreadPoolExecutor(
           STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
   private final ThreadPoolExecutor workers;
+  private final ThreadPoolExecutor uploadWorkers =
+      new ThreadPoolExecutor(0, UPLOAD_THREADS, 30, TimeUnit.SECONDS, new SynchronousQueue<>());
   private final AtomicInteger activeRequests = new AtomicInteger();
-  private final ConfigurationWatcher watcher;
+  private final ConfigurationRelay relay;
   private final LeaseKeeper leaseKeeper;
   private final InstanceListReader instanceList;
+  private final PeerGroup peers;
   private final JobRunner runner;
+  private final LivePressureExchange livePressure;
+  private final CrashReports crashes;
+  private final PeerExchange exchange;
+  private final StopHandler requests;
   private final Undertow server;
+  private final AdministrationListener administration;
+  private final DrainFollower drains;
   private volatile boolean stopping;
 
   /** Creates an instance; {@link #start} starts it. */
   public EntryInstance(Settings settings) {
     this.settings = settings;
     this.log = EventLog.of(settings.instance());
+    this.burn = new BurnRecords(settings.instance(), clock, Clock.systemUTC());
     this.caller = HttpCaller.create(settings.ioThreads());
-    this.store = HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis());
+    this.store =
+        metrics.measure(
+            HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis()));
     this.endpoints = EndpointTable.of(settings.region(), clock);
     this.leases = LeaseTable.ofMillis(settings.leaseMillis());
     this.workers =
@@ -89,8 +118,9 @@
     // The name differs after each restart, so that a new run never counts as the old holder.
     String holder = settings.instance() + "#" + UUID.randomUUID().toString().substring(0, 8);
     StoreWriter writer = StoreWriter.of(store, holder);
-    MembershipView membership = () -> List.of(settings.instance());
-    this.network = LonePeerNetwork.of(settings.instance());
+    this.peers = PeerGroup.of(settings, clock, log);
+    MembershipView membership = peers.membership();
+    this.relay = peers.createRelay(store, replica);
     this.limits =
         new VotedLimits(
             settings.instance(),
@@ -100,11 +130,10 @@
             settings.leaseMillis(),
             leases,
             replica,
-            replica::highestVersion,
-            network,
+            kind -> relay.versions().getOrDefault(kind, 0L),
+            peers.network(),
             clock);
     this.shareCoordinator = limits.coordinator(writer);
-    this.watcher = new ConfigurationWatcher(store, replica, timer, log);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
@@ -115,16 +144,48 @@
             log,
             settings.storeTimeoutMillis());
     this.runner = createRunner(writer, membership);
-    this.server = createServer(writer);
-    replica.addListener(
-        object -> {
-          if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
-            Model model = Model.fromSpec(object.name(), object.spec());
-            endpoints.setSlots(model.service(), model.slots());
-          } else if (object.kind().equals(Kinds.JOBS)) {
-            wakeRunner();
-          }
-        });
+    this.livePressure =
+        new LivePressureExchange(
+            settings.instance(),
+            settings.domain(),
+            endpoints,
+            membership,
+            peers.network()::send,
+            runner::wake,
+            System.currentTimeMillis());
+    this.crashes =
+        new CrashReports(
+            settings.instance(),
+            new CrashSuspicion(InstantSource.system()),
+            membership,
+            peers.network()::send,
+            writer,
+            clock,
+            log);
+    replica.addListener(crashes::apply);
+    crashes.listen(peers.network());
+    this.exchange = peers.createExchange(endpoints, livePressure);
+    this.requests = createHandler(writer);
+    this.server = createServer();
+    this.administration =
+        Administration.create(settings, writer, replica, endpoints, membership, burn, log);
+    this.drains = new DrainFollower(settings.instance(), replica, endpoints);
+    InstanceGauges.register(
+        metrics,
+        replica,
+        endpoints,
+        () -> leases.isHeld(clock.nanos()),
+        this::isReady,
+        () -> membership.liveInstances().size(),
+        activeRequests::get);
+    replica.addListener(this::applyModel);
+  }
+
+  private void applyModel(StoredObject object) {
+    if (object.kind().equals(Kinds.MODELS) && !object.isDeleted()) {
+      Model model = Model.fromSpec(object.name(), object.spec());
+      endpoints.setSlots(model.service(), model.slots());
+    }
   }
 
   private JobRunner createRunner(StoreWriter writer, MembershipView membership) {
@@ -141,15 +202,23 @@
             clock,
             storeWorkers,
             log,
-            settings.requestTimeoutMillis()));
+            settings.requestTimeoutMillis(),
+            (job, results) -> {
+              metrics.committed(job, results);
+              burn.committed(job, results);
+            }));
   }
 
-  private Undertow createServer(StoreWriter writer) {
+  private StopHandler createHandler(StoreWriter writer) {
     LiveService live =
         new LiveService(
             new LiveServiceParts(
                 endpoints,
-                RoutingPolicies.named(settings.routing()),
+                livePressure,
+                RoutingPolicies.named(settings.routing(), endpoints.costs(), prefixHints),
+                prefixHints,
+                HedgePolicies.named(settings.hedging()),
+                crashes,
                 HttpEngineClient.of(caller),
                 limits.gate(),
                 ClaimBook.of(writer),
@@ -163,12 +232,18 @@
                 live,
                 JobService.of(writer),
                 workers,
+                uploadWorkers,
                 this::isReady,
                 activeRequests,
                 clock,
                 log,
                 settings.requestTimeoutMillis(),
-                settings.maximumBodyBytes()));
+                settings.maximumBodyBytes(),
+                new Observation(RequestObserver.both(metrics, burn), metrics::toText)));
+    return new StopHandler(api);
+  }
+
+  private Undertow createServer() {
     return Undertow.builder()
         .addHttpListener(
             settings.callerAddress().getPort(), settings.callerAddress().getHostString())
@@ -177,7 +252,7 @@
         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 32 * 1024)
         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-        .setHandler(api)
+        .setHandler(requests)
         .build();
   }
 
@@ -197,9 +272,14 @@
         ShareCoordinator.STEP_MILLIS,
         ShareCoordinator.STEP_MILLIS,
         TimeUnit.MILLISECONDS);
-    watcher.start();
+    timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
+    timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
+    exchange.start();
+    peers.start();
+    relay.start(peers.isAlone());
     runner.start();
     server.start();
+    administration.start();
     log.log(
         LogEvent.INSTANCE_STARTED,
         EventField.of("domain", settings.domain()),
@@ -208,42 +288,43 @@
 
   /** Returns whether the instance takes new requests. */
   public boolean isReady() {
-    return !stopping && watcher.isComplete() && !endpoints.endpoints().isEmpty();
+    return !stopping
+        && !drains.isDrained()
+        && relay.isComplete()
+        && !endpoints.endpoints().isEmpty();
   }
 
   /**
-   * Stops in order: not ready, wait for the balancer, finish requests, release segments, close.
-   * Takes at most the stop timeout of the settings.
+   * Stops in order: not ready, wait for the balancer, finish requests, release segments, tell the
+   * peers, close. Takes at most the stop timeout of the settings.
    */
   @Override
   public void close() {
     stopping = true;
     log.log(LogEvent.INSTANCE_STOPPING);
-    long deadline = clock.deadlineAfterMillis(settings.stopTimeoutMillis());
-    sleep(Duration.ofMillis(settings.stopNoticeMillis()));
-    while (activeRequests.get() > 0 && !clock.hasPassed(deadline)) {
-      sleep(Duration.ofMillis(20));
-    }
-    runner.close();
+    long released = clock.deadlineAfterMillis(settings.stopTimeoutMillis() - RELEASE_MARGIN_MILLIS);
+    new StopSequence(clock, log)
+        .run(
+            requests,
+            settings.stopNoticeMillis(),
+            settings.stopTimeoutMillis(),
+            () -> runner.stop(released),
+            peers::leave);
     server.stop();
-    watcher.close();
+    administration.close();
+    relay.close();
     timer.shutdownNow();
     leaseKeeper.release();
-    network.close();
     storeWorkers.shutdownNow();
     workers.shutdownNow();
+    uploadWorkers.shutdownNow();
+    peers.close();
     caller.close();
     log.log(LogEvent.INSTANCE_STOPPED);
   }
 
   // -----------------------------------------------------------------------
 
-  private void wakeRunner() {
-    if (runner != null) {
-      runner.wake();
-    }
-  }
-
   private Runnable quietly(Runnable task) {
     return () -> {
       try {
@@ -253,12 +334,4 @@
       }
     };
   }
-
-  private static void sleep(Duration duration) {
-    try {
-      Thread.sleep(duration.toMillis());
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/Attempt.java
@@ -0,0 +1,135 @@
+package org.sedgeroad.live;
+
+import java.net.URI;
+import org.sedgeroad.engine.EngineStream;
+import org.sedgeroad.http.HttpHead;
+import org.sedgeroad.route.Placement;
+
+/** One sending of a live request to an endpoint. Used by the request's thread only. */
+final class Attempt implements AutoCloseable {
+  private final int number;
+  private final AttemptTimes times;
+  private final LiveServiceParts parts;
+  private final String runId;
+  private final boolean resumed;
+  private final Placement first;
+  private Placement placement;
+  private EngineStream stream;
+  private HttpHead head;
+  private int received;
+  private boolean closed;
+  private boolean dead;
+
+  private Attempt(
+      int number,
+      Placement placement,
+      LiveServiceParts parts,
+      String runId,
+      int received,
+      boolean resumed) {
+    this.number = number;
+    this.first = placement;
+    this.placement = placement;
+    this.parts = parts;
+    this.times = new AttemptTimes(parts);
+    this.runId = runId;
+    this.received = received;
+    this.resumed = resumed;
+  }
+
+  /** Returns an attempt that runs the request from its start. */
+  static Attempt of(int number, Placement placement, LiveServiceParts parts, String runId) {
+    return new Attempt(number, placement, parts, runId, 0, false);
+  }
+
+  /** Returns an attempt that continues the run of a broken one. */
+  Attempt toResumed(int newNumber, Placement newPlacement) {
+    return new Attempt(newNumber, newPlacement, parts, runId, received, true);
+  }
+
+  int number() {
+    return number;
+  }
+
+  Placement placement() {
+    return placement;
+  }
+
+  URI address() {
+    return placement.address();
+  }
+
+  /** Returns the name of the run at the endpoint. */
+  String runId() {
+    return runId;
+  }
+
+  boolean isResumed() {
+    return resumed;
+  }
+
+  /** Returns the events of the run received so far, over all its connections. */
+  int received() {
+    return received;
+  }
+
+  /** Returns whether the endpoint was found dead after the attempt. */
+  boolean isDead() {
+    return dead;
+  }
+
+  void endpointDied() {
+    dead = true;
+  }
+
+  HttpHead head() {
+    return head;
+  }
+
+  void started(EngineStream running) {
+    stream = running;
+  }
+
+  void headReceived(HttpHead value) {
+    head = value;
+  }
+
+  void eventReceived() {
+    received++;
+    if (!resumed) {
+      placement = times.event(placement, received);
+    }
+  }
+
+  /** Notes that the first event is late. */
+  void overdue() {
+    times.overdue(placement);
+  }
+
+  /** Cancels the sending at the endpoint if it has not ended, and ends the placement. */
+  @Override
+  public void close() {
+    close(false);
+  }
+
+  /** Ends the placement after the connection broke. */
+  void closeBroken() {
+    close(true);
+  }
+
+  private void close(boolean connectionBroke) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    try {
+      if (stream != null) {
+        stream.close();
+      }
+    } finally {
+      parts.crashes().suspicion().end(first, connectionBroke, parts.clock().nanos());
+      parts.endpoints().end(placement);
+      parts.placements().ended(placement);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/AttemptStarter.java
@@ -0,0 +1,126 @@
+package org.sedgeroad.live;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.sedgeroad.ServiceClass;
+import org.sedgeroad.engine.EngineCall;
+import org.sedgeroad.route.EndpointView;
+import org.sedgeroad.route.Placement;
+import org.sedgeroad.route.RequestShape;
+
+/** Places the attempts of one live request and sends them. Used by the request's thread only. */
+final class AttemptStarter {
+  private static final String RESUME_PATH = "/v1/resume";
+
+  private final LiveServiceParts parts;
+  private final LiveRequest request;
+  private final LiveCall call;
+  private int numbers;
+
+  AttemptStarter(LiveServiceParts parts, LiveRequest request, LiveCall call) {
+    this.parts = parts;
+    this.request = request;
+    this.call = call;
+  }
+
+  /**
+   * Runs the request at the endpoint that the policy chooses; empty if there is none. A suspect is
+   * not sent to an endpoint where another suspect runs.
+   */
+  Optional<Attempt> start(RequestShape shape) {
+    return choose(shape, view -> true);
+  }
+
+  /** Runs the request also at a second endpoint; empty if none has a free slot. */
+  Optional<Attempt> startSecond(RequestShape shape) {
+    return choose(shape, view -> view.live() < view.slots() && view.local() && !view.isSlow());
+  }
+
+  private Optional<Attempt> choose(RequestShape shape, Predicate<EndpointView> filter) {
+    List<EndpointView> candidates = new ArrayList<>(parts.endpoints().candidates(shape));
+    candidates.removeIf(filter.negate());
+    while (true) {
+      Optional<EndpointView> chosen = parts.policy().choose(shape, candidates, parts.random());
+      if (chosen.isEmpty()) {
+        return Optional.empty();
+      }
+      Optional<Attempt> attempt = start(shape, chosen.get());
+      if (attempt.isPresent()) {
+        return attempt;
+      }
+      candidates.remove(chosen.get());
+    }
+  }
+
+  private Optional<Attempt> start(RequestShape shape, EndpointView view) {
+    Placement placement = parts.endpoints().begin(view.endpoint(), shape);
+    if (!parts.crashes().suspicion().begin(placement, parts.clock().nanos())) {
+      parts.endpoints().end(placement);
+      return Optional.empty();
+    }
+    int number = ++numbers;
+    String runId = request.id() + "-" + number;
+    Attempt attempt = Attempt.of(number, placement, parts, runId);
+    parts.hints().placed(runId, shape.prefixHash(), placement.endpoint());
+    // The home is told before the request is sent, so that batch work starts to give way first.
+    parts.placements().placed(placement, view);
+    return Optional.of(
+        send(attempt, request.method(), request.path(), request.headers(), request.body(), runId));
+  }
+
+  /** Asks the endpoint of a broken attempt for the rest of its run; empty if it must not. */
+  Optional<Attempt> resume(Attempt broken) {
+    Placement placement = parts.endpoints().beginAgain(broken.placement());
+    if (!parts.crashes().suspicion().begin(placement, parts.clock().nanos())) {
+      parts.endpoints().end(placement);
+      return Optional.empty();
+    }
+    int number = ++numbers;
+    Attempt attempt = broken.toResumed(number, placement);
+    String body =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("request_id", broken.runId())
+            .put("offset", broken.received())
+            .toString();
+    return Optional.of(
+        send(
+            attempt,
+            "POST",
+            RESUME_PATH,
+            Map.of("Content-Type", "application/json"),
+            body.getBytes(StandardCharsets.UTF_8),
+            request.id() + "-" + number));
+  }
+
+  private Attempt send(
+      Attempt attempt,
+      String method,
+      String path,
+      Map<String, String> headers,
+      byte[] body,
+      String id) {
+    EngineCall engineCall =
+        new EngineCall(
+            method,
+            attempt.address().resolve(path),
+            headers,
+            body,
+            id,
+            ServiceClass.LIVE,
+            request.shape().idempotent(),
+            request.deadlineNanos());
+    try {
+      attempt.started(parts.engine().start(engineCall, call.listener(attempt.number())));
+    } catch (RuntimeException failure) {
+      attempt.close();
+      throw failure;
+    }
+    return attempt;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LiveServiceTest.java
@@ -0,0 +1,318 @@
+package org.sedgeroad.live;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.WorkState;
+import org.sedgeroad.route.HedgePolicy;
+import org.sedgeroad.route.RequestShape;
+
+class LiveServiceTest {
+  private final LiveFixture fixture = new LiveFixture(3);
+
+  @Nested
+  class WholeAnswers {
+    /** Guards against a truncated stream that looks whole. */
+    @Test
+    void missingEndMarkerIsAnError() throws Exception {
+      FakeSink sink =
+          fixture.serve(new FakeEngine(sent -> sent.stream("a").breaks(), FakeEngine.Sent::breaks));
+      assertTrue(!sink.ended && sink.failure != null);
+      assertEquals(WorkState.UNKNOWN, sink.failure.work());
+    }
+
+    /** Guards against events of a given-up attempt in the answer of the next one. */
+    @Test
+    void lateEventsOfAnEarlierAttemptAreIgnored() throws Exception {
+      FakeEngine.Sent[] first = new FakeEngine.Sent[1];
+      FakeSink sink =
+          fixture.serve(
+              new FakeEngine(
+                  sent -> {
+                    first[0] = sent;
+                    sent.breaks();
+                  },
+                  sent -> {
+                    first[0].stream("late").end();
+                    sent.stream("right").end();
+                  }));
+      assertEquals("right", sink.text.toString());
+      assertTrue(sink.ended);
+    }
+  }
+
+  @Nested
+  class NonIdempotent {
+    /** Guards against a second run of work that must not be repeated. */
+    @Test
+    void isNotSentAgainAfterABrokenConnection() throws Exception {
+      FakeEngine engine = new FakeEngine(FakeEngine.Sent::breaks);
+      FakeSink sink = fixture.withIdempotent(false).serve(engine);
+      assertEquals(1, engine.sent.size());
+      assertEquals(WorkState.UNKNOWN, sink.failure.work());
+    }
+
+    /** Guards against a second sending after bytes went out, though the endpoint did not run it. */
+    @Test
+    void isNotSentAgainAfterADrainingAnswer() throws Exception {
+      FakeEngine engine = new FakeEngine(sent -> sent.refuses(true));
+      FakeSink sink = fixture.withIdempotent(false).serve(engine);
+      assertEquals(1, engine.sent.size());
+      assertEquals(WorkState.NOT_RUN, sink.failure.work());
+    }
+
+    /** Guards against a refusal where no byte was sent and another endpoint could serve. */
+    @Test
+    void triesAnotherEndpointWhenTheConnectionWasRefused() throws Exception {
+      FakeSink sink =
+          fixture
+              .withIdempotent(false)
+              .serve(new FakeEngine(sent -> sent.refuses(false), sent -> sent.stream("a").end()));
+      assertTrue(sink.ended);
+    }
+  }
+
+  @Nested
+  class Idempotent {
+    /** Guards against a refusal that says not-run after an endpoint may have started the work. */
+    @Test
+    void notRunIsGivenOnlyIfNoEndpointCanHaveStarted() throws Exception {
+      FakeSink refused =
+          fixture.serve(
+              new FakeEngine(
+                  sent -> sent.refuses(true),
+                  sent -> sent.refuses(false),
+                  sent -> sent.refuses(true)));
+      assertEquals(WorkState.NOT_RUN, refused.failure.work());
+      FakeSink mixed =
+          new LiveFixture(2)
+              .serve(new FakeEngine(FakeEngine.Sent::breaks, sent -> sent.refuses(false)));
+      assertEquals(WorkState.UNKNOWN, mixed.failure.work());
+    }
+
+    /** Guards against an error where another endpoint could serve. */
+    @Test
+    void isSentAgainElsewhere() throws Exception {
+      FakeEngine engine =
+          new FakeEngine(FakeEngine.Sent::breaks, sent -> sent.stream("a", "b").end());
+      FakeSink sink = fixture.serve(engine);
+      assertEquals("ab", sink.text.toString());
+      assertTrue(!engine.sent.get(0).call().address().equals(engine.sent.get(1).call().address()));
+    }
+
+    /** Guards against requests sent forever when each endpoint breaks. */
+    @Test
+    void endsAfterThreeBrokenAttempts() throws Exception {
+      FakeEngine engine =
+          new FakeEngine(FakeEngine.Sent::breaks, FakeEngine.Sent::breaks, FakeEngine.Sent::breaks);
+      new LiveFixture(6).serve(engine);
+      assertEquals(3, engine.sent.size());
+    }
+  }
+
+  @Nested
+  class BrokenStreams {
+    /** Guards against repeated or lost text when the engine still has the run. */
+    @Test
+    void areResumedAtTheSameEngine() throws Exception {
+      FakeEngine engine =
+          new FakeEngine(sent -> sent.stream("a", "b").breaks(), sent -> sent.stream("c").end());
+      FakeSink sink = fixture.serve(engine);
+      assertEquals("abc", sink.text.toString());
+      FakeEngine.Sent resume = engine.sent.get(1);
+      assertEquals("/v1/resume", resume.call().address().getPath());
+      assertEquals("{\"request_id\":\"r-1\",\"offset\":2}", resume.body());
+    }
+
+    /** Guards against a mixture of two different answers. */
+    @Test
+    void areNotRestartedUnlessDeterministic() throws Exception {
+      FakeEngine engine =
+          new FakeEngine(
+              sent -> sent.stream("a").breaks(),
+              sent -> sent.refuses(false),
+              sent -> sent.stream("other").end());
+      FakeSink sink = fixture.serve(engine);
+      assertEquals(2, engine.sent.size());
+      assertNotNull(sink.failure);
+      assertEquals("a", sink.text.toString());
+    }
+
+    /** Guards against repeated text when the second run cuts its text differently. */
+    @Test
+    void areRestartedWithoutRepeatingText() throws Exception {
+      FakeSink sink =
+          fixture
+              .withDeterministic()
+              .serve(
+                  new FakeEngine(
+                      sent -> sent.stream("", "one ", "tw").breaks(),
+                      sent -> sent.refuses(false),
+                      sent -> sent.stream("", "one", " two", " three").end()));
+      assertEquals("one two three", sink.text.toString());
+      assertTrue(sink.ended);
+    }
+
+    /** Guards against joined halves of two answers when the engine is not deterministic. */
+    @Test
+    void thatDifferAfterARestartEndWithAnError() throws Exception {
+      FakeSink sink =
+          fixture
+              .withDeterministic()
+              .serve(
+                  new FakeEngine(
+                      sent -> sent.stream("one").breaks(),
+                      sent -> sent.refuses(false),
+                      sent -> sent.stream("xyz", "w").end()));
+      assertEquals("one", sink.text.toString());
+      assertNotNull(sink.failure);
+    }
+  }
+
+  @Nested
+  class Callers {
+    /** Guards against a stream that runs on for a caller that is gone. */
+    @Test
+    void thatGoAwayCancelTheStream() {
+      FakeEngine engine =
+          new FakeEngine(
+              sent -> {
+                sent.stream("a");
+                fixture.call.callerGone();
+              });
+      assertThrows(IOException.class, () -> fixture.serve(engine));
+      assertEquals(List.of("r-1"), engine.cancelled);
+      assertEquals(0, fixture.inFlight());
+    }
+
+    /** Guards against attempts that are started after the request's deadline. */
+    @Test
+    void getAnErrorAtTheDeadline() throws Exception {
+      FakeEngine engine = new FakeEngine();
+      FakeSink sink = fixture.withDeadlineMillis(20).serve(engine);
+      assertEquals(1, engine.sent.size());
+      assertEquals(WorkState.UNKNOWN, sink.failure.work());
+      assertNull(sink.whole);
+      assertEquals(0, fixture.inFlight());
+    }
+  }
+
+  @Nested
+  class Hedging {
+    private int budget = 1;
+
+    private void hedgeAfterMillis(long millis) {
+      fixture.hedging =
+          new HedgePolicy() {
+            @Override
+            public OptionalLong delayNanos(RequestShape request, long nowNanos) {
+              return OptionalLong.of(millis * 1_000_000L);
+            }
+
+            @Override
+            public boolean tryHedge() {
+              return budget-- > 0;
+            }
+
+            @Override
+            public void observeFirstEvent(RequestShape request, long elapsed, long nowNanos) {}
+          };
+    }
+
+    /** Guards against a mixture of two attempts, and against a loser that runs on. */
+    @Test
+    void theFirstEventWinsAndTheLoserIsCancelled() throws Exception {
+      hedgeAfterMillis(10);
+      FakeEngine.Sent[] first = new FakeEngine.Sent[1];
+      FakeEngine engine =
+          new FakeEngine(
+              sent -> first[0] = sent.head("text/event-stream"),
+              sent -> {
+                sent.stream("second");
+                first[0].stream("first").end();
+                sent.end();
+              });
+      FakeSink sink = fixture.serve(engine);
+      assertEquals("second", sink.text.toString());
+      assertTrue(sink.ended);
+      assertEquals(List.of("r-1", "r-2"), engine.cancelled);
+      assertEquals(0, fixture.inFlight());
+    }
+
+    /** Guards against an error of one attempt that ends the request while the other one runs. */
+    @Test
+    void aFailedAttemptLeavesTheOtherOne() throws Exception {
+      hedgeAfterMillis(10);
+      FakeEngine.Sent[] first = new FakeEngine.Sent[1];
+      FakeSink sink =
+          fixture.serve(
+              new FakeEngine(
+                  sent -> first[0] = sent,
+                  sent -> {
+                    sent.breaks();
+                    first[0].stream("first").end();
+                  }));
+      assertEquals("first", sink.text.toString());
+    }
+
+    /** Guards against a second run of work that must not be repeated, or beyond the budget. */
+    @Test
+    void isNotDoneForNonIdempotentRequestsOrWithoutBudget() throws Exception {
+      hedgeAfterMillis(1);
+      FakeEngine engine = new FakeEngine();
+      fixture.withIdempotent(false).withDeadlineMillis(30).serve(engine);
+      budget = 0;
+      fixture.withIdempotent(true).withDeadlineMillis(30).serve(engine);
+      assertEquals(2, engine.sent.size());
+    }
+  }
+
+  @Nested
+  class Crashes {
+    private final FakeEngine engine;
+
+    Crashes() {
+      Set<Integer> dead = new HashSet<>();
+      Consumer<FakeEngine.Sent> crash =
+          sent -> {
+            dead.add(sent.call().address().getPort());
+            sent.breaks();
+          };
+      engine = new FakeEngine(crash, crash, crash, crash);
+      engine.dead = dead;
+    }
+
+    /** Guards against a request that takes down a third endpoint, and against a false not-run. */
+    @Test
+    void endInAQuarantineAfterTwoEndpoints() throws Exception {
+      FakeSink sink = fixture.serve(engine);
+      assertEquals(2, engine.sent.size());
+      assertEquals("quarantined", sink.failure.code());
+      assertEquals(WorkState.UNKNOWN, sink.failure.work());
+      FakeSink again = fixture.serve(engine);
+      assertEquals(2, engine.sent.size());
+      assertEquals("quarantined", again.failure.code());
+      assertEquals(WorkState.NOT_RUN, again.failure.work());
+      assertEquals(2, fixture.told.size());
+    }
+
+    /** Guards against a broken connection to a living endpoint that counts as a crash. */
+    @Test
+    void areNotSuspectedWhileTheEndpointAnswers() throws Exception {
+      FakeEngine alive = new FakeEngine(FakeEngine.Sent::breaks, sent -> sent.stream("a").end());
+      assertTrue(fixture.serve(alive).ended);
+      assertEquals(List.of(), fixture.told);
+    }
+  }
+}
