--- a/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
@@ -5,9 +5,9 @@
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.command.CommandExecutor;
 import org.sedgeroad.command.CommandParts;
-import org.sedgeroad.command.ConditionalVote;
 import org.sedgeroad.command.InstanceStatus;
 import org.sedgeroad.command.OperatorToken;
+import org.sedgeroad.command.VoteAction;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.event.EventLog;
@@ -28,6 +28,7 @@
       ConfigurationReplica replica,
       EndpointTable endpoints,
       MembershipView membership,
+      VoteAction votes,
       BurnRecords burn,
       EventLog log) {
     CommandParts parts =
@@ -36,7 +37,7 @@
             replica,
             JobService.of(writer),
             endpoints,
-            ConditionalVote.of(writer),
+            votes,
             member -> Map.of(settings.instance(), appliedVersion(replica, member)),
             () ->
                 membership.liveInstances().stream()
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -20,6 +20,7 @@
 import org.sedgeroad.api.StopHandler;
 import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
+import org.sedgeroad.command.LimitVotes;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.configuration.Model;
@@ -121,18 +122,7 @@
     this.peers = PeerGroup.of(settings, clock, log);
     MembershipView membership = peers.membership();
     this.relay = peers.createRelay(store, replica);
-    this.limits =
-        new VotedLimits(
-            settings.instance(),
-            holder,
-            settings.domain(),
-            settings.domains().stream().map(DomainSetting::domain).toList(),
-            settings.leaseMillis(),
-            leases,
-            replica,
-            kind -> relay.versions().getOrDefault(kind, 0L),
-            peers.network(),
-            clock);
+    this.limits = createLimits(holder);
     this.shareCoordinator = limits.coordinator(writer);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
@@ -168,7 +158,15 @@
     this.requests = createHandler(writer);
     this.server = createServer();
     this.administration =
-        Administration.create(settings, writer, replica, endpoints, membership, burn, log);
+        Administration.create(
+            settings,
+            writer,
+            replica,
+            endpoints,
+            membership,
+            LimitVotes.of(limits.votes(writer)),
+            burn,
+            log);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
     InstanceGauges.register(
         metrics,
@@ -188,6 +186,20 @@
     }
   }
 
+  private VotedLimits createLimits(String holder) {
+    return new VotedLimits(
+        settings.instance(),
+        holder,
+        settings.domain(),
+        settings.domains().stream().map(DomainSetting::domain).toList(),
+        settings.leaseMillis(),
+        leases,
+        replica,
+        kind -> relay.versions().getOrDefault(kind, 0L),
+        peers.network(),
+        clock);
+  }
+
   private JobRunner createRunner(StoreWriter writer, MembershipView membership) {
     return new JobRunner(
         new JobRunnerParts(
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/DomainAllowance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/DomainAllowance.java
@@ -55,36 +55,50 @@
     LimitValues current = limits.current();
     long reserved = 0;
     long applying = 0;
+    boolean ownAbsent = false;
     for (String other : domains) {
-      long weight = sharePpm(current, shares, other) + isolatedPpm(current);
+      long share = sharePpm(current, shares, other);
+      long isolated = isolatedPpm(current);
       DomainRecord record = records.get(other);
       if (record == null) {
-        applying += weight;
+        applying += share + isolated;
         continue;
       }
+      boolean absent = record.absentLimitsVersion() < limits.version();
       if (!other.equals(domain) && record.limitsVersion() < limits.version()) {
         reserved += possibleUse(limits, kind, shares, other, record);
       } else {
-        applying += weight;
+        applying += absent ? share : share + isolated;
       }
-      if (record.absentLimitsVersion() < limits.version()) {
-        long atMost = isolatedUse(limits, kind, record.absentLimitsVersion());
-        reserved += Math.max(0, atMost - limit.getAsLong() * isolatedPpm(current));
+      if (absent) {
+        // An absent instance may use the isolated share under values that it alone still applies.
+        reserved += isolatedUse(limits, kind, record.absentLimitsVersion());
+        ownAbsent |= other.equals(domain);
       }
     }
-    long rest = Math.max(0, limit.getAsLong() * LimitValues.MILLION - reserved);
-    return OptionalLong.of(ownPart(current, limit.getAsLong(), shares, standing, rest, applying));
+    long whole = limit.getAsLong() * LimitValues.MILLION;
+    long rest = Math.max(0, whole - reserved);
+    long share = sharePpm(current, shares, domain);
+    return OptionalLong.of(
+        ownPart(
+            limit.getAsLong(), share, isolatedPpm(current), standing, rest, applying, ownAbsent));
   }
 
-  private long ownPart(
-      LimitValues current,
+  private static long ownPart(
       long limit,
-      MemberShares shares,
+      long share,
+      long isolated,
       Standing standing,
       long rest,
-      long applying) {
-    long isolated = isolatedPpm(current);
-    long share = sharePpm(current, shares, domain);
+      long applying,
+      boolean ownAbsent) {
+    if (ownAbsent) {
+      return switch (standing) {
+        case NONE -> 0;
+        case ISOLATED -> Math.min(limit * isolated, scale(rest, isolated, applying + isolated));
+        case SHARE, SHARE_AND_ISOLATED -> Math.min(limit * share, scale(rest, share, applying));
+      };
+    }
     long part = scale(rest, share + isolated, applying);
     return switch (standing) {
       case NONE -> 0;
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/LimitKind.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/LimitKind.java
@@ -34,11 +34,16 @@
     return Arrays.stream(values()).filter(kind -> kind.text.equals(text)).findFirst();
   }
 
-  /** Returns the name that operators and specs use. */
+  /** Returns the name that operators use. */
   public String toText() {
     return text;
   }
 
+  /** Returns the field of a limits object, for example {@code requests_per_second}. */
+  public String toField() {
+    return text.replace('-', '_');
+  }
+
   /** Returns whether the kind bounds a rate that the failure domains share. */
   public boolean isRate() {
     return this == REQUESTS_PER_SECOND || this == TOKENS_PER_SECOND;
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/LimitValues.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/LimitValues.java
@@ -23,7 +23,7 @@
   /** Isolated share of a member that voted none: 60%, in sum over the failure domains. */
   public static final int DEFAULT_ISOLATED_PPM = 600_000;
 
-  private static final String ISOLATED = "isolated-ppm";
+  private static final String ISOLATED = "isolated_ppm";
 
   /** Copies the map and checks the range of the isolated share. */
   public LimitValues {
@@ -42,7 +42,7 @@
   public static LimitValues fromSpec(JsonNode spec) {
     Map<LimitKind, Long> values = new EnumMap<>(LimitKind.class);
     for (LimitKind kind : LimitKind.values()) {
-      JsonNode node = spec.path(kind.toText());
+      JsonNode node = spec.path(kind.toField());
       OptionalLong value =
           kind == LimitKind.JOB_DEADLINE ? minuteOfDay(node.asText()) : number(node);
       if (value.isPresent() && kind.isValid(value.getAsLong())) {
@@ -107,9 +107,9 @@
     values.forEach(
         (kind, value) -> {
           if (kind == LimitKind.JOB_DEADLINE) {
-            spec.put(kind.toText(), LocalTime.ofSecondOfDay(value * 60).toString());
+            spec.put(kind.toField(), LocalTime.ofSecondOfDay(value * 60).toString());
           } else {
-            spec.put(kind.toText(), value);
+            spec.put(kind.toField(), value);
           }
         });
     return spec.put(ISOLATED, isolatedPpm);
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/Limits.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/Limits.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,9 +21,8 @@
   /** Name of the object whose values apply to each member that has no object of its own. */
   public static final String DEFAULT_NAME = "default";
 
-  private static final String CURRENT = "current";
   private static final String OLDER = "older";
-  private static final String ANNOUNCED = "announced";
+  private static final String ACCEPTED = "accepted";
   private static final String VERSION = "version";
 
   /** Copies the list. */
@@ -36,10 +34,9 @@
   public static Limits fromObject(StoredObject object) {
     List<OlderLimits> older = new ArrayList<>();
     for (JsonNode node : object.spec().path(OLDER)) {
-      older.add(
-          new OlderLimits(node.path(VERSION).asLong(), LimitValues.fromSpec(node.path(CURRENT))));
+      older.add(new OlderLimits(node.path(VERSION).asLong(), LimitValues.fromSpec(node)));
     }
-    LimitValues current = LimitValues.fromSpec(object.spec().path(CURRENT));
+    LimitValues current = LimitValues.fromSpec(object.spec());
     return new Limits(object.version(), current, older);
   }
 
@@ -53,11 +50,10 @@
 
   /** Returns the content of an object with the given values. */
   static ObjectNode spec(LimitValues values, List<OlderLimits> older) {
-    ObjectNode spec = JsonNodeFactory.instance.objectNode();
-    spec.set(CURRENT, values.toSpec());
+    ObjectNode spec = values.toSpec();
     ArrayNode list = spec.putArray(OLDER);
     for (OlderLimits entry : older) {
-      list.addObject().put(VERSION, entry.version()).set(CURRENT, entry.values().toSpec());
+      list.add(entry.values().toSpec().put(VERSION, entry.version()));
     }
     return spec;
   }
@@ -67,18 +63,18 @@
    * accepted yet and may be withdrawn.
    */
   static boolean isAnnounced(JsonNode spec) {
-    return spec.has(ANNOUNCED);
+    return spec.has(ACCEPTED);
   }
 
   /** Marks the content of an object as announced; a withdrawal restores the accepted values. */
   static ObjectNode asAnnounced(ObjectNode spec, LimitValues accepted) {
-    spec.set(ANNOUNCED, accepted.toSpec());
+    spec.set(ACCEPTED, accepted.toSpec());
     return spec;
   }
 
   /** Returns the values accepted last, the current ones unless others are announced. */
   static LimitValues accepted(JsonNode spec) {
-    return LimitValues.fromSpec(isAnnounced(spec) ? spec.path(ANNOUNCED) : spec.path(CURRENT));
+    return LimitValues.fromSpec(isAnnounced(spec) ? spec.path(ACCEPTED) : spec);
   }
 
   /**
