--- a/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/Administration.java
@@ -1,18 +1,15 @@
 package org.sedgeroad.entry;
 
-import java.util.List;
-import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
 import org.sedgeroad.command.CommandExecutor;
 import org.sedgeroad.command.CommandParts;
 import org.sedgeroad.command.OperatorToken;
+import org.sedgeroad.command.VoteAction;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.job.JobService;
-import org.sedgeroad.limit.VoteService;
 import org.sedgeroad.route.EndpointTable;
-import org.sedgeroad.settings.DomainSetting;
 import org.sedgeroad.settings.Settings;
 import org.sedgeroad.store.StoreWriter;
 
@@ -26,22 +23,16 @@
       ConfigurationReplica replica,
       EndpointTable endpoints,
       FleetReader fleet,
+      VoteAction votes,
       BurnRecords burn,
       EventLog log) {
-    List<String> domains = settings.domains().stream().map(DomainSetting::domain).toList();
-    VoteService votes =
-        new VoteService(
-            writer,
-            fleet::records,
-            domains.isEmpty() ? List.of(settings.domain()) : domains,
-            MonotonicClock.SYSTEM);
     CommandParts parts =
         new CommandParts(
             writer,
             replica,
             JobService.of(writer),
             endpoints,
-            votes::vote,
+            votes,
             fleet::limitVersions,
             fleet::instances);
     return new AdministrationListener(
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -123,18 +123,7 @@
     this.peers = PeerGroup.of(settings, clock, log);
     MembershipView membership = peers.membership();
     this.relay = peers.createRelay(store, replica);
-    this.limits =
-        new VotedLimits(
-            settings.instance(),
-            holder,
-            settings.domain(),
-            settings.domains().stream().map(DomainSetting::domain).toList(),
-            settings.leaseMillis(),
-            leases,
-            replica,
-            kind -> relay.versions().getOrDefault(kind, 0L),
-            peers.network(),
-            clock);
+    this.limits = createLimits(holder);
     this.shareCoordinator = limits.coordinator(writer);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
@@ -175,7 +164,8 @@
             clock,
             peers.membership()::statuses,
             () -> relay.versions().getOrDefault(Kinds.LIMITS, 0L));
-    return Administration.create(settings, writer, replica, endpoints, fleet, burn, log);
+    return Administration.create(
+        settings, writer, replica, endpoints, fleet, limits.votes(writer)::vote, burn, log);
   }
 
   private void observe(MembershipView membership) {
@@ -208,6 +198,20 @@
         log);
   }
 
+  private VotedLimits createLimits(String holder) {
+    return new VotedLimits(
+        settings.instance(),
+        holder,
+        settings.domain(),
+        settings.domains().stream().map(DomainSetting::domain).toList(),
+        settings.leaseMillis(),
+        leases,
+        replica,
+        kind -> relay.versions().getOrDefault(kind, 0L),
+        peers.network(),
+        clock);
+  }
+
   private JobRunner createRunner(StoreWriter writer, MembershipView membership) {
     return new JobRunner(
         new JobRunnerParts(
