Vote in limits and soak through the operators' API

Cause: the raw write of a limits object bypassed the vote and used a field that the gate does not read, so no limit could come into force.

--- /dev/null
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Operator.java
@@ -0,0 +1,51 @@
+package org.sedgeroad.testing.experiment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.HttpResult;
+import org.sedgeroad.testing.deployment.Deployment;
+
+/** Sends statements of the operators' language to an instance. */
+final class Operator {
+  private static final long TIMEOUT_MILLIS = 15_000;
+
+  private Operator() {}
+
+  /** Returns the statement that sets the requests per second of a member. */
+  static String setLimit(String member, long requestsPerSecond) {
+    return "SET LIMIT requests-per-second OF MEMBER '" + member + "' TO " + requestsPerSecond;
+  }
+
+  /**
+   * Sends one statement.
+   *
+   * @return its result; without an answer a result with the outcome {@code unknown}
+   */
+  static JsonNode send(HttpCaller caller, URI operators, String statement) {
+    HttpResult result =
+        caller.send(
+            new HttpCall(
+                "POST",
+                operators.resolve("/admin/commands"),
+                Map.of("Authorization", "Bearer " + Deployment.OPERATOR_TOKEN),
+                statement.getBytes(StandardCharsets.UTF_8),
+                true,
+                MonotonicClock.SYSTEM.deadlineAfterMillis(TIMEOUT_MILLIS)));
+    ObjectMapper mapper = new ObjectMapper();
+    try {
+      if (result instanceof HttpResult.Answered answered && answered.head().status() == 200) {
+        return mapper.readTree(answered.body()).path("results").path(0);
+      }
+    } catch (IOException invalid) {
+      return mapper.createObjectNode().put("outcome", "unknown").put("reason", "not JSON");
+    }
+    return mapper.createObjectNode().put("outcome", "unknown").put("reason", result.toString());
+  }
+}
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/SoakJournal.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/SoakJournal.java
@@ -16,6 +16,7 @@
   final List<PlannedStop> stops = new CopyOnWriteArrayList<>();
   final List<Absence> failures = new CopyOnWriteArrayList<>();
   final List<Vote> votes = new CopyOnWriteArrayList<>();
+  final List<Vote> uncertainVotes = new CopyOnWriteArrayList<>();
   final List<Long> limitedAdmissions = new CopyOnWriteArrayList<>();
   final List<ServiceCall> serviceCalls = new CopyOnWriteArrayList<>();
 
@@ -34,7 +35,7 @@
   /** A planned stop of an entry instance that nothing else disturbed. */
   record PlannedStop(URI entry, long from, long to) {}
 
-  /** A vote that was accepted. */
+  /** A vote that was accepted, or whose outcome is not known. */
   record Vote(long accepted, long requestsPerSecond) {}
 
   /** A call that must not be repeated, with the work that each of its answers told. */
