Tell a domain only of the bridges of other domains

Change: heartbeats and introductions list the own domain, or that of the receiver, and of the other domains their bridges and who leaves.

--- a/sedgeroad/src/main/java/org/sedgeroad/peer/GossipMembership.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/GossipMembership.java
@@ -375,7 +375,7 @@
   private Heartbeat heartbeat(String target, RandomGenerator random, HeartbeatContent content) {
     Set<MemberSighting> whole = new LinkedHashSet<>();
     whole.add(self);
-    List<KnownMember> gossiped = members.values().stream().filter(KnownMember::isGossiped).toList();
+    List<KnownMember> gossiped = gossiped();
     gossiped.stream()
         .filter(KnownMember::hasAnnouncement)
         .limit(ANNOUNCED)
@@ -420,15 +420,51 @@
         content.cutOff());
   }
 
-  /** Returns all live instances, and what is remembered of the receiver, for it to refute. */
+  /**
+   * Returns the live instances of the receiver's domain, the bridges, and what is remembered of the
+   * receiver, for it to refute.
+   */
   private List<MemberSighting> introduction(String receiver) {
+    String domain = members.get(receiver).sighting().domain();
+    Set<String> bridges = foreignBridges();
+    bridges.addAll(liveBridges(settings.domain()));
     return members.values().stream()
-        .filter(member -> member.isUsable() || member.sighting().instance().equals(receiver))
+        .filter(
+            member ->
+                member.sighting().instance().equals(receiver)
+                    || (member.isUsable()
+                        && (domain.equals(member.sighting().domain())
+                            || bridges.contains(member.sighting().instance()))))
         .map(KnownMember::sighting)
         .limit(REPLY_MEMBERS)
         .toList();
   }
 
+  /**
+   * Returns the instances to tell others of: those of this domain and the bridges of the others.
+   * Further instances of other domains are met through the seeds and would only be declared dead.
+   */
+  private List<KnownMember> gossiped() {
+    Set<String> bridges = foreignBridges();
+    return members.values().stream()
+        .filter(KnownMember::isGossiped)
+        .filter(
+            member ->
+                !isForeign(member)
+                    || bridges.contains(member.sighting().instance())
+                    || (member.state() == MemberState.LEAVING && member.hasAnnouncement()))
+        .toList();
+  }
+
+  private Set<String> foreignBridges() {
+    Set<String> domains = new TreeSet<>();
+    members.values().forEach(member -> domains.add(member.sighting().domain()));
+    domains.remove(settings.domain());
+    Set<String> bridges = new TreeSet<>();
+    domains.forEach(domain -> bridges.addAll(liveBridges(domain)));
+    return bridges;
+  }
+
   /** Returns instances of this domain that the sender of a heartbeat does not know. */
   private List<MemberSighting> missing(Heartbeat heartbeat) {
     if (heartbeat.progress().isEmpty()) {
--- a/sedgeroad/src/test/java/org/sedgeroad/peer/GossipMembershipTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/peer/GossipMembershipTest.java
@@ -149,6 +149,21 @@
       assertBridgesKnown(simulation);
     }
 
+    /** Instances that were only met through seeds were once announced over and over, and died. */
+    @Test
+    void areAllThatIsToldOfOtherDomainsAtTheSizeOfTwoYears() {
+      String[] all = "abcdefghijklm".split("");
+      GossipSimulation simulation = started(32, all);
+      simulation.run(55);
+      simulation.deaths = 0;
+      simulation.sentBytes.clear();
+      simulation.run(60);
+      assertEquals(0, simulation.deaths);
+      long most = simulation.sentBytes.values().stream().mapToLong(Long::longValue).max().orElse(0);
+      System.out.printf("heartbeats of a bridge among 13 domains: %d B/s%n", most / 60);
+      assertTrue(most / 60 < 6_000, "bytes/s " + most / 60);
+    }
+
     @Test
     void areReplacedWhenBothDieAtOnce() {
       GossipSimulation simulation = started(5, domains);
