--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -20,6 +20,7 @@
 import org.sedgeroad.api.StopHandler;
 import org.sedgeroad.burn.BurnRecords;
 import org.sedgeroad.command.AdministrationListener;
+import org.sedgeroad.command.InstanceStatus;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.configuration.Model;
@@ -32,7 +33,9 @@
 import org.sedgeroad.job.JobRunnerParts;
 import org.sedgeroad.job.JobService;
 import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.limit.ShareCoordinator;
 import org.sedgeroad.limit.VotedLimits;
+import org.sedgeroad.live.CacheEventReader;
 import org.sedgeroad.live.ClaimBook;
 import org.sedgeroad.live.CrashReports;
 import org.sedgeroad.live.LivePressureExchange;
@@ -77,6 +80,7 @@
   private final PrefixHints prefixHints = new PrefixHints(clock);
   private final LeaseTable leases;
   private final VotedLimits limits;
+  private final ShareCoordinator shareCoordinator;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final ExecutorService storeWorkers =
       new ThreadPoolExecutor(
@@ -119,18 +123,8 @@
     this.peers = PeerGroup.of(settings, clock, log);
     MembershipView membership = peers.membership();
     this.relay = peers.createRelay(store, replica);
-    this.limits =
-        new VotedLimits(
-            settings.instance(),
-            holder,
-            settings.domain(),
-            settings.domains().stream().map(DomainSetting::domain).toList(),
-            settings.leaseMillis(),
-            leases,
-            replica,
-            kind -> relay.versions().getOrDefault(kind, 0L),
-            peers.network(),
-            clock);
+    this.limits = createLimits(holder);
+    this.shareCoordinator = limits.coordinator(writer);
     this.leaseKeeper = new LeaseKeeper(writer, leases, limits, settings.domain(), clock, log);
     this.instanceList =
         new InstanceListReader(
@@ -150,23 +144,31 @@
             peers.network()::send,
             runner::wake,
             System.currentTimeMillis());
-    this.crashes =
-        new CrashReports(
-            settings.instance(),
-            new CrashSuspicion(InstantSource.system()),
-            membership,
-            peers.network()::send,
-            writer,
-            clock,
-            log);
+    this.crashes = createCrashReports(writer, membership);
     replica.addListener(crashes::apply);
     crashes.listen(peers.network());
     this.exchange = peers.createExchange(endpoints, livePressure);
     this.requests = createHandler(writer);
     this.server = createServer();
-    this.administration =
-        Administration.create(settings, writer, replica, endpoints, membership, burn, log);
+    this.administration = createAdministration(writer);
     this.drains = new DrainFollower(settings.instance(), replica, endpoints);
+    observe(membership);
+  }
+
+  private AdministrationListener createAdministration(StoreWriter writer) {
+    FleetReader fleet =
+        new FleetReader(
+            new InstanceStatus(settings.instance(), settings.domain(), "live"),
+            store,
+            leases,
+            clock,
+            peers.membership()::statuses,
+            () -> relay.versions().getOrDefault(Kinds.LIMITS, 0L));
+    return Administration.create(
+        settings, writer, replica, endpoints, fleet, limits.votes(writer)::vote, burn, log);
+  }
+
+  private void observe(MembershipView membership) {
     InstanceGauges.register(
         metrics,
         replica,
@@ -185,10 +187,36 @@
     }
   }
 
+  private CrashReports createCrashReports(StoreWriter writer, MembershipView membership) {
+    return new CrashReports(
+        settings.instance(),
+        new CrashSuspicion(InstantSource.system()),
+        membership,
+        peers.network()::send,
+        writer,
+        clock,
+        log);
+  }
+
+  private VotedLimits createLimits(String holder) {
+    return new VotedLimits(
+        settings.instance(),
+        holder,
+        settings.domain(),
+        settings.domains().stream().map(DomainSetting::domain).toList(),
+        settings.leaseMillis(),
+        leases,
+        replica,
+        kind -> relay.versions().getOrDefault(kind, 0L),
+        peers.network(),
+        clock);
+  }
+
   private JobRunner createRunner(StoreWriter writer, MembershipView membership) {
     return new JobRunner(
         new JobRunnerParts(
             settings.instance(),
+            settings.domain(),
             writer,
             replica,
             endpoints,
@@ -266,9 +294,18 @@
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
     timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
+    if (settings.routing().equals("least-cost-affinity")) {
+      CacheEventReader events = new CacheEventReader(caller, endpoints, prefixHints, clock);
+      timer.scheduleWithFixedDelay(quietly(events::readNext), 500, 500, TimeUnit.MILLISECONDS);
+    }
     exchange.start();
     peers.start();
     relay.start(peers.isAlone());
+    timer.scheduleWithFixedDelay(
+        quietly(() -> shareCoordinator.step(clock.nanos())),
+        ShareCoordinator.STEP_MILLIS,
+        ShareCoordinator.STEP_MILLIS,
+        TimeUnit.MILLISECONDS);
     runner.start();
     server.start();
     administration.start();
--- a/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/lease/LeaseTable.java
@@ -1,7 +1,10 @@
 package org.sedgeroad.lease;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -21,6 +24,7 @@
 
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<String, Sighting> sightings = new HashMap<>();
+  private final Set<String> reported = new HashSet<>();
   private final long lengthNanos;
   private long validUntilNanos;
   private boolean held;
@@ -46,9 +50,20 @@
    * the lease starts a new lease; what was held under the old one may have been taken over.
    */
   public void renewed(long sentAtNanos) {
+    renewed(sentAtNanos, sentAtNanos);
+  }
+
+  /**
+   * Records that a renewal took effect. If its answer came after the end of the lease, a new lease
+   * starts, since the renewal may also have taken effect only then.
+   *
+   * @param sentAtNanos monotonic time before the renewal was sent
+   * @param answeredAtNanos monotonic time after its answer came
+   */
+  public void renewed(long sentAtNanos, long answeredAtNanos) {
     lock.lock();
     try {
-      if (held && sentAtNanos - validUntilNanos >= 0) {
+      if (held && answeredAtNanos - validUntilNanos >= 0) {
         lapses++;
       }
       long until = sentAtNanos + lengthNanos;
@@ -98,7 +113,13 @@
               sightings.merge(
                   holder,
                   new Sighting(counter, answeredAtNanos, answeredAtNanos),
-                  (old, seen) -> old.counter() == counter ? old.withLastSeen(readAtNanos) : seen));
+                  (old, seen) -> {
+                    if (old.counter() == counter) {
+                      return old.withLastSeen(readAtNanos);
+                    }
+                    reported.remove(holder);
+                    return seen;
+                  }));
     } finally {
       lock.unlock();
     }
@@ -150,6 +171,24 @@
     }
   }
 
+  /** Returns the holders whose lease has expired since the last call, in name order. */
+  public Set<String> takeExpired(long nowNanos) {
+    lock.lock();
+    try {
+      reported.removeIf(holder -> !sightings.containsKey(holder) || !isExpired(holder, nowNanos));
+      Set<String> expired = new TreeSet<>();
+      for (String holder : sightings.keySet()) {
+        if (!reported.contains(holder) && isExpired(holder, nowNanos)) {
+          expired.add(holder);
+        }
+      }
+      reported.addAll(expired);
+      return expired;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** A counter with the times of its first and last reading. */
   private record Sighting(long counter, long firstSeenNanos, long lastSeenNanos) {
     boolean isBefore(long nanos) {
