Follow the flat form of stored limits in statements and their tests

Cause: the limits are stored without the object current, and an announced vote is marked by the accepted values.

Change: SHOW LIMITS asks Limits.isAnnounced. The tests write and compare limits through LimitValues, which keeps them apart from field names and compares all values.

--- a/sedgeroad/src/main/java/org/sedgeroad/command/LimitCommands.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/command/LimitCommands.java
@@ -16,9 +16,6 @@
 
 /** Statements about voted limits. */
 final class LimitCommands {
-  /** Marks limits that are applied already while the vote on them is not accepted yet. */
-  private static final String ANNOUNCED = "announced";
-
   private static final int TRIES = 5;
 
   private final ObjectChanges changes;
@@ -143,7 +140,7 @@
     TableBuilder table = header();
     for (StoredObject object : objects) {
       Limits limits = Limits.fromObject(object);
-      String state = object.spec().has(ANNOUNCED) ? "announced" : "accepted";
+      String state = Limits.isAnnounced(object.spec()) ? "announced" : "accepted";
       for (LimitKind kind : LimitKind.values()) {
         OptionalLong value = limits.current().value(kind);
         if (value.isPresent()) {
--- a/sedgeroad/src/main/java/org/sedgeroad/limit/Limits.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/limit/Limits.java
@@ -62,7 +62,7 @@
    * Returns whether the values are announced only: they are applied already, but the vote is not
    * accepted yet and may be withdrawn.
    */
-  static boolean isAnnounced(JsonNode spec) {
+  public static boolean isAnnounced(JsonNode spec) {
     return spec.has(ACCEPTED);
   }
 
--- a/sedgeroad/src/test/java/org/sedgeroad/command/CommandExecutorTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/command/CommandExecutorTest.java
@@ -6,9 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +16,9 @@
 import org.sedgeroad.api.Authenticator;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.job.JobService;
+import org.sedgeroad.limit.LimitKind;
+import org.sedgeroad.limit.LimitValues;
+import org.sedgeroad.limit.Limits;
 import org.sedgeroad.limit.VoteService;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.store.StoreWriter;
@@ -59,13 +59,8 @@
         .get(0);
   }
 
-  private static ObjectNode limits(Object... kindsAndValues) {
-    ObjectNode spec = JsonNodeFactory.instance.objectNode();
-    ObjectNode current = spec.putObject("current");
-    for (int index = 0; index < kindsAndValues.length; index += 2) {
-      current.put((String) kindsAndValues[index], (int) kindsAndValues[index + 1]);
-    }
-    return spec;
+  private static LimitValues priority(long value) {
+    return LimitValues.unlimited().with(LimitKind.PRIORITY, value);
   }
 
   @Test
@@ -115,7 +110,7 @@
   }
 
   @Nested
-  class Limits {
+  class Votes {
     @BeforeEach
     void createMember() {
       run("CREATE MEMBER m KEY 'one'");
@@ -124,7 +119,7 @@
 
     @Test
     void loserOfARaceIsToldTheWinner() {
-      store.beforeWrite.add(() -> store.put("limits", "m", limits("priority", 9)));
+      store.beforeWrite.add(() -> store.put("limits", "m", priority(9).toSpec()));
       CommandResult.Refused refused =
           assertInstanceOf(CommandResult.Refused.class, run("SET LIMIT priority OF MEMBER m TO 3"));
       assertTrue(
@@ -142,11 +137,11 @@
     @Test
     void changeOfAnotherLimitAtTheSameTimeIsKept() {
       store.beforeWrite.add(
-          () -> store.put("limits", "m", limits("priority", 5, "batch-share", 40)));
+          () -> store.put("limits", "m", priority(5).with(LimitKind.BATCH_SHARE, 40).toSpec()));
       row("SET LIMIT priority OF MEMBER m TO 3");
-      JsonNode current = store.find("limits", "m").spec().path("current");
-      assertEquals(40, current.path("batch-share").asInt());
-      assertEquals(3, current.path("priority").asInt());
+      assertEquals(
+          priority(3).with(LimitKind.BATCH_SHARE, 40),
+          Limits.fromObject(store.find("limits", "m")).current());
     }
 
     @Test
