Batch items take part in crash suspicion; homes learn of live work from other domains

Change: the runner asks the crash guard before each item, probes a broken endpoint, and items that an endpoint took with it keep their attempts; a report on live work goes through a bridge to the home and is repeated each second.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -134,6 +134,7 @@
             clock,
             log,
             settings.storeTimeoutMillis());
+    this.crashes = createCrashReports(writer, membership);
     this.runner = createRunner(writer, membership);
     this.livePressure =
         new LivePressureExchange(
@@ -141,10 +142,10 @@
             settings.domain(),
             endpoints,
             membership,
+            peers.membership()::liveBridges,
             peers.network()::send,
             runner::wake,
             System.currentTimeMillis());
-    this.crashes = createCrashReports(writer, membership);
     replica.addListener(crashes::apply);
     crashes.listen(peers.network());
     this.exchange = peers.createExchange(endpoints, livePressure);
@@ -231,7 +232,8 @@
             (job, results) -> {
               metrics.committed(job, results);
               burn.committed(job, results);
-            }));
+            },
+            crashes.toGuard(HttpEngineClient.of(caller))));
   }
 
   private StopHandler createHandler(StoreWriter writer) {
@@ -293,6 +295,8 @@
         settings.leaseMillis() / RENEWALS_PER_LEASE,
         TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(quietly(livePressure::forgetDeadPeers), 1, 1, TimeUnit.SECONDS);
+    timer.scheduleWithFixedDelay(
+        quietly(livePressure::repeatToOtherDomains), 1, 1, TimeUnit.SECONDS);
     timer.scheduleWithFixedDelay(quietly(crashes::publish), 100, 100, TimeUnit.MILLISECONDS);
     if (settings.routing().equals("least-cost-affinity")) {
       CacheEventReader events = new CacheEventReader(caller, endpoints, prefixHints, clock);
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -1,5 +1,6 @@
 package org.sedgeroad.job;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -20,6 +21,7 @@
 import org.sedgeroad.engine.EngineFailure;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.route.CrashVerdict;
 import org.sedgeroad.route.EndpointView;
 import org.sedgeroad.route.Placement;
 import org.sedgeroad.route.RequestShape;
@@ -29,19 +31,22 @@
   private static final int DEFAULT_OUTPUT_TOKENS = 64;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVICE_UNAVAILABLE = 503;
+  private static final long SUSPECT_RETRY_NANOS = 300_000_000L;
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final Map<String, List<RunningItem>> running = new HashMap<>();
   private final RunnerState state;
   private final JobRunnerParts parts;
+  private final BackgroundCalls calls;
   private final Consumer<Runnable> inbox;
   private final Map<String, String> services = new HashMap<>();
   private final Set<String> servicesWithRoom = new HashSet<>();
   private long lapsesAtStart;
 
-  ItemSender(RunnerState state, Consumer<Runnable> inbox) {
+  ItemSender(RunnerState state, BackgroundCalls calls, Consumer<Runnable> inbox) {
     this.state = state;
     this.parts = state.parts();
+    this.calls = calls;
     this.inbox = inbox;
   }
 
@@ -164,6 +169,10 @@
         parts
             .endpoints()
             .begin(view.endpoint(), shape(segment.job(), item, view.endpoint().service()));
+    if (!parts.crashes().suspicion().begin(placement, state.now())) {
+      keepBack(segment, item, placement);
+      return;
+    }
     RunningItem run = new RunningItem(segment, item, placement);
     String requestId = segment.key().toName() + "." + item.index() + "-" + UUID.randomUUID();
     EngineCall call =
@@ -190,8 +199,21 @@
     }
   }
 
+  /** Ends a quarantined item; another suspect waits until it can run without one beside it. */
+  private void keepBack(HeldSegment segment, BatchItem item, Placement placement) {
+    parts.endpoints().end(placement);
+    CrashVerdict verdict =
+        parts.crashes().suspicion().verdict(placement.request().fingerprint(), state.now());
+    if (verdict == CrashVerdict.QUARANTINED) {
+      fail(new RunningItem(segment, item, placement), "the item crashed two endpoints");
+    } else {
+      segment.putBackLater(item, state.now() + SUSPECT_RETRY_NANOS);
+    }
+  }
+
   private static RequestShape shape(Job job, BatchItem item, String service) {
-    int prompt = item.body().toString().length() / 4;
+    String body = item.body().toString();
+    int prompt = body.length() / 4;
     int output = item.body().path("max_tokens").asInt(DEFAULT_OUTPUT_TOKENS);
     return new RequestShape(
         service,
@@ -200,7 +222,7 @@
         prompt,
         output,
         0,
-        "",
+        Long.toHexString(Hashing.komihash5_0().hashCharsToLong(job.member() + "\n" + body)),
         item.idempotent(),
         Set.of());
   }
@@ -217,6 +239,7 @@
     if (!finish(run)) {
       return;
     }
+    parts.crashes().suspicion().answered(run.placement().request().fingerprint());
     BatchItem item = run.item();
     if (item.idempotent() && (status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE)) {
       refused(run, "endpoint answered " + status);
@@ -252,6 +275,31 @@
   }
 
   private void failed(RunningItem run, EngineFailure failure) {
+    if (failure instanceof EngineFailure.Broken && !run.isPreempted()) {
+      run.connectionBroke();
+      calls.call(
+          () -> parts.crashes().probe().test(run.placement()),
+          dead -> probed(run, failure, dead),
+          unprobed -> ended(run, failure));
+    } else {
+      ended(run, failure);
+    }
+  }
+
+  /** An endpoint that died takes innocent items with it, which must not use up their attempts. */
+  private void probed(RunningItem run, EngineFailure failure, boolean dead) {
+    if (dead) {
+      parts.crashes().lost().accept(run.placement());
+    }
+    if (!dead || !run.item().idempotent()) {
+      ended(run, failure);
+    } else if (finish(run)) {
+      parts.endpoints().markFailed(run.placement().endpoint());
+      refused(run, "the endpoint died: " + failure.reason());
+    }
+  }
+
+  private void ended(RunningItem run, EngineFailure failure) {
     if (!finish(run)) {
       return;
     }
@@ -279,6 +327,7 @@
       return false;
     }
     parts.endpoints().end(run.placement());
+    parts.crashes().suspicion().end(run.placement(), run.isBroken(), state.now());
     List<RunningItem> active = running.get(run.placement().endpoint());
     if (active != null) {
       active.remove(run);
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
@@ -40,7 +40,7 @@
         new SegmentStore(
             parts.writer(), other -> parts.leases().isExpired(other, parts.clock().nanos()));
     this.calls = new BackgroundCalls(parts.workers(), inbox::add);
-    this.sender = new ItemSender(state, inbox::add);
+    this.sender = new ItemSender(state, calls, inbox::add);
     this.keeper = new SegmentKeeper(state, segments, calls);
     this.claimer = new SegmentClaimer(state, segments, sender, calls);
     parts.replica().addListener(this::noticeJob);
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunnerParts.java
@@ -8,6 +8,7 @@
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.route.BatchPolicy;
+import org.sedgeroad.route.CrashGuard;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.store.StoreWriter;
 
@@ -28,6 +29,7 @@
  * @param log event log
  * @param itemTimeoutMillis longest run of one item in milliseconds
  * @param commits receives the results of items that have ended
+ * @param crashes finds items that crash endpoints
  */
 public record JobRunnerParts(
     String instance,
@@ -43,4 +45,5 @@
     Executor workers,
     EventLog log,
     long itemTimeoutMillis,
-    CommitListener commits) {}
+    CommitListener commits,
+    CrashGuard crashes) {}
--- a/sedgeroad/src/main/java/org/sedgeroad/job/RunningItem.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/RunningItem.java
@@ -10,6 +10,7 @@
   private final Placement placement;
   private EngineStream stream;
   private boolean preempted;
+  private boolean broken;
 
   RunningItem(HeldSegment held, BatchItem item, Placement placement) {
     this.held = held;
@@ -33,6 +34,15 @@
     return preempted;
   }
 
+  boolean isBroken() {
+    return broken;
+  }
+
+  /** Notes that the connection broke before the answer was whole. */
+  void connectionBroke() {
+    broken = true;
+  }
+
   void started(EngineStream running) {
     stream = running;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/live/CrashReports.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/CrashReports.java
@@ -10,6 +10,7 @@
 import java.util.function.BiConsumer;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.configuration.Kinds;
+import org.sedgeroad.engine.EngineClient;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
@@ -18,6 +19,7 @@
 import org.sedgeroad.peer.PeerMessage;
 import org.sedgeroad.peer.PeerNetwork;
 import org.sedgeroad.peer.QuarantineNews;
+import org.sedgeroad.route.CrashGuard;
 import org.sedgeroad.route.CrashSuspicion;
 import org.sedgeroad.route.Placement;
 import org.sedgeroad.store.StoreWriter;
@@ -77,6 +79,21 @@
     return suspicion;
   }
 
+  /** Returns a guard for batch items that probes endpoints with the given client. */
+  public CrashGuard toGuard(EngineClient engine) {
+    EndpointProbe probe = new EndpointProbe(engine, clock);
+    return new CrashGuard(suspicion, placement -> isDead(probe, placement), this::endpointLost);
+  }
+
+  private static boolean isDead(EndpointProbe probe, Placement placement) {
+    try {
+      return probe.isDead(placement);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
   // -----------------------------------------------------------------------
 
   /** Notes that the endpoint of a broken request is dead, and tells the peers. */
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LivePressureExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LivePressureExchange.java
@@ -1,8 +1,13 @@
 package org.sedgeroad.live;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.sedgeroad.Endpoint;
 import org.sedgeroad.peer.LivePressure;
 import org.sedgeroad.peer.MembershipView;
 import org.sedgeroad.peer.PeerMessage;
@@ -20,9 +25,11 @@
   private final String domain;
   private final EndpointTable endpoints;
   private final MembershipView membership;
+  private final Function<String, List<String>> bridges;
   private final BiConsumer<String, PeerMessage> network;
   private final Runnable wakeRunner;
   private final AtomicLong sequence;
+  private final Set<String> foreign = ConcurrentHashMap.newKeySet();
 
   /**
    * Creates an exchange.
@@ -31,6 +38,7 @@
    * @param domain failure domain of this instance
    * @param endpoints endpoints and counts
    * @param membership live instances of the failure domain
+   * @param bridges instances of another failure domain that pass messages on to homes there
    * @param network sends a message to an instance without blocking
    * @param wakeRunner makes the job runner decide at once
    * @param startMillis start of the process in milliseconds since 1970, so that numbers are higher
@@ -41,6 +49,7 @@
       String domain,
       EndpointTable endpoints,
       MembershipView membership,
+      Function<String, List<String>> bridges,
       BiConsumer<String, PeerMessage> network,
       Runnable wakeRunner,
       long startMillis) {
@@ -48,6 +57,7 @@
     this.domain = domain;
     this.endpoints = endpoints;
     this.membership = membership;
+    this.bridges = bridges;
     this.network = network;
     this.wakeRunner = wakeRunner;
     // Leaves 2^20 numbers a millisecond, more than an instance can use.
@@ -58,11 +68,9 @@
 
   @Override
   public void placed(Placement placement, EndpointView before) {
-    // The instances of other failure domains, and so their homes, are not known here.
     if (!before.endpoint().domain().equals(domain)) {
-      return;
-    }
-    if (!tellHome(placement.endpoint()) && before.batch() > 0) {
+      tellOtherDomain(before.endpoint());
+    } else if (!tellHome(placement.endpoint()) && before.batch() > 0) {
       wakeRunner.run();
     }
   }
@@ -71,12 +79,41 @@
   public void ended(Placement placement) {
     endpoints
         .find(placement.endpoint())
-        .filter(endpoint -> endpoint.domain().equals(domain))
-        .ifPresent(endpoint -> tellHome(endpoint.name()));
+        .ifPresent(
+            endpoint -> {
+              if (endpoint.domain().equals(domain)) {
+                tellHome(endpoint.name());
+              } else {
+                tellOtherDomain(endpoint);
+              }
+            });
   }
 
-  /** Takes a message of another instance. */
+  /** Repeats the counts at endpoints of other failure domains; called about every second. */
+  public void repeatToOtherDomains() {
+    endpoints
+        .ownLiveCounts()
+        .keySet()
+        .forEach(
+            name ->
+                endpoints
+                    .find(name)
+                    .filter(endpoint -> !endpoint.domain().equals(domain))
+                    .ifPresent(this::tellOtherDomain));
+  }
+
+  /** Takes a message of another instance; one from another failure domain may have to go on. */
   public void receive(LivePressure message) {
+    if (membership.liveInstances().contains(message.sender())) {
+      foreign.remove(message.sender());
+    } else {
+      foreign.add(message.sender());
+      String home = home(message.endpoint());
+      if (!home.equals(instance)) {
+        network.accept(home, message);
+        return;
+      }
+    }
     boolean later =
         endpoints.setPeerLive(
             message.sender(), message.sequence(), message.endpoint(), message.live());
@@ -87,21 +124,22 @@
 
   /** Takes the counts of a heartbeat of another instance. */
   public void receiveCounts(String sender, Map<String, Integer> liveCounts) {
-    if (!sender.equals(instance)) {
+    // Heartbeats of other failure domains carry no counts: those come as single reports.
+    if (!sender.equals(instance) && membership.liveInstances().contains(sender)) {
       endpoints.setPeerLive(sender, liveCounts);
     }
   }
 
   /** Drops the counts of instances that have died; called at intervals of about a second. */
   public void forgetDeadPeers() {
-    endpoints.retainPeers(membership.liveInstances());
+    endpoints.retainPeers(membership.liveInstances(), foreign);
   }
 
   // -----------------------------------------------------------------------
 
   /** Tells the endpoint's home; returns false if this instance is the home. */
   private boolean tellHome(String endpoint) {
-    String home = Rendezvous.rank(endpoint, membership.liveInstances()).get(0);
+    String home = home(endpoint);
     if (home.equals(instance)) {
       return false;
     }
@@ -109,6 +147,17 @@
     return true;
   }
 
+  private String home(String endpoint) {
+    return Rendezvous.rank(endpoint, membership.liveInstances()).get(0);
+  }
+
+  private void tellOtherDomain(Endpoint endpoint) {
+    List<String> known = bridges.apply(endpoint.domain());
+    if (!known.isEmpty()) {
+      network.accept(known.get(0), report(endpoint.name()));
+    }
+  }
+
   /** Takes number and count together, so that a higher number never carries an older count. */
   private synchronized LivePressure report(String endpoint) {
     return new LivePressure(
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointTable.java
@@ -171,11 +171,16 @@
     }
   }
 
-  /** Drops what instances reported that are no longer live. */
-  public void retainPeers(Collection<String> liveInstances) {
+  /**
+   * Drops what instances reported that are no longer live.
+   *
+   * @param liveInstances live instances of this failure domain
+   * @param foreignInstances instances of other failure domains, whose reports lapse by age
+   */
+  public void retainPeers(Collection<String> liveInstances, Collection<String> foreignInstances) {
     lock.lock();
     try {
-      peers.retain(liveInstances, records.keySet());
+      peers.retain(liveInstances, foreignInstances, records.keySet(), clock.nanos());
     } finally {
       lock.unlock();
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/PeerLiveCounts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/PeerLiveCounts.java
@@ -16,6 +16,9 @@
    */
   private static final long REPORT_PRECEDENCE_NANOS = 200_000_000L;
 
+  /** Reports are repeated every second; three may be lost. */
+  private static final long UNREPEATED_NANOS = 3_500_000_000L;
+
   private record Count(int live, long sequence, long reportedNanos, boolean single) {}
 
   private final Map<String, Map<String, Count>> endpoints = new HashMap<>();
@@ -48,12 +51,27 @@
         });
   }
 
-  /** Drops the counts of all senders that are not live, and of endpoints that are not known. */
-  void retain(Collection<String> liveSenders, Collection<String> knownEndpoints) {
+  /**
+   * Drops the counts of all senders that are not live, and of endpoints that are not known. Of
+   * senders in other failure domains it is not known whether they live; they repeat their reports,
+   * and their counts are dropped when no report has come for a while.
+   */
+  void retain(
+      Collection<String> liveSenders,
+      Collection<String> foreignSenders,
+      Collection<String> knownEndpoints,
+      long now) {
     Iterator<Map.Entry<String, Map<String, Count>>> entries = endpoints.entrySet().iterator();
     while (entries.hasNext()) {
       Map.Entry<String, Map<String, Count>> entry = entries.next();
-      entry.getValue().keySet().retainAll(liveSenders);
+      entry
+          .getValue()
+          .entrySet()
+          .removeIf(
+              sender ->
+                  !liveSenders.contains(sender.getKey())
+                      && (!foreignSenders.contains(sender.getKey())
+                          || now - sender.getValue().reportedNanos() >= UNREPEATED_NANOS));
       if (entry.getValue().isEmpty() || !knownEndpoints.contains(entry.getKey())) {
         entries.remove();
       }
--- a/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
@@ -17,6 +17,7 @@
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.lease.LeaseTable;
+import org.sedgeroad.route.CrashGuard;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.store.FakeStore;
 import org.sedgeroad.store.StoreResult;
@@ -75,7 +76,8 @@
                 pool::add,
                 EventLog.of(name),
                 60_000,
-                (job, results) -> {}));
+                (job, results) -> {},
+                CrashGuard.none()));
   }
 
   /** Writes the own counter and reads the others', as the lease keeper does. */
--- a/sedgeroad/src/test/java/org/sedgeroad/live/LivePressureExchangeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/live/LivePressureExchangeTest.java
@@ -25,6 +25,7 @@
         "d",
         fixture.endpoints,
         () -> members,
+        domain -> List.of("bridge-" + domain),
         (peer, message) -> {
           order.add("told " + peer);
           told.add((LivePressure) message);
@@ -58,6 +59,28 @@
     }
   }
 
+  @Nested
+  class OtherDomains {
+    /** Guards against batch that keeps a slot from live work of another failure domain. */
+    @Test
+    void passesReportsOnToTheHome() {
+      LivePressure report = new LivePressure("far", "e0", 1, 2);
+      exchange(other(), 1_000).receive(report);
+      assertEquals(List.of("told " + home), order);
+      exchange(home, 1_000).receive(report);
+      assertEquals(2, peerLive());
+    }
+
+    /** Guards against counts of a far sender that are dropped while it still repeats them. */
+    @Test
+    void keepsCountsOfFarSendersForAWhile() {
+      LivePressureExchange exchange = exchange(home, 1_000);
+      exchange.receive(new LivePressure("far", "e0", 1, 2));
+      exchange.forgetDeadPeers();
+      assertEquals(2, peerLive());
+    }
+  }
+
   @Nested
   class Receiving {
     private final LivePressureExchange exchange = exchange(home, 1_000);
@@ -86,10 +109,11 @@
     /** Guards against a lost message that leaves a wrong count. */
     @Test
     void takesCountsFromHeartbeats() {
-      exchange.receiveCounts("x", Map.of("e0", 2));
-      exchange.receiveCounts("y", Map.of("e0", 1));
+      List<String> others = members.stream().filter(name -> !name.equals(home)).toList();
+      exchange.receiveCounts(others.get(0), Map.of("e0", 2));
+      exchange.receiveCounts(others.get(1), Map.of("e0", 1));
       assertEquals(3, peerLive());
-      exchange.receiveCounts("x", Map.of());
+      exchange.receiveCounts(others.get(0), Map.of());
       assertEquals(1, peerLive());
       assertTrue(fixture.endpoints.ownLiveCounts().isEmpty());
     }
