--- a/sedgeroad-testing/src/test/java/org/sedgeroad/entry/PeerExchangeTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/entry/PeerExchangeTest.java
@@ -74,6 +74,7 @@
             "a",
             table,
             group.membership(),
+            domain -> List.of(),
             group.network()::send,
             () -> {},
             groups.size());
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/live/LiveEntry.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/live/LiveEntry.java
@@ -58,7 +58,14 @@
             new LiveServiceParts(
                 endpoints,
                 new LivePressureExchange(
-                    "test", "d", endpoints, () -> members, (peer, message) -> {}, () -> {}, 1),
+                    "test",
+                    "d",
+                    endpoints,
+                    () -> members,
+                    domain -> List.of(),
+                    (peer, message) -> {},
+                    () -> {},
+                    1),
                 RoutingPolicies.named(routing, endpoints.costs(), hints),
                 hints,
                 HedgePolicies.named(hedging),
