Hedge by the time to first token of prompts of like size; tests of limits and refusals

Cause: the delay before a second attempt was the 95th percentile per prompt token, so that long prompts waited several times too long. Change: percentiles by size class of the prompt.

--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Operator.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Operator.java
@@ -13,13 +13,13 @@
 import org.sedgeroad.testing.deployment.Deployment;
 
 /** Sends statements of the operators' language to an instance. */
-final class Operator {
+public final class Operator {
   private static final long TIMEOUT_MILLIS = 15_000;
 
   private Operator() {}
 
   /** Returns the statement that sets the requests per second of a member. */
-  static String setLimit(String member, long requestsPerSecond) {
+  public static String setLimit(String member, long requestsPerSecond) {
     return "SET LIMIT requests-per-second OF MEMBER '" + member + "' TO " + requestsPerSecond;
   }
 
@@ -28,7 +28,7 @@
    *
    * @return its result; without an answer a result with the outcome {@code unknown}
    */
-  static JsonNode send(HttpCaller caller, URI operators, String statement) {
+  public static JsonNode send(HttpCaller caller, URI operators, String statement) {
     HttpResult result =
         caller.send(
             new HttpCall(
--- /dev/null
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/LimitPropagationTest.java
@@ -0,0 +1,101 @@
+package org.sedgeroad.testing.failure;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.testing.deployment.ApiClient;
+import org.sedgeroad.testing.deployment.Deployment;
+import org.sedgeroad.testing.deployment.DeploymentPlan;
+import org.sedgeroad.testing.deployment.EntryProcess;
+import org.sedgeroad.testing.experiment.Operator;
+
+/** Guards against voted limits that are late, exceeded or lost (P9). */
+class LimitPropagationTest {
+  private static final long LIMIT = 5;
+
+  private Deployment deployment;
+
+  @BeforeEach
+  void start() {
+    deployment = Deployment.start(DeploymentPlan.demo());
+  }
+
+  @AfterEach
+  void stop() {
+    deployment.close();
+  }
+
+  private JsonNode vote(int entry, long limit, String suffix) {
+    EntryProcess instance = deployment.entries().get(entry);
+    return Operator.send(
+        deployment.caller(),
+        instance.operators(),
+        Operator.setLimit(deployment.plan().member(), limit) + suffix);
+  }
+
+  private void voteUntilAccepted(long limit) {
+    await()
+        .atMost(Duration.ofSeconds(40))
+        .until(() -> vote(0, limit, "").path("outcome").asText().equals("done"));
+  }
+
+  /** Calls both instances in turn for some seconds and returns the admitted calls. */
+  private int admittedIn(long millis) {
+    long deadline = MonotonicClock.SYSTEM.deadlineAfterMillis(millis);
+    int admitted = 0;
+    int call = 0;
+    while (!MonotonicClock.SYSTEM.hasPassed(deadline)) {
+      EntryProcess entry = deployment.entries().get(call++ % 2);
+      ApiClient client =
+          new ApiClient(deployment.caller(), entry.callers(), deployment.plan().key());
+      if (client.complete(deployment.plan().model(), "x", 1, false).status() == 200) {
+        admitted++;
+      }
+    }
+    assertTrue(call > millis / 1_000 * LIMIT * 3, "too few calls to show anything");
+    return admitted;
+  }
+
+  @Test
+  void holdsInSumOverAllInstancesAndAcrossRestartsOfAll() {
+    voteUntilAccepted(LIMIT);
+    // A bucket holds one second's worth, so that much may be used on top of the rate.
+    assertTrue(admittedIn(4_000) <= LIMIT * 5, "the limit was exceeded after the vote");
+    deployment.entries().forEach(entry -> entry.process().kill());
+    deployment.entries().forEach(EntryProcess::start);
+    deployment.entries().forEach(deployment::awaitReady);
+    assertTrue(admittedIn(4_000) <= LIMIT * 5, "the limit was exceeded after the restart");
+  }
+
+  @Test
+  void racingVotesOnOneVersionHaveOneWinner() throws Exception {
+    voteUntilAccepted(100);
+    JsonNode shown =
+        Operator.send(
+            deployment.caller(),
+            deployment.entries().get(0).operators(),
+            "SHOW LIMITS OF MEMBER '" + deployment.plan().member() + "'");
+    String version = shown.path("rows").path(0).path(3).asText();
+    Thread other = new Thread(() -> vote(1, 200, " IF VERSION " + version), "other-operator");
+    other.start();
+    vote(0, 300, " IF VERSION " + version);
+    other.join();
+    JsonNode first = vote(0, 300, " IF VERSION " + version);
+    JsonNode second = vote(1, 200, " IF VERSION " + version);
+    // Each vote may be repeated; exactly one of both is told that it is in force.
+    int done = 0;
+    for (JsonNode result : new JsonNode[] {first, second}) {
+      boolean accepted = result.path("outcome").asText().equals("done");
+      done += accepted ? 1 : 0;
+      assertTrue(accepted || result.path("outcome").asText().equals("refused"), result.toString());
+    }
+    assertEquals(1, done, first + " " + second);
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/route/BudgetedHedging.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/BudgetedHedging.java
@@ -24,10 +24,18 @@
 
   private static final long WINDOW_NANOS = 30_000_000_000L;
 
-  /** As in {@link EndpointSpeed}: part of the time does not depend on the prompt. */
-  private static final int PROMPT_OFFSET = 64;
+  /** Prompts below this size have about the same time to the first event. */
+  private static final int SMALL_PROMPT_TOKENS = 64;
+
+  /** Requests whose times are comparable: prompts of one service that differ by less than 2. */
+  private record Size(String service, int magnitude) {
+    static Size of(RequestShape request) {
+      int tokens = Math.max(SMALL_PROMPT_TOKENS, request.promptTokens());
+      return new Size(request.service(), Integer.numberOfLeadingZeros(tokens));
+    }
+  }
 
-  private final Map<String, Times> services = new ConcurrentHashMap<>();
+  private final Map<Size, Times> sizes = new ConcurrentHashMap<>();
   private int hundredths;
 
   @Override
@@ -35,14 +43,14 @@
     synchronized (this) {
       hundredths = Math.min(MOST_KEPT * 100, hundredths + PERCENT);
     }
-    Times times = services.get(request.service());
+    Times times = sizes.get(Size.of(request));
     if (times == null || !request.idempotent()) {
       return OptionalLong.empty();
     }
-    long perToken = times.percentile();
-    return perToken == 0
+    long percentile = times.percentile();
+    return percentile == 0
         ? OptionalLong.empty()
-        : OptionalLong.of(Math.max(LEAST_DELAY_NANOS, perToken * tokens(request)));
+        : OptionalLong.of(Math.max(LEAST_DELAY_NANOS, percentile));
   }
 
   @Override
@@ -56,16 +64,12 @@
 
   @Override
   public void observeFirstEvent(RequestShape request, long elapsedNanos, long nowNanos) {
-    services
-        .computeIfAbsent(request.service(), name -> new Times(nowNanos))
-        .add(elapsedNanos / tokens(request), nowNanos);
-  }
-
-  private static int tokens(RequestShape request) {
-    return request.promptTokens() + PROMPT_OFFSET;
+    sizes
+        .computeIfAbsent(Size.of(request), size -> new Times(nowNanos))
+        .add(elapsedNanos, nowNanos);
   }
 
-  /** Times to the first event for each prompt token, of the last window and the running one. */
+  /** Times to the first event of the last window and the running one. */
   private static final class Times {
     private static final long HIGHEST_NANOS = 60_000_000_000L;
     private static final int RECOMPUTE_EACH = 16;
