Prefer the own failure domain's endpoints, tell all of a small domain of live work

Cause: each entry knew the others' live work only at the endpoints whose home it was, so entries chose the same endpoint, and live work queued behind batch. Change: in domains of up to four instances everyone is told; of endpoints with the same wait those of the own domain come first. The idle runner ticks every 200 ms and the instance list is read every second.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -59,7 +59,7 @@
 
 /** One entry instance: wires all parts, owns the threads, starts and stops them in order. */
 public final class EntryInstance implements AutoCloseable {
-  private static final long INSTANCE_LIST_MILLIS = 500;
+  private static final long INSTANCE_LIST_MILLIS = 1_000;
   private static final int RENEWALS_PER_LEASE = 4;
   private static final int STORE_THREADS = 8;
 
@@ -242,7 +242,8 @@
             new LiveServiceParts(
                 endpoints,
                 livePressure,
-                RoutingPolicies.named(settings.routing(), endpoints.costs(), prefixHints),
+                RoutingPolicies.named(
+                    settings.routing(), endpoints.costs(), prefixHints, settings.domain()),
                 prefixHints,
                 HedgePolicies.named(settings.hedging()),
                 crashes,
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
@@ -17,6 +17,9 @@
 public final class JobRunner implements AutoCloseable {
   private static final long TICK_MILLIS = 20;
 
+  /** New work wakes an idle runner; the tick finds what other instances left behind. */
+  private static final long IDLE_TICK_MILLIS = 200;
+
   /** Part of a planned stop that is kept for the last commits and releases. */
   private static final long STOP_MARGIN_NANOS = 2_000_000_000L;
 
@@ -91,7 +94,8 @@
   private void run() {
     while (!isStopped()) {
       try {
-        Runnable next = inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
+        boolean idle = state.held().isEmpty() && !stopping;
+        Runnable next = inbox.poll(idle ? IDLE_TICK_MILLIS : TICK_MILLIS, TimeUnit.MILLISECONDS);
         if (next != null) {
           guarded(next);
         }
--- a/sedgeroad/src/main/java/org/sedgeroad/live/LivePressureExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/live/LivePressureExchange.java
@@ -21,6 +21,9 @@
  * so that batch work gives way. Thread-safe; nothing blocks.
  */
 public final class LivePressureExchange implements PlacementListener {
+  /** Three more messages a request are within the budget of a node; 31 would not be. */
+  private static final int SMALL_DOMAIN = 4;
+
   private final String instance;
   private final String domain;
   private final EndpointTable endpoints;
@@ -141,12 +144,27 @@
   private boolean tellHome(String endpoint) {
     String home = home(endpoint);
     if (home.equals(instance)) {
+      tellOthers(endpoint, home);
       return false;
     }
     network.accept(home, report(endpoint));
+    tellOthers(endpoint, home);
     return true;
   }
 
+  /**
+   * Tells the other instances of a small failure domain too, so that they do not choose the same
+   * endpoint; in a large one the heartbeats have to do.
+   */
+  private void tellOthers(String endpoint, String home) {
+    List<String> live = membership.liveInstances();
+    if (live.size() <= SMALL_DOMAIN) {
+      live.stream()
+          .filter(peer -> !peer.equals(instance) && !peer.equals(home))
+          .forEach(peer -> network.accept(peer, report(endpoint)));
+    }
+  }
+
   private String home(String endpoint) {
     return Rendezvous.rank(endpoint, membership.liveInstances()).get(0);
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/LeastCostPolicy.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/LeastCostPolicy.java
@@ -17,10 +17,14 @@
   /** Another region is used if each local endpoint has this part of its slots waiting. */
   private static final double SPILL_QUEUE = 0.5;
 
+  private static final int QUEUED = 2;
+
   private final RequestCosts costs;
+  private final String domain;
 
-  LeastCostPolicy(RequestCosts costs) {
+  LeastCostPolicy(RequestCosts costs, String domain) {
     this.costs = costs;
+    this.domain = domain;
   }
 
   @Override
@@ -70,19 +74,24 @@
     return true;
   }
 
-  /** Orders by region and by the wait for a slot; a lower tier is always better. */
-  private static int tier(EndpointView view, boolean spill) {
+  /**
+   * Orders by region and by the wait for a slot; a lower tier is always better. Of the endpoints
+   * with the same wait those of the own failure domain come first, because the counts of its other
+   * instances are known.
+   */
+  private int tier(EndpointView view, boolean spill) {
     int wait;
     if (view.isSlow() || view.live() >= view.slots()) {
-      wait = 2;
+      wait = QUEUED;
     } else {
       // Batch work gives way, but only after it has been told.
       wait = view.inFlight() < view.slots() ? 0 : 1;
     }
-    if (view.local()) {
-      return wait;
+    if (!view.local()) {
+      return spill && wait < QUEUED ? 2 * QUEUED - 1 : 2 * QUEUED + 1 + wait;
     }
-    return spill && wait < 2 ? 1 : 3 + wait;
+    boolean own = view.endpoint().domain().equals(domain);
+    return wait == QUEUED ? 2 * QUEUED : 2 * wait + (own ? 0 : 1);
   }
 
   private static double score(EndpointView view, RequestShape request, long typical) {
--- a/sedgeroad/src/main/java/org/sedgeroad/route/RoutingPolicies.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/RoutingPolicies.java
@@ -19,12 +19,27 @@
    * @throws IllegalArgumentException if the name is unknown
    */
   public static RoutingPolicy named(String name, RequestCosts costs, PrefixHints hints) {
+    return named(name, costs, hints, "");
+  }
+
+  /**
+   * Returns the policy with a name of the settings for an instance of a failure domain.
+   *
+   * @param name name of the policy
+   * @param costs usual costs of requests, as the endpoint table collects them
+   * @param hints hints on prefixes
+   * @param domain failure domain whose endpoints come first, empty for none
+   * @throws IllegalArgumentException if the name is unknown
+   */
+  public static RoutingPolicy named(
+      String name, RequestCosts costs, PrefixHints hints, String domain) {
     return switch (name) {
       case "round-robin" -> roundRobin();
       case "least-outstanding" -> RoutingPolicies::leastOutstanding;
-      case "least-cost" -> new LongRequestGuard(costs, new LeastCostPolicy(costs));
+      case "least-cost" -> new LongRequestGuard(costs, new LeastCostPolicy(costs, domain));
       case "least-cost-affinity" ->
-          new LongRequestGuard(costs, new AffinityPolicy(hints, new LeastCostPolicy(costs)));
+          new LongRequestGuard(
+              costs, new AffinityPolicy(hints, new LeastCostPolicy(costs, domain)));
       default -> throw new IllegalArgumentException("unknown routing policy: " + name);
     };
   }
