Let running batch items stay in the reserve while one slot is free

Cause: every rise of live work cancelled batch items down to the reserve, and the work of a cancelled item is lost. Change: the reserve, at most a quarter of the slots instead of half, limits new items only; items are cancelled when no slot would be free.

--- a/sedgeroad/src/main/java/org/sedgeroad/route/Headroom.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/Headroom.java
@@ -21,17 +21,24 @@
     return lastUseNanos - nanos < 0;
   }
 
-  /** Returns the batch items that may be in flight; calls at one time give one result. */
-  int allow(int slots, int live, long now) {
+  /**
+   * Returns the batch items that may be in flight; calls at one time give one result.
+   *
+   * <p>New items leave the reserve free. Items that are in flight may stay in the reserve as long
+   * as one slot is free, since cancelling them would lose their work for a rise that may be short.
+   */
+  int allow(int slots, int live, int batch, long now) {
     lastUseNanos = now;
     burst.observe(live, now);
-    // A peak as large as all slots would keep batch out for the whole time that it is remembered.
-    int most = Math.max(1, slots / 2);
+    // Batch gives way within milliseconds, so that a larger reserve would only waste slots.
+    int most = Math.max(1, slots / 4);
     int reserve = Math.min(most, Math.max(1, burst.peak(now) - burst.current()));
     int room = Math.max(0, slots - reserve - live);
-    if (burst.current() > 1 && room < granted) {
+    int kept = Math.min(batch, Math.max(0, slots - 1 - live));
+    if (burst.current() > 1 && kept < batch) {
       refilling = true;
       step = 1;
+      granted = Math.min(room, kept);
       nextStepNanos = now + REFILL_NANOS;
     }
     if (!refilling || room <= granted) {
@@ -42,6 +49,6 @@
       nextStepNanos = now + REFILL_NANOS;
     }
     refilling &= granted < room || now - nextStepNanos < 0;
-    return granted;
+    return Math.max(granted, kept);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/HeadroomPolicy.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/HeadroomPolicy.java
@@ -24,6 +24,6 @@
     }
     return endpoints
         .computeIfAbsent(view.endpoint().name(), name -> new Headroom(nowNanos))
-        .allow(view.slots(), view.live(), nowNanos);
+        .allow(view.slots(), view.live(), view.batch(), nowNanos);
   }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/route/Views.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/route/Views.java
@@ -21,6 +21,10 @@
         endpoint(name, "r"), 8, ownLive, peerLive, 0, ownLive * 20L, 0, 1.0, true);
   }
 
+  static EndpointView liveBesideBatch(String name, int live, int batch) {
+    return new EndpointView(endpoint(name, "r"), 8, live, 0, batch, live * 20L, 0, 1.0, true);
+  }
+
   static RequestShape request(int output) {
     return new RequestShape("s", "m", ServiceClass.LIVE, 10, output, 7, "f", true, Set.of());
   }
