Share free slots between the endpoints of a failure domain

Cause: a reserve at each endpoint takes up to a quarter of the capacity, though live work goes to endpoints with a free slot first and batch gives way within milliseconds. Change: every second endpoint keeps one slot free.

--- a/sedgeroad/src/main/java/org/sedgeroad/route/Headroom.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/Headroom.java
@@ -24,21 +24,16 @@
   /**
    * Returns the batch items that may be in flight; calls at one time give one result.
    *
-   * <p>New items leave the reserve free. Items that are in flight may stay in the reserve as long
-   * as one slot is free, since cancelling them would lose their work for a rise that may be short.
+   * @param free slots that batch leaves free beside the live requests
    */
-  int allow(int slots, int live, int batch, long now) {
+  int allow(int slots, int free, int live, int batch, long now) {
     lastUseNanos = now;
     burst.observe(live, now);
-    // Batch gives way within milliseconds, so that a larger reserve would only waste slots.
-    int most = Math.max(1, slots / 4);
-    int reserve = Math.min(most, Math.max(1, burst.peak(now) - burst.current()));
-    int room = Math.max(0, slots - reserve - live);
-    int kept = Math.min(batch, Math.max(0, slots - 1 - live));
-    if (burst.current() > 1 && kept < batch) {
+    int room = Math.max(0, slots - free - live);
+    if (burst.current() > 1 && room < batch) {
       refilling = true;
       step = 1;
-      granted = Math.min(room, kept);
+      granted = room;
       nextStepNanos = now + REFILL_NANOS;
     }
     if (!refilling || room <= granted) {
@@ -49,6 +44,6 @@
       nextStepNanos = now + REFILL_NANOS;
     }
     refilling &= granted < room || now - nextStepNanos < 0;
-    return Math.max(granted, kept);
+    return granted;
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/HeadroomPolicy.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/HeadroomPolicy.java
@@ -1,11 +1,16 @@
 package org.sedgeroad.route;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * Leaves room for live work: the slots minus a reserve minus the live requests in flight. Used by
- * one thread.
+ * Leaves room for live work: the slots minus the live requests in flight, minus one slot at every
+ * second endpoint. Used by one thread.
+ *
+ * <p>Live requests go to endpoints with a free slot first, and batch gives way within milliseconds,
+ * so that the endpoints of a failure domain share the free slots; one at each endpoint would take
+ * an eighth of the capacity.
  */
 final class HeadroomPolicy implements BatchPolicy {
   /** The states of endpoints that were not asked about for this time are dropped. */
@@ -24,6 +29,11 @@
     }
     return endpoints
         .computeIfAbsent(view.endpoint().name(), name -> new Headroom(nowNanos))
-        .allow(view.slots(), view.live(), view.batch(), nowNanos);
+        .allow(view.slots(), freeSlots(view), view.live(), view.batch(), nowNanos);
+  }
+
+  private static int freeSlots(EndpointView view) {
+    long hash = Hashing.komihash5_0().hashCharsToLong(view.endpoint().name());
+    return (hash & 1) == 0 ? 1 : 0;
   }
 }
