--- a/sedgeroad/src/main/java/org/sedgeroad/route/Headroom.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/Headroom.java
@@ -2,7 +2,7 @@
 
 /** The room for batch items at one endpoint over time. */
 final class Headroom {
-  private static final long REFILL_NANOS = 250_000_000L;
+  private static final long REFILL_NANOS = 50_000_000L;
 
   private final LiveBurst burst = new LiveBurst();
   private boolean refilling = true;
