List a flaky test of the configuration relay as known red

Seen: reachesNineInstancesOverTwoWatches counted 68 instead of 60 reads at the store once in four full runs: one instance listed all kinds once more. The check and its bound stay as they are; the cause was not looked into. Measured: the other five tests of the class pass.

--- a/sedgeroad-testing/src/test/java/org/sedgeroad/entry/ConfigurationRelayTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/entry/ConfigurationRelayTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.http.HttpCaller;
@@ -80,6 +81,7 @@
 
   @Nested
   class Spread {
+    @Tag("known-red")
     @Test
     void reachesNineInstancesOverTwoWatches() throws Exception {
       for (int i = 0; i < 300; i++) {
