--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/demo/DemoMain.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/demo/DemoMain.java
@@ -1,7 +1,6 @@
 package org.sedgeroad.testing.demo;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -77,7 +76,7 @@
   }
 
   private static boolean serveLive(Deployment deployment) {
-    ApiClient client = client(deployment, 0);
+    ApiClient client = deployment.client(0);
     ApiAnswer answer =
         client.complete(deployment.plan().model(), "How tall is a lenga tree?", 12, true);
     long events = answer.body().lines().filter(line -> line.startsWith("data: {")).count();
@@ -92,12 +91,12 @@
     for (int index = 0; index < BATCH_ITEMS; index++) {
       prompts.add(index == 3 ? "FAIL-ALWAYS" : "commission brief " + index);
     }
-    ApiClient client = client(deployment, 0);
+    ApiClient client = deployment.client(0);
     JsonNode file = client.json(client.upload(deployment.plan().model(), prompts, 8));
     JsonNode job = client.json(client.submit(file.path("id").asText(), Map.of()));
     System.out.println("batch: " + job.path("id").asText() + " " + job.path("status").asText());
     // Any other entry instance knows the job, too.
-    ApiClient other = client(deployment, deployment.entries().size() - 1);
+    ApiClient other = deployment.client(deployment.entries().size() - 1);
     JsonNode ended = other.awaitBatch(job.path("id").asText(), BATCH_TIMEOUT_MILLIS);
     JsonNode counts = ended.path("request_counts");
     System.out.println("batch: " + ended.path("status").asText() + " " + counts);
@@ -110,9 +109,4 @@
         && counts.path("failed").asInt() == 1
         && done == BATCH_ITEMS - 1;
   }
-
-  private static ApiClient client(Deployment deployment, int index) {
-    URI entry = deployment.entries().get(index).callers();
-    return new ApiClient(deployment.caller(), entry, deployment.plan().key());
-  }
 }
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/deployment/Deployment.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/deployment/Deployment.java
@@ -124,6 +124,16 @@
     return caller;
   }
 
+  /** Returns a caller of an entry instance with the member's key. */
+  public ApiClient client(EntryProcess entry) {
+    return new ApiClient(caller, entry.callers(), plan.key());
+  }
+
+  /** Returns a caller of the entry instance at an index of {@link #entries}. */
+  public ApiClient client(int index) {
+    return client(entries.get(index));
+  }
+
   /** Sends a control call to a stand-in; the body is a JSON object. */
   public void control(URI standIn, String path, String body) {
     HttpResult result =
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Soak.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Soak.java
@@ -167,11 +167,7 @@
   // -----------------------------------------------------------------------
 
   private Map<String, JobOutput> outputs(Deployment deployment, int entry, long timeoutMillis) {
-    ApiClient client =
-        new ApiClient(
-            deployment.caller(),
-            deployment.entries().get(entry).callers(),
-            deployment.plan().key());
+    ApiClient client = deployment.client(entry);
     Map<String, JobOutput> outputs = new HashMap<>();
     long end = System.nanoTime() + timeoutMillis * 1_000_000;
     for (SoakJournal.SubmittedJob job : journal.jobs) {
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Takeover.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Takeover.java
@@ -40,8 +40,7 @@
       victim.process().kill();
       bench.say("killed " + victim.name() + ", which holds " + segments);
       EntryProcess other = deployment.entries().get(victim == deployment.entries().get(0) ? 1 : 0);
-      ApiClient client =
-          new ApiClient(deployment.caller(), other.callers(), deployment.plan().key());
+      ApiClient client = deployment.client(other);
       JobOutput output = JobOutput.await(client, job, END_MILLIS);
       bench.say("job " + job + " " + output.status());
       boolean completed = output.status().equals("completed");
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/BatchLoad.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/load/BatchLoad.java
@@ -67,9 +67,6 @@
   }
 
   private ApiClient client(int number) {
-    return new ApiClient(
-        deployment.caller(),
-        deployment.entries().get(number % deployment.entries().size()).callers(),
-        deployment.plan().key());
+    return deployment.client(number % deployment.entries().size());
   }
 }
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/proxy/FaultProxy.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/proxy/FaultProxy.java
@@ -19,6 +19,7 @@
 public final class FaultProxy implements AutoCloseable {
   private static final int CONNECT_MILLIS = 1_000;
   private static final int BACKLOG = 256;
+  private static final long ACCEPTOR_END_MILLIS = 1_000;
 
   private final InetSocketAddress target;
   private final Throttle requestThrottle;
@@ -28,6 +29,7 @@
   private final int port;
   private volatile ProxyFaults faults = ProxyFaults.NONE;
   private ServerSocket listener;
+  private Thread acceptor;
   private boolean closed;
 
   private FaultProxy(
@@ -80,12 +82,16 @@
     try {
       if (cut) {
         listener.close();
+        // The port refuses connections only once the thread that waits in accept has let go of it.
+        acceptor.join(ACCEPTOR_END_MILLIS);
         connections.forEach(ProxyConnection::close);
       } else if (listener.isClosed() && !closed) {
         listener = listen(port);
       }
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
     }
   }
 
@@ -176,9 +182,9 @@
     ServerSocket socket = new ServerSocket();
     socket.setReuseAddress(true);
     socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wanted), BACKLOG);
-    Thread thread = new Thread(() -> acceptAll(socket), "proxy-accept");
-    thread.setDaemon(true);
-    thread.start();
+    acceptor = new Thread(() -> acceptAll(socket), "proxy-accept");
+    acceptor.setDaemon(true);
+    acceptor.start();
     return socket;
   }
 
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/entry/TakeoverTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/entry/TakeoverTest.java
@@ -71,7 +71,7 @@
             .until(() -> held(deployment, victim).isEmpty());
         EntryProcess other =
             deployment.entries().get(victim == deployment.entries().get(0) ? 1 : 0);
-        ApiClient client = new ApiClient(deployment.caller(), other.callers(), plan.key());
+        ApiClient client = deployment.client(other);
         JobOutput output = JobOutput.await(client, job, 60_000);
         assertEquals("completed", output.status());
         assertEquals(0, output.lost(ITEMS));
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/AtMostOnceTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/AtMostOnceTest.java
@@ -39,11 +39,7 @@
   }
 
   private static ApiAnswer order(int entry, String text, String key) {
-    ApiClient client =
-        new ApiClient(
-            deployment.caller(),
-            deployment.entries().get(entry).callers(),
-            deployment.plan().key());
+    ApiClient client = deployment.client(entry);
     return client.send(
         "POST",
         "/" + deployment.plan().service() + "/orders",
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/CancelTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/CancelTest.java
@@ -36,8 +36,8 @@
 
   @Test
   void nothingStartsTwoSecondsAfterTheAnswer() throws InterruptedException {
-    ApiClient submitter = client(0);
-    ApiClient canceller = client(1);
+    ApiClient submitter = deployment.client(0);
+    ApiClient canceller = deployment.client(1);
     List<String> prompts = Collections.nCopies(400, "an item that runs for one second");
     JsonNode file = submitter.json(submitter.upload(deployment.plan().model(), prompts, 100));
     JsonNode job = submitter.json(submitter.submit(file.path("id").asText(), Map.of()));
@@ -64,9 +64,4 @@
               assertEquals(accepted.size(), ended, "streams still run");
             });
   }
-
-  private static ApiClient client(int entry) {
-    return new ApiClient(
-        deployment.caller(), deployment.entries().get(entry).callers(), deployment.plan().key());
-  }
 }
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/CrashItemTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/CrashItemTest.java
@@ -32,8 +32,7 @@
       for (int item = 0; item < ITEMS; item++) {
         prompts.add(item == 5 ? "CRASH-ENGINE" : "a brief " + item);
       }
-      ApiClient client =
-          new ApiClient(deployment.caller(), deployment.entries().get(0).callers(), plan.key());
+      ApiClient client = deployment.client(0);
       JsonNode file = client.json(client.upload(plan.model(), prompts, 60));
       JsonNode job = client.json(client.submit(file.path("id").asText(), Map.of()));
       JsonNode ended = client.awaitBatch(job.path("id").asText(), JOB_TIMEOUT_MILLIS);
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/EndpointDrainTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/EndpointDrainTest.java
@@ -40,14 +40,9 @@
     deployment.close();
   }
 
-  private ApiClient client(int entry) {
-    return new ApiClient(
-        deployment.caller(), deployment.entries().get(entry).callers(), deployment.plan().key());
-  }
-
   /** Runs live and batch work until the given time and returns the live answers. */
   private List<ApiAnswer> loadUntil(Instant end) throws Exception {
-    ApiClient batch = client(0);
+    ApiClient batch = deployment.client(0);
     List<String> prompts = Collections.nCopies(500, "a commission brief");
     JsonNode file = batch.json(batch.upload(deployment.plan().model(), prompts, 20));
     batch.submit(file.path("id").asText(), Map.of());
@@ -55,7 +50,7 @@
     try {
       List<Future<List<ApiAnswer>>> calls = new ArrayList<>();
       for (int caller = 0; caller < 4; caller++) {
-        ApiClient client = client(caller % 2);
+        ApiClient client = deployment.client(caller % 2);
         calls.add(
             callers.submit(
                 () -> {
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/ExactlyOnceTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/ExactlyOnceTest.java
@@ -43,17 +43,12 @@
     deployment.close();
   }
 
-  private ApiClient client(int entry) {
-    return new ApiClient(
-        deployment.caller(), deployment.entries().get(entry).callers(), deployment.plan().key());
-  }
-
   private String submit(int entry, String key) {
     List<String> prompts = new ArrayList<>();
     for (int item = 0; item < ITEMS; item++) {
       prompts.add(item % 100 == 50 ? "FAIL-ALWAYS " + item : "notice " + item);
     }
-    ApiClient client = client(entry);
+    ApiClient client = deployment.client(entry);
     ApiAnswer file = client.upload(deployment.plan().model(), prompts, 10);
     assertEquals(200, file.status(), file.body());
     String id = client.json(file).path("id").asText();
@@ -69,7 +64,7 @@
   }
 
   private void assertEachItemEndedOnce(int entry, String job) {
-    ApiClient client = client(entry);
+    ApiClient client = deployment.client(entry);
     JsonNode batch = client.awaitBatch(job, JOB_TIMEOUT_MILLIS);
     assertEquals("completed", batch.path("status").asText(), batch.toString());
     assertEquals(ITEMS - 6, batch.path("request_counts").path("completed").asInt());
@@ -153,7 +148,7 @@
 
     @Test
     void aJobSubmittedWithoutAStoreIsRefusedAsNotRun() {
-      ApiClient client = client(0);
+      ApiClient client = deployment.client(0);
       JsonNode file = client.json(client.upload(deployment.plan().model(), List.of("a", "b"), 2));
       deployment.control(
           deployment.store(), "/control/outage", "{\"mode\":\"unavailable\",\"for_millis\":2000}");
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/GracefulStopTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/GracefulStopTest.java
@@ -60,8 +60,7 @@
     while (!stopped.get()) {
       for (EntryProcess entry : deployment.entries()) {
         if (deployment.read(entry.callers().resolve("/readyz")).startsWith("ready")) {
-          ApiClient client =
-              new ApiClient(deployment.caller(), entry.callers(), deployment.plan().key());
+          ApiClient client = deployment.client(entry);
           answers.add(client.complete(deployment.plan().model(), "a question", 40, true));
         }
       }
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/LimitPropagationTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/LimitPropagationTest.java
@@ -53,8 +53,7 @@
     int call = 0;
     while (!MonotonicClock.SYSTEM.hasPassed(deadline)) {
       EntryProcess entry = deployment.entries().get(call++ % 2);
-      ApiClient client =
-          new ApiClient(deployment.caller(), entry.callers(), deployment.plan().key());
+      ApiClient client = deployment.client(entry);
       if (client.complete(deployment.plan().model(), "x", 1, false).status() == 200) {
         admitted++;
       }
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/RefusalTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/RefusalTest.java
@@ -20,11 +20,7 @@
       }
       int refused = 0;
       for (int call = 0; call < 20; call++) {
-        ApiClient client =
-            new ApiClient(
-                deployment.caller(),
-                deployment.entries().get(call % 2).callers(),
-                deployment.plan().key());
+        ApiClient client = deployment.client(call % 2);
         ApiAnswer answer = client.complete(deployment.plan().model(), "call " + call, 3, true);
         assertEquals("not-run", answer.work(), answer.body());
         refused++;
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/WholeAnswerTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/WholeAnswerTest.java
@@ -36,11 +36,6 @@
     deployment.close();
   }
 
-  private ApiClient client(int entry) {
-    return new ApiClient(
-        deployment.caller(), deployment.entries().get(entry).callers(), deployment.plan().key());
-  }
-
   private static String text(ApiAnswer answer) {
     StringBuilder text = new StringBuilder();
     answer
@@ -64,7 +59,7 @@
         ObjectNode body =
             ApiClient.completion(deployment.plan().model(), "question " + call, TOKENS, true);
         body.put("temperature", temperature);
-        ApiClient client = client(call % 2);
+        ApiClient client = deployment.client(call % 2);
         calls.add(callers.submit(() -> client.post("/v1/completions", body, Map.of())));
       }
       // The answers take 1.5 s; the engine dies in the middle.
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/proxy/FaultProxyTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/proxy/FaultProxyTest.java
@@ -8,6 +8,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -69,6 +70,17 @@
       assertEquals(2, service.executions().size());
     }
 
+    /** Guards against a port that is still held when the cut has been reported as done. */
+    @Test
+    void areRefusedAsSoonAsTheCutReturns() {
+      for (int round = 0; round < 200; round++) {
+        proxy.setCut(true);
+        assertThrows(
+            ConnectException.class, () -> new Socket("127.0.0.1", proxy.address().getPort()));
+        proxy.setCut(false);
+      }
+    }
+
     @Test
     void areSilentInABlackHole() {
       operator.post("/control/black-hole", "{}");
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/EntryInstance.java
@@ -24,6 +24,7 @@
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.configuration.Model;
+import org.sedgeroad.engine.EngineClient;
 import org.sedgeroad.engine.HttpEngineClient;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
@@ -74,6 +75,7 @@
   private final Metrics metrics = new Metrics();
   private final BurnRecords burn;
   private final HttpCaller caller;
+  private final EngineClient engine;
   private final ObjectStore store;
   private final ConfigurationReplica replica = new ConfigurationReplica();
   private final EndpointTable endpoints;
@@ -109,6 +111,7 @@
     this.log = EventLog.of(settings.instance());
     this.burn = new BurnRecords(settings.instance(), clock, Clock.systemUTC());
     this.caller = HttpCaller.create(settings.ioThreads());
+    this.engine = HttpEngineClient.of(caller);
     this.store =
         metrics.measure(
             HttpObjectStore.of(settings.storeAddress(), caller, settings.storeTimeoutMillis()));
@@ -221,7 +224,7 @@
             writer,
             replica,
             endpoints,
-            HttpEngineClient.of(caller),
+            engine,
             BatchPolicies.named(settings.batch()),
             membership,
             leases,
@@ -233,7 +236,7 @@
               metrics.committed(job, results);
               burn.committed(job, results);
             },
-            crashes.toGuard(HttpEngineClient.of(caller))));
+            crashes.toGuard(engine)));
   }
 
   private StopHandler createHandler(StoreWriter writer) {
@@ -247,7 +250,7 @@
                 prefixHints,
                 HedgePolicies.named(settings.hedging()),
                 crashes,
-                HttpEngineClient.of(caller),
+                engine,
                 limits.gate(),
                 ClaimBook.of(writer),
                 clock,
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -41,7 +41,7 @@
   private final Consumer<Runnable> inbox;
   private final Map<String, String> services = new HashMap<>();
   private final Set<String> servicesWithRoom = new HashSet<>();
-  private long lapsesAtStart;
+  private long checkedLapses;
 
   ItemSender(RunnerState state, BackgroundCalls calls, Consumer<Runnable> inbox) {
     this.state = state;
@@ -52,9 +52,13 @@
 
   // -----------------------------------------------------------------------
 
-  /** Sends what the endpoints may get now and cancels what is beyond their allowance. */
-  void schedule() {
-    lapsesAtStart = parts.leases().lapses();
+  /**
+   * Sends what the endpoints may get now and cancels what is beyond their allowance.
+   *
+   * @param lapses lapses of the lease under which the held segments were checked
+   */
+  void schedule(long lapses) {
+    checkedLapses = lapses;
     services.clear();
     servicesWithRoom.clear();
     List<HeldSegment> sources =
@@ -126,7 +130,7 @@
         }
         // A long pause may have come between the start of this round and this send.
         boolean lapsed =
-            !parts.leases().isHeld(state.now()) || parts.leases().lapses() != lapsesAtStart;
+            !parts.leases().isHeld(state.now()) || parts.leases().lapses() != checkedLapses;
         if (lapsed || !RunnerDecisions.mayHoldMore(sources)) {
           source.putBack(item);
           return;
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobRunner.java
@@ -157,7 +157,7 @@
         sender.cancelAll();
       }
     }
-    sender.schedule();
+    sender.schedule(lapses);
     keeper.schedule(sender::hasRoom);
     if (!stopping) {
       claimer.schedule();
--- a/sedgeroad/src/main/java/org/sedgeroad/job/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/JobService.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.time.Instant;
@@ -38,23 +37,7 @@
 
   // -----------------------------------------------------------------------
 
-  /**
-   * Stores a batch file, packed into inputs while it arrives.
-   *
-   * @throws IOException if the caller's stream breaks
-   */
-  public UploadResult upload(String member, String name, InputStream content) throws IOException {
-    UploadSession session = beginUpload(member, name);
-    byte[] buffer = new byte[16 * 1024];
-    int count = content.read(buffer);
-    while (count >= 0) {
-      session.accept(ByteBuffer.wrap(buffer, 0, count));
-      count = content.read(buffer);
-    }
-    return session.finish();
-  }
-
-  /** Begins an upload that arrives in parts. */
+  /** Begins an upload; the file is packed into inputs while it arrives. */
   public UploadSession beginUpload(String member, String name) {
     return new UploadSession(member, name);
   }
--- a/sedgeroad/src/test/java/org/sedgeroad/job/JobServiceTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/JobServiceTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import org.junit.jupiter.api.Nested;
@@ -30,8 +30,9 @@
   }
 
   private UploadResult upload(String content) throws IOException {
-    byte[] bytes = content.getBytes(StandardCharsets.UTF_8);
-    return service.upload("taller-lenga", "items.jsonl", new ByteArrayInputStream(bytes));
+    JobService.UploadSession session = service.beginUpload("taller-lenga", "items.jsonl");
+    session.accept(ByteBuffer.wrap(content.getBytes(StandardCharsets.UTF_8)));
+    return session.finish();
   }
 
   private String stored() throws IOException {
