--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/LogSetup.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/LogSetup.java
@@ -8,7 +8,7 @@
 import java.util.logging.Logger;
 
 /** Sends log events to standard error, one line each. */
-final class LogSetup {
+public final class LogSetup {
   // Kept here because the log manager holds loggers weakly.
   private static final Logger EVENTS = Logger.getLogger("org.sedgeroad");
 
@@ -21,7 +21,8 @@
     }
   }
 
-  static void install() {
+  /** Installs the handler. */
+  public static void install() {
     quietLibraries();
     Handler handler = new ConsoleHandler();
     handler.setLevel(Level.ALL);
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemProgress.java
@@ -0,0 +1,35 @@
+package org.sedgeroad.batch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.sedgeroad.gateway.EventStream;
+
+/** The part of an item's output that has been received. Used on the event loop. */
+final class ItemProgress {
+  private final List<String> output = new ArrayList<>();
+  private String lastEventId = "";
+
+  void add(EventStream.Event event) {
+    if (!event.id().isEmpty()) {
+      lastEventId = event.id();
+      output.add(event.data());
+    }
+  }
+
+  String lastEventId() {
+    return lastEventId;
+  }
+
+  int events() {
+    return output.size();
+  }
+
+  String toOutput() {
+    return String.join("\n", output);
+  }
+
+  void clear() {
+    output.clear();
+    lastEventId = "";
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -0,0 +1,135 @@
+package org.sedgeroad.batch;
+
+import java.nio.ByteBuffer;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.gateway.EndpointAnswer;
+import org.sedgeroad.gateway.EndpointCall;
+import org.sedgeroad.gateway.EndpointListener;
+import org.sedgeroad.gateway.EventStream;
+import org.sedgeroad.gateway.ServiceEndpoint;
+import org.sedgeroad.http.HttpFailure;
+
+/** One sending of an item to an endpoint. Used on the event loop. */
+final class ItemRun implements EndpointListener {
+
+  /** What became of a run. */
+  enum Outcome {
+    /** The whole output is there. */
+    COMPLETED,
+    /** The endpoint says that the item can never be done. */
+    IMPOSSIBLE,
+    /** The endpoint answered with a failure of the run. */
+    FAILED,
+    /** The endpoint did not run the item. */
+    NOT_RUN,
+    /** The connection broke. */
+    BROKEN
+  }
+
+  /** Receives the end of a run that was not stopped. */
+  interface EndListener {
+    void ended(ItemRun run, Outcome outcome, String cause);
+  }
+
+  private static final int UNPROCESSABLE = 422;
+
+  private final BatchParts parts;
+  private final OwnedItem item;
+  private final ServiceEndpoint endpoint;
+  private final EndListener listener;
+  private final EventStream events = new EventStream();
+  private AutoCloseable exchange;
+  private EndpointAnswer head;
+  private boolean over;
+
+  ItemRun(BatchParts parts, OwnedItem item, ServiceEndpoint endpoint, EndListener listener) {
+    this.parts = parts;
+    this.item = item;
+    this.endpoint = endpoint;
+    this.listener = listener;
+  }
+
+  OwnedItem item() {
+    return item;
+  }
+
+  ServiceEndpoint endpoint() {
+    return endpoint;
+  }
+
+  void start(EndpointCall call) {
+    exchange = parts.caller().start(call, this);
+  }
+
+  /** Cancels the run at the endpoint; the listener is not called. */
+  void stop() {
+    if (!over) {
+      over = true;
+      close();
+    }
+  }
+
+  // -----------------------------------------------------------------------
+
+  @Override
+  public void onAnswer(EndpointAnswer answer) {
+    if (over) {
+      return;
+    }
+    head = answer;
+    if (answer.notRun()) {
+      end(Outcome.NOT_RUN, "rejected with " + answer.status());
+    } else if (!answer.genuine()) {
+      close();
+      end(Outcome.BROKEN, "the answer is not signed or belongs to another request");
+    } else if (answer.status() == UNPROCESSABLE) {
+      end(Outcome.IMPOSSIBLE, "answered " + answer.status());
+    } else if (!answer.isSuccess()) {
+      end(Outcome.FAILED, "answered " + answer.status());
+    }
+  }
+
+  @Override
+  public void onBytes(ByteBuffer bytes) {
+    if (!over) {
+      events.accept(bytes).forEach(item.progress()::add);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (!over) {
+      if (events.takeRest().length > 0) {
+        end(Outcome.BROKEN, "the answer ended inside an event");
+      } else {
+        end(Outcome.COMPLETED, "complete");
+      }
+    }
+  }
+
+  @Override
+  public void onFailure(HttpFailure failure) {
+    if (!over) {
+      boolean notSent = failure instanceof HttpFailure.NotSent;
+      end(notSent ? Outcome.NOT_RUN : Outcome.BROKEN, failure.reason());
+      parts.dispatcher().health().failed(endpoint.name(), parts.clock().nanos());
+    }
+  }
+
+  private void end(Outcome outcome, String cause) {
+    over = true;
+    listener.ended(this, outcome, cause);
+  }
+
+  private void close() {
+    try {
+      exchange.close();
+    } catch (Exception failure) {
+      parts.log().log(
+          LogEvent.REQUEST_ERROR,
+          EventField.of("request", item.spec().id()),
+          EventField.of("cause", failure));
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/FleetFollower.java
@@ -0,0 +1,115 @@
+package org.sedgeroad.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.sedgeroad.EventLoop;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.gateway.FleetView;
+import org.sedgeroad.gateway.RouteTableHolder;
+import org.sedgeroad.gateway.ServiceEndpoint;
+import org.sedgeroad.placement.Dispatcher;
+import org.sedgeroad.store.KindFollower;
+import org.sedgeroad.store.StoredObject;
+
+/** Tells the dispatcher of the registered endpoints. Used on the event loop. */
+final class FleetFollower implements KindFollower.Listener {
+  private final PlatformBinding platform;
+  private final RouteTableHolder routes;
+  private final Dispatcher dispatcher;
+  private final EventLog log;
+  private final FleetView view;
+  private final Map<String, ServiceEndpoint> logged = new HashMap<>();
+  private boolean known;
+  private int unregistered;
+
+  FleetFollower(
+      PlatformBinding platform,
+      RouteTableHolder routes,
+      Dispatcher dispatcher,
+      MonotonicClock clock,
+      EventLoop loop,
+      EventLog log) {
+    this.platform = platform;
+    this.routes = routes;
+    this.dispatcher = dispatcher;
+    this.log = log;
+    this.view = new FleetView(clock);
+  }
+
+  /** Returns whether the endpoints have been listed once. */
+  boolean isKnown() {
+    return known;
+  }
+
+  /** Drops endpoints whose registration has been gone for long enough. */
+  void refresh() {
+    if (unregistered != view.unregistered().size()) {
+      apply();
+    }
+  }
+
+  /** Applies the places that the services have in new routes. */
+  void routesChanged() {
+    apply();
+  }
+
+  @Override
+  public void listed(List<StoredObject> objects) {
+    known = true;
+    List<ServiceEndpoint> endpoints = new ArrayList<>();
+    for (StoredObject object : objects) {
+      endpoint(object).ifPresent(endpoints::add);
+    }
+    view.replaceAll(endpoints);
+    apply();
+  }
+
+  @Override
+  public void changed(StoredObject object) {
+    Optional<ServiceEndpoint> endpoint = endpoint(object);
+    if (endpoint.isPresent()) {
+      view.put(endpoint.get());
+      if (!endpoint.get().equals(logged.put(object.name(), endpoint.get()))) {
+        logChange(object, endpoint.get().draining() ? "draining" : "ready");
+      }
+    } else {
+      view.remove(object.name());
+      logged.remove(object.name());
+      logChange(object, object.isDeleted() ? "removed" : "not usable");
+    }
+    apply();
+  }
+
+  private void logChange(StoredObject object, String state) {
+    log.log(
+        LogEvent.ENDPOINT_CHANGED,
+        EventField.of("endpoint", object.name()),
+        EventField.of("state", state),
+        EventField.of("store_version", object.version()));
+  }
+
+  private Optional<ServiceEndpoint> endpoint(StoredObject object) {
+    return object.isDeleted() ? Optional.empty() : platform.endpoint(object);
+  }
+
+  private void apply() {
+    List<ServiceEndpoint> endpoints = new ArrayList<>();
+    for (ServiceEndpoint endpoint : view.registered()) {
+      endpoints.add(
+          endpoint.withSlots(routes.current().slots(endpoint.service(), endpoint.slots())));
+    }
+    List<ServiceEndpoint> doubtful = new ArrayList<>();
+    for (ServiceEndpoint endpoint : view.unregistered()) {
+      doubtful.add(
+          endpoint.withSlots(routes.current().slots(endpoint.service(), endpoint.slots())));
+    }
+    unregistered = doubtful.size();
+    dispatcher.setFleet(endpoints, doubtful);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -0,0 +1,346 @@
+package org.sedgeroad.entry;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.batch.BatchParts;
+import org.sedgeroad.batch.JobRunner;
+import org.sedgeroad.batch.JobService;
+import org.sedgeroad.batch.JobStore;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.gateway.Gateway;
+import org.sedgeroad.gateway.GatewayParts;
+import org.sedgeroad.gateway.RouteTableHolder;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.IoEventLoop;
+import org.sedgeroad.metric.GatewayMetrics;
+import org.sedgeroad.placement.Dispatcher;
+import org.sedgeroad.presence.LoadExchange;
+import org.sedgeroad.presence.LoadReport;
+import org.sedgeroad.presence.PeerBook;
+import org.sedgeroad.settings.GatewaySettings;
+import org.sedgeroad.store.KindFollower;
+import org.sedgeroad.store.ObjectStore;
+import org.sedgeroad.store.StoreWriter;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * One gateway instance: wires all parts on one event loop, starts and stops them in order.
+ *
+ * <p>Only calls to the store block; they run on a few threads of their own.
+ */
+public final class GatewayInstance implements AutoCloseable {
+  /** Time between two load reports, in milliseconds; a tenth of the time that live work is held. */
+  private static final long REPORT_MILLIS = 50;
+
+  /** Reports between two of an instance whose work has not changed. */
+  private static final int QUIET_REPORTS = 4;
+
+  /** Time between two looks at lost jobs and waiting results, in milliseconds. */
+  private static final long JOB_CHECK_MILLIS = 250;
+
+  /** Time for which a peer may have a newer configuration, in milliseconds, before it is read. */
+  private static final long CONFIGURATION_LAG_MILLIS = 500;
+
+  private static final int STORE_THREADS = 6;
+
+  /** Pause before a registration is tried again, in milliseconds. */
+  private static final long REGISTRATION_RETRY_MILLIS = 500;
+
+  private final GatewaySettings settings;
+  private final PlatformBinding platform;
+  private final EventLog log;
+  private final MonotonicClock clock = MonotonicClock.SYSTEM;
+  private final XnioWorker worker;
+  private final IoEventLoop loop;
+  private final ThreadPoolExecutor storeWorkers =
+      new ThreadPoolExecutor(
+          STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final HttpCaller caller;
+  private final StoreWriter writer;
+  private final RouteTableHolder routes = new RouteTableHolder();
+  private final PeerBook peers = new PeerBook();
+  private final InstanceDirectory instances;
+  private final Dispatcher dispatcher;
+  private final FleetFollower fleet;
+  private final Gateway gateway;
+  private final JobRunner runner;
+  private final JobService jobs;
+  private final List<KindFollower> followers = new ArrayList<>();
+  private final KindFollower routesFollower;
+  private final GatewayStop requests;
+  private final Undertow server;
+  private LoadExchange reports;
+  private LoadReport lastReport;
+  private long sequence;
+  private int quietReports;
+  private long laggingSinceNanos;
+  private boolean lagging;
+  private final long incarnation = System.currentTimeMillis();
+  private volatile boolean stopping;
+
+  /**
+   * Creates an instance; {@link #start} starts it.
+   *
+   * @param settings the settings
+   * @param platform the platform that it runs on
+   */
+  public GatewayInstance(GatewaySettings settings, PlatformBinding platform) {
+    this.settings = settings;
+    this.platform = platform;
+    this.log = EventLog.of(settings.instance());
+    this.worker = createWorker();
+    this.loop = new IoEventLoop(worker.getIoThread(), clock);
+    this.caller = HttpCaller.on(worker, settings.connectTimeoutMillis());
+    ObjectStore store = metrics.measure(platform.store(settings, caller));
+    this.writer = StoreWriter.of(store, settings.instance() + "#" + incarnation);
+    this.instances = new InstanceDirectory(settings.instance(), log);
+    this.dispatcher =
+        new Dispatcher(
+            settings.instance(),
+            settings.domain(),
+            settings::region,
+            peers,
+            clock,
+            () -> ThreadLocalRandom.current().nextDouble());
+    this.fleet = new FleetFollower(platform, routes, dispatcher, clock, loop, log);
+    BatchParts batch = createBatchParts();
+    this.runner = new JobRunner(batch);
+    dispatcher.setBatchSource(runner);
+    this.jobs = new JobService(batch, runner, new HttpPeerJobs(instances, caller, clock));
+    GatewayParts parts =
+        new GatewayParts(routes, dispatcher, batch.caller(), loop, clock, metrics, log);
+    this.gateway = new Gateway(parts);
+    this.requests = new GatewayStop(platform.clientHandler(parts, gateway, jobs));
+    this.routesFollower =
+        follow(store, platform.routesKind(), new RoutesFollower(platform, routes, fleet, log));
+    follow(store, platform.endpointsKind(), fleet);
+    follow(store, InstanceDirectory.KIND, instances);
+    follow(store, JobStore.JOBS, jobs);
+    this.server = createServer();
+  }
+
+  private static XnioWorker createWorker() {
+    try {
+      return Xnio.getInstance()
+          .createWorker(
+              OptionMap.builder()
+                  .set(Options.WORKER_IO_THREADS, 1)
+                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                  .set(Options.TCP_NODELAY, true)
+                  .set(Options.WORKER_NAME, "event-loop")
+                  .getMap());
+    } catch (IOException failure) {
+      throw new IllegalStateException("cannot start the event loop", failure);
+    }
+  }
+
+  private BatchParts createBatchParts() {
+    return new BatchParts(
+        settings.instance(),
+        JobStore.of(writer),
+        storeWorkers,
+        routes,
+        dispatcher,
+        platform.endpointCaller(caller),
+        peers,
+        loop,
+        clock,
+        metrics,
+        log);
+  }
+
+  private KindFollower follow(ObjectStore store, String kind, KindFollower.Listener listener) {
+    KindFollower follower = new KindFollower(store, kind, storeWorkers, loop, clock, log, listener);
+    followers.add(follower);
+    return follower;
+  }
+
+  private Undertow createServer() {
+    HttpHandler readiness =
+        exchange -> {
+          exchange.setStatusCode(isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+          exchange.endExchange();
+        };
+    HttpHandler metricsPage = exchange -> exchange.getResponseSender().send(metrics.toText());
+    return Undertow.builder()
+        .setWorker(worker)
+        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 64 * 1024)
+        .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+        .setServerOption(UndertowOptions.DECODE_URL, false)
+        .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+        .addListener(listener(settings.clientAddress(), requests))
+        .addListener(listener(settings.readinessAddress(), readiness))
+        .addListener(listener(settings.exchangeAddress(), new PeerJobsHandler(jobs, clock)))
+        .addListener(listener(settings.metricsAddress(), metricsPage))
+        .build();
+  }
+
+  private static Undertow.ListenerBuilder listener(InetSocketAddress address, HttpHandler root) {
+    return new Undertow.ListenerBuilder()
+        .setType(Undertow.ListenerType.HTTP)
+        .setHost(address.getHostString())
+        .setPort(address.getPort())
+        .setRootHandler(root);
+  }
+
+  // -----------------------------------------------------------------------
+
+  /** Starts all threads and listens. */
+  public void start() {
+    reports =
+        LoadExchange.open(
+            settings.reportAddress(), report -> loop.execute(() -> receive(report)), log);
+    server.start();
+    loop.execute(
+        () -> {
+          register();
+          followers.forEach(KindFollower::start);
+          repeat(REPORT_MILLIS, this::report);
+          repeat(JOB_CHECK_MILLIS, this::checkJobs);
+        });
+    log.log(
+        LogEvent.INSTANCE_STARTED,
+        EventField.of("domain", settings.domain()),
+        EventField.of("clients", settings.clientAddress()),
+        EventField.of("incarnation", incarnation));
+  }
+
+  /** Returns whether the instance takes new connections. */
+  public boolean isReady() {
+    return !stopping && routes.isKnown() && fleet.isKnown();
+  }
+
+  /** Notes that the settings file has changed. */
+  public void settingsChanged() {
+    log.log(LogEvent.SETTINGS_READ_AGAIN);
+  }
+
+  /**
+   * Stops in order: not ready, wait for the balancer, finish requests, leave the jobs to others,
+   * close. Takes at most the stop timeout of the settings.
+   */
+  @Override
+  public void close() {
+    long deadline = clock.deadlineAfterMillis(settings.stopTimeoutMillis());
+    log.log(LogEvent.INSTANCE_STOPPING, EventField.of("requests", requests.active()));
+    stopping = true;
+    requests.closeConnections();
+    sleepUntil(clock.deadlineAfterMillis(settings.stopNoticeMillis()), false);
+    loop.execute(runner::stopAll);
+    sleepUntil(deadline, true);
+    if (requests.active() > 0) {
+      log.log(LogEvent.STOP_DEADLINE_PASSED, EventField.of("requests", requests.active()));
+    }
+    followers.forEach(follower -> loop.execute(follower::close));
+    server.stop();
+    reports.close();
+    storeWorkers.shutdownNow();
+    log.log(LogEvent.INSTANCE_STOPPED);
+  }
+
+  // -----------------------------------------------------------------------
+
+  private void sleepUntil(long deadlineNanos, boolean untilIdle) {
+    while (!clock.hasPassed(deadlineNanos) && !(untilIdle && requests.active() == 0)) {
+      try {
+        Thread.sleep(20);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  private void repeat(long periodMillis, Runnable task) {
+    loop.at(
+        clock.deadlineAfterMillis(periodMillis),
+        () -> {
+          repeat(periodMillis, task);
+          try {
+            task.run();
+          } catch (RuntimeException failure) {
+            log.log(LogEvent.REQUEST_ERROR, EventField.of("cause", failure));
+          }
+        });
+  }
+
+  private void register() {
+    InstanceRegistration.write(
+        writer,
+        settings.instance(),
+        new InstanceDirectory.Addresses(settings.reportAddress(), settings.exchangeAddress()),
+        storeWorkers,
+        registered -> {
+          if (!registered) {
+            loop.at(clock.deadlineAfterMillis(REGISTRATION_RETRY_MILLIS), this::register);
+          }
+        });
+  }
+
+  private void receive(LoadReport report) {
+    if (!report.instance().equals(settings.instance()) && peers.receive(report, clock.nanos())) {
+      dispatcher.refresh();
+    }
+  }
+
+  private void report() {
+    dispatcher.refresh();
+    LoadReport next =
+        new LoadReport(
+            settings.instance(),
+            incarnation,
+            lastReport == null ? 0 : lastReport.sequence(),
+            routes.current().version(),
+            dispatcher.liveWaiting(),
+            runner.readyByService(),
+            runner.waitingTokens(),
+            dispatcher.occupancy());
+    quietReports = next.equals(lastReport) ? quietReports + 1 : 0;
+    if (quietReports % QUIET_REPORTS == 0) {
+      lastReport = next.withSequence(++sequence);
+      reports.send(lastReport, instances.reportAddresses());
+    }
+    checkConfiguration();
+  }
+
+  /** Reads the routes again if a peer has newer ones for longer than a watch takes. */
+  private void checkConfiguration() {
+    long now = clock.nanos();
+    if (peers.newestConfiguration(now) <= routes.current().version()) {
+      lagging = false;
+    } else if (!lagging) {
+      lagging = true;
+      laggingSinceNanos = now;
+    } else if (now - laggingSinceNanos > CONFIGURATION_LAG_MILLIS * 1_000_000L) {
+      lagging = false;
+      routesFollower.restart("a peer has newer routes");
+    }
+  }
+
+  private void checkJobs() {
+    fleet.refresh();
+    runner.storeDueResults();
+    if (!stopping) {
+      jobs.takeOverLostJobs();
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
@@ -0,0 +1,94 @@
+package org.sedgeroad.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.batch.PeerJobs;
+import org.sedgeroad.batch.ReadResult;
+import org.sedgeroad.batch.ResultPageText;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.HttpResult;
+
+/** Asks other instances over HTTP; {@link PeerJobsHandler} answers. */
+final class HttpPeerJobs implements PeerJobs {
+  /** Time for the way there and back beyond the wait that the call asks for, in milliseconds. */
+  private static final long CALL_MILLIS = 300;
+
+  private final InstanceDirectory instances;
+  private final HttpCaller caller;
+  private final MonotonicClock clock;
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  HttpPeerJobs(InstanceDirectory instances, HttpCaller caller, MonotonicClock clock) {
+    this.instances = instances;
+    this.caller = caller;
+    this.clock = clock;
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> results(
+      String owner, String job, int after, long deadlineNanos) {
+    long wait = Math.max(0, (deadlineNanos - clock.nanos()) / 1_000_000L);
+    return call(owner, "GET", "results", job, "&after=" + after + "&wait_millis=" + wait, wait)
+        .thenApply(this::readPage);
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> body(String owner, String job, String item) {
+    return call(owner, "GET", "body", job, "&item=" + encode(item), 0)
+        .thenApply(
+            result ->
+                result instanceof HttpResult.Answered answered && answered.head().status() == 200
+                    ? new ReadResult.Body(answered.body())
+                    : new ReadResult.Unsure(result.toString()));
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> ended(String owner, String job) {
+    return call(owner, "POST", "ended", job, "", 0)
+        .thenApply(
+            result ->
+                result instanceof HttpResult.Answered
+                    ? new ReadResult.Ended()
+                    : new ReadResult.Unsure(result.toString()));
+  }
+
+  // -----------------------------------------------------------------------
+
+  private CompletableFuture<HttpResult> call(
+      String owner, String method, String path, String job, String query, long waitMillis) {
+    Optional<InetSocketAddress> address =
+        instances.find(owner).map(InstanceDirectory.Addresses::exchange);
+    if (address.isEmpty()) {
+      return CompletableFuture.completedFuture(
+          new HttpResult.Failed(
+              new org.sedgeroad.http.HttpFailure.NotSent("unknown instance " + owner)));
+    }
+    String authority = address.get().getHostString() + ":" + address.get().getPort();
+    URI uri = URI.create("http://" + authority + "/" + path + "?job=" + encode(job) + query);
+    return caller.sendLater(
+        HttpCall.of(method, uri, new byte[0], clock.deadlineAfterMillis(waitMillis + CALL_MILLIS)));
+  }
+
+  private ReadResult readPage(HttpResult result) {
+    if (result instanceof HttpResult.Answered answered && answered.head().status() == 200) {
+      try {
+        return new ReadResult.Page(ResultPageText.decode(mapper.readTree(answered.body())));
+      } catch (IOException failure) {
+        return new ReadResult.Unsure("answer of the owner: " + failure.getMessage());
+      }
+    }
+    return new ReadResult.Unsure(result.toString());
+  }
+
+  private static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
@@ -0,0 +1,80 @@
+package org.sedgeroad.entry;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Deque;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.batch.JobService;
+import org.sedgeroad.batch.ReadResult;
+import org.sedgeroad.batch.ResultPageText;
+
+/** Answers other instances about the jobs that this one runs. */
+final class PeerJobsHandler implements HttpHandler {
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final JobService jobs;
+  private final MonotonicClock clock;
+
+  PeerJobsHandler(JobService jobs, MonotonicClock clock) {
+    this.jobs = jobs;
+    this.clock = clock;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    String job = parameter(exchange, "job", "");
+    // The service runs on the same event loop, so that its answers come on this thread.
+    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> handle(exchange, job));
+  }
+
+  private void handle(HttpServerExchange exchange, String job) {
+    switch (exchange.getRequestPath()) {
+      case "/results" -> {
+        int after = Integer.parseInt(parameter(exchange, "after", "0"));
+        long wait = Long.parseLong(parameter(exchange, "wait_millis", "0"));
+        jobs.readForPeer(
+            job, after, clock.deadlineAfterMillis(wait), result -> send(exchange, result));
+      }
+      case "/body" ->
+          jobs.readBodyForPeer(
+              job, parameter(exchange, "item", ""), result -> send(exchange, result));
+      case "/ended" -> {
+        jobs.ended(job);
+        send(exchange, new ReadResult.Ended());
+      }
+      default -> send(exchange, new ReadResult.Absent());
+    }
+  }
+
+  private static String parameter(HttpServerExchange exchange, String name, String fallback) {
+    Deque<String> values = exchange.getQueryParameters().get(name);
+    return values == null || values.isEmpty() ? fallback : values.getFirst();
+  }
+
+  private static void send(HttpServerExchange exchange, ReadResult result) {
+    if (result instanceof ReadResult.Page page) {
+      String text = ResultPageText.encode(page.page()).toString();
+      send(exchange, OK, text.getBytes(StandardCharsets.UTF_8));
+    } else if (result instanceof ReadResult.Body body) {
+      send(exchange, OK, body.body());
+    } else if (result instanceof ReadResult.Ended) {
+      send(exchange, OK, new byte[0]);
+    } else if (result instanceof ReadResult.Absent) {
+      send(exchange, NOT_FOUND, new byte[0]);
+    } else {
+      send(exchange, UNAVAILABLE, new byte[0]);
+    }
+  }
+
+  private static void send(HttpServerExchange exchange, int status, byte[] body) {
+    exchange.setStatusCode(status);
+    exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
+    exchange.getResponseSender().send(ByteBuffer.wrap(body));
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/RoutesFollower.java
@@ -0,0 +1,51 @@
+package org.sedgeroad.entry;
+
+import java.util.List;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.gateway.RouteTable;
+import org.sedgeroad.gateway.RouteTableHolder;
+import org.sedgeroad.store.KindFollower;
+import org.sedgeroad.store.StoredObject;
+
+/** Puts new routes into force. Used on the event loop. */
+final class RoutesFollower implements KindFollower.Listener {
+  private final PlatformBinding platform;
+  private final RouteTableHolder routes;
+  private final FleetFollower fleet;
+  private final EventLog log;
+
+  RoutesFollower(
+      PlatformBinding platform, RouteTableHolder routes, FleetFollower fleet, EventLog log) {
+    this.platform = platform;
+    this.routes = routes;
+    this.fleet = fleet;
+    this.log = log;
+  }
+
+  @Override
+  public void listed(List<StoredObject> objects) {
+    objects.forEach(this::changed);
+  }
+
+  @Override
+  public void changed(StoredObject object) {
+    if (object.isDeleted()) {
+      return;
+    }
+    RouteTable before = routes.current();
+    platform
+        .routes(object)
+        .filter(routes::apply)
+        .ifPresent(
+            table -> {
+              log.log(
+                  LogEvent.ROUTES_APPLIED,
+                  EventField.of("version", table.version()),
+                  EventField.of("before", before.version()),
+                  EventField.of("store_version", object.version()));
+              fleet.routesChanged();
+            });
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -12,10 +12,18 @@
   INSTANCE_STOPPED(1003, Level.INFO, "instance stopped"),
   /** The settings file has faults; nothing was started. */
   SETTINGS_INVALID(1004, Level.ERROR, "settings invalid"),
+  /** The settings file was read again; its values come into force with the next start. */
+  SETTINGS_READ_AGAIN(1005, Level.INFO, "settings read again"),
   /** A call to the store failed. */
   STORE_UNAVAILABLE(2001, Level.WARNING, "store unavailable"),
   /** A watch ended and is started again. */
   WATCH_RESTARTED(2002, Level.INFO, "watch restarted"),
+  /** The store answers again. */
+  STORE_AVAILABLE(2004, Level.INFO, "store available"),
+  /** A newer version of the routes is in force. */
+  ROUTES_APPLIED(2005, Level.INFO, "routes applied"),
+  /** An object in the store can't be read; it is ignored. */
+  OBJECT_INVALID(2006, Level.WARNING, "object in the store is not valid"),
   /** The lease could not be renewed in time; held work stops. */
   LEASE_LAPSED(2003, Level.WARNING, "lease lapsed"),
   /** A caller's request was refused. */
@@ -26,6 +34,14 @@
   CALLER_GONE(3003, Level.DEBUG, "caller went away"),
   /** A handler met an unexpected error. */
   REQUEST_ERROR(3004, Level.ERROR, "unexpected error while serving a request"),
+  /** A request got a place at an endpoint. */
+  REQUEST_PLACED(3005, Level.INFO, "request placed"),
+  /** A request has its final answer. */
+  REQUEST_ENDED(3006, Level.INFO, "request ended"),
+  /** A request goes on at another endpoint. */
+  REQUEST_MOVED(3007, Level.INFO, "request moved"),
+  /** An endpoint was registered, or its registration changed or was removed. */
+  ENDPOINT_CHANGED(4007, Level.INFO, "endpoint changed"),
   /** An endpoint refuses new work and is taken out of use. */
   ENDPOINT_DRAINING(4001, Level.INFO, "endpoint draining"),
   /** An endpoint broke a connection or refused one. */
@@ -52,6 +68,16 @@
   SEGMENT_LOST(5006, Level.INFO, "segment lost"),
   /** An item failed for good after its last attempt. */
   ITEM_FAILED(5007, Level.INFO, "item failed"),
+  /** A job was not accepted. */
+  JOB_REFUSED(5008, Level.INFO, "job refused"),
+  /** An item of a job was sent to an endpoint. */
+  ITEM_STARTED(5009, Level.INFO, "item started"),
+  /** A run of an item ended. */
+  ITEM_RUN_ENDED(5010, Level.INFO, "item run ended"),
+  /** An item left its endpoint to make room; it goes on later. */
+  ITEM_WITHDRAWN(5011, Level.INFO, "item withdrawn"),
+  /** Results are in the store and can be read. */
+  RESULTS_STORED(5012, Level.INFO, "results stored"),
   /** A connection to a peer was opened. */
   PEER_CONNECTED(6006, Level.DEBUG, "peer connected"),
   /** A connection to a peer could not be opened, or broke. */
@@ -72,6 +98,8 @@
   MEMBER_LEAVING(6013, Level.INFO, "instance is leaving"),
   /** This process was paused; the time is not counted against other instances. */
   PROCESS_PAUSED(6014, Level.WARNING, "process was paused"),
+  /** A request to empty a machine was answered. */
+  RETIREMENT_ANSWERED(6015, Level.INFO, "retirement answered"),
   /** This instance began to watch the store for its failure domain. */
   WATCHES_STARTED(6020, Level.INFO, "watching the store"),
   /** This instance ended its watches because others hold them. */
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointAnswer.java
@@ -0,0 +1,25 @@
+package org.sedgeroad.gateway;
+
+import java.util.Map;
+
+/**
+ * Head of an endpoint's answer.
+ *
+ * @param status HTTP status code
+ * @param headers headers to forward, without those of one connection
+ * @param notRun whether the endpoint states that the request has not run
+ * @param genuine whether the answer belongs to the request and, if it is a success, is signed
+ */
+public record EndpointAnswer(
+    int status, Map<String, String> headers, boolean notRun, boolean genuine) {
+
+  /** Copies the headers. */
+  public EndpointAnswer {
+    headers = Map.copyOf(headers);
+  }
+
+  /** Returns whether the status is a success. */
+  public boolean isSuccess() {
+    return status >= 200 && status < 300;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointCall.java
@@ -0,0 +1,25 @@
+package org.sedgeroad.gateway;
+
+import java.util.Map;
+
+/**
+ * One sending of a request to one endpoint. No component may be null.
+ *
+ * @param endpoint the endpoint
+ * @param id id of the client's attempt or of the batch item
+ * @param method request method
+ * @param target path with query
+ * @param headers headers to forward
+ * @param body whole body; must not be modified
+ * @param lastEventId id of the event after which the stream is to go on, empty from the start
+ * @param deadlineNanos monotonic time at which the endpoint is to stop, in nanoseconds
+ */
+public record EndpointCall(
+    ServiceEndpoint endpoint,
+    String id,
+    String method,
+    String target,
+    Map<String, String> headers,
+    byte[] body,
+    String lastEventId,
+    long deadlineNanos) {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointCaller.java
@@ -0,0 +1,12 @@
+package org.sedgeroad.gateway;
+
+/** Sends requests to endpoints. */
+@FunctionalInterface
+public interface EndpointCaller {
+
+  /**
+   * Starts a call. Closing the result cancels the request at the endpoint; the listener then gets a
+   * failure.
+   */
+  AutoCloseable start(EndpointCall call, EndpointListener listener);
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStream.java
@@ -0,0 +1,68 @@
+package org.sedgeroad.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Splits a {@code text/event-stream} into whole events. Not thread-safe. */
+public final class EventStream {
+
+  /**
+   * One whole event.
+   *
+   * @param id value of its id field, empty if it has none
+   * @param data its data lines, joined by line feeds
+   * @param bytes the event as received, with the blank line that ends it
+   */
+  public record Event(String id, String data, byte[] bytes) {}
+
+  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private boolean lineEmpty = true;
+
+  /** Consumes all remaining bytes and returns the events that they complete. */
+  public List<Event> accept(ByteBuffer bytes) {
+    List<Event> events = new ArrayList<>();
+    while (bytes.hasRemaining()) {
+      byte next = bytes.get();
+      pending.write(next);
+      if (next == '\n') {
+        if (lineEmpty) {
+          events.add(parse(pending.toByteArray()));
+          pending.reset();
+        }
+        lineEmpty = true;
+      } else if (next != '\r') {
+        lineEmpty = false;
+      }
+    }
+    return events;
+  }
+
+  /** Returns and forgets the bytes of an event that has not ended. */
+  public byte[] takeRest() {
+    byte[] rest = pending.toByteArray();
+    pending.reset();
+    lineEmpty = true;
+    return rest;
+  }
+
+  private static Event parse(byte[] bytes) {
+    String id = "";
+    StringBuilder data = null;
+    for (String line : new String(bytes, StandardCharsets.UTF_8).split("\r?\n")) {
+      if (line.startsWith("id:")) {
+        id = value(line, 3);
+      } else if (line.startsWith("data:")) {
+        data = data == null ? new StringBuilder() : data.append('\n');
+        data.append(value(line, 5));
+      }
+    }
+    return new Event(id, data == null ? "" : data.toString(), bytes);
+  }
+
+  private static String value(String line, int start) {
+    return line.startsWith(" ", start) ? line.substring(start + 1) : line.substring(start);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestLimits.java
@@ -0,0 +1,13 @@
+package org.sedgeroad.gateway;
+
+/**
+ * Bounds on what a client may send.
+ *
+ * @param headerBytes largest header section, in bytes
+ * @param bodyBytes largest body, in bytes
+ * @param headerTimeoutMillis longest time to send the headers, in milliseconds
+ * @param idleTimeoutMillis longest time that a connection stays open without a request, in
+ *     milliseconds
+ */
+public record RequestLimits(
+    int headerBytes, long bodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Route.java
@@ -0,0 +1,83 @@
+package org.sedgeroad.gateway;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A rule that sends requests of one host and path prefix to a service. No component may be null.
+ *
+ * @param name unique name
+ * @param host value of the {@code Host} header without port, lower case
+ * @param pathPrefix prefix of the path, begins and ends with a slash
+ * @param kind what may be done with the requests
+ * @param services services with their weights, at least one
+ * @param priority rank against other routes of the service, 0 is the highest
+ * @param maximumEndpoints most endpoints that may run one attempt of a client
+ * @param timeoutMillis longest time that a request is kept waiting, in milliseconds
+ * @param objectiveMillis time within which an answer, or a stream's first event, is on time, in
+ *     milliseconds
+ * @param resumable whether a stream may go on at another endpoint
+ * @param batch terms of a batch route
+ */
+public record Route(
+    String name,
+    String host,
+    String pathPrefix,
+    RouteKind kind,
+    List<WeightedService> services,
+    int priority,
+    int maximumEndpoints,
+    long timeoutMillis,
+    long objectiveMillis,
+    boolean resumable,
+    BatchTerms batch) {
+
+  /** Copies the list and checks the components. */
+  public Route {
+    Objects.requireNonNull(name);
+    Objects.requireNonNull(host);
+    Objects.requireNonNull(pathPrefix);
+    Objects.requireNonNull(kind);
+    Objects.requireNonNull(batch);
+    services = List.copyOf(services);
+    if (services.isEmpty()) {
+      throw new IllegalArgumentException("route " + name + " has no service");
+    }
+  }
+
+  /** Returns whether a request that may have run can be sent to another endpoint. */
+  public boolean isRepeatable() {
+    return kind == RouteKind.IDEMPOTENT || kind == RouteKind.BATCH || isResumableStream();
+  }
+
+  /** Returns whether a stream of this route can go on at another endpoint. */
+  public boolean isResumableStream() {
+    return kind == RouteKind.STREAMING && resumable;
+  }
+
+  /**
+   * Returns the service for one request.
+   *
+   * @param choice number from 0 (inclusive) to 1 (exclusive) that selects by weight
+   */
+  public String serviceFor(double choice) {
+    int total = services.stream().mapToInt(WeightedService::weight).sum();
+    double left = choice * total;
+    for (WeightedService service : services) {
+      left -= service.weight();
+      if (left < 0) {
+        return service.service();
+      }
+    }
+    return services.get(0).service();
+  }
+
+  /** Returns whether the route may send requests to a service. */
+  public boolean allows(String service) {
+    return services.stream()
+        .anyMatch(
+            candidate ->
+                candidate.service().equals(service)
+                    && (candidate.weight() > 0 || services.size() == 1));
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
@@ -31,14 +31,34 @@
   private static final int IDLE_CONNECTIONS_PER_ADDRESS = 64;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+  /** Time for which an idle connection is used again if the server names none, in milliseconds. */
+  private static final long IDLE_MILLIS = 4_000;
+
   private final XnioWorker worker;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 0);
-  private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+  private final Map<String, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
   private final MonotonicClock clock;
+  private final long connectTimeoutMillis;
+  private final boolean ownsWorker;
+
+  private record IdleConnection(ClientConnection connection, long useUntilNanos) {}
 
-  private HttpCaller(XnioWorker worker, MonotonicClock clock) {
+  private HttpCaller(
+      XnioWorker worker, MonotonicClock clock, long connectTimeoutMillis, boolean ownsWorker) {
     this.worker = worker;
     this.clock = clock;
+    this.connectTimeoutMillis = connectTimeoutMillis;
+    this.ownsWorker = ownsWorker;
+  }
+
+  /**
+   * Returns a caller on the I/O threads of a worker, which is not closed with it.
+   *
+   * @param worker the worker
+   * @param connectTimeoutMillis longest wait for a connection, in milliseconds
+   */
+  public static HttpCaller on(XnioWorker worker, long connectTimeoutMillis) {
+    return new HttpCaller(worker, MonotonicClock.SYSTEM, connectTimeoutMillis, false);
   }
 
   /**
@@ -58,7 +78,11 @@
               .set(Options.WORKER_NAME, "http-caller")
               .set(Options.THREAD_DAEMON, true)
               .getMap();
-      return new HttpCaller(Xnio.getInstance().createWorker(options), MonotonicClock.SYSTEM);
+      return new HttpCaller(
+          Xnio.getInstance().createWorker(options),
+          MonotonicClock.SYSTEM,
+          CONNECT_TIMEOUT_MILLIS,
+          true);
     } catch (IOException failure) {
       throw new IllegalStateException("cannot start HTTP client threads", failure);
     }
@@ -92,8 +116,12 @@
 
   @Override
   public void close() {
-    idle.values().forEach(connections -> connections.forEach(IoUtils::safeClose));
-    worker.shutdownNow();
+    idle.values()
+        .forEach(
+            connections -> connections.forEach(entry -> IoUtils.safeClose(entry.connection())));
+    if (ownsWorker) {
+      worker.shutdownNow();
+    }
   }
 
   // -----------------------------------------------------------------------
@@ -104,7 +132,7 @@
             .set(Options.TCP_NODELAY, true)
             .set(io.undertow.UndertowOptions.MAX_HEADER_SIZE, 64 * 1024)
             .getMap();
-    exchange.expectConnectionBy(CONNECT_TIMEOUT_MILLIS, worker.getIoThread());
+    exchange.expectConnectionBy(connectTimeoutMillis, worker.getIoThread());
     UndertowClient.getInstance()
         .connect(
             new ClientCallback<>() {
@@ -124,11 +152,14 @@
             options);
   }
 
-  void release(URI uri, ClientConnection connection) {
-    Deque<ClientConnection> connections =
+  /** Keeps a connection for another call, for as long as the server says or a default. */
+  void release(URI uri, ClientConnection connection, Long serverIdleSeconds) {
+    Deque<IdleConnection> connections =
         idle.computeIfAbsent(uri.getAuthority(), key -> new ConcurrentLinkedDeque<>());
-    if (connection.isOpen() && connections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
-      connections.push(connection);
+    // The last second is left out, because a request could cross the server's close.
+    long millis = serverIdleSeconds == null ? IDLE_MILLIS : (serverIdleSeconds - 1) * 1_000L;
+    if (connection.isOpen() && millis > 0 && connections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
+      connections.push(new IdleConnection(connection, clock.deadlineAfterMillis(millis)));
     } else {
       IoUtils.safeClose(connection);
     }
@@ -139,14 +170,18 @@
   }
 
   private ClientConnection takeIdle(URI uri) {
-    Deque<ClientConnection> connections = idle.get(uri.getAuthority());
+    Deque<IdleConnection> connections = idle.get(uri.getAuthority());
     if (connections == null) {
       return null;
     }
-    ClientConnection connection = connections.poll();
-    while (connection != null && !connection.isOpen()) {
-      connection = connections.poll();
+    IdleConnection next = connections.poll();
+    while (next != null) {
+      if (next.connection().isOpen() && !clock.hasPassed(next.useUntilNanos())) {
+        return next.connection();
+      }
+      IoUtils.safeClose(next.connection());
+      next = connections.poll();
     }
-    return connection;
+    return null;
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -16,6 +16,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.sedgeroad.MonotonicClock;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
@@ -28,6 +30,8 @@
  * #close} may be called from any thread.
  */
 public final class HttpExchange implements AutoCloseable {
+  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
+
   private final HttpCaller caller;
   private final HttpCall call;
   private final HttpListener listener;
@@ -74,7 +78,7 @@
   void send(ClientConnection opened, boolean pooled) {
     if (ended.get()) {
       // Cancelled before a byte was sent: the connection is unused and can serve another call.
-      caller.release(call.uri(), opened);
+      caller.release(call.uri(), opened, null);
       return;
     }
     if (pooled && !opened.isOpen()) {
@@ -279,9 +283,16 @@
       if (call.fresh() || "close".equalsIgnoreCase(option)) {
         IoUtils.safeClose(connection);
       } else {
-        caller.release(call.uri(), connection);
+        String keepAlive = exchange.getResponse().getResponseHeaders().getFirst(Headers.KEEP_ALIVE);
+        caller.release(call.uri(), connection, idleSeconds(keepAlive));
       }
       listener.onEnd();
     }
   }
+
+  /** Returns the seconds in a header such as {@code timeout=5, max=100}, null if there are none. */
+  private static Long idleSeconds(String keepAlive) {
+    Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(keepAlive == null ? "" : keepAlive);
+    return matcher.find() ? Long.valueOf(matcher.group(1)) : null;
+  }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/IoEventLoop.java
@@ -0,0 +1,31 @@
+package org.sedgeroad.http;
+
+import java.util.concurrent.TimeUnit;
+import org.sedgeroad.EventLoop;
+import org.sedgeroad.MonotonicClock;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** An event loop on an I/O thread of Undertow. */
+public final class IoEventLoop implements EventLoop {
+  private final XnioIoThread thread;
+  private final MonotonicClock clock;
+
+  /** Creates a loop on a thread. */
+  public IoEventLoop(XnioIoThread thread, MonotonicClock clock) {
+    this.thread = thread;
+    this.clock = clock;
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    thread.execute(task);
+  }
+
+  @Override
+  public Timeout at(long deadlineNanos, Runnable task) {
+    long millis = Math.max(0, (deadlineNanos - clock.nanos() + 999_999) / 1_000_000L);
+    XnioExecutor.Key key = thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
+    return key::remove;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
@@ -0,0 +1,92 @@
+package org.sedgeroad.metric;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import org.sedgeroad.gateway.Refusal;
+import org.sedgeroad.store.ObjectStore;
+
+/** Metrics of forwarded requests and of batch jobs behind routes. Thread-safe. */
+public final class GatewayMetrics {
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** 0.3 s is the objective of the deployments, so that it can be read off directly. */
+  private static final double[] WAIT_BOUNDS = {0.001, 0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5};
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Histogram wait =
+      Histogram.builder()
+          .name("sedgeroad_gateway_wait_seconds")
+          .help("Time from arrival until a place was found.")
+          .labelNames("route")
+          .classicOnly()
+          .classicUpperBounds(WAIT_BOUNDS)
+          .register(registry);
+  private final Histogram duration =
+      Histogram.builder()
+          .name("sedgeroad_gateway_duration_seconds")
+          .help("Time from arrival to the end of the answer.")
+          .labelNames("route")
+          .classicOnly()
+          .classicUpperBounds(WAIT_BOUNDS)
+          .register(registry);
+  private final Counter refusals =
+      Counter.builder()
+          .name("sedgeroad_gateway_refusals_total")
+          .help("Requests that got no answer of an endpoint.")
+          .labelNames("route", "reason")
+          .register(registry);
+  private final Counter items =
+      Counter.builder()
+          .name("sedgeroad_gateway_batch_items_total")
+          .help("Batch items by what became of a run: completed, withdrawn, broken, dead.")
+          .labelNames("outcome")
+          .register(registry);
+  private final Counter storeCalls =
+      Counter.builder()
+          .name("sedgeroad_gateway_store_calls_total")
+          .help("Calls to the store by kind of call and outcome.")
+          .labelNames("call", "outcome")
+          .register(registry);
+
+  /** Notes that a request got a place after a time in milliseconds. */
+  public void placed(String route, long waitedMillis) {
+    wait.labelValues(route).observe(waitedMillis / MILLIS_PER_SECOND);
+  }
+
+  /** Notes that a request ended after a time in milliseconds. */
+  public void ended(String route, long tookMillis) {
+    duration.labelValues(route).observe(tookMillis / MILLIS_PER_SECOND);
+  }
+
+  /** Notes a refusal. */
+  public void refused(String route, Refusal.Reason reason) {
+    refusals.labelValues(route, reason.name()).inc();
+  }
+
+  /** Notes what became of a run of a batch item. */
+  public void item(String outcome) {
+    items.labelValues(outcome).inc();
+  }
+
+  /** Returns a store that counts the calls to another one. */
+  public ObjectStore measure(ObjectStore store) {
+    return new MeasuredStore(
+        store, (call, outcome, nanos) -> storeCalls.labelValues(call, outcome).inc());
+  }
+
+  /** Returns all metrics in the Prometheus text format. */
+  public String toText() {
+    try (ByteArrayOutputStream output = new ByteArrayOutputStream()) {
+      PrometheusTextFormatWriter.create().write(output, registry.scrape());
+      return output.toString(StandardCharsets.UTF_8);
+    } catch (IOException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LiveDemand.java
@@ -0,0 +1,70 @@
+package org.sedgeroad.placement;
+
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.sedgeroad.gateway.ServiceEndpoint;
+
+/** A live request that needs a place. Two demands are equal only if they are the same object. */
+public final class LiveDemand {
+  private final String service;
+  private final int priority;
+  private final long objectiveNanos;
+  private final Set<String> excluded;
+  private final Consumer<ServiceEndpoint> onPlace;
+
+  private LiveDemand(
+      String service,
+      int priority,
+      long objectiveNanos,
+      Set<String> excluded,
+      Consumer<ServiceEndpoint> onPlace) {
+    this.service = Objects.requireNonNull(service);
+    this.priority = priority;
+    this.objectiveNanos = objectiveNanos;
+    this.excluded = Set.copyOf(excluded);
+    this.onPlace = Objects.requireNonNull(onPlace);
+  }
+
+  /**
+   * Returns a demand.
+   *
+   * @param service service that must run the request
+   * @param priority rank, 0 is the highest
+   * @param objectiveNanos monotonic time by which the answer should begin, in nanoseconds
+   * @param excluded endpoints that must not be used
+   * @param onPlace receives the endpoint once a place is taken there
+   */
+  public static LiveDemand of(
+      String service,
+      int priority,
+      long objectiveNanos,
+      Set<String> excluded,
+      Consumer<ServiceEndpoint> onPlace) {
+    return new LiveDemand(service, priority, objectiveNanos, excluded, onPlace);
+  }
+
+  /** Returns the service that must run the request. */
+  public String service() {
+    return service;
+  }
+
+  /** Returns the rank, 0 is the highest. */
+  public int priority() {
+    return priority;
+  }
+
+  /** Returns the monotonic time by which the answer should begin, in nanoseconds. */
+  public long objectiveNanos() {
+    return objectiveNanos;
+  }
+
+  /** Returns the endpoints that must not be used. */
+  public Set<String> excluded() {
+    return excluded;
+  }
+
+  void place(ServiceEndpoint endpoint) {
+    onPlace.accept(endpoint);
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportCodec.java
@@ -0,0 +1,76 @@
+package org.sedgeroad.presence;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes reports as MessagePack arrays. */
+final class LoadReportCodec {
+  /** First element of each datagram; a change of the layout takes the next number. */
+  private static final int LAYOUT = 1;
+
+  private LoadReportCodec() {}
+
+  static byte[] encode(LoadReport report) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(LAYOUT);
+      packer.packString(report.instance());
+      packer.packLong(report.incarnation());
+      packer.packLong(report.sequence());
+      packer.packLong(report.configurationVersion());
+      packer.packInt(report.liveWaiting());
+      packer.packMapHeader(report.batchReady().size());
+      for (Map.Entry<String, Integer> entry : report.batchReady().entrySet()) {
+        packer.packString(entry.getKey());
+        packer.packInt(entry.getValue());
+      }
+      packer.packMapHeader(report.waitingTokens().size());
+      for (Map.Entry<String, Long> entry : report.waitingTokens().entrySet()) {
+        packer.packString(entry.getKey());
+        packer.packLong(entry.getValue());
+      }
+      packer.packMapHeader(report.occupancy().size());
+      for (Map.Entry<String, Occupancy> entry : report.occupancy().entrySet()) {
+        packer.packString(entry.getKey());
+        packer.packInt(entry.getValue().live());
+        packer.packInt(entry.getValue().batch());
+      }
+      return packer.toByteArray();
+    }
+  }
+
+  static LoadReport decode(byte[] bytes, int length) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
+      int layout = unpacker.unpackInt();
+      if (layout != LAYOUT) {
+        throw new IOException("unknown layout " + layout);
+      }
+      String instance = unpacker.unpackString();
+      long incarnation = unpacker.unpackLong();
+      long sequence = unpacker.unpackLong();
+      long version = unpacker.unpackLong();
+      int liveWaiting = unpacker.unpackInt();
+      Map<String, Integer> ready = new HashMap<>();
+      for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+        ready.put(unpacker.unpackString(), unpacker.unpackInt());
+      }
+      Map<String, Long> tokens = new HashMap<>();
+      for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+        tokens.put(unpacker.unpackString(), unpacker.unpackLong());
+      }
+      Map<String, Occupancy> occupancy = new HashMap<>();
+      for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+        occupancy.put(
+            unpacker.unpackString(), new Occupancy(unpacker.unpackInt(), unpacker.unpackInt()));
+      }
+      return new LoadReport(
+          instance, incarnation, sequence, version, liveWaiting, ready, tokens, occupancy);
+    } catch (RuntimeException malformed) {
+      // The unpacker reports wrong types by unchecked exceptions.
+      throw new IOException("not a load report", malformed);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
@@ -0,0 +1,85 @@
+package org.sedgeroad.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** Reads INI settings files of gateway instances. Every fault of a file is found in one reading. */
+public final class GatewaySettingsReader {
+  private static final Map<String, Set<String>> KEYS =
+      new TreeMap<>(
+          Map.of(
+              "instance", Set.of("name", "domain", "domains"),
+              "listen", Set.of("clients", "readiness", "reports", "exchange", "metrics"),
+              "store", Set.of("address", "timeout-millis"),
+              "endpoints", Set.of("connect-timeout-millis"),
+              "stop", Set.of("notice-millis", "timeout-seconds")));
+
+  /** Part of the time for a stop that is left to the closing of connections, in milliseconds. */
+  private static final long STOP_MARGIN_MILLIS = 500;
+
+  private GatewaySettingsReader() {}
+
+  /**
+   * Reads a file.
+   *
+   * @param file the file
+   * @param faults receives each fault; the result is null if there is any
+   */
+  public static GatewaySettings read(Path file, Consumer<SettingsFault> faults) {
+    try {
+      return parse(Files.readString(file), faults);
+    } catch (IOException failure) {
+      faults.accept(new SettingsFault("", "", 0, "cannot read " + file + ": " + failure));
+      return null;
+    }
+  }
+
+  /** Parses the text of a settings file; the result is null if there is any fault. */
+  public static GatewaySettings parse(String text, Consumer<SettingsFault> faults) {
+    IniText ini = IniText.parse(text);
+    GatewaySettings settings = null;
+    if (ini.faults().isEmpty()) {
+      ini.findUnknownKeys(KEYS);
+      settings = build(ini);
+    }
+    ini.faults().forEach(faults);
+    return ini.faults().isEmpty() ? settings : null;
+  }
+
+  private static GatewaySettings build(IniText ini) {
+    return new GatewaySettings(
+        ini.required("instance", "name"),
+        ini.required("instance", "domain"),
+        domains(ini),
+        ini.socket("listen", "clients"),
+        ini.socket("listen", "readiness"),
+        ini.socket("listen", "reports"),
+        ini.socket("listen", "exchange"),
+        ini.socket("listen", "metrics"),
+        ini.address("store", "address", ini.required("store", "address"), null),
+        ini.number("store", "timeout-millis", 1_500, 10, 60_000),
+        ini.number("endpoints", "connect-timeout-millis", 250, 10, 60_000),
+        ini.number("stop", "notice-millis", 2_500, 0, 600_000),
+        ini.number("stop", "timeout-seconds", 8, 1, 3_600) * 1_000 - STOP_MARGIN_MILLIS);
+  }
+
+  private static List<DomainSetting> domains(IniText ini) {
+    List<DomainSetting> domains = new ArrayList<>();
+    for (String part : ini.list("instance", "domains")) {
+      String[] pair = part.split(":", -1);
+      if (pair.length != 2 || pair[0].isBlank() || pair[1].isBlank()) {
+        ini.fault("instance", "domains", "expected DOMAIN:REGION, found '" + part + "'");
+      } else {
+        domains.add(new DomainSetting(pair[0].strip(), pair[1].strip()));
+      }
+    }
+    return domains;
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
@@ -0,0 +1,172 @@
+package org.sedgeroad.settings;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.ini4j.Config;
+import org.ini4j.Ini;
+
+/** The text of an INI file with the faults found in it. Not thread-safe. */
+final class IniText {
+  private final String text;
+  private final Ini ini = new Ini();
+  private final List<SettingsFault> faults = new ArrayList<>();
+
+  private IniText(String text) {
+    this.text = text;
+  }
+
+  /** Parses a text; a text that is no INI file has a fault and no values. */
+  static IniText parse(String text) {
+    IniText parsed = new IniText(text);
+    try {
+      Config config = new Config();
+      config.setEscape(false);
+      parsed.ini.setConfig(config);
+      parsed.ini.load(new StringReader(text));
+    } catch (IOException failure) {
+      parsed.faults.add(new SettingsFault("", "", 0, "not an INI file: " + failure.getMessage()));
+    }
+    return parsed;
+  }
+
+  /** Returns the faults in file order. */
+  List<SettingsFault> faults() {
+    faults.sort(Comparator.comparingInt(SettingsFault::line));
+    return faults;
+  }
+
+  /** Finds sections and keys that are not known, and keys given twice. */
+  void findUnknownKeys(Map<String, Set<String>> keys) {
+    ini.forEach(
+        (section, entries) -> {
+          Set<String> known = keys.get(section);
+          if (known == null) {
+            fault(section, "", "unknown section; known: " + String.join(", ", keys.keySet()));
+            return;
+          }
+          for (String key : entries.keySet()) {
+            if (!known.contains(key)) {
+              String names = String.join(", ", known.stream().sorted().toList());
+              fault(section, key, "unknown key; known: " + names);
+            } else if (entries.getAll(key).size() > 1) {
+              fault(section, key, "given more than once");
+            }
+          }
+        });
+  }
+
+  /** Returns the parts of a comma-separated value. */
+  List<String> list(String section, String key) {
+    String value = value(section, key);
+    return value == null
+        ? List.of()
+        : Arrays.stream(value.split(",")).map(String::strip).filter(s -> !s.isEmpty()).toList();
+  }
+
+  /** Returns a value, null if it is missing or blank. */
+  String value(String section, String key) {
+    String value = ini.get(section, key);
+    return value == null || value.isBlank() ? null : value.strip();
+  }
+
+  /** Returns a value that must be there, an empty text if it is not. */
+  String required(String section, String key) {
+    String value = value(section, key);
+    if (value == null) {
+      fault(section, key, "is required");
+      return "";
+    }
+    return value;
+  }
+
+  /** Returns a socket address that must be there, null if it is not valid. */
+  InetSocketAddress socket(String section, String key) {
+    String value = required(section, key);
+    Optional<InetSocketAddress> address = parseSocket(value);
+    if (address.isEmpty() && !value.isEmpty()) {
+      fault(section, key, "expected IP:PORT, found '" + value + "'");
+    }
+    return address.orElse(null);
+  }
+
+  /** Returns the address in a text of the form {@code IP:PORT}. */
+  static Optional<InetSocketAddress> parseSocket(String value) {
+    int colon = value.lastIndexOf(':');
+    if (colon <= 0 || !value.substring(0, colon).matches("[0-9a-fA-F.:\\[\\]]+")) {
+      return Optional.empty();
+    }
+    try {
+      int port = Integer.parseInt(value.substring(colon + 1));
+      return Optional.of(new InetSocketAddress(value.substring(0, colon), port));
+    } catch (IllegalArgumentException failure) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the address in a value, the fallback if it is missing or not valid. */
+  URI address(String section, String key, String value, URI fallback) {
+    if (value == null || value.isEmpty()) {
+      return fallback;
+    }
+    if (!value.matches("https?://[^/\\s]+:[0-9]{1,5}")) {
+      fault(section, key, "expected http://IP:PORT, found '" + value + "'");
+      return fallback;
+    }
+    return URI.create(value);
+  }
+
+  /** Returns a whole number in a range, the fallback if it is missing or not valid. */
+  long number(String section, String key, long fallback, long least, long most) {
+    String value = value(section, key);
+    if (value == null) {
+      return fallback;
+    }
+    try {
+      long number = Long.parseLong(value);
+      if (number >= least && number <= most) {
+        return number;
+      }
+    } catch (NumberFormatException failure) {
+      // Reported below together with numbers out of range.
+    }
+    fault(
+        section,
+        key,
+        "expected a whole number from " + least + " to " + most + ", found '" + value + "'");
+    return fallback;
+  }
+
+  /** Notes a fault of a key, or of a section if the key is empty. */
+  void fault(String section, String key, String message) {
+    faults.add(new SettingsFault(section, key, lineOf(section, key), message));
+  }
+
+  /** Finds the line of a key; ini4j does not keep line numbers. */
+  private int lineOf(String section, String key) {
+    String current = "";
+    int number = 0;
+    int sectionLine = 0;
+    for (String line : text.split("\n", -1)) {
+      number++;
+      String stripped = line.strip();
+      if (stripped.startsWith("[") && stripped.endsWith("]")) {
+        current = stripped.substring(1, stripped.length() - 1);
+        sectionLine = current.equals(section) ? number : sectionLine;
+      } else if (current.equals(section)
+          && !key.isEmpty()
+          && stripped.split("[=:]", 2)[0].strip().equals(key)) {
+        return number;
+      }
+    }
+    return key.isEmpty() ? sectionLine : 0;
+  }
+}
