--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -245,7 +245,13 @@
     stopping = true;
     requests.closeConnections();
     sleepUntil(clock.deadlineAfterMillis(settings.stopNoticeMillis()), false);
-    loop.execute(runner::stopAll);
+    // The balancer sends no new connections any more. Clients that reuse one would come until the
+    // end, so that connections are closed while they are idle.
+    loop.execute(
+        () -> {
+          requests.closeIdleConnections();
+          runner.stopAll();
+        });
     sleepUntil(deadline, true);
     if (requests.active() > 0) {
       log.log(LogEvent.STOP_DEADLINE_PASSED, EventField.of("requests", requests.active()));
