Let batch items use every free place; hand jobs over at a stop; tests with stand-ins

Ruled out: the cost of a withdrawal (about 20 ms of 4.9 s). A stopping instance now reports that it is leaving, so that its jobs move at once; two instances alone can take over from each other (found by GatewayJobTest).

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
@@ -219,8 +219,7 @@
   public void takeOverLostJobs() {
     long now = parts.clock().nanos();
     List<String> alive = parts.peers().alive(now);
-    // An instance that hears nobody may itself be the one that is cut off.
-    if (now - takeOverFromNanos < 0 || alive.isEmpty()) {
+    if (now - takeOverFromNanos < 0 || parts.peers().isIsolated(now)) {
       return;
     }
     for (JobDirectory.KnownJob job : directory.all()) {
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -92,6 +92,7 @@
   private int quietReports;
   private long laggingSinceNanos;
   private boolean lagging;
+  private boolean leaving;
   private final long incarnation = System.currentTimeMillis();
   private volatile boolean stopping;
 
@@ -251,6 +252,8 @@
         () -> {
           requests.closeIdleConnections();
           runner.stopAll();
+          leaving = true;
+          report();
         });
     sleepUntil(deadline, true);
     if (requests.active() > 0) {
@@ -319,7 +322,8 @@
             dispatcher.liveWaiting(),
             runner.readyByService(),
             runner.waitingTokens(),
-            dispatcher.occupancy());
+            dispatcher.occupancy(),
+            leaving);
     quietReports = next.equals(lastReport) ? quietReports + 1 : 0;
     if (quietReports % QUIET_REPORTS == 0) {
       lastReport = next.withSequence(++sequence);
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/BatchPlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/BatchPlacement.java
@@ -3,13 +3,17 @@
 /**
  * Decides how many batch items an instance starts at an endpoint, and when items leave it again.
  *
- * <p>One place stays free for the live requests that arrive before the instances have told each
- * other of a burst. Items start while two are free and leave when none is, so that a single live
- * request that comes and goes moves no item.
+ * <p>Items may take every free place: a live request that finds none takes the place of an item,
+ * and items of other instances leave as soon as these learn of it, well within a live objective.
+ * Places kept free would be missing for the items in each calm time between two swings.
  */
 public final class BatchPlacement {
-  /** Places that batch items leave free at an endpoint. */
-  public static final int RESERVED_PLACES = 1;
+  /**
+   * Places that batch items leave free at an endpoint. In {@code SwingReplayTest} with an eighth of
+   * the engines lost, one reserved place takes a quarter of the items their due time and brings
+   * live requests nothing.
+   */
+  static final int RESERVED_PLACES = 0;
 
   private BatchPlacement() {}
 
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
@@ -14,6 +14,7 @@
  * @param batchReady batch items that could start, by service
  * @param waitingTokens tokens of unfinished items of the jobs that the instance runs, by route
  * @param occupancy work at each endpoint
+ * @param leaving whether the instance is stopping and has given its jobs up
  */
 public record LoadReport(
     String instance,
@@ -23,7 +24,8 @@
     int liveWaiting,
     Map<String, Integer> batchReady,
     Map<String, Long> waitingTokens,
-    Map<String, Occupancy> occupancy) {
+    Map<String, Occupancy> occupancy,
+    boolean leaving) {
 
   /** Copies the maps. */
   public LoadReport {
@@ -50,6 +52,7 @@
         liveWaiting,
         batchReady,
         waitingTokens,
-        occupancy);
+        occupancy,
+        leaving);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportCodec.java
@@ -38,6 +38,7 @@
         packer.packInt(entry.getValue().live());
         packer.packInt(entry.getValue().batch());
       }
+      packer.packBoolean(report.leaving());
       return packer.toByteArray();
     }
   }
@@ -66,8 +67,17 @@
         occupancy.put(
             unpacker.unpackString(), new Occupancy(unpacker.unpackInt(), unpacker.unpackInt()));
       }
+      boolean leaving = unpacker.unpackBoolean();
       return new LoadReport(
-          instance, incarnation, sequence, version, liveWaiting, ready, tokens, occupancy);
+          instance,
+          incarnation,
+          sequence,
+          version,
+          liveWaiting,
+          ready,
+          tokens,
+          occupancy,
+          leaving);
     } catch (RuntimeException malformed) {
       // The unpacker reports wrong types by unchecked exceptions.
       throw new IOException("not a load report", malformed);
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/PeerBook.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/PeerBook.java
@@ -44,10 +44,20 @@
     return current;
   }
 
-  /** Returns whether an instance was heard of lately. */
+  /** Returns whether an instance was heard of lately and is not stopping. */
   public boolean isAlive(String instance, long nowNanos) {
     Received received = reports.get(instance);
-    return received != null && nowNanos - received.atNanos() < DEAD_MILLIS * 1_000_000L;
+    return received != null
+        && !received.report().leaving()
+        && nowNanos - received.atNanos() < DEAD_MILLIS * 1_000_000L;
+  }
+
+  /**
+   * Returns whether this instance may itself be the one that is cut off: it knows several others
+   * and hears none of them.
+   */
+  public boolean isIsolated(long nowNanos) {
+    return reports.size() > 1 && alive(nowNanos).isEmpty();
   }
 
   /** Returns the names of the instances that were heard of lately. */
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/ReplayedEngine.java
@@ -0,0 +1,87 @@
+package org.sedgeroad.placement;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+
+/** An engine that admits work in order of arrival and runs a fixed number at once. */
+final class ReplayedEngine {
+
+  /** A request or item at the engine. */
+  static final class Work {
+    private final double millis;
+    private final Runnable onStart;
+    private final Runnable onEnd;
+    private double startedMillis = -1;
+    private boolean cancelled;
+
+    Work(double millis, Runnable onStart, Runnable onEnd) {
+      this.millis = millis;
+      this.onStart = onStart;
+      this.onEnd = onEnd;
+    }
+
+    /** Returns how long the work has run, 0 before its start. */
+    double ranMillis(VirtualTime time) {
+      return startedMillis < 0 ? 0 : time.nanos() / 1e6 - startedMillis;
+    }
+  }
+
+  private final VirtualTime time;
+  private final int slots;
+  private final Deque<Work> queue = new ArrayDeque<>();
+  private final Set<Work> running = new HashSet<>();
+  private double busyMillis;
+  private double lastMillis;
+
+  ReplayedEngine(VirtualTime time, int slots) {
+    this.time = time;
+    this.slots = slots;
+  }
+
+  void submit(Work work) {
+    account();
+    queue.add(work);
+    startWaiting();
+  }
+
+  void cancel(Work work) {
+    account();
+    work.cancelled = true;
+    queue.remove(work);
+    running.remove(work);
+    startWaiting();
+  }
+
+  /** Returns the sum over all places of the time that they were used. */
+  double busyMillis() {
+    account();
+    return busyMillis;
+  }
+
+  private void account() {
+    double now = time.nanos() / 1e6;
+    busyMillis += running.size() * (now - lastMillis);
+    lastMillis = now;
+  }
+
+  private void startWaiting() {
+    while (running.size() < slots && !queue.isEmpty()) {
+      Work work = queue.remove();
+      running.add(work);
+      work.startedMillis = time.nanos() / 1e6;
+      work.onStart.run();
+      time.after(work.millis, () -> end(work));
+    }
+  }
+
+  private void end(Work work) {
+    if (!work.cancelled && running.contains(work)) {
+      account();
+      running.remove(work);
+      startWaiting();
+      work.onEnd.run();
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplay.java
@@ -0,0 +1,331 @@
+package org.sedgeroad.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.sedgeroad.gateway.ServiceEndpoint;
+import org.sedgeroad.presence.LoadReport;
+import org.sedgeroad.presence.PeerBook;
+
+/**
+ * Replays a swing of live requests beside batch jobs on several instances that share engines: calm
+ * for 3.8 s, then nearly five times as many requests for 2.8 s, over and over.
+ */
+final class SwingReplay {
+  static final double REPORT_MILLIS = 50;
+  private static final double NETWORK_MILLIS = 3;
+  private static final double CALM_MILLIS = 3_800;
+  private static final double CYCLE_MILLIS = 6_600;
+  private static final double FIRST_EVENT_MILLIS = 15;
+  private static final String SERVICE = "engine";
+
+  /**
+   * The load.
+   *
+   * @param instances number of instances
+   * @param engines number of engines with 8 places each
+   * @param livePerSecond mean arrivals of live requests
+   * @param calm arrivals between swings as a part of the mean
+   * @param swing arrivals in a swing as a part of the mean
+   * @param liveMillis mean time that a live request holds a place
+   * @param jobsPerSecond arrivals of jobs of ten items
+   * @param itemMillis mean time that an item needs a place
+   * @param dueMillis time after which a job is due
+   */
+  record Load(
+      int instances,
+      int engines,
+      double livePerSecond,
+      double calm,
+      double swing,
+      double liveMillis,
+      double jobsPerSecond,
+      double itemMillis,
+      double dueMillis) {
+    /** Nine instances, eight engines: live work takes 44% of the places, batch work 37%. */
+    static final Load TYPICAL = new Load(9, 8, 39, 0.377, 1.84, 720, 0.48, 4_900, 18_000);
+
+    Load withEngines(int next) {
+      return new Load(
+          instances,
+          next,
+          livePerSecond,
+          calm,
+          swing,
+          liveMillis,
+          jobsPerSecond,
+          itemMillis,
+          dueMillis);
+    }
+
+    Load withLivePerSecond(double next) {
+      return new Load(
+          instances, engines, next, calm, swing, liveMillis, jobsPerSecond, itemMillis, dueMillis);
+    }
+  }
+
+  /**
+   * What came of it.
+   *
+   * @param liveOnTime part of the live requests whose first event came within 300 ms
+   * @param itemsOnTime part of the items that ended before their job was due
+   * @param withdrawals items withdrawn for each item that ended
+   * @param used part of the places that were used
+   */
+  record Figures(double liveOnTime, double itemsOnTime, double withdrawals, double used) {}
+
+  private final Load load;
+  private final VirtualTime time = new VirtualTime();
+  private final Random random;
+
+  /** Apart from the other random numbers, so that each policy gets the same load. */
+  private final Random arrivals;
+
+  private final Random jobArrivals;
+  private final Map<String, ReplayedEngine> engines = new HashMap<>();
+  private final List<ServiceEndpoint> endpoints = new ArrayList<>();
+  private final List<Instance> instances = new ArrayList<>();
+  private int live;
+  private int liveOnTime;
+  private int itemsDue;
+  private int itemsOnTime;
+  private int itemsEnded;
+  private int withdrawals;
+  private double measuredFromMillis;
+  private double measuredUntilMillis;
+
+  SwingReplay(Load load, long seed) {
+    this.load = load;
+    this.random = new Random(seed);
+    this.arrivals = new Random(seed + 1);
+    this.jobArrivals = new Random(seed + 2);
+    for (int number = 0; number < load.engines(); number++) {
+      String name = "engine-" + number;
+      engines.put(name, new ReplayedEngine(time, 8));
+      endpoints.add(new ServiceEndpoint(name, SERVICE, "10.0.0." + number + ":80", "a", 8, false));
+    }
+    for (int number = 0; number < load.instances(); number++) {
+      instances.add(new Instance("instance-" + number));
+    }
+  }
+
+  /** Runs the load with several seeds and returns the means of their figures. */
+  static Figures mean(Load load, int seeds, double seconds) {
+    double[] sums = new double[4];
+    for (int seed = 1; seed <= seeds; seed++) {
+      Figures figures = new SwingReplay(load, seed).run(seconds);
+      sums[0] += figures.liveOnTime();
+      sums[1] += figures.itemsOnTime();
+      sums[2] += figures.withdrawals();
+      sums[3] += figures.used();
+    }
+    return new Figures(sums[0] / seeds, sums[1] / seeds, sums[2] / seeds, sums[3] / seeds);
+  }
+
+  /** Runs the load for a time and returns the figures without the first seconds. */
+  Figures run(double seconds) {
+    measuredFromMillis = 5_000;
+    measuredUntilMillis = seconds * 1_000 - load.dueMillis();
+    instances.forEach(instance -> time.after(random.nextDouble() * REPORT_MILLIS, instance::tick));
+    scheduleLive();
+    scheduleJob();
+    time.runUntil(seconds * 1_000);
+    double busy = engines.values().stream().mapToDouble(ReplayedEngine::busyMillis).sum();
+    return new Figures(
+        (double) liveOnTime / Math.max(1, live),
+        (double) itemsOnTime / Math.max(1, itemsDue),
+        (double) withdrawals / Math.max(1, itemsEnded),
+        busy / (seconds * 1_000 * 8 * load.engines()));
+  }
+
+  private void scheduleLive() {
+    double phase = time.nanos() / 1e6 % CYCLE_MILLIS;
+    double rate = load.livePerSecond() * (phase < CALM_MILLIS ? load.calm() : load.swing());
+    time.after(
+        -Math.log(1 - arrivals.nextDouble()) * 1_000 / rate,
+        () -> {
+          instances.get(arrivals.nextInt(instances.size())).arrive();
+          scheduleLive();
+        });
+  }
+
+  private void scheduleJob() {
+    time.after(
+        -Math.log(1 - jobArrivals.nextDouble()) * 1_000 / load.jobsPerSecond(),
+        () -> {
+          instances.get(jobArrivals.nextInt(instances.size())).addJob();
+          scheduleJob();
+        });
+  }
+
+  private boolean isMeasured(double atMillis) {
+    return atMillis >= measuredFromMillis && atMillis < measuredUntilMillis;
+  }
+
+  /** An item with what is left of it. */
+  private static final class Item {
+    private final double submittedMillis;
+    private double leftMillis;
+    private boolean running;
+
+    Item(double submittedMillis, double leftMillis) {
+      this.submittedMillis = submittedMillis;
+      this.leftMillis = leftMillis;
+    }
+  }
+
+  private record Run(Item item, ReplayedEngine.Work work) {}
+
+  /** One instance with its own dispatcher and view of the others. */
+  private final class Instance implements BatchSource {
+    private final String name;
+    private final PeerBook peers = new PeerBook();
+    private final Dispatcher dispatcher;
+    private final List<Item> items = new ArrayList<>();
+    private final Map<String, List<Run>> runs = new HashMap<>();
+    private long sequence;
+
+    Instance(String name) {
+      this.name = name;
+      this.dispatcher =
+          new Dispatcher(name, "a", domain -> "region", peers, time, random::nextDouble);
+      dispatcher.setFleet(endpoints, List.of());
+      dispatcher.setBatchSource(this);
+    }
+
+    void tick() {
+      dispatcher.refresh();
+      LoadReport report =
+          new LoadReport(
+              name,
+              1,
+              ++sequence,
+              1,
+              dispatcher.liveWaiting(),
+              Map.of(SERVICE, ready(SERVICE)),
+              Map.of(),
+              dispatcher.occupancy(),
+              false);
+      for (Instance other : instances) {
+        if (other != this) {
+          time.after(NETWORK_MILLIS, () -> other.receive(report));
+        }
+      }
+      time.after(REPORT_MILLIS, this::tick);
+    }
+
+    private void receive(LoadReport report) {
+      peers.receive(report, time.nanos());
+      dispatcher.refresh();
+    }
+
+    void arrive() {
+      double arrived = time.nanos() / 1e6;
+      double millis = load.liveMillis() * (0.4 + 1.2 * arrivals.nextDouble());
+      dispatcher.submit(
+          LiveDemand.of(
+              SERVICE,
+              0,
+              time.nanos() + 300_000_000L,
+              Set.of(),
+              endpoint -> send(endpoint, arrived, millis)));
+    }
+
+    private void send(ServiceEndpoint endpoint, double arrived, double millis) {
+      ReplayedEngine.Work work =
+          new ReplayedEngine.Work(
+              millis,
+              () -> started(arrived),
+              () ->
+                  time.after(
+                      NETWORK_MILLIS, () -> dispatcher.release(endpoint.name(), WorkClass.LIVE)));
+      time.after(NETWORK_MILLIS, () -> engines.get(endpoint.name()).submit(work));
+    }
+
+    private void started(double arrived) {
+      if (isMeasured(arrived)) {
+        live++;
+        double first = time.nanos() / 1e6 + FIRST_EVENT_MILLIS + NETWORK_MILLIS - arrived;
+        liveOnTime += first <= 300 ? 1 : 0;
+      }
+    }
+
+    void addJob() {
+      double now = time.nanos() / 1e6;
+      for (int index = 0; index < 10; index++) {
+        items.add(new Item(now, load.itemMillis() * (0.6 + 0.8 * jobArrivals.nextDouble())));
+        itemsDue += isMeasured(now) ? 1 : 0;
+      }
+      dispatcher.refresh();
+    }
+
+    @Override
+    public Set<String> services() {
+      return items.isEmpty() ? Set.of() : Set.of(SERVICE);
+    }
+
+    @Override
+    public int ready(String service) {
+      return (int) items.stream().filter(item -> !item.running).count();
+    }
+
+    @Override
+    public boolean startNext(ServiceEndpoint endpoint) {
+      Optional<Item> next =
+          items.stream()
+              .filter(item -> !item.running)
+              .min(Comparator.comparingDouble((Item item) -> item.submittedMillis));
+      next.ifPresent(item -> start(item, endpoint.name()));
+      return next.isPresent();
+    }
+
+    private void start(Item item, String endpoint) {
+      item.running = true;
+      ReplayedEngine.Work work =
+          new ReplayedEngine.Work(
+              item.leftMillis,
+              () -> {},
+              () -> time.after(NETWORK_MILLIS, () -> end(item, endpoint)));
+      runs.computeIfAbsent(endpoint, key -> new ArrayList<>()).add(new Run(item, work));
+      time.after(
+          NETWORK_MILLIS,
+          () -> {
+            if (runs.get(endpoint).stream().anyMatch(run -> run.work() == work)) {
+              engines.get(endpoint).submit(work);
+            }
+          });
+    }
+
+    private void end(Item item, String endpoint) {
+      if (runs.get(endpoint).removeIf(run -> run.item() == item)) {
+        items.remove(item);
+        itemsEnded++;
+        boolean onTime = time.nanos() / 1e6 - item.submittedMillis <= load.dueMillis();
+        itemsOnTime += onTime && isMeasured(item.submittedMillis) ? 1 : 0;
+        dispatcher.release(endpoint, WorkClass.BATCH);
+      }
+    }
+
+    @Override
+    public boolean withdraw(String endpoint) {
+      List<Run> here = runs.getOrDefault(endpoint, new ArrayList<>());
+      Optional<Run> last =
+          here.stream().max(Comparator.comparingDouble((Run run) -> run.item().submittedMillis));
+      last.ifPresent(
+          run -> {
+            here.remove(run);
+            withdrawals++;
+            run.item().leftMillis -= Math.max(0, run.work().ranMillis(time) - NETWORK_MILLIS);
+            run.item().leftMillis = Math.max(run.item().leftMillis, 20) + 15;
+            time.after(NETWORK_MILLIS, () -> engines.get(endpoint).cancel(run.work()));
+            time.after(50, () -> run.item().running = false);
+          });
+      return last.isPresent();
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplayTest.java
@@ -0,0 +1,40 @@
+package org.sedgeroad.placement;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against live requests that wait behind batch items, and batch items that starve. */
+class SwingReplayTest {
+  @Nested
+  class TypicalLoad {
+    @Test
+    void keepsLiveRequestsOnTimeAndFinishesItemsBeforeTheyAreDue() {
+      SwingReplay.Figures figures = SwingReplay.mean(SwingReplay.Load.TYPICAL, 5, 150);
+      System.out.println("typical " + figures);
+      assertTrue(figures.liveOnTime() >= 0.98, figures.toString());
+      assertTrue(figures.itemsOnTime() >= 0.95, figures.toString());
+    }
+  }
+
+  @Nested
+  class LossOfEngines {
+    @Test
+    void keepsItemsGoingOnSevenEngines() {
+      SwingReplay.Figures figures =
+          SwingReplay.mean(SwingReplay.Load.TYPICAL.withEngines(7), 5, 150);
+      System.out.println("seven " + figures);
+      assertTrue(figures.liveOnTime() >= 0.95, figures.toString());
+      assertTrue(figures.itemsOnTime() >= 0.85, figures.toString());
+    }
+
+    @Test
+    void keepsLiveRequestsOnTimeOnSixEngines() {
+      SwingReplay.Figures figures =
+          SwingReplay.mean(SwingReplay.Load.TYPICAL.withEngines(6), 5, 150);
+      System.out.println("six " + figures);
+      assertTrue(figures.liveOnTime() >= 0.8, figures.toString());
+    }
+  }
+}
