--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
@@ -109,9 +109,10 @@
 
   /** Stops all runs for a planned stop; the items go on elsewhere. */
   public void stopAll() {
-    jobs.values().forEach(this::stopItems);
-    jobs.values().forEach(job -> appender.append(job));
+    // Ended first: a place that is given back would otherwise start the next item.
     jobs.values().forEach(OwnedJob::setEnded);
+    jobs.values().forEach(this::stopItems);
+    jobs.values().forEach(appender::append);
   }
 
   // -----------------------------------------------------------------------
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
@@ -44,6 +44,10 @@
   private final Map<String, List<Consumer<AcceptResult>>> accepting = new HashMap<>();
   private final Map<String, Long> acceptingTokens = new HashMap<>();
   private final Set<String> loading = new HashSet<>();
+
+  /** Apart from {@link #loading}: the watch may show the new owner before the write's answer. */
+  private final Set<String> takingOver = new HashSet<>();
+
   private final long takeOverFromNanos;
 
   /** Creates a service. */
@@ -228,7 +232,7 @@
           && !owner.equals(parts.instance())
           && !alive.contains(owner)
           && !storedResults.isWhole(job.head())
-          && !loading.contains(job.head().id())
+          && !takingOver.contains(job.head().id())
           && Rendezvous.isFirst(job.head().id(), parts.instance(), alive)) {
         takeOver(job);
       }
@@ -363,8 +367,7 @@
   }
 
   private void takeOver(JobDirectory.KnownJob job) {
-    String id = job.head().id();
-    loading.add(id);
+    takingOver.add(job.head().id());
     parts
         .storeWorkers()
         .execute(
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.batch.BatchParts;
 import org.sedgeroad.batch.JobRunner;
@@ -94,6 +95,7 @@
   private boolean lagging;
   private boolean leaving;
   private final long incarnation = System.currentTimeMillis();
+  private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean stopping;
 
   /**
@@ -241,16 +243,19 @@
    */
   @Override
   public void close() {
+    if (closed.getAndSet(true)) {
+      return;
+    }
     long deadline = clock.deadlineAfterMillis(settings.stopTimeoutMillis());
     log.log(LogEvent.INSTANCE_STOPPING, EventField.of("requests", requests.active()));
     stopping = true;
     requests.closeConnections();
     sleepUntil(clock.deadlineAfterMillis(settings.stopNoticeMillis()), false);
-    // The balancer sends no new connections any more. Clients that reuse one would come until the
-    // end, so that connections are closed while they are idle.
+    // The balancer has had time to notice. Clients that reuse a connection, or that come because
+    // too few instances are ready, would come until the end and be cut by it.
     loop.execute(
         () -> {
-          requests.closeIdleConnections();
+          requests.refuse();
           runner.stopAll();
           leaving = true;
           report();
@@ -263,6 +268,8 @@
     server.stop();
     reports.close();
     storeWorkers.shutdownNow();
+    caller.close();
+    worker.shutdown();
     log.log(LogEvent.INSTANCE_STOPPED);
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayStop.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayStop.java
@@ -4,6 +4,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.util.AttachmentKey;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -14,12 +16,16 @@
  * Thread-safe.
  */
 final class GatewayStop implements HttpHandler {
+  /** Time after which a refused client may come back, in seconds; other instances are there. */
+  private static final String RETRY_SECONDS = "0.02";
+
   private static final AttachmentKey<Boolean> KNOWN = AttachmentKey.create(Boolean.class);
 
   private final HttpHandler next;
   private final Set<ServerConnection> open = ConcurrentHashMap.newKeySet();
   private final Set<ServerConnection> busy = ConcurrentHashMap.newKeySet();
   private volatile boolean closing;
+  private volatile boolean refusing;
 
   GatewayStop(HttpHandler next) {
     this.next = next;
@@ -31,10 +37,12 @@
   }
 
   /**
-   * Closes the connections without a request in progress; runs on the event loop, so that no
-   * request is read meanwhile.
+   * Refuses requests from now on as not run, because they might not end in time, and closes the
+   * connections without a request in progress. Runs on the event loop, so that no request is read
+   * meanwhile.
    */
-  void closeIdleConnections() {
+  void refuse() {
+    refusing = true;
     Set<ServerConnection> idle = new HashSet<>(open);
     idle.removeAll(busy);
     idle.forEach(IoUtils::safeClose);
@@ -67,6 +75,11 @@
     if (closing) {
       exchange.setPersistent(false);
     }
-    next.handleRequest(exchange);
+    if (refusing) {
+      exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RETRY_SECONDS);
+      exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE).endExchange();
+    } else {
+      next.handleRequest(exchange);
+    }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportCodec.java
@@ -69,15 +69,7 @@
       }
       boolean leaving = unpacker.unpackBoolean();
       return new LoadReport(
-          instance,
-          incarnation,
-          sequence,
-          version,
-          liveWaiting,
-          ready,
-          tokens,
-          occupancy,
-          leaving);
+          instance, incarnation, sequence, version, liveWaiting, ready, tokens, occupancy, leaving);
     } catch (RuntimeException malformed) {
       // The unpacker reports wrong types by unchecked exceptions.
       throw new IOException("not a load report", malformed);
