--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/EntrySubcommand.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/EntrySubcommand.java
@@ -27,6 +27,7 @@
             new Thread(
                 () -> {
                   instance.close();
+                  LogSetup.flush();
                   stopped.countDown();
                 },
                 "planned-stop"));
--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/LogSetup.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/LogSetup.java
@@ -1,13 +1,11 @@
 package org.sedgeroad.daemon;
 
-import java.util.logging.ConsoleHandler;
-import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import org.sedgeroad.event.BoundedLogHandler;
 
-/** Sends log events to standard error, one line each. */
+/** Sends log events to standard output, one line each. */
 public final class LogSetup {
   // Kept here because the log manager holds loggers weakly.
   private static final Logger EVENTS = Logger.getLogger("org.sedgeroad");
@@ -24,17 +22,16 @@
   /** Installs the handler. */
   public static void install() {
     quietLibraries();
-    Handler handler = new ConsoleHandler();
+    Handler handler = BoundedLogHandler.start(System.out);
     handler.setLevel(Level.ALL);
-    handler.setFormatter(
-        new Formatter() {
-          @Override
-          public String format(LogRecord entry) {
-            // The message is one JSON object already.
-            return entry.getMessage() + System.lineSeparator();
-          }
-        });
     EVENTS.setUseParentHandlers(false);
     EVENTS.addHandler(handler);
   }
+
+  /** Writes out the lines that wait, before the process ends. */
+  public static void flush() {
+    for (Handler handler : EVENTS.getHandlers()) {
+      handler.flush();
+    }
+  }
 }
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/deployment/ChildProcess.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/deployment/ChildProcess.java
@@ -4,9 +4,12 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
+import java.io.Writer;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -18,11 +21,13 @@
 
   private final String name;
   private final Process process;
+  private final Path log;
   private final CompletableFuture<String> firstLine = new CompletableFuture<>();
 
-  private ChildProcess(String name, Process process) {
+  private ChildProcess(String name, Process process, Path log) {
     this.name = name;
     this.process = process;
+    this.log = log;
     Thread reader = new Thread(this::readOutput, "output-" + name);
     reader.setDaemon(true);
     reader.start();
@@ -45,9 +50,10 @@
     command.add(main.getName());
     command.addAll(arguments);
     ProcessBuilder builder = new ProcessBuilder(command);
-    builder.redirectError(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+    Path log = folder.resolve(name + ".log");
+    builder.redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()));
     try {
-      return new ChildProcess(name, builder.start());
+      return new ChildProcess(name, builder.start(), log);
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
     }
@@ -137,11 +143,15 @@
 
   private void readOutput() {
     try (BufferedReader reader =
-        new BufferedReader(
-            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            new BufferedReader(
+                new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        Writer writer =
+            Files.newBufferedWriter(log, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
       String line = reader.readLine();
       while (line != null) {
         firstLine.complete(line);
+        writer.write(line + "\n");
+        writer.flush();
         line = reader.readLine();
       }
     } catch (IOException ended) {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -111,9 +111,13 @@
   @Override
   public void onFailure(HttpFailure failure) {
     if (!over) {
-      boolean notSent = failure instanceof HttpFailure.NotSent;
-      end(notSent ? Outcome.NOT_RUN : Outcome.BROKEN, failure.reason());
-      parts.dispatcher().health().failed(endpoint.name(), parts.clock().nanos());
+      if (failure instanceof HttpFailure.NotSent) {
+        parts.dispatcher().health().unreachable(endpoint.name(), parts.clock().nanos());
+        end(Outcome.NOT_RUN, failure.reason());
+      } else {
+        parts.dispatcher().health().broken(endpoint.name(), parts.clock().nanos());
+        end(Outcome.BROKEN, failure.reason());
+      }
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -49,6 +49,9 @@
   /** Time between two load reports, in milliseconds; a tenth of the time that live work is held. */
   private static final long REPORT_MILLIS = 50;
 
+  /** Time in which live requests are gathered for one urgent report, in milliseconds. */
+  private static final long URGENT_REPORT_MILLIS = 5;
+
   /** Reports between two of an instance whose work has not changed. */
   private static final int QUIET_REPORTS = 4;
 
@@ -91,6 +94,7 @@
   private LoadReport lastReport;
   private long sequence;
   private int quietReports;
+  private boolean reportScheduled;
   private long laggingSinceNanos;
   private boolean lagging;
   private boolean leaving;
@@ -126,6 +130,7 @@
     BatchParts batch = createBatchParts();
     this.runner = new JobRunner(batch);
     dispatcher.setBatchSource(runner);
+    dispatcher.setPressureListener(this::reportSoon);
     this.jobs = new JobService(batch, runner, new HttpPeerJobs(instances, caller, clock));
     GatewayParts parts =
         new GatewayParts(routes, dispatcher, batch.caller(), loop, clock, metrics, log);
@@ -318,6 +323,19 @@
     }
   }
 
+  /** Tells the others of a live request that waits for their items, with those of this moment. */
+  private void reportSoon() {
+    if (!reportScheduled) {
+      reportScheduled = true;
+      loop.at(
+          clock.deadlineAfterMillis(URGENT_REPORT_MILLIS),
+          () -> {
+            reportScheduled = false;
+            report();
+          });
+    }
+  }
+
   private void report() {
     dispatcher.refresh();
     LoadReport next =
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/BoundedLogHandler.java
@@ -0,0 +1,115 @@
+package org.sedgeroad.event;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines on a thread of its own, so that no caller waits for the output.
+ *
+ * <p>Lines that find the queue full are dropped; their number is written once a second.
+ */
+public final class BoundedLogHandler extends Handler {
+  /** Lines that may wait; at 300 bytes each, the queue holds at most 1.2 MB. */
+  private static final int WAITING_LINES = 4_096;
+
+  /** Longest time between two looks at dropped lines, in milliseconds. */
+  private static final long DROP_REPORT_MILLIS = 1_000;
+
+  /** Longest time that {@link #flush} waits, in milliseconds. */
+  private static final long FLUSH_MILLIS = 200;
+
+  private final OutputStream output;
+  private final BlockingQueue<String> lines;
+  private final AtomicLong dropped = new AtomicLong();
+  private volatile boolean writing;
+
+  private BoundedLogHandler(OutputStream output, int waitingLines) {
+    this.output = output;
+    this.lines = new ArrayBlockingQueue<>(waitingLines);
+  }
+
+  /** Returns a handler that writes each message as one line. */
+  public static BoundedLogHandler start(OutputStream output) {
+    return start(output, WAITING_LINES);
+  }
+
+  static BoundedLogHandler start(OutputStream output, int waitingLines) {
+    BoundedLogHandler handler = new BoundedLogHandler(output, waitingLines);
+    Thread writer = new Thread(handler::writeAll, "log-writer");
+    writer.setDaemon(true);
+    writer.start();
+    return handler;
+  }
+
+  @Override
+  public void publish(LogRecord entry) {
+    if (!lines.offer(entry.getMessage())) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /** Waits for a moment until all lines are written. */
+  @Override
+  public void flush() {
+    long end = System.nanoTime() + FLUSH_MILLIS * 1_000_000L;
+    while ((!lines.isEmpty() || writing) && System.nanoTime() - end < 0) {
+      try {
+        Thread.sleep(1);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    flush();
+  }
+
+  private void writeAll() {
+    try {
+      while (true) {
+        String line = lines.poll(DROP_REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        writing = true;
+        if (line != null) {
+          write(line);
+        }
+        if (lines.isEmpty()) {
+          long count = dropped.getAndSet(0);
+          if (count > 0) {
+            write(
+                "{\"time\":\""
+                    + Instant.now()
+                    + "\",\"level\":\"WARNING\",\"event\":"
+                    + LogEvent.LINES_DROPPED.number()
+                    + ",\"message\":\""
+                    + LogEvent.LINES_DROPPED.text()
+                    + "\",\"lines\":\""
+                    + count
+                    + "\"}");
+          }
+          output.flush();
+          writing = false;
+        }
+      }
+    } catch (IOException closed) {
+      // Without an output there is nowhere to report it; later lines are dropped.
+      writing = false;
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void write(String line) throws IOException {
+    output.write((line + System.lineSeparator()).getBytes(StandardCharsets.UTF_8));
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -14,6 +14,8 @@
   SETTINGS_INVALID(1004, Level.ERROR, "settings invalid"),
   /** The settings file was read again; its values come into force with the next start. */
   SETTINGS_READ_AGAIN(1005, Level.INFO, "settings read again"),
+  /** Log lines were dropped because the output was too slow. */
+  LINES_DROPPED(1006, Level.WARNING, "log lines dropped"),
   /** A call to the store failed. */
   STORE_UNAVAILABLE(2001, Level.WARNING, "store unavailable"),
   /** A watch ended and is started again. */
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -311,12 +311,13 @@
         return;
       }
       over = true;
-      parts.dispatcher().health().failed(endpoint.name(), parts.clock().nanos());
       if (failure instanceof HttpFailure.NotSent) {
+        parts.dispatcher().health().unreachable(endpoint.name(), parts.clock().nanos());
         parts.dispatcher().release(endpoint.name(), WorkClass.LIVE);
         attempt = null;
         rejectedBy("not reached: " + failure.reason());
       } else {
+        parts.dispatcher().health().broken(endpoint.name(), parts.clock().nanos());
         broken(failure.reason());
       }
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -37,6 +37,7 @@
   private Map<String, ServiceEndpoint> fleet = new LinkedHashMap<>();
   private Set<String> doubtfulNames = Set.of();
   private BatchSource batch = BatchSource.NONE;
+  private Runnable onPressure = () -> {};
 
   /**
    * Creates a dispatcher without endpoints.
@@ -68,6 +69,14 @@
     batch = source;
   }
 
+  /**
+   * Sets what happens when a live request goes to an endpoint without a free place, so that the
+   * items of other instances there have to leave.
+   */
+  public void setPressureListener(Runnable listener) {
+    onPressure = listener;
+  }
+
   /** Returns the endpoints that failed lately. */
   public EndpointHealth health() {
     return health;
@@ -175,6 +184,9 @@
             withdrawItem(chosen.endpoint().name());
           }
           count(chosen.endpoint().name(), WorkClass.LIVE, 1);
+          if (chosen.queued()) {
+            onPressure.run();
+          }
           demand.place(chosen.endpoint());
         });
     return choice.isPresent();
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
@@ -53,7 +53,7 @@
     return loads.stream()
         .filter(condition)
         .min(Comparator.comparingDouble(LivePlacement::score))
-        .map(load -> new LiveChoice(load.endpoint(), preempt));
+        .map(load -> new LiveChoice(load.endpoint(), preempt, !preempt && load.free() <= 0));
   }
 
   private static double score(EndpointLoad load) {
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/gateway/RouteTableTest.java
@@ -0,0 +1,85 @@
+package org.sedgeroad.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests on the wrong route and against a configuration that goes back. */
+class RouteTableTest {
+  private static Route route(String name, String prefix, WeightedService... services) {
+    return new Route(
+        name,
+        "desk.example",
+        prefix,
+        RouteKind.IDEMPOTENT,
+        List.of(services),
+        0,
+        1,
+        1_000,
+        100,
+        false,
+        BatchTerms.NONE);
+  }
+
+  private static RouteTable table(long version, Route... routes) {
+    return RouteTable.of(version, List.of(routes), Map.of(), RouteTable.EMPTY.limits());
+  }
+
+  @Nested
+  class Match {
+    private final RouteTable table =
+        table(
+            1,
+            route("short", "/a/", new WeightedService("s", 1)),
+            route("long", "/a/b/", new WeightedService("s", 1)));
+
+    @Test
+    void takesTheLongestPrefixOfTheHost() {
+      assertEquals("long", table.match("desk.example", "/a/b/c").orElseThrow().name());
+      assertEquals("short", table.match("desk.example:80", "/a/bc").orElseThrow().name());
+    }
+
+    @Test
+    void findsNothingElsewhere() {
+      assertEquals(Optional.empty(), table.match("other.example", "/a/b/c"));
+      assertEquals(Optional.empty(), table.match("desk.example", "/b/"));
+    }
+  }
+
+  @Nested
+  class Services {
+    @Test
+    void takeTheirPartByWeight() {
+      Route route =
+          route("r", "/a/", new WeightedService("most", 90), new WeightedService("few", 10));
+      assertEquals("most", route.serviceFor(0.89));
+      assertEquals("few", route.serviceFor(0.91));
+    }
+
+    @Test
+    void withoutWeightTakeNone() {
+      Route route = route("r", "/a/", new WeightedService("old", 0), new WeightedService("new", 1));
+      assertEquals("new", route.serviceFor(0));
+      assertFalse(route.allows("old"));
+    }
+  }
+
+  @Nested
+  class Holder {
+    @Test
+    void neverGoesBack() {
+      RouteTableHolder holder = new RouteTableHolder();
+      assertFalse(holder.isKnown());
+      assertTrue(holder.apply(table(7)));
+      assertFalse(holder.apply(table(5)));
+      assertFalse(holder.apply(table(7)));
+      assertEquals(7, holder.current().version());
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/EndpointHealthTest.java
@@ -0,0 +1,60 @@
+package org.sedgeroad.placement;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against the loss of sound endpoints and against use of endpoints that are gone. */
+class EndpointHealthTest {
+  private static final long MILLI = 1_000_000L;
+
+  private final EndpointHealth health = new EndpointHealth();
+
+  @Nested
+  class BrokenAnswers {
+    @Test
+    void oneAmongWholeOnesTakesNoEndpointOut() {
+      for (int number = 0; number < 20; number++) {
+        health.broken("e", number * MILLI);
+        assertFalse(health.isSuspect("e", number * MILLI));
+        health.succeeded("e");
+      }
+    }
+
+    @Test
+    void twoInARowDo() {
+      health.broken("e", 0);
+      health.broken("e", MILLI);
+      assertTrue(health.isSuspect("e", 2 * MILLI));
+    }
+  }
+
+  @Nested
+  class Unreachable {
+    @Test
+    void isAvoidedAtOnceAndTriedAgainLaterEachTime() {
+      health.unreachable("e", 0);
+      assertTrue(health.isSuspect("e", 499 * MILLI));
+      assertFalse(health.isSuspect("e", 500 * MILLI));
+      health.unreachable("e", 500 * MILLI);
+      assertTrue(health.isSuspect("e", 1_499 * MILLI));
+      assertFalse(health.isSuspect("e", 1_500 * MILLI));
+    }
+
+    @Test
+    void countsOnceForRequestsThatFailTogether() {
+      health.unreachable("e", 0);
+      health.unreachable("e", MILLI);
+      assertFalse(health.isSuspect("e", 500 * MILLI));
+    }
+
+    @Test
+    void isForgottenAfterASuccess() {
+      health.unreachable("e", 0);
+      health.succeeded("e");
+      assertFalse(health.isSuspect("e", MILLI));
+    }
+  }
+}
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplay.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplay.java
@@ -18,6 +18,7 @@
  */
 final class SwingReplay {
   static final double REPORT_MILLIS = 50;
+  private static final double URGENT_REPORT_MILLIS = 5;
   private static final double NETWORK_MILLIS = 3;
   private static final double CALM_MILLIS = 3_800;
   private static final double CYCLE_MILLIS = 6_600;
@@ -189,6 +190,7 @@
     private final List<Item> items = new ArrayList<>();
     private final Map<String, List<Run>> runs = new HashMap<>();
     private long sequence;
+    private boolean reportScheduled;
 
     Instance(String name) {
       this.name = name;
@@ -196,9 +198,26 @@
           new Dispatcher(name, "a", domain -> "region", peers, time, random::nextDouble);
       dispatcher.setFleet(endpoints, List.of());
       dispatcher.setBatchSource(this);
+      dispatcher.setPressureListener(
+          () -> {
+            if (!reportScheduled) {
+              reportScheduled = true;
+              time.after(
+                  URGENT_REPORT_MILLIS,
+                  () -> {
+                    reportScheduled = false;
+                    report();
+                  });
+            }
+          });
     }
 
     void tick() {
+      report();
+      time.after(REPORT_MILLIS, this::tick);
+    }
+
+    private void report() {
       dispatcher.refresh();
       LoadReport report =
           new LoadReport(
@@ -216,7 +235,6 @@
           time.after(NETWORK_MILLIS, () -> other.receive(report));
         }
       }
-      time.after(REPORT_MILLIS, this::tick);
     }
 
     private void receive(LoadReport report) {
