Tell restarts apart without the clock; let nearly done items end

A process that restarts while the time of day is set back had a lower incarnation, so that the others ignored its reports and took its jobs over (PeerBookTest.Restart, which failed before). Incarnations are random now; due times and retry times are bounded against a clock that was set.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
@@ -168,7 +168,7 @@
   private ItemUrgency urgency(OwnedItem item) {
     long needed = pace.neededNanos(item.progress().events());
     return new ItemUrgency(
-        item.job().dueNanos() + READ_MILLIS * 1_000_000L, parts.clock().nanos() + needed);
+        item.job().dueNanos() + READ_MILLIS * 1_000_000L, parts.clock().nanos(), needed);
   }
 
   private List<OwnedItem> readyItems(String service) {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
@@ -361,9 +361,9 @@
             .match(head.host(), head.path())
             .map(route -> route.batch().runTargetMillis())
             .orElse(0L);
-    // The clocks of instances differ little; the time decides only the order of items.
+    // A clock may have been set; the time decides only the order of items.
     long left = head.submittedMillis() + runTarget - System.currentTimeMillis();
-    return nowNanos + left * 1_000_000L;
+    return nowNanos + Math.max(0, Math.min(runTarget, left)) * 1_000_000L;
   }
 
   private void takeOver(JobDirectory.KnownJob job) {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
@@ -19,6 +19,9 @@
   /** Bound on the bodies in one object, in characters; an object may have 1 MB. */
   private static final int OBJECT_CHARACTERS = 700_000;
 
+  /** Longest time after which a refused submission may come back, in milliseconds. */
+  private static final long MOST_RETRY_MILLIS = 1_000;
+
   /** Tries of a conditional change against other writers. */
   private static final int CHANGE_TRIES = 5;
 
@@ -171,8 +174,11 @@
   }
 
   private static long retryMillis(WriteOutcome outcome) {
-    return outcome instanceof WriteOutcome.NotWritten late
-        ? Math.max(0, late.retryAt().toEpochMilli() - Instant.now().toEpochMilli())
-        : 0;
+    if (!(outcome instanceof WriteOutcome.NotWritten late)) {
+      return 0;
+    }
+    // Bounded, because the clock may have been set meanwhile.
+    long millis = late.retryAt().toEpochMilli() - Instant.now().toEpochMilli();
+    return Math.max(0, Math.min(MOST_RETRY_MILLIS, millis));
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/FleetFollower.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/FleetFollower.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
@@ -33,7 +32,6 @@
       RouteTableHolder routes,
       Dispatcher dispatcher,
       MonotonicClock clock,
-      EventLoop loop,
       EventLog log) {
     this.platform = platform;
     this.routes = routes;
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -98,7 +98,7 @@
   private long laggingSinceNanos;
   private boolean lagging;
   private boolean leaving;
-  private final long incarnation = System.currentTimeMillis();
+  private final long incarnation = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean stopping;
 
@@ -126,7 +126,7 @@
             peers,
             clock,
             () -> ThreadLocalRandom.current().nextDouble());
-    this.fleet = new FleetFollower(platform, routes, dispatcher, clock, loop, log);
+    this.fleet = new FleetFollower(platform, routes, dispatcher, clock, log);
     BatchParts batch = createBatchParts();
     this.runner = new JobRunner(batch);
     dispatcher.setBatchSource(runner);
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
@@ -7,7 +7,7 @@
  * What one instance tells the others. No component may be null.
  *
  * @param instance name of the instance
- * @param incarnation number of the process, higher after a restart
+ * @param incarnation number of the process, another one after a restart
  * @param sequence number of the report within the incarnation
  * @param configurationVersion newest configuration that the instance has in force
  * @param liveWaiting live requests that wait for a place
@@ -35,13 +35,6 @@
     occupancy = Map.copyOf(occupancy);
   }
 
-  /** Returns whether this report is newer than another one of the same instance. */
-  public boolean isNewerThan(LoadReport other) {
-    return incarnation != other.incarnation
-        ? incarnation > other.incarnation
-        : sequence > other.sequence;
-  }
-
   /** Returns this report with another number. */
   public LoadReport withSequence(long next) {
     return new LoadReport(
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/PeerBook.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/PeerBook.java
@@ -19,17 +19,34 @@
    */
   public static final long DEAD_MILLIS = 2_500;
 
-  private record Received(LoadReport report, long atNanos) {}
+  /**
+   * A report.
+   *
+   * @param report the report
+   * @param atNanos monotonic time of arrival, in nanoseconds
+   * @param replaced incarnation of the process before, the same one if none is known
+   */
+  private record Received(LoadReport report, long atNanos, long replaced) {}
 
   private final Map<String, Received> reports = new HashMap<>();
 
   /** Notes a report that arrived at a monotonic time; returns whether it was news. */
   public boolean receive(LoadReport report, long nowNanos) {
     Received before = reports.get(report.instance());
-    if (before != null && !report.isNewerThan(before.report())) {
-      return false;
+    long replaced = report.incarnation();
+    if (before != null && report.incarnation() == before.report().incarnation()) {
+      if (report.sequence() <= before.report().sequence()) {
+        return false;
+      }
+      replaced = before.replaced();
+    } else if (before != null) {
+      // A clock that was set back gives a new process a lower number than the one before.
+      if (report.incarnation() == before.replaced()) {
+        return false;
+      }
+      replaced = before.report().incarnation();
     }
-    reports.put(report.instance(), new Received(report, nowNanos));
+    reports.put(report.instance(), new Received(report, nowNanos, replaced));
     return true;
   }
 
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadReportCodecTest.java
@@ -0,0 +1,43 @@
+package org.sedgeroad.presence;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against reports that change on the way or that stop the reader. */
+class LoadReportCodecTest {
+  private static final LoadReport REPORT =
+      new LoadReport(
+          "a",
+          7,
+          8,
+          9,
+          2,
+          Map.of("engine", 3),
+          Map.of("route", 5_000_000_000L),
+          Map.of("e1", new Occupancy(4, 5)),
+          true);
+
+  @Nested
+  class Form {
+    @Test
+    void keepsAllFields() throws IOException {
+      byte[] bytes = LoadReportCodec.encode(REPORT);
+      assertEquals(REPORT, LoadReportCodec.decode(bytes, bytes.length));
+    }
+
+    @Test
+    void refusesWhatIsNoReport() throws IOException {
+      byte[] bytes = LoadReportCodec.encode(REPORT);
+      for (int length = 0; length < bytes.length; length++) {
+        int cut = length;
+        assertThrows(IOException.class, () -> LoadReportCodec.decode(bytes, cut));
+      }
+      assertThrows(IOException.class, () -> LoadReportCodec.decode(new byte[] {1, 2, 3, 4}, 4));
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/PeerBookTest.java
@@ -0,0 +1,74 @@
+package org.sedgeroad.presence;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against counts of the past and against instances that are wrongly taken for dead. */
+class PeerBookTest {
+  private static final long MILLI = 1_000_000L;
+
+  private final PeerBook peers = new PeerBook();
+
+  private static LoadReport report(String instance, long incarnation, long sequence) {
+    return new LoadReport(
+        instance, incarnation, sequence, 1, 0, Map.of(), Map.of(), Map.of(), false);
+  }
+
+  @Nested
+  class Restart {
+    /** The incarnation comes from the time of day, which may have been set back. */
+    @Test
+    void isNoticedEvenIfTheNewIncarnationIsLower() {
+      assertTrue(peers.receive(report("a", 500, 90), 0));
+      assertTrue(peers.receive(report("a", 100, 1), 1_000 * MILLI));
+      assertTrue(peers.isAlive("a", 3_000 * MILLI));
+    }
+
+    @Test
+    void isNotUndoneByALateReportOfTheOldProcess() {
+      peers.receive(report("a", 500, 90), 0);
+      peers.receive(report("a", 100, 1), 10 * MILLI);
+      assertFalse(peers.receive(report("a", 500, 91), 20 * MILLI));
+    }
+  }
+
+  @Nested
+  class Order {
+    @Test
+    void ofDatagramsDoesNotMatter() {
+      peers.receive(report("a", 1, 2), 0);
+      assertFalse(peers.receive(report("a", 1, 1), MILLI));
+      assertFalse(peers.receive(report("a", 1, 2), MILLI));
+    }
+  }
+
+  @Nested
+  class Age {
+    @Test
+    void endsCountsBeforeTheInstanceIsDead() {
+      peers.receive(report("a", 1, 1), 0);
+      assertEquals(1, peers.current(599 * MILLI).size());
+      assertEquals(0, peers.current(600 * MILLI).size());
+      assertTrue(peers.isAlive("a", 2_499 * MILLI));
+      assertFalse(peers.isAlive("a", 2_500 * MILLI));
+    }
+  }
+
+  @Nested
+  class Isolation {
+    @Test
+    void isAssumedOnlyIfSeveralOthersAreSilent() {
+      peers.receive(report("a", 1, 1), 0);
+      assertFalse(peers.isIsolated(9_000 * MILLI));
+      peers.receive(report("b", 1, 1), 0);
+      assertTrue(peers.isIsolated(9_000 * MILLI));
+      peers.receive(report("b", 1, 2), 8_000 * MILLI);
+      assertFalse(peers.isIsolated(9_000 * MILLI));
+    }
+  }
+}
