--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/EntrySubcommand.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/EntrySubcommand.java
@@ -2,7 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
 import org.kohsuke.args4j.Option;
 import org.sedgeroad.entry.EntryInstance;
 import org.sedgeroad.settings.Settings;
@@ -20,23 +19,7 @@
     }
     LogSetup.install();
     EntryInstance instance = new EntryInstance(valid.get());
-    CountDownLatch stopped = new CountDownLatch(1);
-    // A planned stop comes as SIGTERM, on which the virtual machine runs its shutdown hooks.
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  instance.close();
-                  LogSetup.flush();
-                  stopped.countDown();
-                },
-                "planned-stop"));
-    instance.start();
-    try {
-      stopped.await();
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-    }
+    PlannedStop.run(instance::start, instance::close);
     return ExitStatus.DONE;
   }
 }
--- /dev/null
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/PlannedStop.java
@@ -0,0 +1,34 @@
+package org.sedgeroad.daemon;
+
+import java.util.concurrent.CountDownLatch;
+
+/** Keeps a process running until it is told to stop. */
+public final class PlannedStop {
+  private PlannedStop() {}
+
+  /**
+   * Starts an instance and returns once it has been closed after SIGTERM, on which the virtual
+   * machine runs its shutdown hooks.
+   *
+   * @param start starts the instance
+   * @param close stops it in order
+   */
+  public static void run(Runnable start, Runnable close) {
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  close.run();
+                  LogSetup.flush();
+                  stopped.countDown();
+                },
+                "planned-stop"));
+    start.run();
+    try {
+      stopped.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/JsonStoreCalls.java
@@ -0,0 +1,131 @@
+package org.sedgeroad.store;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.function.Function;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.http.HttpCall;
+import org.sedgeroad.http.HttpCaller;
+import org.sedgeroad.http.HttpFailure;
+import org.sedgeroad.http.HttpResult;
+
+/**
+ * Calls with JSON bodies to a store of versioned objects over HTTP, and what their answers mean.
+ * Thread-safe.
+ */
+public final class JsonStoreCalls {
+  private static final int OK = 200;
+  private static final int CREATED = 201;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int UNAVAILABLE = 503;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final HttpCaller caller;
+  private final MonotonicClock clock;
+  private final long timeoutMillis;
+  private final long throttledMillis;
+
+  /**
+   * Creates calls.
+   *
+   * @param caller HTTP client
+   * @param clock source of time
+   * @param timeoutMillis longest wait for an answer, in milliseconds
+   * @param throttledMillis time after which a call that was refused by rate may be tried again if
+   *     the answer names none, in milliseconds
+   */
+  public JsonStoreCalls(
+      HttpCaller caller, MonotonicClock clock, long timeoutMillis, long throttledMillis) {
+    this.caller = caller;
+    this.clock = clock;
+    this.timeoutMillis = timeoutMillis;
+    this.throttledMillis = throttledMillis;
+  }
+
+  /** Returns a text in the form that paths and queries need. */
+  public static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Sends a call and waits for its answer.
+   *
+   * @param method request method
+   * @param uri address
+   * @param body JSON body, null for none
+   * @param reader reads the answer of a call that took effect
+   * @param <T> type of the value
+   */
+  public <T> StoreResult<T> send(
+      String method, URI uri, JsonNode body, Function<JsonNode, T> reader) {
+    HttpCall call = HttpCall.of(method, uri, bytes(body), clock.deadlineAfterMillis(timeoutMillis));
+    HttpResult result = caller.send(call);
+    if (result instanceof HttpResult.Answered answered) {
+      return convert(answered, reader);
+    }
+    HttpFailure failure = ((HttpResult.Failed) result).failure();
+    return failure instanceof HttpFailure.NotSent
+        ? new StoreResult.Unavailable<>(failure.reason())
+        : new StoreResult.Unknown<>(failure.reason());
+  }
+
+  /** Returns a failure with another type of value. */
+  public static <T> StoreResult<T> failure(StoreResult<?> failure) {
+    if (failure instanceof StoreResult.Throttled<?> throttled) {
+      return new StoreResult.Throttled<>(throttled.retryAt());
+    }
+    if (failure instanceof StoreResult.Unavailable<?> unavailable) {
+      return new StoreResult.Unavailable<>(unavailable.reason());
+    }
+    if (failure instanceof StoreResult.Unknown<?> unknown) {
+      return new StoreResult.Unknown<>(unknown.reason());
+    }
+    return new StoreResult.Unavailable<>("list refused");
+  }
+
+  // -----------------------------------------------------------------------
+
+  private byte[] bytes(JsonNode body) {
+    try {
+      return body == null ? new byte[0] : mapper.writeValueAsBytes(body);
+    } catch (JsonProcessingException failure) {
+      throw new IllegalArgumentException("object can't be written as JSON", failure);
+    }
+  }
+
+  private <T> StoreResult<T> convert(HttpResult.Answered answered, Function<JsonNode, T> reader) {
+    int status = answered.head().status();
+    return switch (status) {
+      case OK, CREATED -> read(answered.body(), reader);
+      case NOT_FOUND -> new StoreResult.Absent<>();
+      case CONFLICT -> new StoreResult.Conflict<>();
+      case TOO_MANY_REQUESTS ->
+          new StoreResult.Throttled<>(
+              Instant.now()
+                  .plusMillis(
+                      answered
+                          .head()
+                          .header("Retry-After")
+                          .map(seconds -> Long.parseLong(seconds) * 1_000)
+                          .orElse(throttledMillis)));
+      case UNAVAILABLE -> new StoreResult.Unavailable<>("store answered " + status);
+      default -> new StoreResult.Unknown<>("store answered " + status);
+    };
+  }
+
+  private <T> StoreResult<T> read(byte[] body, Function<JsonNode, T> reader) {
+    try {
+      return new StoreResult.Done<>(reader.apply(mapper.readTree(body)));
+    } catch (IOException failure) {
+      return new StoreResult.Unknown<>("answer is not JSON: " + failure.getMessage());
+    }
+  }
+}
