--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -260,7 +260,8 @@
     // too few instances are ready, would come until the end and be cut by it.
     loop.execute(
         () -> {
-          requests.refuse();
+          gateway.stop();
+          requests.closeIdleConnections();
           runner.stopAll();
           leaving = true;
           report();
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayStop.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayStop.java
@@ -4,8 +4,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.util.AttachmentKey;
-import io.undertow.util.Headers;
-import io.undertow.util.StatusCodes;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -16,16 +14,12 @@
  * Thread-safe.
  */
 final class GatewayStop implements HttpHandler {
-  /** Time after which a refused client may come back, in seconds; other instances are there. */
-  private static final String RETRY_SECONDS = "0.02";
-
   private static final AttachmentKey<Boolean> KNOWN = AttachmentKey.create(Boolean.class);
 
   private final HttpHandler next;
   private final Set<ServerConnection> open = ConcurrentHashMap.newKeySet();
   private final Set<ServerConnection> busy = ConcurrentHashMap.newKeySet();
   private volatile boolean closing;
-  private volatile boolean refusing;
 
   GatewayStop(HttpHandler next) {
     this.next = next;
@@ -37,12 +31,10 @@
   }
 
   /**
-   * Refuses requests from now on as not run, because they might not end in time, and closes the
-   * connections without a request in progress. Runs on the event loop, so that no request is read
-   * meanwhile.
+   * Closes the connections without a request in progress. Runs on the event loop, so that no
+   * request is read meanwhile.
    */
-  void refuse() {
-    refusing = true;
+  void closeIdleConnections() {
     Set<ServerConnection> idle = new HashSet<>(open);
     idle.removeAll(busy);
     idle.forEach(IoUtils::safeClose);
@@ -75,11 +67,6 @@
     if (closing) {
       exchange.setPersistent(false);
     }
-    if (refusing) {
-      exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RETRY_SECONDS);
-      exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE).endExchange();
-    } else {
-      next.handleRequest(exchange);
-    }
+    next.handleRequest(exchange);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
@@ -2,13 +2,19 @@
 
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.LogEvent;
 
 /** Serves the clients' requests that are answered while the client waits. */
 public final class Gateway {
   /** Time after which a client of an instance that knows no configuration may come back. */
   private static final long NO_CONFIGURATION_RETRY_MILLIS = 300;
 
+  /** Time after which a client of a stopping instance may come back; others are there. */
+  private static final long STOPPING_RETRY_MILLIS = 20;
+
   private final GatewayParts parts;
+  private boolean stopping;
   private int active;
 
   /** Creates a gateway. */
@@ -21,16 +27,42 @@
     return active;
   }
 
-  /** Returns a refusal if no route can be looked up yet. */
+  /** From now on, requests are refused as not run, because they might not end in time. */
+  public void stop() {
+    stopping = true;
+  }
+
+  /** Returns a refusal of all requests while the instance knows no routes or is stopping. */
   public Optional<Refusal> unavailable() {
-    if (parts.routes().isKnown()) {
-      return Optional.empty();
+    if (stopping) {
+      return Optional.of(notRun("the instance is stopping", STOPPING_RETRY_MILLIS));
     }
-    return Optional.of(
-        new Refusal(
-            Refusal.Reason.NOT_RUN,
-            "no configuration is known yet",
-            parts.clock().deadlineAfterMillis(NO_CONFIGURATION_RETRY_MILLIS)));
+    return parts.routes().isKnown()
+        ? Optional.empty()
+        : Optional.of(notRun("no configuration is known yet", NO_CONFIGURATION_RETRY_MILLIS));
+  }
+
+  private Refusal notRun(String text, long retryMillis) {
+    return new Refusal(
+        Refusal.Reason.NOT_RUN, text, parts.clock().deadlineAfterMillis(retryMillis));
+  }
+
+  /**
+   * Refuses a request that gets no place.
+   *
+   * @param id id of the client's attempt
+   * @param refusal the reason
+   * @param answer where the answer goes
+   */
+  public void refuse(String id, Refusal refusal, ClientAnswer answer) {
+    parts.log().log(
+        LogEvent.REQUEST_REFUSED,
+        EventField.of("request", id),
+        EventField.of("reason", refusal.reason()),
+        EventField.of("cause", refusal.text()),
+        EventField.of("configuration", parts.routes().current().version()));
+    parts.metrics().refused("", refusal.reason());
+    answer.refuse(refusal);
   }
 
   /**
