Share the object calls of the two store clients

HttpObjectStore and PlatformStore each had their own get, create, update, delete and paged list. JsonObjectCalls has them once; JsonObjectFormat says what differs: root path, name and form of the version, empty content.

--- a/sedgeroad/src/main/java/org/sedgeroad/store/WatchReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/WatchReader.java
@@ -58,7 +58,7 @@
     }
     try {
       JsonNode event = mapper.readTree(line);
-      StoredObject object = HttpObjectStore.object(kind, event.path("object"));
+      StoredObject object = HttpObjectStore.FORMAT.object(kind, event.path("object"));
       boolean deleted = event.path("type").asText().equals("DELETED");
       listener.onChange(
           deleted ? new StoredObject(kind, object.name(), object.version(), null) : object);
