--- a/sedgeroad/src/main/java/org/sedgeroad/batch/BatchParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/BatchParts.java
@@ -24,6 +24,7 @@
  * @param clock source of time
  * @param metrics counters and histograms
  * @param log the log
+ * @param keepJobMillis time for which a job stays readable, in milliseconds
  */
 public record BatchParts(
     String instance,
@@ -36,4 +37,5 @@
     EventLoop loop,
     MonotonicClock clock,
     GatewayMetrics metrics,
-    EventLog log) {}
+    EventLog log,
+    long keepJobMillis) {}
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemProgress.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemProgress.java
@@ -27,9 +27,4 @@
   String toOutput() {
     return String.join("\n", output);
   }
-
-  void clear() {
-    output.clear();
-    lastEventId = "";
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobDirectory.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobDirectory.java
@@ -14,18 +14,20 @@
    *
    * @param head the job
    * @param version store version of the head
+   * @param sinceNanos monotonic time at which this instance first heard of the job
    */
-  record KnownJob(JobHead head, long version) {}
+  record KnownJob(JobHead head, long version, long sinceNanos) {}
 
   private final Map<String, KnownJob> jobs = new HashMap<>();
 
-  /** Notes a head; returns whether it is newer than what was known. */
-  boolean learn(JobHead head, long version) {
+  /** Notes a head at a monotonic time; returns whether it is newer than what was known. */
+  boolean learn(JobHead head, long version, long nowNanos) {
     KnownJob before = jobs.get(head.id());
     if (before != null && before.version() >= version) {
       return false;
     }
-    jobs.put(head.id(), new KnownJob(head, version));
+    long sinceNanos = before == null ? nowNanos : before.sinceNanos();
+    jobs.put(head.id(), new KnownJob(head, version, sinceNanos));
     return true;
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
@@ -85,6 +85,14 @@
     }
   }
 
+  /** Forgets a job that has been deleted. */
+  void forget(String id) {
+    OwnedJob job = jobs.remove(id);
+    if (job != null) {
+      stopItems(job);
+    }
+  }
+
   /** Returns the tokens of unfinished items by the name of the route in force. */
   public Map<String, Long> waitingTokens() {
     Map<String, Long> tokens = new HashMap<>();
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
@@ -49,6 +49,7 @@
   private final Set<String> takingOver = new HashSet<>();
 
   private final long takeOverFromNanos;
+  private boolean deleting;
 
   /** Creates a service. */
   public JobService(BatchParts parts, JobRunner runner, PeerJobs peerJobs) {
@@ -207,13 +208,19 @@
   @Override
   public void listed(List<StoredObject> objects) {
     objects.forEach(this::changed);
+    // A job that is missing was deleted unseen, unless it was accepted after the list.
+    Set<String> present = new HashSet<>();
+    objects.forEach(object -> present.add(object.name()));
+    long now = parts.clock().nanos();
+    directory.all().stream()
+        .filter(job -> !present.contains(job.head().id()) && isOld(job, now))
+        .forEach(job -> forget(job.head().id()));
   }
 
   @Override
   public void changed(StoredObject object) {
     if (object.isDeleted()) {
-      directory.forget(object.name());
-      runner.drop(object.name());
+      forget(object.name());
     } else {
       learn(JobStore.decode(object), object.version());
     }
@@ -239,8 +246,67 @@
     }
   }
 
+  /**
+   * Deletes a job that is over and need not be readable any more; called several times a second.
+   */
+  public void deleteOldJob() {
+    long now = parts.clock().nanos();
+    if (!deleting && !parts.peers().isIsolated(now)) {
+      List<String> alive = parts.peers().alive(now);
+      directory.all().stream()
+          .filter(job -> isOld(job, now) && isOver(job.head(), alive))
+          .findFirst()
+          .ifPresent(this::delete);
+    }
+  }
+
   // -----------------------------------------------------------------------
 
+  private boolean isOld(JobDirectory.KnownJob job, long nowNanos) {
+    return nowNanos - job.sinceNanos() > parts.keepJobMillis() * 1_000_000L;
+  }
+
+  /** Returns whether a job has ended and this instance is the one to delete it. */
+  private boolean isOver(JobHead head, List<String> alive) {
+    if (head.owner().equals(parts.instance())) {
+      return runner.job(head.id()).map(job -> job.isWhole() || job.isEnded()).orElse(false);
+    }
+    return !alive.contains(head.owner())
+        && (head.ended() || storedResults.isWhole(head))
+        && Rendezvous.isFirst(head.id(), parts.instance(), alive);
+  }
+
+  private void delete(JobDirectory.KnownJob job) {
+    deleting = true;
+    JobHead head = job.head();
+    parts
+        .storeWorkers()
+        .execute(
+            () -> {
+              StoreResult<StoredObject> outcome =
+                  parts.store().delete(head.id(), head.itemObjects(), job.version());
+              parts.loop().execute(() -> deleted(head.id(), outcome));
+            });
+  }
+
+  private void deleted(String id, StoreResult<StoredObject> outcome) {
+    if (JobStore.isGone(outcome)) {
+      deleting = false;
+      forget(id);
+      parts.log().log(LogEvent.JOB_DELETED, EventField.of("job", id));
+    } else {
+      parts.log().log(
+          LogEvent.STORE_UNAVAILABLE, EventField.of("job", id), EventField.of("deletion", outcome));
+      parts.loop().at(parts.clock().deadlineAfterMillis(RETRY_MILLIS), () -> deleting = false);
+    }
+  }
+
+  private void forget(String id) {
+    directory.forget(id);
+    storedResults.forget(id);
+    runner.forget(id);
+  }
+
   private long waitingTokens(Route route) {
     long now = parts.clock().nanos();
     long tokens = runner.waitingTokens().getOrDefault(route.name(), 0L);
@@ -274,7 +340,7 @@
     acceptingTokens.remove(submission.id());
     if (outcome instanceof AcceptResult.Accepted accepted) {
       boolean own = accepted.head().owner().equals(parts.instance());
-      directory.learn(accepted.head(), accepted.version());
+      directory.learn(accepted.head(), accepted.version(), parts.clock().nanos());
       JobHead head =
           directory.find(submission.id()).map(JobDirectory.KnownJob::head).orElse(accepted.head());
       if (accepted.created() && own && head.owner().equals(parts.instance())) {
@@ -301,7 +367,7 @@
   }
 
   private void learn(JobHead head, long version) {
-    if (!directory.learn(head, version)) {
+    if (!directory.learn(head, version, parts.clock().nanos())) {
       return;
     }
     boolean own = head.owner().equals(parts.instance());
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
@@ -152,8 +152,60 @@
     }
   }
 
+  /**
+   * Deletes a job that is over; Done or Absent if nothing of it is left.
+   *
+   * <p>The head goes last and the results go from the last to the first, so that a repeat after a
+   * failure still finds all that is left.
+   */
+  public StoreResult<StoredObject> delete(String job, int itemObjects, long version) {
+    StoreResult<List<StoredObject>> chunks = readObjects(RESULTS, job);
+    if (!(chunks instanceof StoreResult.Done<List<StoredObject>> results)) {
+      return new StoreResult.Unavailable<>("results not read: " + chunks);
+    }
+    List<StoredObject> objects = new ArrayList<>();
+    for (int index = 0; index < itemObjects; index++) {
+      StoreResult<StoredObject> read = writer.store().get(ITEMS, objectName(job, index));
+      if (read instanceof StoreResult.Done<StoredObject> item) {
+        objects.add(item.value());
+      } else if (!(read instanceof StoreResult.Absent)) {
+        return read;
+      }
+    }
+    objects.addAll(results.value());
+    for (int index = objects.size() - 1; index >= 0; index--) {
+      StoredObject object = objects.get(index);
+      StoreResult<StoredObject> deleted =
+          writer.store().delete(object.kind(), object.name(), object.version());
+      if (!isGone(deleted)) {
+        return deleted;
+      }
+    }
+    return writer.store().delete(JOBS, job, version);
+  }
+
+  /** Returns whether a deleted object is certainly gone. */
+  static boolean isGone(StoreResult<StoredObject> deleted) {
+    return deleted instanceof StoreResult.Done || deleted instanceof StoreResult.Absent;
+  }
+
   // -----------------------------------------------------------------------
 
+  /** Reads the numbered objects of a job up to the first that does not exist. */
+  private StoreResult<List<StoredObject>> readObjects(String kind, String job) {
+    List<StoredObject> objects = new ArrayList<>();
+    while (true) {
+      StoreResult<StoredObject> read = writer.store().get(kind, objectName(job, objects.size()));
+      if (read instanceof StoreResult.Done<StoredObject> done) {
+        objects.add(done.value());
+      } else if (read instanceof StoreResult.Absent) {
+        return new StoreResult.Done<>(objects);
+      } else {
+        return new StoreResult.Unavailable<>(read.toString());
+      }
+    }
+  }
+
   private static List<List<ItemSpec>> split(List<ItemSpec> items) {
     List<List<ItemSpec>> parts = new ArrayList<>();
     int characters = 0;
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/StoredResults.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/StoredResults.java
@@ -47,6 +47,10 @@
     return results >= head.itemCount() && results > 0;
   }
 
+  void forget(String job) {
+    chunksByJob.remove(job);
+  }
+
   private void received(
       JobHead head,
       int after,
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/ClientConnections.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/ClientConnections.java
@@ -5,41 +5,54 @@
 import io.undertow.server.ServerConnection;
 import io.undertow.util.AttachmentKey;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.sedgeroad.MonotonicClock;
 import org.xnio.IoUtils;
 
 /**
- * Counts the requests in progress and ends the clients' connections during a planned stop.
- * Thread-safe.
+ * Counts the requests in progress and closes the clients' connections that are idle for too long,
+ * or all of them in the course of a planned stop. Thread-safe.
  */
-final class GatewayStop implements HttpHandler {
+final class ClientConnections implements HttpHandler {
   private static final AttachmentKey<Boolean> KNOWN = AttachmentKey.create(Boolean.class);
 
   private final HttpHandler next;
-  private final Set<ServerConnection> open = ConcurrentHashMap.newKeySet();
+  private final MonotonicClock clock;
+
+  /** All connections with the time at which the last request on each ended. */
+  private final Map<ServerConnection, Long> open = new ConcurrentHashMap<>();
+
   private final Set<ServerConnection> busy = ConcurrentHashMap.newKeySet();
   private volatile boolean closing;
 
-  GatewayStop(HttpHandler next) {
+  ClientConnections(HttpHandler next, MonotonicClock clock) {
     this.next = next;
+    this.clock = clock;
   }
 
   /** From now on each answer closes its connection. */
-  void closeConnections() {
+  void closeAfterAnswers() {
     closing = true;
   }
 
   /**
-   * Closes the connections without a request in progress. Runs on the event loop, so that no
-   * request is read meanwhile.
+   * Closes the connections on which no request has been in progress since a monotonic time. Runs on
+   * the event loop, so that no request is read meanwhile.
    */
-  void closeIdleConnections() {
-    Set<ServerConnection> idle = new HashSet<>(open);
-    idle.removeAll(busy);
+  void closeIdleSince(long nanos) {
+    Set<ServerConnection> idle = new HashSet<>();
+    open.forEach(
+        (connection, endedNanos) -> {
+          if (endedNanos - nanos <= 0 && !busy.contains(connection)) {
+            idle.add(connection);
+          }
+        });
     idle.forEach(IoUtils::safeClose);
   }
 
+  /** Returns the number of requests in progress. */
   int active() {
     return busy.size();
   }
@@ -49,7 +62,6 @@
     ServerConnection connection = exchange.getConnection();
     if (connection.getAttachment(KNOWN) == null) {
       connection.putAttachment(KNOWN, true);
-      open.add(connection);
       connection.addCloseListener(
           closed -> {
             open.remove(closed);
@@ -57,10 +69,12 @@
             busy.remove(closed);
           });
     }
+    open.put(connection, clock.nanos());
     // A connection of HTTP/1.1 carries one request at a time.
     busy.add(connection);
     exchange.addExchangeCompleteListener(
         (completed, others) -> {
+          open.computeIfPresent(connection, (same, started) -> clock.nanos());
           busy.remove(connection);
           others.proceed();
         });
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -6,6 +6,7 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -32,6 +33,7 @@
 import org.sedgeroad.presence.LoadReport;
 import org.sedgeroad.presence.PeerBook;
 import org.sedgeroad.settings.GatewaySettings;
+import org.sedgeroad.settings.SettingsReload;
 import org.sedgeroad.store.KindFollower;
 import org.sedgeroad.store.ObjectStore;
 import org.sedgeroad.store.StoreWriter;
@@ -61,12 +63,22 @@
   /** Time for which a peer may have a newer configuration, in milliseconds, before it is read. */
   private static final long CONFIGURATION_LAG_MILLIS = 500;
 
+  /**
+   * Threads that wait for the store: one for each of the four lists at a start, and two for jobs
+   * meanwhile.
+   */
   private static final int STORE_THREADS = 6;
 
+  /** Time between two looks at the clients' idle connections, in milliseconds. */
+  private static final long IDLE_CHECK_MILLIS = 1_000;
+
+  /** Time between two looks at the requests in progress during a stop, in milliseconds. */
+  private static final long STOP_POLL_MILLIS = 20;
+
   /** Pause before a registration is tried again, in milliseconds. */
   private static final long REGISTRATION_RETRY_MILLIS = 500;
 
-  private final GatewaySettings settings;
+  private volatile GatewaySettings settings;
   private final PlatformBinding platform;
   private final EventLog log;
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
@@ -88,7 +100,7 @@
   private final JobService jobs;
   private final List<KindFollower> followers = new ArrayList<>();
   private final KindFollower routesFollower;
-  private final GatewayStop requests;
+  private final ClientConnections connections;
   private final Undertow server;
   private LoadExchange reports;
   private LoadReport lastReport;
@@ -98,6 +110,7 @@
   private long laggingSinceNanos;
   private boolean lagging;
   private boolean leaving;
+  private boolean ended;
   private final long incarnation = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean stopping;
@@ -122,7 +135,7 @@
         new Dispatcher(
             settings.instance(),
             settings.domain(),
-            settings::region,
+            name -> this.settings.region(name),
             peers,
             clock,
             () -> ThreadLocalRandom.current().nextDouble());
@@ -135,7 +148,7 @@
     GatewayParts parts =
         new GatewayParts(routes, dispatcher, batch.caller(), loop, clock, metrics, log);
     this.gateway = new Gateway(parts);
-    this.requests = new GatewayStop(platform.clientHandler(parts, gateway, jobs));
+    this.connections = new ClientConnections(platform.clientHandler(parts, gateway, jobs), clock);
     this.routesFollower =
         follow(store, platform.routesKind(), new RoutesFollower(platform, routes, fleet, log));
     follow(store, platform.endpointsKind(), fleet);
@@ -172,7 +185,8 @@
         loop,
         clock,
         metrics,
-        log);
+        log,
+        settings.keepJobMillis());
   }
 
   private KindFollower follow(ObjectStore store, String kind, KindFollower.Listener listener) {
@@ -195,7 +209,7 @@
         .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
         .setServerOption(UndertowOptions.DECODE_URL, false)
         .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-        .addListener(listener(settings.clientAddress(), requests))
+        .addListener(listener(settings.clientAddress(), connections))
         .addListener(listener(settings.readinessAddress(), readiness))
         .addListener(listener(settings.exchangeAddress(), new PeerJobsHandler(jobs, clock)))
         .addListener(listener(settings.metricsAddress(), metricsPage))
@@ -224,6 +238,7 @@
           followers.forEach(KindFollower::start);
           repeat(REPORT_MILLIS, this::report);
           repeat(JOB_CHECK_MILLIS, this::checkJobs);
+          repeat(IDLE_CHECK_MILLIS, this::closeIdleConnections);
         });
     log.log(
         LogEvent.INSTANCE_STARTED,
@@ -237,9 +252,14 @@
     return !stopping && routes.isKnown() && fleet.isKnown();
   }
 
-  /** Notes that the settings file has changed. */
-  public void settingsChanged() {
-    log.log(LogEvent.SETTINGS_READ_AGAIN);
+  /**
+   * Reads the settings file again.
+   *
+   * <p>Failure domains and stop times come into force at once, all else with the next start. A file
+   * with faults changes nothing.
+   */
+  public void readSettings(Path file) {
+    settings = SettingsReload.read(file, settings, log);
   }
 
   /**
@@ -252,25 +272,29 @@
       return;
     }
     long deadline = clock.deadlineAfterMillis(settings.stopTimeoutMillis());
-    log.log(LogEvent.INSTANCE_STOPPING, EventField.of("requests", requests.active()));
+    log.log(LogEvent.INSTANCE_STOPPING, EventField.of("requests", connections.active()));
     stopping = true;
-    requests.closeConnections();
+    connections.closeAfterAnswers();
     sleepUntil(clock.deadlineAfterMillis(settings.stopNoticeMillis()), false);
     // The balancer has had time to notice. Clients that reuse a connection, or that come because
     // too few instances are ready, would come until the end and be cut by it.
     loop.execute(
         () -> {
           gateway.stop();
-          requests.closeIdleConnections();
+          connections.closeIdleSince(clock.nanos());
           runner.stopAll();
           leaving = true;
           report();
         });
     sleepUntil(deadline, true);
-    if (requests.active() > 0) {
-      log.log(LogEvent.STOP_DEADLINE_PASSED, EventField.of("requests", requests.active()));
+    if (connections.active() > 0) {
+      log.log(LogEvent.STOP_DEADLINE_PASSED, EventField.of("requests", connections.active()));
     }
-    followers.forEach(follower -> loop.execute(follower::close));
+    loop.execute(
+        () -> {
+          ended = true;
+          followers.forEach(KindFollower::close);
+        });
     server.stop();
     reports.close();
     storeWorkers.shutdownNow();
@@ -282,9 +306,9 @@
   // -----------------------------------------------------------------------
 
   private void sleepUntil(long deadlineNanos, boolean untilIdle) {
-    while (!clock.hasPassed(deadlineNanos) && !(untilIdle && requests.active() == 0)) {
+    while (!clock.hasPassed(deadlineNanos) && !(untilIdle && connections.active() == 0)) {
       try {
-        Thread.sleep(20);
+        Thread.sleep(STOP_POLL_MILLIS);
       } catch (InterruptedException interrupted) {
         Thread.currentThread().interrupt();
         return;
@@ -296,6 +320,9 @@
     loop.at(
         clock.deadlineAfterMillis(periodMillis),
         () -> {
+          if (ended) {
+            return;
+          }
           repeat(periodMillis, task);
           try {
             task.run();
@@ -372,11 +399,17 @@
     }
   }
 
+  private void closeIdleConnections() {
+    long idleNanos = routes.current().limits().idleTimeoutMillis() * 1_000_000L;
+    connections.closeIdleSince(clock.nanos() - idleNanos);
+  }
+
   private void checkJobs() {
     fleet.refresh();
     runner.storeDueResults();
     if (!stopping) {
       jobs.takeOverLostJobs();
+      jobs.deleteOldJob();
     }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -12,10 +12,12 @@
   INSTANCE_STOPPED(1003, Level.INFO, "instance stopped"),
   /** The settings file has faults; nothing was started. */
   SETTINGS_INVALID(1004, Level.ERROR, "settings invalid"),
-  /** The settings file was read again; its values come into force with the next start. */
+  /** The settings file was read again. */
   SETTINGS_READ_AGAIN(1005, Level.INFO, "settings read again"),
   /** Log lines were dropped because the output was too slow. */
   LINES_DROPPED(1006, Level.WARNING, "log lines dropped"),
+  /** The settings file was read again and has faults; the settings in force stay. */
+  SETTINGS_KEPT(1007, Level.WARNING, "settings kept because the file has faults"),
   /** A call to the store failed. */
   STORE_UNAVAILABLE(2001, Level.WARNING, "store unavailable"),
   /** A watch ended and is started again. */
@@ -56,6 +58,8 @@
   REQUEST_QUARANTINED(4005, Level.WARNING, "request quarantined"),
   /** A quarantine could not be written to the store yet. */
   QUARANTINE_NOT_STORED(4006, Level.WARNING, "quarantine not stored"),
+  /** A job that is over was deleted from the store. */
+  JOB_DELETED(5013, Level.INFO, "job deleted"),
   /** A job was accepted. */
   JOB_ACCEPTED(5001, Level.INFO, "job accepted"),
   /** All segments of a job are finished. */
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
@@ -15,18 +15,12 @@
 
   private final GatewayParts parts;
   private boolean stopping;
-  private int active;
 
   /** Creates a gateway. */
   public Gateway(GatewayParts parts) {
     this.parts = parts;
   }
 
-  /** Returns the requests without a final answer. */
-  public int active() {
-    return active;
-  }
-
   /** From now on, requests are refused as not run, because they might not end in time. */
   public void stop() {
     stopping = true;
@@ -50,14 +44,16 @@
   /**
    * Refuses a request that gets no place.
    *
-   * @param id id of the client's attempt
+   * @param id id of the client's attempt, empty if it has none
+   * @param path path of the request
    * @param refusal the reason
    * @param answer where the answer goes
    */
-  public void refuse(String id, Refusal refusal, ClientAnswer answer) {
+  public void refuse(String id, String path, Refusal refusal, ClientAnswer answer) {
     parts.log().log(
         LogEvent.REQUEST_REFUSED,
         EventField.of("request", id),
+        EventField.of("path", path),
         EventField.of("reason", refusal.reason()),
         EventField.of("cause", refusal.text()),
         EventField.of("configuration", parts.routes().current().version()));
@@ -75,8 +71,7 @@
    */
   public RequestRun forward(Route route, ClientRequest request, ClientAnswer answer) {
     String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
-    active++;
-    RequestRun run = new RequestRun(parts, route, service, request, answer, () -> active--);
+    RequestRun run = new RequestRun(parts, route, service, request, answer);
     run.start();
     return run;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestLimits.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestLimits.java
@@ -5,9 +5,7 @@
  *
  * @param headerBytes largest header section, in bytes
  * @param bodyBytes largest body, in bytes
- * @param headerTimeoutMillis longest time to send the headers, in milliseconds
  * @param idleTimeoutMillis longest time that a connection stays open without a request, in
  *     milliseconds
  */
-public record RequestLimits(
-    int headerBytes, long bodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {}
+public record RequestLimits(int headerBytes, long bodyBytes, long idleTimeoutMillis) {}
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -35,7 +35,6 @@
   private final String service;
   private final ClientRequest request;
   private final ClientAnswer answer;
-  private final Runnable onDone;
   private final long deadlineNanos;
   private final Set<String> excluded = new HashSet<>();
   private EventLoop.Timeout timeout = EventLoop.Timeout.NONE;
@@ -48,18 +47,12 @@
   private boolean done;
 
   RequestRun(
-      GatewayParts parts,
-      Route route,
-      String service,
-      ClientRequest request,
-      ClientAnswer answer,
-      Runnable onDone) {
+      GatewayParts parts, Route route, String service, ClientRequest request, ClientAnswer answer) {
     this.parts = parts;
     this.route = route;
     this.service = service;
     this.request = request;
     this.answer = answer;
-    this.onDone = onDone;
     this.lastEventId = request.lastEventId();
     long timeoutNanos = request.arrivedNanos() + route.timeoutMillis() * 1_000_000L;
     this.deadlineNanos =
@@ -174,7 +167,6 @@
         EventField.of("route", route.name()),
         EventField.of("outcome", outcome),
         EventField.of("took_ms", took));
-    onDone.run();
   }
 
   private void stopWork() {
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RouteTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RouteTable.java
@@ -12,7 +12,7 @@
 public final class RouteTable {
   /** The table before any configuration is known. */
   public static final RouteTable EMPTY =
-      new RouteTable(0, List.of(), Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
+      new RouteTable(0, List.of(), Map.of(), new RequestLimits(16_384, 4_194_304, 15_000));
 
   private final long version;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
@@ -71,11 +71,4 @@
     }
     return Optional.empty();
   }
-
-  /** Returns whether any route has this host. */
-  public boolean hasHost(String host) {
-    int colon = host.indexOf(':');
-    return routesByHost.containsKey(
-        (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT));
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
@@ -143,7 +143,7 @@
 
               @Override
               public void failed(IOException failure) {
-                exchange.fail(new HttpFailure.NotSent(String.valueOf(failure.getMessage())));
+                exchange.fail(new HttpFailure.NotSent(HttpFailure.describe(failure)));
               }
             },
             exchange.call().uri(),
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -169,7 +169,7 @@
       connection = null;
       caller.connect(this);
     } else {
-      fail(new HttpFailure.Broken(String.valueOf(failure.getMessage())));
+      fail(new HttpFailure.Broken(HttpFailure.describe(failure)));
     }
   }
 
@@ -271,7 +271,7 @@
       }
       return false;
     } catch (IOException failure) {
-      fail(new HttpFailure.Broken(String.valueOf(failure.getMessage())));
+      fail(new HttpFailure.Broken(HttpFailure.describe(failure)));
       return false;
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpFailure.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpFailure.java
@@ -1,11 +1,18 @@
 package org.sedgeroad.http;
 
+import java.io.IOException;
+
 /** Reasons why an exchange brought no whole answer. */
 public sealed interface HttpFailure {
 
   /** Returns a description for logs and errors. */
   String reason();
 
+  /** Returns what is known of an exception; the library gives some no message. */
+  static String describe(IOException failure) {
+    return failure.getMessage() == null ? failure.getClass().getSimpleName() : failure.getMessage();
+  }
+
   /**
    * The connection could not be opened; no byte of the request was sent.
    *
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -102,11 +102,6 @@
     placeWaiting();
   }
 
-  /** Returns the endpoint of a name if it is known and may get new work. */
-  public Optional<ServiceEndpoint> usable(String name) {
-    return Optional.ofNullable(fleet.get(name)).filter(endpoint -> !endpoint.draining());
-  }
-
   /** Returns whether any endpoint of a service may get new work. */
   public boolean hasEndpoint(String service, Set<String> excluded) {
     return fleet.values().stream()
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettings.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param storeAddress address of the platform's store
  * @param storeTimeoutMillis longest wait for one answer of the store, in milliseconds
  * @param connectTimeoutMillis longest wait for a connection, in milliseconds
+ * @param keepJobMillis time for which a job stays readable after it was accepted, in milliseconds
  * @param stopNoticeMillis time that the balancer gets to notice a stop, in milliseconds
  * @param stopTimeoutMillis longest duration of a planned stop, in milliseconds
  */
@@ -33,6 +34,7 @@
     URI storeAddress,
     long storeTimeoutMillis,
     long connectTimeoutMillis,
+    long keepJobMillis,
     long stopNoticeMillis,
     long stopTimeoutMillis) {
 
@@ -41,6 +43,28 @@
     domains = List.copyOf(domains);
   }
 
+  /**
+   * Returns these settings with those of {@code next} that can change while an instance runs: the
+   * failure domains and the times of a planned stop.
+   */
+  public GatewaySettings withReloaded(GatewaySettings next) {
+    return new GatewaySettings(
+        instance,
+        domain,
+        next.domains,
+        clientAddress,
+        readinessAddress,
+        reportAddress,
+        exchangeAddress,
+        metricsAddress,
+        storeAddress,
+        storeTimeoutMillis,
+        connectTimeoutMillis,
+        keepJobMillis,
+        next.stopNoticeMillis,
+        next.stopTimeoutMillis);
+  }
+
   /** Returns the region of a failure domain, the domain itself if it is not known. */
   public String region(String name) {
     return domains.stream()
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
@@ -19,6 +19,7 @@
               "listen", Set.of("clients", "readiness", "reports", "exchange", "metrics"),
               "store", Set.of("address", "timeout-millis"),
               "endpoints", Set.of("connect-timeout-millis"),
+              "jobs", Set.of("keep-seconds"),
               "stop", Set.of("notice-millis", "timeout-seconds")));
 
   /** Part of the time for a stop that is left to the closing of connections, in milliseconds. */
@@ -66,6 +67,7 @@
         ini.address("store", "address", ini.required("store", "address"), null),
         ini.number("store", "timeout-millis", 1_500, 10, 60_000),
         ini.number("endpoints", "connect-timeout-millis", 250, 10, 60_000),
+        ini.number("jobs", "keep-seconds", 86_400, 1, 31_536_000) * 1_000,
         ini.number("stop", "notice-millis", 2_500, 0, 600_000),
         ini.number("stop", "timeout-seconds", 8, 1, 3_600) * 1_000 - STOP_MARGIN_MILLIS);
   }
--- a/sedgeroad/src/test/java/org/sedgeroad/entry/InstanceGaugesTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/entry/InstanceGaugesTest.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,8 +12,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sedgeroad.Endpoint;
@@ -28,10 +25,9 @@
 import org.sedgeroad.job.JobState;
 import org.sedgeroad.metric.CompletedRequest;
 import org.sedgeroad.metric.Metrics;
+import org.sedgeroad.metric.MetricsPages;
 import org.sedgeroad.metric.RequestOutcome;
 import org.sedgeroad.route.EndpointTable;
-import org.sedgeroad.store.ObjectStore;
-import org.sedgeroad.store.StoreResult;
 
 /** Guards against metrics that operators read about but don't get, and the other way round. */
 class InstanceGaugesTest {
@@ -63,32 +59,18 @@
         metrics, new ConfigurationReplica(), endpoints, () -> true, () -> true, () -> 1, () -> 0);
     metrics.ended(new CompletedRequest("m", RequestOutcome.DONE, 1, 1));
     metrics.committed(JOB, List.of(new ItemResult(0, "c", ItemState.DONE, "r", 200, null, null)));
-    ObjectStore store =
-        (ObjectStore)
-            Proxy.newProxyInstance(
-                ObjectStore.class.getClassLoader(),
-                new Class<?>[] {ObjectStore.class},
-                (proxy, method, arguments) -> new StoreResult.Absent<>());
-    metrics.measure(store).create("k", "n", JsonNodeFactory.instance.objectNode());
+    metrics
+        .measure(MetricsPages.emptyStore())
+        .create("k", "n", JsonNodeFactory.instance.objectNode());
     return metrics.toText();
   }
 
-  private static Set<String> names(String text, String pattern) {
-    Set<String> names = new TreeSet<>();
-    Matcher matcher = Pattern.compile(pattern, Pattern.MULTILINE).matcher(text);
-    while (matcher.find()) {
-      names.add(matcher.group(1));
-    }
-    return names;
-  }
-
   @Nested
   class MetricsPage {
     @Test
     void listsExactlyTheMetricsOfAnInstance() throws IOException {
       String page = Files.readString(Path.of("../docs/METRICS.md"));
-      assertEquals(
-          names(scrape(), "^# TYPE (\\S+) "), names(page, "^\\| `(sedgeroad_[a-z_]+)` \\|"));
+      assertEquals(MetricsPages.scraped(scrape()), MetricsPages.documented(page));
     }
 
     @Test
@@ -99,7 +81,7 @@
         outcomes.add(outcome.toText());
       }
       String table = page.substring(page.indexOf("Outcomes of"));
-      assertEquals(outcomes, names(table, "^\\| `([a-z_]+)` \\|"));
+      assertEquals(outcomes, MetricsPages.names(table, "^\\| `([a-z_]+)` \\|"));
     }
   }
 }
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/settings/SettingsReloadTest.java
@@ -0,0 +1,76 @@
+package org.sedgeroad.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.sedgeroad.event.EventLog;
+
+class SettingsReloadTest {
+  private static final String TEXT =
+      """
+      [instance]
+      name = n
+      domain = a
+      domains = a:north
+
+      [listen]
+      clients = 127.0.0.1:1
+      readiness = 127.0.0.1:2
+      reports = 127.0.0.1:3
+      exchange = 127.0.0.1:4
+      metrics = 127.0.0.1:5
+
+      [store]
+      address = http://127.0.0.1:6
+
+      [stop]
+      timeout-seconds = 8
+      """;
+
+  @TempDir Path folder;
+  private final GatewaySettings current = GatewaySettingsReader.parse(TEXT, fault -> {});
+
+  private GatewaySettings reload(String text) throws IOException {
+    assertNotNull(current);
+    Path file = folder.resolve("instance.ini");
+    Files.writeString(file, text);
+    return SettingsReload.read(file, current, EventLog.of("n"));
+  }
+
+  @Nested
+  class Sound {
+    @Test
+    void bringsDomainsAndStopTimesIntoForce() throws IOException {
+      GatewaySettings next =
+          reload(TEXT.replace("a:north", "a:south, b:south").replace("= 8", "= 20"));
+      assertEquals("south", next.region("b"));
+      assertEquals(19_500, next.stopTimeoutMillis());
+    }
+
+    @Test
+    void leavesAddressesToTheNextStart() throws IOException {
+      assertEquals(current, reload(TEXT.replace("127.0.0.1:1", "127.0.0.1:9")));
+    }
+  }
+
+  @Nested
+  class Faulty {
+    @Test
+    void changesNothing() throws IOException {
+      assertEquals(current, reload(TEXT.replace("a:north", "a-north")));
+      assertEquals(current, reload(""));
+    }
+
+    @Test
+    void changesNothingWithoutAFile() {
+      Path missing = folder.resolve("missing.ini");
+      assertEquals(current, SettingsReload.read(missing, current, EventLog.of("n")));
+    }
+  }
+}
