Bound the wait of HttpCaller.send by its own clock

The deadline of an exchange is kept by an I/O thread; a call that starts while that thread ends never completes. HttpCallerFaultTest.closingTheClientEndsACallThatIsUnderWay failed before (TimeoutException after 5 s) and passes now. A thread that is interrupted stops waiting, too.

--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/HttpCallerFaultTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/HttpCallerFaultTest.java
@@ -4,9 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.http.HttpCall;
@@ -15,6 +20,7 @@
 import org.sedgeroad.http.HttpFailure;
 import org.sedgeroad.http.HttpHead;
 import org.sedgeroad.http.HttpListener;
+import org.sedgeroad.http.HttpResult;
 import org.sedgeroad.store.HttpObjectStore;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.testing.engine.EngineEvent;
@@ -54,6 +60,21 @@
     }
   }
 
+  /** Guards against a thread that waits for ever: the deadline runs on the client's own thread. */
+  @Test
+  void closingTheClientEndsACallThatIsUnderWay() throws Exception {
+    try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      HttpCaller caller = HttpCaller.create(1);
+      URI uri = URI.create("http://127.0.0.1:" + silent.getLocalPort() + "/");
+      HttpCall call =
+          HttpCall.of("GET", uri, new byte[0], MonotonicClock.SYSTEM.deadlineAfterMillis(500));
+      CompletableFuture<HttpResult> result = CompletableFuture.supplyAsync(() -> caller.send(call));
+      silent.accept().setSoTimeout(1_000);
+      caller.close();
+      assertInstanceOf(HttpResult.Failed.class, result.get(5, TimeUnit.SECONDS));
+    }
+  }
+
   private static boolean has(EngineStandIn engine, EngineEvent.Type type) {
     return engine.history(0).stream().anyMatch(event -> event.type() == type);
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
@@ -12,6 +12,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.sedgeroad.MonotonicClock;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -34,6 +37,9 @@
   /** Time for which an idle connection is used again if the server names none, in milliseconds. */
   private static final long IDLE_MILLIS = 4_000;
 
+  /** Time that an I/O thread may be late with a deadline, in milliseconds. */
+  private static final long OVERDUE_MILLIS = 1_000;
+
   private final XnioWorker worker;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 0);
   private final Map<String, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
@@ -102,9 +108,24 @@
     return exchange;
   }
 
-  /** Sends a call and waits for the whole answer, at most until the call's deadline. */
+  /**
+   * Sends a call and waits for the whole answer, at most until the call's deadline.
+   *
+   * <p>The deadline is kept by an I/O thread; one that has ended keeps none, so that the wait has a
+   * bound of its own.
+   */
   public HttpResult send(HttpCall call) {
-    return sendLater(call).join();
+    long millis = (call.deadlineNanos() - clock.nanos()) / 1_000_000L + OVERDUE_MILLIS;
+    try {
+      return sendLater(call).get(Math.max(0, millis), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException overdue) {
+      return new HttpResult.Failed(new HttpFailure.Broken("the client was closed"));
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return new HttpResult.Failed(new HttpFailure.Broken("interrupted"));
+    } catch (ExecutionException failure) {
+      throw new IllegalStateException("the listener failed", failure.getCause());
+    }
   }
 
   /** Sends a call; the future completes normally, at the latest at the call's deadline. */
