--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/Main.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/Main.java
@@ -13,7 +13,8 @@
               "entry", EntrySubcommand::new,
               "check", CheckSubcommand::new,
               "burn", BurnSubcommand::new,
-              "command", CommandSubcommand::new));
+              "command", CommandSubcommand::new,
+              "explain", ExplainSubcommand::new));
 
   private Main() {}
 
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/explain/Explanation.java
@@ -0,0 +1,108 @@
+package org.sedgeroad.explain;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.sedgeroad.event.LogEvent;
+
+/**
+ * The events that explain what became of a request, an item or a job, in order of time.
+ *
+ * @param id id of the request, item or job
+ * @param events its own events and those beside it, by time and, at one instance, in the order of
+ *     its log
+ */
+public record Explanation(String id, List<ExplainedEvent> events) {
+  /**
+   * Time around the events of the id in which others may explain them; a lost dependency is logged
+   * once, so that the last line about it may be older than the request.
+   */
+  private static final Duration BEFORE = Duration.ofSeconds(2);
+
+  private static final Duration AFTER = Duration.ofSeconds(1);
+
+  /** Events of an instance that concern every request there. */
+  private static final Set<Integer> OF_INSTANCE =
+      Set.of(
+          LogEvent.INSTANCE_STARTED.number(),
+          LogEvent.INSTANCE_STOPPING.number(),
+          LogEvent.INSTANCE_STOPPED.number(),
+          LogEvent.LINES_DROPPED.number(),
+          LogEvent.STORE_UNAVAILABLE.number(),
+          LogEvent.STORE_AVAILABLE.number(),
+          LogEvent.WATCH_RESTARTED.number(),
+          LogEvent.ROUTES_APPLIED.number(),
+          LogEvent.STOP_DEADLINE_PASSED.number());
+
+  /** Copies the list. */
+  public Explanation {
+    events = List.copyOf(events);
+  }
+
+  /**
+   * Chooses the events that explain an id.
+   *
+   * @param id id of a request, item or job
+   * @param log all events of all instances, those of one instance in the order of its log
+   */
+  public static Explanation of(String id, List<LoggedEvent> log) {
+    Set<String> jobs = new HashSet<>();
+    log.stream()
+        .filter(event -> event.field("request").equals(id))
+        .forEach(event -> jobs.add(event.field("job")));
+    jobs.remove("");
+    List<LoggedEvent> own = log.stream().filter(event -> isAbout(event, id, jobs)).toList();
+    if (own.isEmpty()) {
+      return new Explanation(id, List.of());
+    }
+    Instant from = own.stream().map(LoggedEvent::time).min(Comparator.naturalOrder()).orElseThrow();
+    Instant until =
+        own.stream().map(LoggedEvent::time).max(Comparator.naturalOrder()).orElseThrow();
+    Set<String> instances = new HashSet<>();
+    Set<String> endpoints = new HashSet<>();
+    for (LoggedEvent event : own) {
+      instances.add(event.instance());
+      endpoints.add(event.field("endpoint"));
+    }
+    endpoints.remove("");
+    List<ExplainedEvent> events = new ArrayList<>();
+    for (LoggedEvent event : log) {
+      boolean near =
+          !event.time().isBefore(from.minus(BEFORE)) && !event.time().isAfter(until.plus(AFTER));
+      if (isAbout(event, id, jobs)) {
+        events.add(new ExplainedEvent(event, ExplainedEvent.Relation.OWN));
+      } else if (near
+          && OF_INSTANCE.contains(event.number())
+          && instances.contains(event.instance())) {
+        events.add(new ExplainedEvent(event, ExplainedEvent.Relation.INSTANCE));
+      } else if (near && isTroubleOf(endpoints, event)) {
+        events.add(new ExplainedEvent(event, ExplainedEvent.Relation.ENDPOINT));
+      }
+    }
+    // Stable, so that lines of one instance with the same time stay in order.
+    events.sort(Comparator.comparing(event -> event.event().time()));
+    return new Explanation(id, events);
+  }
+
+  /** Returns whether an event is about the id, or about the whole job of the item with the id. */
+  private static boolean isAbout(LoggedEvent event, String id, Set<String> jobs) {
+    String job = event.field("job");
+    return event.field("request").equals(id)
+        || job.equals(id)
+        || (event.field("request").isEmpty() && jobs.contains(job));
+  }
+
+  /** Returns whether an event shows a change or a broken run at one of the endpoints. */
+  private static boolean isTroubleOf(Set<String> endpoints, LoggedEvent event) {
+    boolean trouble =
+        event.number() == LogEvent.ENDPOINT_CHANGED.number()
+            || event.number() == LogEvent.REQUEST_MOVED.number()
+            || (event.number() == LogEvent.ITEM_RUN_ENDED.number()
+                && event.field("detail").startsWith("BROKEN"));
+    return trouble && endpoints.contains(event.field("endpoint"));
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/explain/LoggedEvent.java
@@ -0,0 +1,68 @@
+package org.sedgeroad.explain;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * One line of an instance's log. No component may be null.
+ *
+ * @param time time by the instance's clock
+ * @param instance name of the instance
+ * @param number number of the event
+ * @param message fixed text of the event
+ * @param fields all other fields, in the order of the line
+ */
+public record LoggedEvent(
+    Instant time, String instance, int number, String message, Map<String, String> fields) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Set<String> COMMON = Set.of("time", "level", "event", "message", "instance");
+
+  /** Checks that no component is null. */
+  public LoggedEvent {
+    Objects.requireNonNull(time);
+    Objects.requireNonNull(instance);
+    Objects.requireNonNull(message);
+    Objects.requireNonNull(fields);
+  }
+
+  /** Returns the event in a line, empty if there is none; text before the event is passed over. */
+  public static Optional<LoggedEvent> parse(String line) {
+    int start = line.indexOf('{');
+    if (start < 0) {
+      return Optional.empty();
+    }
+    try {
+      JsonNode node = MAPPER.readTree(line.substring(start));
+      if (!node.path("event").isInt()) {
+        return Optional.empty();
+      }
+      Map<String, String> fields = new LinkedHashMap<>();
+      node.properties().stream()
+          .filter(field -> !COMMON.contains(field.getKey()))
+          .forEach(field -> fields.put(field.getKey(), field.getValue().asText()));
+      return Optional.of(
+          new LoggedEvent(
+              Instant.parse(node.path("time").asText()),
+              node.path("instance").asText(),
+              node.path("event").asInt(),
+              node.path("message").asText(),
+              fields));
+    } catch (JsonProcessingException | DateTimeException other) {
+      // Lines of other programs and torn lines hold no event.
+      return Optional.empty();
+    }
+  }
+
+  /** Returns a field, empty if the line does not have it. */
+  public String field(String name) {
+    return fields.getOrDefault(name, "");
+  }
+}
