Sample routine log lines by request id above 200 a second

What was left out is counted and logged once a second (1008). The lines of a process are so bounded by its rate of failures and twice 200 a second. LogSamplerTest floods it with 100,000 requests in a second.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
@@ -231,7 +231,11 @@
     long now = parts.clock().nanos();
     String id = item.spec().id();
     parts.metrics().item(outcome.name().toLowerCase(java.util.Locale.ROOT));
-    logItem(LogEvent.ITEM_RUN_ENDED, run, outcome + ": " + cause);
+    if (outcome == ItemRun.Outcome.COMPLETED) {
+      logItem(LogEvent.ITEM_RUN_ENDED, run, outcome + ": " + cause);
+    } else {
+      parts.log().log(LogEvent.ITEM_RUN_ENDED, fields(run, outcome + ": " + cause));
+    }
     if (item.isDone()) {
       // Another instance listed the item while it ran here.
       parts.dispatcher().release(run.endpoint().name(), WorkClass.BATCH);
@@ -298,12 +302,16 @@
   }
 
   private void logItem(LogEvent event, ItemRun run, String detail) {
-    parts.log().log(
-        event,
-        EventField.of("request", run.item().spec().id()),
-        EventField.of("job", run.item().job().head().id()),
-        EventField.of("endpoint", run.endpoint().name()),
-        EventField.of("events", run.item().progress().events()),
-        EventField.of("detail", detail));
+    parts.log().logRoutine(run.item().spec().id(), event, fields(run, detail));
+  }
+
+  private static EventField[] fields(ItemRun run, String detail) {
+    return new EventField[] {
+      EventField.of("request", run.item().spec().id()),
+      EventField.of("job", run.item().job().head().id()),
+      EventField.of("endpoint", run.endpoint().name()),
+      EventField.of("events", run.item().progress().events()),
+      EventField.of("detail", detail)
+    };
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/event/EventLog.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/EventLog.java
@@ -4,11 +4,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Instant;
+import org.sedgeroad.MonotonicClock;
 
 /** Writes numbered events through {@link System.Logger}, one JSON object a line. */
 public final class EventLog {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  private final LogSampler sampler = new LogSampler(MonotonicClock.SYSTEM);
   private final System.Logger logger;
   private final String instance;
 
@@ -22,8 +24,37 @@
     return new EventLog(System.getLogger("org.sedgeroad"), instance);
   }
 
+  /**
+   * Logs an event that each request brings. While there are many of these, only the events of some
+   * requests are logged.
+   *
+   * @param request id of the request or item
+   */
+  public void logRoutine(String request, LogEvent event, EventField... fields) {
+    if (sampler.keeps(request)) {
+      write(event, fields);
+    }
+    logLeftOut();
+  }
+
   /** Logs an event with its fields. */
   public void log(LogEvent event, EventField... fields) {
+    write(event, fields);
+    logLeftOut();
+  }
+
+  private void logLeftOut() {
+    sampler
+        .endWindow()
+        .ifPresent(
+            leftOut ->
+                write(
+                    LogEvent.LINES_SAMPLED,
+                    EventField.of("lines", leftOut.lines()),
+                    EventField.of("one_request_in", leftOut.oneIn())));
+  }
+
+  private void write(LogEvent event, EventField... fields) {
     if (!logger.isLoggable(event.level())) {
       return;
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -16,6 +16,8 @@
   SETTINGS_READ_AGAIN(1005, Level.INFO, "settings read again"),
   /** Log lines were dropped because the output was too slow. */
   LINES_DROPPED(1006, Level.WARNING, "log lines dropped"),
+  /** Routine lines of some requests were left out, because there were many. */
+  LINES_SAMPLED(1008, Level.INFO, "routine lines of some requests left out"),
   /** The settings file was read again and has faults; the settings in force stay. */
   SETTINGS_KEPT(1007, Level.WARNING, "settings kept because the file has faults"),
   /** A call to the store failed. */
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/event/LogSamplerTest.java
@@ -0,0 +1,84 @@
+package org.sedgeroad.event;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.VirtualClock;
+
+/** Guards against logs that grow with the load, and against halves of requests. */
+class LogSamplerTest {
+  private final VirtualClock clock = new VirtualClock();
+  private final LogSampler sampler = new LogSampler(clock);
+  private int next;
+
+  /** Logs three lines of each of a number of requests; returns the lines kept by request. */
+  private Map<String, Integer> second(int requests) {
+    Map<String, Integer> kept = new HashMap<>();
+    int first = next;
+    next += requests;
+    for (int line = 0; line < 3; line++) {
+      for (int number = first; number < next; number++) {
+        String id = "request-" + number;
+        kept.merge(id, sampler.keeps(id) ? 1 : 0, Integer::sum);
+      }
+    }
+    clock.advanceMillis(1_001);
+    return kept;
+  }
+
+  private static int sum(Map<String, Integer> kept) {
+    return kept.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  @Nested
+  class UsualRate {
+    @Test
+    void keepsEachLine() {
+      for (int count = 0; count < 10; count++) {
+        assertEquals(3 * 60, sum(second(60)));
+        assertEquals(Optional.empty(), sampler.endWindow());
+      }
+    }
+  }
+
+  @Nested
+  class Flood {
+    @Test
+    void isBoundedFromItsFirstSecond() {
+      assertTrue(sum(second(100_000)) <= 2 * LogSampler.LINES_PER_SECOND);
+    }
+
+    @Test
+    void keepsAllLinesOfAChosenRequest() {
+      second(5_000);
+      sampler.endWindow();
+      Map<String, Integer> kept = second(5_000);
+      assertTrue(sum(kept) > 0 && sum(kept) <= 2 * LogSampler.LINES_PER_SECOND);
+      assertTrue(kept.values().stream().allMatch(lines -> lines == 0 || lines == 3));
+    }
+
+    @Test
+    void isCounted() {
+      int kept = sum(second(5_000));
+      LogSampler.LeftOut leftOut = sampler.endWindow().orElseThrow();
+      assertEquals(15_000 - kept, leftOut.lines());
+    }
+
+    @Test
+    void endsStepByStep() {
+      second(5_000);
+      sampler.endWindow();
+      int seconds = 0;
+      while (sum(second(10)) < 30 && seconds < 20) {
+        sampler.endWindow();
+        seconds++;
+      }
+      assertTrue(seconds > 1 && seconds < 20, seconds + " s");
+    }
+  }
+}
