--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -14,6 +14,7 @@
 import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
@@ -90,13 +91,18 @@
       IoUtils.safeClose(opened);
       return;
     }
-    timeout =
-        opened
-            .getIoThread()
-            .executeAfter(
-                () -> fail(new HttpFailure.Broken("deadline passed")),
-                remainingMillis(),
-                TimeUnit.MILLISECONDS);
+    try {
+      timeout =
+          opened
+              .getIoThread()
+              .executeAfter(
+                  () -> fail(new HttpFailure.Broken("deadline passed")),
+                  remainingMillis(),
+                  TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException ending) {
+      fail(new HttpFailure.NotSent("the client is closing"));
+      return;
+    }
     sent = true;
     opened.sendRequest(
         request(),
--- a/sedgeroad/src/main/java/org/sedgeroad/http/IoEventLoop.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/IoEventLoop.java
@@ -1,5 +1,6 @@
 package org.sedgeroad.http;
 
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
@@ -25,7 +26,12 @@
   @Override
   public Timeout at(long deadlineNanos, Runnable task) {
     long millis = Math.max(0, (deadlineNanos - clock.nanos() + 999_999) / 1_000_000L);
-    XnioExecutor.Key key = thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
-    return key::remove;
+    try {
+      XnioExecutor.Key key = thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
+      return key::remove;
+    } catch (RejectedExecutionException ending) {
+      // The process stops and its last lines are logged; nothing that is still due matters.
+      return Timeout.NONE;
+    }
   }
 }
