Let late live requests give way, and hold requests of a starting instance

- A request whose objective has passed and whose client will wait for 1.5 s more yields: it does not queue inside engines and gets a place in rounds, by each instance its part (YieldingPlacement), or one that this instance frees.
- How long a client had waited before is found from what is left of its deadline (ClientPatience).

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -146,7 +146,8 @@
     dispatcher.setPressureListener(this::reportSoon);
     this.jobs = new JobService(batch, runner, new HttpPeerJobs(instances, caller, clock));
     GatewayParts parts =
-        new GatewayParts(routes, dispatcher, batch.caller(), loop, clock, metrics, log);
+        new GatewayParts(
+            routes, this::isInformed, dispatcher, batch.caller(), loop, clock, metrics, log);
     this.gateway = new Gateway(parts);
     this.connections = new ClientConnections(platform.clientHandler(parts, gateway, jobs), clock);
     this.routesFollower =
@@ -249,7 +250,11 @@
 
   /** Returns whether the instance takes new connections. */
   public boolean isReady() {
-    return !stopping && routes.isKnown() && fleet.isKnown();
+    return !stopping && isInformed();
+  }
+
+  private boolean isInformed() {
+    return routes.isKnown() && fleet.isKnown();
   }
 
   /**
@@ -365,7 +370,7 @@
   }
 
   private void report() {
-    dispatcher.refresh();
+    dispatcher.tick(instances.count());
     LoadReport next =
         new LoadReport(
             settings.instance(),
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/InstanceDirectory.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/InstanceDirectory.java
@@ -47,6 +47,11 @@
     return Optional.ofNullable(instances.get(instance));
   }
 
+  /** Returns the number of other instances. */
+  int count() {
+    return instances.size();
+  }
+
   Collection<InetSocketAddress> reportAddresses() {
     return instances.values().stream().map(Addresses::reports).toList();
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
@@ -13,7 +13,17 @@
   /** Time after which a client of a stopping instance may come back; others are there. */
   private static final long STOPPING_RETRY_MILLIS = 20;
 
+  /**
+   * Longest time that a request waits for an instance that has just started, in milliseconds; a
+   * fifth of the time that clients usually wait.
+   */
+  private static final long START_WAIT_MILLIS = 1_000;
+
+  /** Time between two looks at what a starting instance knows, in milliseconds. */
+  private static final long START_POLL_MILLIS = 10;
+
   private final GatewayParts parts;
+  private final ClientPatience patience = new ClientPatience();
   private boolean stopping;
 
   /** Creates a gateway. */
@@ -26,6 +36,28 @@
     stopping = true;
   }
 
+  /**
+   * Runs a task once routes and endpoints are known, or when a request has waited long enough.
+   *
+   * <p>After an outage clients come back as soon as an instance listens, a few tenths of a second
+   * before it has read the store. A refusal would cost some of them their last attempt.
+   *
+   * @param arrivedNanos monotonic time at which the request arrived
+   * @param task handles the request
+   */
+  public void whenInformed(long arrivedNanos, Runnable task) {
+    boolean waited = parts.clock().nanos() - arrivedNanos >= START_WAIT_MILLIS * 1_000_000L;
+    if (stopping || waited || parts.ready().getAsBoolean()) {
+      task.run();
+    } else {
+      parts
+          .loop()
+          .at(
+              parts.clock().deadlineAfterMillis(START_POLL_MILLIS),
+              () -> whenInformed(arrivedNanos, task));
+    }
+  }
+
   /** Returns a refusal of all requests while the instance knows no routes or is stopping. */
   public Optional<Refusal> unavailable() {
     if (stopping) {
@@ -71,7 +103,9 @@
    */
   public RequestRun forward(Route route, ClientRequest request, ClientAnswer answer) {
     String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
-    RequestRun run = new RequestRun(parts, route, service, request, answer);
+    long waitedNanos =
+        patience.waitedNanos(route.name(), request.deadlineNanos() - request.arrivedNanos());
+    RequestRun run = new RequestRun(parts, route, service, request, answer, waitedNanos);
     run.start();
     return run;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/GatewayParts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/GatewayParts.java
@@ -1,5 +1,6 @@
 package org.sedgeroad.gateway;
 
+import java.util.function.BooleanSupplier;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.event.EventLog;
@@ -10,6 +11,7 @@
  * What the forwarding of requests uses. No component may be null.
  *
  * @param routes the configuration in force
+ * @param ready returns whether routes and endpoints are known
  * @param dispatcher hands out places at endpoints
  * @param caller sends requests to endpoints
  * @param loop the event loop that all calls run on
@@ -19,6 +21,7 @@
  */
 public record GatewayParts(
     RouteTableHolder routes,
+    BooleanSupplier ready,
     Dispatcher dispatcher,
     EndpointCaller caller,
     EventLoop loop,
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -35,6 +35,7 @@
   private final String service;
   private final ClientRequest request;
   private final ClientAnswer answer;
+  private final long objectiveNanos;
   private final long deadlineNanos;
   private final Set<String> excluded = new HashSet<>();
   private EventLoop.Timeout timeout = EventLoop.Timeout.NONE;
@@ -47,13 +48,20 @@
   private boolean done;
 
   RequestRun(
-      GatewayParts parts, Route route, String service, ClientRequest request, ClientAnswer answer) {
+      GatewayParts parts,
+      Route route,
+      String service,
+      ClientRequest request,
+      ClientAnswer answer,
+      long waitedBeforeNanos) {
     this.parts = parts;
     this.route = route;
     this.service = service;
     this.request = request;
     this.answer = answer;
     this.lastEventId = request.lastEventId();
+    this.objectiveNanos =
+        request.arrivedNanos() - waitedBeforeNanos + route.objectiveMillis() * 1_000_000L;
     long timeoutNanos = request.arrivedNanos() + route.timeoutMillis() * 1_000_000L;
     this.deadlineNanos =
         timeoutNanos - request.deadlineNanos() < 0 ? timeoutNanos : request.deadlineNanos();
@@ -81,11 +89,7 @@
     }
     demand =
         LiveDemand.of(
-            service,
-            route.priority(),
-            request.arrivedNanos() + route.objectiveMillis() * 1_000_000L,
-            excluded,
-            this::send);
+            service, route.priority(), objectiveNanos, deadlineNanos, excluded, this::send);
     parts.dispatcher().submit(demand);
   }
 
@@ -102,15 +106,21 @@
     demand = null;
     long waited = (parts.clock().nanos() - request.arrivedNanos()) / 1_000_000L;
     parts.metrics().placed(route.name(), waited);
-    parts.log().log(
-        LogEvent.REQUEST_PLACED,
-        EventField.of("request", request.id()),
-        EventField.of("route", route.name()),
-        EventField.of("endpoint", endpoint.name()),
-        EventField.of("configuration", parts.routes().current().version()),
-        EventField.of("waited_ms", waited),
-        EventField.of("after_event", lastEventId),
-        EventField.of("run", runs + 1));
+    parts
+        .log()
+        .logRoutine(
+            request.id(),
+            LogEvent.REQUEST_PLACED,
+            EventField.of("request", request.id()),
+            EventField.of("route", route.name()),
+            EventField.of("endpoint", endpoint.name()),
+            EventField.of("configuration", parts.routes().current().version()),
+            EventField.of("waited_ms", waited),
+            EventField.of("objective_in_ms", (objectiveNanos - parts.clock().nanos()) / 1_000_000L),
+            EventField.of(
+                "client_ms", (request.deadlineNanos() - request.arrivedNanos()) / 1_000_000L),
+            EventField.of("after_event", lastEventId),
+            EventField.of("run", runs + 1));
     attempt = new EndpointAttempt(endpoint);
     attempt.start(
         new EndpointCall(
@@ -161,12 +171,15 @@
     timeout.close();
     long took = (parts.clock().nanos() - request.arrivedNanos()) / 1_000_000L;
     parts.metrics().ended(route.name(), took);
-    parts.log().log(
-        LogEvent.REQUEST_ENDED,
-        EventField.of("request", request.id()),
-        EventField.of("route", route.name()),
-        EventField.of("outcome", outcome),
-        EventField.of("took_ms", took));
+    parts
+        .log()
+        .logRoutine(
+            request.id(),
+            LogEvent.REQUEST_ENDED,
+            EventField.of("request", request.id()),
+            EventField.of("route", route.name()),
+            EventField.of("outcome", outcome),
+            EventField.of("took_ms", took));
   }
 
   private void stopWork() {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -38,6 +38,7 @@
   private Set<String> doubtfulNames = Set.of();
   private BatchSource batch = BatchSource.NONE;
   private Runnable onPressure = () -> {};
+  private long yieldingRoundNanos;
 
   /**
    * Creates a dispatcher without endpoints.
@@ -62,6 +63,7 @@
     this.peers = peers;
     this.clock = clock;
     this.random = random;
+    this.yieldingRoundNanos = clock.nanos() - YieldingPlacement.ROUND_MILLIS * 1_000_000L;
   }
 
   /** Sets where batch items come from. */
@@ -99,7 +101,7 @@
     doubtfulNames =
         doubtful.stream().map(ServiceEndpoint::name).collect(Collectors.toUnmodifiableSet());
     own.keySet().removeIf(name -> !next.containsKey(name) && own.get(name).isEmpty());
-    placeWaiting();
+    placeWaiting(Map.of(), Optional.empty());
   }
 
   /** Returns whether any endpoint of a service may get new work. */
@@ -112,9 +114,14 @@
                     && !excluded.contains(endpoint.name()));
   }
 
-  /** Gives a place to a live request now, or as soon as there is one. */
+  /**
+   * Gives a place to a live request now, or as soon as there is one.
+   *
+   * <p>A request that yields waits for a round of {@link YieldingPlacement}.
+   */
   public void submit(LiveDemand demand) {
-    if (!place(demand)) {
+    if (demand.canYield(clock.nanos())
+        || !place(demand, loads(demand.service(), demand.excluded()))) {
       waiting.add(demand);
     }
   }
@@ -127,7 +134,7 @@
   /** Gives back a place. */
   public void release(String endpoint, WorkClass workClass) {
     count(endpoint, workClass, -1);
-    placeWaiting();
+    placeWaiting(Map.of(), Optional.of(endpoint));
     if (waiting.isEmpty()) {
       ServiceEndpoint freed = fleet.get(endpoint);
       if (freed != null) {
@@ -136,9 +143,20 @@
     }
   }
 
-  /** Acts on new reports of other instances and on time that has passed. */
+  /** Acts on new reports of other instances. */
   public void refresh() {
-    placeWaiting();
+    placeWaiting(Map.of(), Optional.empty());
+    withdrawItems();
+    startItems(List.copyOf(fleet.values()), false);
+  }
+
+  /**
+   * Acts on time that has passed; called before each report to the others.
+   *
+   * @param peersExpected number of other instances, heard of or not
+   */
+  public void tick(int peersExpected) {
+    placeWaiting(yieldingShares(peersExpected), Optional.empty());
     withdrawItems();
     startItems(List.copyOf(fleet.values()), false);
   }
@@ -171,8 +189,8 @@
 
   // -----------------------------------------------------------------------
 
-  private boolean place(LiveDemand demand) {
-    Optional<LiveChoice> choice = LivePlacement.choose(loads(demand.service(), demand.excluded()));
+  private boolean place(LiveDemand demand, List<EndpointLoad> loads) {
+    Optional<LiveChoice> choice = LivePlacement.choose(loads, demand.canYield(clock.nanos()));
     choice.ifPresent(
         chosen -> {
           if (chosen.preemptBatch()) {
@@ -187,24 +205,90 @@
     return choice.isPresent();
   }
 
-  private void placeWaiting() {
+  /**
+   * Begins a round of yielding requests if it is time; returns this instance's parts by service.
+   */
+  private Map<String, Integer> yieldingShares(int peersExpected) {
+    long now = clock.nanos();
+    Map<String, Integer> yielding = new HashMap<>();
+    for (LiveDemand demand : waiting) {
+      if (demand.canYield(now)) {
+        yielding.merge(demand.service(), 1, Integer::sum);
+      }
+    }
+    int heard = peers.heardSince(yieldingRoundNanos, now);
+    if (yielding.isEmpty()
+        || !YieldingPlacement.mayBegin(heard, peersExpected, now - yieldingRoundNanos)) {
+      return Map.of();
+    }
+    yieldingRoundNanos = now;
+    List<LoadReport> reports = peers.current(now);
+    int unheard = Math.max(0, peersExpected - reports.size());
+    int others = reports.stream().mapToInt(LoadReport::liveWaiting).sum();
+    Map<String, Integer> shares = new HashMap<>();
+    yielding.forEach(
+        (service, count) ->
+            shares.put(
+                service,
+                YieldingPlacement.share(
+                    loads(service, Set.of()), count, others, unheard, random.getAsDouble())));
+    return shares;
+  }
+
+  /**
+   * Places waiting requests.
+   *
+   * @param yieldingShares yielding requests that may take any place, by service
+   * @param freed endpoint whose place this instance has given back, which one yielding request may
+   *     take over
+   */
+  private void placeWaiting(Map<String, Integer> yieldingShares, Optional<String> freed) {
     if (waiting.isEmpty()) {
       return;
     }
+    long now = clock.nanos();
     List<LiveDemand> ordered = new ArrayList<>(waiting);
-    ordered.sort(LiveOrder.at(clock.nanos()));
+    ordered.sort(LiveOrder.at(now));
+    Map<String, Integer> shares = new HashMap<>(yieldingShares);
     Set<String> full = new HashSet<>();
+    Optional<String> free = freed;
     for (LiveDemand demand : ordered) {
-      // A demand with exclusions may fail where another of its service succeeds.
-      if (!full.contains(demand.service()) && waiting.remove(demand) && !place(demand)) {
-        waiting.add(demand);
-        if (demand.excluded().isEmpty()) {
-          full.add(demand.service());
+      String service = demand.service();
+      if (!demand.canYield(now)) {
+        // A demand with exclusions may fail where another of its service succeeds.
+        if (!full.contains(service)
+            && !placeWaiting(demand, loads(service, demand.excluded()))
+            && demand.excluded().isEmpty()) {
+          full.add(service);
         }
+      } else if (shares.getOrDefault(service, 0) > 0) {
+        boolean placed = placeWaiting(demand, loads(service, demand.excluded()));
+        shares.put(service, placed ? shares.get(service) - 1 : 0);
+      } else if (free.isPresent() && placeWaiting(demand, loadsAt(demand, free.get()))) {
+        free = Optional.empty();
       }
     }
   }
 
+  /** Places a waiting request at one of the endpoints; it goes on waiting if there is no place. */
+  private boolean placeWaiting(LiveDemand demand, List<EndpointLoad> loads) {
+    // Placing one may end another, which is then no longer waiting.
+    if (!waiting.remove(demand)) {
+      return true;
+    }
+    boolean placed = place(demand, loads);
+    if (!placed) {
+      waiting.add(demand);
+    }
+    return placed;
+  }
+
+  private List<EndpointLoad> loadsAt(LiveDemand demand, String endpoint) {
+    return loads(demand.service(), demand.excluded()).stream()
+        .filter(load -> load.endpoint().name().equals(endpoint))
+        .toList();
+  }
+
   private void withdrawItems() {
     List<LoadReport> reports = peers.current(clock.nanos());
     for (ServiceEndpoint endpoint : List.copyOf(fleet.values())) {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LiveDemand.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LiveDemand.java
@@ -7,9 +7,16 @@
 
 /** A live request that needs a place. Two demands are equal only if they are the same object. */
 public final class LiveDemand {
+  /**
+   * Time left from which a late request no longer gives way, in milliseconds; an answer takes about
+   * 0.7 s, and twice as long on a busy engine.
+   */
+  static final long LAST_CHANCE_MILLIS = 1_500;
+
   private final String service;
   private final int priority;
   private final long objectiveNanos;
+  private final long deadlineNanos;
   private final Set<String> excluded;
   private final Consumer<ServiceEndpoint> onPlace;
 
@@ -17,11 +24,13 @@
       String service,
       int priority,
       long objectiveNanos,
+      long deadlineNanos,
       Set<String> excluded,
       Consumer<ServiceEndpoint> onPlace) {
     this.service = Objects.requireNonNull(service);
     this.priority = priority;
     this.objectiveNanos = objectiveNanos;
+    this.deadlineNanos = deadlineNanos;
     this.excluded = Set.copyOf(excluded);
     this.onPlace = Objects.requireNonNull(onPlace);
   }
@@ -32,6 +41,7 @@
    * @param service service that must run the request
    * @param priority rank, 0 is the highest
    * @param objectiveNanos monotonic time by which the answer should begin, in nanoseconds
+   * @param deadlineNanos monotonic time until which the client waits, in nanoseconds
    * @param excluded endpoints that must not be used
    * @param onPlace receives the endpoint once a place is taken there
    */
@@ -39,9 +49,10 @@
       String service,
       int priority,
       long objectiveNanos,
+      long deadlineNanos,
       Set<String> excluded,
       Consumer<ServiceEndpoint> onPlace) {
-    return new LiveDemand(service, priority, objectiveNanos, excluded, onPlace);
+    return new LiveDemand(service, priority, objectiveNanos, deadlineNanos, excluded, onPlace);
   }
 
   /** Returns the service that must run the request. */
@@ -59,6 +70,15 @@
     return objectiveNanos;
   }
 
+  /**
+   * Returns whether the request can give way at a monotonic time in nanoseconds: its objective has
+   * passed, and its client will wait long enough for a calmer moment.
+   */
+  public boolean canYield(long nowNanos) {
+    return objectiveNanos - nowNanos <= 0
+        && deadlineNanos - nowNanos > LAST_CHANCE_MILLIS * 1_000_000L;
+  }
+
   /** Returns the endpoints that must not be used. */
   public Set<String> excluded() {
     return excluded;
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LiveOrder.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LiveOrder.java
@@ -3,8 +3,8 @@
 import java.util.Comparator;
 
 /**
- * Order in which waiting live requests get places: by priority, then those that can still meet
- * their objective, the earliest objective first, then late ones, the earliest first.
+ * Order in which waiting live requests get places: by priority, then those that do not yield, the
+ * earliest objective first, then those that are late and can wait, the earliest first.
  */
 public final class LiveOrder {
   private LiveOrder() {}
@@ -12,7 +12,7 @@
   /** Returns the order at a monotonic time in nanoseconds. */
   public static Comparator<LiveDemand> at(long nowNanos) {
     return Comparator.comparingInt(LiveDemand::priority)
-        .thenComparing(demand -> demand.objectiveNanos() - nowNanos <= 0)
+        .thenComparing(demand -> demand.canYield(nowNanos))
         .thenComparingLong(demand -> demand.objectiveNanos() - nowNanos);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
@@ -30,22 +30,31 @@
    * Returns the choice, empty if the request has to wait.
    *
    * @param loads the endpoints of the service that the request may use
+   * @param yields whether the request is late and can wait
    */
-  public static Optional<LiveChoice> choose(List<EndpointLoad> loads) {
-    List<EndpointLoad> sound = loads.stream().filter(load -> !load.suspect()).toList();
-    List<EndpointLoad> candidates = sound.isEmpty() ? loads : sound;
+  public static Optional<LiveChoice> choose(List<EndpointLoad> loads, boolean yields) {
+    List<EndpointLoad> candidates = sound(loads);
     return best(candidates, load -> load.free() > 0, false)
         .or(() -> best(candidates, LivePlacement::hasPreemptibleItem, true))
-        .or(() -> best(candidates, LivePlacement::hasQueueRoom, false));
+        .or(() -> best(candidates, load -> hasRoom(load, yields), false));
   }
 
   private static boolean hasPreemptibleItem(EndpointLoad load) {
     return load.ownBatch() > 0 && load.live() < load.endpoint().slots();
   }
 
-  private static boolean hasQueueRoom(EndpointLoad load) {
-    // Items of other instances give way as soon as these learn of the request.
-    return load.live() < load.endpoint().slots() + QUEUE_IN_ENDPOINT;
+  /**
+   * Items of other instances give way as soon as these learn of the request. A request that yields
+   * does not queue inside an endpoint, where one that is in time could not overtake it.
+   */
+  private static boolean hasRoom(EndpointLoad load, boolean yields) {
+    return load.live() < load.endpoint().slots() + (yields ? 0 : QUEUE_IN_ENDPOINT);
+  }
+
+  /** Returns the endpoints that did not fail lately, all of them if each did. */
+  static List<EndpointLoad> sound(List<EndpointLoad> loads) {
+    List<EndpointLoad> sound = loads.stream().filter(load -> !load.suspect()).toList();
+    return sound.isEmpty() ? loads : sound;
   }
 
   private static Optional<LiveChoice> best(
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/PeerBook.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/PeerBook.java
@@ -61,6 +61,16 @@
     return current;
   }
 
+  /** Returns the number of reports whose counts still hold and that arrived after a time. */
+  public int heardSince(long sinceNanos, long nowNanos) {
+    int heard = 0;
+    for (Received received : reports.values()) {
+      boolean holds = nowNanos - received.atNanos() < COUNTS_MILLIS * 1_000_000L;
+      heard += holds && received.atNanos() - sinceNanos > 0 ? 1 : 0;
+    }
+    return heard;
+  }
+
   /** Returns whether an instance was heard of lately and is not stopping. */
   public boolean isAlive(String instance, long nowNanos) {
     Received received = reports.get(instance);
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplay.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplay.java
@@ -23,6 +23,8 @@
   private static final double CALM_MILLIS = 3_800;
   private static final double CYCLE_MILLIS = 6_600;
   private static final double FIRST_EVENT_MILLIS = 15;
+  private static final double RETURN_MILLIS = 2_000;
+  private static final double PATIENCE_MILLIS = 5_000;
   private static final String SERVICE = "engine";
 
   /**
@@ -37,6 +39,8 @@
    * @param jobsPerSecond arrivals of jobs of ten items
    * @param itemMillis mean time that an item needs a place
    * @param dueMillis time after which a job is due
+   * @param returning late requests that come at once at the start of each third swing, as after an
+   *     outage
    */
   record Load(
       int instances,
@@ -47,9 +51,10 @@
       double liveMillis,
       double jobsPerSecond,
       double itemMillis,
-      double dueMillis) {
+      double dueMillis,
+      int returning) {
     /** Nine instances, eight engines: live work takes 44% of the places, batch work 37%. */
-    static final Load TYPICAL = new Load(9, 8, 39, 0.377, 1.84, 720, 0.48, 4_900, 18_000);
+    static final Load TYPICAL = new Load(9, 8, 39, 0.377, 1.84, 720, 0.48, 4_900, 18_000, 0);
 
     Load withEngines(int next) {
       return new Load(
@@ -61,12 +66,36 @@
           liveMillis,
           jobsPerSecond,
           itemMillis,
-          dueMillis);
+          dueMillis,
+          returning);
     }
 
     Load withLivePerSecond(double next) {
       return new Load(
-          instances, engines, next, calm, swing, liveMillis, jobsPerSecond, itemMillis, dueMillis);
+          instances,
+          engines,
+          next,
+          calm,
+          swing,
+          liveMillis,
+          jobsPerSecond,
+          itemMillis,
+          dueMillis,
+          returning);
+    }
+
+    Load withReturning(int next) {
+      return new Load(
+          instances,
+          engines,
+          livePerSecond,
+          calm,
+          swing,
+          liveMillis,
+          jobsPerSecond,
+          itemMillis,
+          dueMillis,
+          next);
     }
   }
 
@@ -77,8 +106,17 @@
    * @param itemsOnTime part of the items that ended before their job was due
    * @param withdrawals items withdrawn for each item that ended
    * @param used part of the places that were used
+   * @param freshOnTime part of the live requests on time that arrived within 2 s after late ones
+   *     had come at once
+   * @param unserved part of all live requests that did not start within 5 s
    */
-  record Figures(double liveOnTime, double itemsOnTime, double withdrawals, double used) {}
+  record Figures(
+      double liveOnTime,
+      double itemsOnTime,
+      double withdrawals,
+      double used,
+      double freshOnTime,
+      double unserved) {}
 
   private final Load load;
   private final VirtualTime time = new VirtualTime();
@@ -93,6 +131,10 @@
   private final List<Instance> instances = new ArrayList<>();
   private int live;
   private int liveOnTime;
+  private int fresh;
+  private int freshOnTime;
+  private int unserved;
+  private double returnedMillis = -RETURN_MILLIS;
   private int itemsDue;
   private int itemsOnTime;
   private int itemsEnded;
@@ -117,15 +159,23 @@
 
   /** Runs the load with several seeds and returns the means of their figures. */
   static Figures mean(Load load, int seeds, double seconds) {
-    double[] sums = new double[4];
+    double[] sums = new double[6];
     for (int seed = 1; seed <= seeds; seed++) {
       Figures figures = new SwingReplay(load, seed).run(seconds);
       sums[0] += figures.liveOnTime();
       sums[1] += figures.itemsOnTime();
       sums[2] += figures.withdrawals();
       sums[3] += figures.used();
+      sums[4] += figures.freshOnTime();
+      sums[5] += figures.unserved();
     }
-    return new Figures(sums[0] / seeds, sums[1] / seeds, sums[2] / seeds, sums[3] / seeds);
+    return new Figures(
+        sums[0] / seeds,
+        sums[1] / seeds,
+        sums[2] / seeds,
+        sums[3] / seeds,
+        sums[4] / seeds,
+        sums[5] / seeds);
   }
 
   /** Runs the load for a time and returns the figures without the first seconds. */
@@ -135,13 +185,18 @@
     instances.forEach(instance -> time.after(random.nextDouble() * REPORT_MILLIS, instance::tick));
     scheduleLive();
     scheduleJob();
+    if (load.returning() > 0) {
+      time.after(CALM_MILLIS, this::returnAtOnce);
+    }
     time.runUntil(seconds * 1_000);
     double busy = engines.values().stream().mapToDouble(ReplayedEngine::busyMillis).sum();
     return new Figures(
         (double) liveOnTime / Math.max(1, live),
         (double) itemsOnTime / Math.max(1, itemsDue),
         (double) withdrawals / Math.max(1, itemsEnded),
-        busy / (seconds * 1_000 * 8 * load.engines()));
+        busy / (seconds * 1_000 * 8 * load.engines()),
+        (double) freshOnTime / Math.max(1, fresh),
+        (double) unserved / Math.max(1, live + unserved));
   }
 
   private void scheduleLive() {
@@ -150,11 +205,22 @@
     time.after(
         -Math.log(1 - arrivals.nextDouble()) * 1_000 / rate,
         () -> {
-          instances.get(arrivals.nextInt(instances.size())).arrive();
+          instances.get(arrivals.nextInt(instances.size())).arrive(0);
           scheduleLive();
         });
   }
 
+  /** Clients of an outage come back within half a second. */
+  private void returnAtOnce() {
+    returnedMillis = time.nanos() / 1e6;
+    for (int count = 0; count < load.returning(); count++) {
+      time.after(
+          500 * arrivals.nextDouble(),
+          () -> instances.get(arrivals.nextInt(instances.size())).arrive(1_000));
+    }
+    time.after(3 * CYCLE_MILLIS, this::returnAtOnce);
+  }
+
   private void scheduleJob() {
     time.after(
         -Math.log(1 - jobArrivals.nextDouble()) * 1_000 / load.jobsPerSecond(),
@@ -220,7 +286,7 @@
     }
 
     private void report() {
-      dispatcher.refresh();
+      dispatcher.tick(instances.size() - 1);
       LoadReport report =
           new LoadReport(
               name,
@@ -244,16 +310,31 @@
       dispatcher.refresh();
     }
 
-    void arrive() {
+    /** Submits a request whose client has waited for a time before it came here. */
+    void arrive(double waitedMillis) {
       double arrived = time.nanos() / 1e6;
       double millis = load.liveMillis() * (0.4 + 1.2 * arrivals.nextDouble());
-      dispatcher.submit(
+      boolean[] placed = new boolean[1];
+      LiveDemand demand =
           LiveDemand.of(
               SERVICE,
               0,
-              time.nanos() + 300_000_000L,
+              time.nanos() + (long) ((300 - waitedMillis) * 1e6),
+              time.nanos() + (long) ((PATIENCE_MILLIS - waitedMillis) * 1e6),
               Set.of(),
-              endpoint -> send(endpoint, arrived, millis)));
+              endpoint -> {
+                placed[0] = true;
+                send(endpoint, arrived - waitedMillis, millis);
+              });
+      time.after(
+          PATIENCE_MILLIS - waitedMillis,
+          () -> {
+            if (!placed[0]) {
+              dispatcher.cancel(demand);
+              unserved++;
+            }
+          });
+      dispatcher.submit(demand);
     }
 
     private void send(ServiceEndpoint endpoint, double arrived, double millis) {
@@ -272,6 +353,10 @@
         live++;
         double first = time.nanos() / 1e6 + FIRST_EVENT_MILLIS + NETWORK_MILLIS - arrived;
         liveOnTime += first <= 300 ? 1 : 0;
+        if (arrived >= returnedMillis && arrived < returnedMillis + RETURN_MILLIS) {
+          fresh++;
+          freshOnTime += first <= 300 ? 1 : 0;
+        }
       }
     }
 
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplayTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplayTest.java
@@ -17,6 +17,18 @@
     }
   }
 
+  /** All clients of an outage return within half a second, at the top of a swing. */
+  @Nested
+  class EndOfOutage {
+    @Test
+    void leavesThePlacesToRequestsThatCanStillBeInTime() {
+      SwingReplay.Figures figures =
+          SwingReplay.mean(SwingReplay.Load.TYPICAL.withReturning(140), 5, 150);
+      assertTrue(figures.freshOnTime() >= 0.75, figures.toString());
+      assertTrue(figures.unserved() <= 0.01, figures.toString());
+    }
+  }
+
   @Nested
   class LossOfEngines {
     @Test
