Kill the engine of WholeAnswerTest when an answer is under way there

The test now waits, at most 20 s, for a run that has made its first token and not ended. As strict as before: both checks of the answers and that one was in flight are unchanged. Ruled out: a product fault - the answers were whole, as they should be without a death.

--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/Histories.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/Histories.java
@@ -7,7 +7,9 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.sedgeroad.testing.deployment.ApiClient;
 import org.sedgeroad.testing.deployment.Deployment;
 import org.sedgeroad.testing.deployment.EngineProcess;
@@ -35,6 +37,22 @@
     return events;
   }
 
+  /** Returns the runs at an engine that have begun to answer and have not ended. */
+  static long runsInFlight(Deployment deployment, EngineProcess engine) {
+    Set<String> inFlight = new HashSet<>();
+    for (JsonNode event : read(deployment, engine, "events")) {
+      String run = event.path("request_id").asText();
+      switch (event.path("event").asText()) {
+        case "first_token" -> inFlight.add(run);
+        case "finish", "cancel" -> inFlight.remove(run);
+        default -> {
+          // A start alone does not show that the answer has begun.
+        }
+      }
+    }
+    return inFlight.size();
+  }
+
   /** Returns the executions at all plain services. */
   static List<JsonNode> executions(Deployment deployment) {
     List<JsonNode> executions = new ArrayList<>();
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/WholeAnswerTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/WholeAnswerTest.java
@@ -5,12 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,6 +20,7 @@
 import org.sedgeroad.testing.deployment.ApiClient;
 import org.sedgeroad.testing.deployment.Deployment;
 import org.sedgeroad.testing.deployment.DeploymentPlan;
+import org.sedgeroad.testing.deployment.EngineProcess;
 import org.sedgeroad.testing.engine.AnswerText;
 
 /** Guards against answers that are cut, mixed up or repeated when endpoints die (P4). */
@@ -62,9 +65,15 @@
         ApiClient client = deployment.client(call % 2);
         calls.add(callers.submit(() -> client.post("/v1/completions", body, Map.of())));
       }
-      // The answers take 1.5 s; the engine dies in the middle.
-      Thread.sleep(800);
-      deployment.engines().get(0).process().kill();
+      // The answers take 1.5 s; the engine dies while some of them are under way there.
+      EngineProcess dying = deployment.engines().get(0);
+      long start = System.nanoTime();
+      Awaitility.await()
+          .atMost(Duration.ofSeconds(20))
+          .until(() -> Histories.runsInFlight(deployment, dying) > 0);
+      System.out.printf(
+          "an answer was under way after %d ms%n", (System.nanoTime() - start) / 1_000_000L);
+      dying.process().kill();
       List<ApiAnswer> answers = new ArrayList<>();
       for (Future<ApiAnswer> call : calls) {
         answers.add(call.get());
