Try a refused takeover of a job again

Found while reading: JobService.takenOver removed the job from the set of loads instead of the set of takeovers, so that a job whose takeover the store refused or left open was not taken over by this instance again and stood still until a restart. GatewayJobTest.Accepted.goesOnElsewhereAlthoughTheStoreRefusedTheFirst Takeover failed before (not whole in 20 s) and passes now; the pause of 1 s bounds the calls while the store is away. Also: the limits before a configuration is known must not refuse what one allows (headers above 16 KB got 431), and the routes that ClientPatience remembers are bounded.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
@@ -33,6 +33,9 @@
   /** Pause between two looks at the state of a job that is being loaded, in milliseconds. */
   private static final long LOAD_POLL_MILLIS = 50;
 
+  /** Pause between two takeovers of a job, in milliseconds; a store is away for seconds. */
+  private static final long TAKEOVER_RETRY_MILLIS = 1_000;
+
   /** Time after which a refused submission may come back, in milliseconds. */
   private static final long RETRY_MILLIS = 500;
 
@@ -445,7 +448,6 @@
   }
 
   private void takenOver(JobDirectory.KnownJob job, WriteOutcome outcome) {
-    loading.remove(job.head().id());
     parts.log().log(
         LogEvent.SEGMENT_TAKEN_OVER,
         EventField.of("job", job.head().id()),
@@ -457,6 +459,12 @@
     } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() != null) {
       learn(JobStore.decode(lost.current()), lost.current().version());
     }
+    // Whatever came of it, the job may need another takeover later, but not at once.
+    parts
+        .loop()
+        .at(
+            parts.clock().deadlineAfterMillis(TAKEOVER_RETRY_MILLIS),
+            () -> takingOver.remove(job.head().id()));
   }
 
   private void readOwn(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/ClientPatience.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/ClientPatience.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -29,7 +29,16 @@
   /** Width of what counts as the same time, in milliseconds; a hundredth of usual deadlines. */
   static final long STEP_MILLIS = 20;
 
-  private final Map<String, Window> windows = new HashMap<>();
+  /** Routes that are remembered; more than a configuration has, so that only old ones go. */
+  private static final int MOST_ROUTES = 1_000;
+
+  private final Map<String, Window> windows =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Window> eldest) {
+          return size() > MOST_ROUTES;
+        }
+      };
 
   /**
    * Notes a request and returns how long its client had waited before, in nanoseconds.
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RouteTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RouteTable.java
@@ -10,9 +10,12 @@
 
 /** One version of the configuration of routes. Immutable. */
 public final class RouteTable {
-  /** The table before any configuration is known. */
+  /**
+   * The table before any configuration is known. Its limits only protect the instance's memory:
+   * they must not refuse what a configuration allows.
+   */
   public static final RouteTable EMPTY =
-      new RouteTable(0, List.of(), Map.of(), new RequestLimits(16_384, 4_194_304, 15_000));
+      new RouteTable(0, List.of(), Map.of(), new RequestLimits(1 << 20, 16 << 20, 60_000));
 
   private final long version;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
