Model the result log, and mark a job as ended before it is deleted

resultlog.als states jobs of a gateway: append-only results, takeover, lost and late creates, deletion; seven guards, each with a check that fails without it.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
@@ -72,7 +72,9 @@
     if (job != null && !job.isEnded()) {
       job.setEnded();
       stopItems(job);
-      parts.log().log(LogEvent.JOB_CANCELLED, EventField.of("job", id));
+      if (!job.isWhole()) {
+        parts.log().log(LogEvent.JOB_CANCELLED, EventField.of("job", id));
+      }
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
@@ -287,7 +287,7 @@
         .execute(
             () -> {
               StoreResult<StoredObject> outcome =
-                  parts.store().delete(head.id(), head.itemObjects(), job.version());
+                  parts.store().delete(head.id(), head.itemObjects());
               parts.loop().execute(() -> deleted(head.id(), outcome));
             });
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
@@ -155,10 +155,18 @@
   /**
    * Deletes a job that is over; Done or Absent if nothing of it is left.
    *
-   * <p>The head goes last and the results go from the last to the first, so that a repeat after a
-   * failure still finds all that is left.
+   * <p>The job is marked as ended first, so that nobody runs it again without its results. The head
+   * goes last and the results go from the last to the first, so that a repeat after a failure still
+   * finds all that is left.
    */
-  public StoreResult<StoredObject> delete(String job, int itemObjects, long version) {
+  public StoreResult<StoredObject> delete(String job, int itemObjects) {
+    WriteOutcome ended = end(job);
+    if (!(ended instanceof WriteOutcome.Written written)) {
+      boolean gone = ended instanceof WriteOutcome.Lost lost && lost.current() == null;
+      return gone
+          ? new StoreResult.Absent<>()
+          : new StoreResult.Unavailable<>("job not marked: " + ended);
+    }
     StoreResult<List<StoredObject>> chunks = readObjects(RESULTS, job);
     if (!(chunks instanceof StoreResult.Done<List<StoredObject>> results)) {
       return new StoreResult.Unavailable<>("results not read: " + chunks);
@@ -181,7 +189,7 @@
         return deleted;
       }
     }
-    return writer.store().delete(JOBS, job, version);
+    return writer.store().delete(JOBS, job, written.object().version());
   }
 
   /** Returns whether a deleted object is certainly gone. */
--- a/sedgeroad/src/test/java/org/sedgeroad/specification/SpecificationTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/specification/SpecificationTest.java
@@ -115,6 +115,13 @@
     }
   }
 
+  @Nested
+  class ResultLog extends ModelTest {
+    ResultLog() throws URISyntaxException {
+      super("resultlog.als");
+    }
+  }
+
   @Nested
   class Limits extends ModelTest {
     Limits() throws URISyntaxException {
--- /dev/null
+++ b/sedgeroad/src/test/resources/specification/resultlog.als
@@ -0,0 +1,273 @@
+/*
+ * Jobs of a gateway: results as an append-only log, takeover, lost answers, deletion
+ * (docs/platform.md). docs/SPECIFICATION.md describes each action, guard and property.
+ *
+ * One job. A chunk of results is one item at a position. A create whose answer is lost may reach
+ * the store at any later time. Several instances may believe that they run the job.
+ */
+module resultlog
+
+open util/ordering[Position] as position
+
+// ---- Guards ---------------------------------------------------------------------------------
+
+abstract sig Guard {}
+
+one sig CreateIfFree, NextAfterSeen, DropListed, EndFirst, KeepTime, LastChunkFirst, HeadLast
+  extends Guard {}
+
+/** The guards in force. */
+sig On in Guard {}
+
+pred allGuards { On = Guard }
+
+pred without[g: Guard] { On = Guard - g }
+
+// ---- State ----------------------------------------------------------------------------------
+
+sig Item {}
+
+/** A position of the log, free if it has no chunk. */
+sig Position { var chunk: lone Item }
+
+sig Instance {
+  var seen: set Position,
+  var known: set Item,
+  var finished: set Item,
+  var inFlight: Position -> Item
+}
+
+/** Instances that believe that they run the job. */
+var sig Running in Instance {}
+
+one sig Job { var owner: one Instance }
+
+/** The head exists; it is marked as ended. */
+var sig Head, Ended in Job {}
+
+/** The deletion has begun. */
+var sig Deleting in Job {}
+
+fun listed: set Position { chunk.Item }
+
+// ---- Frame conditions -----------------------------------------------------------------------
+
+pred sameLog { chunk' = chunk }
+
+pred sameHead { owner' = owner and Head' = Head and Ended' = Ended and Deleting' = Deleting }
+
+pred sameMemory {
+  seen' = seen and known' = known and finished' = finished and Running' = Running
+}
+
+/** Instance i forgets what it knows of the job. */
+pred forget[i: Instance] {
+  seen' = seen - i->Position
+  known' = known - i->Item
+  finished' = finished - i->Item
+}
+
+pred sameWrites { inFlight' = inFlight }
+
+// ---- Running the job ------------------------------------------------------------------------
+
+/** The owner reads the whole log, then runs the job. */
+pred load[i: Instance] {
+  Job in Head and Job not in Ended and Job.owner = i and i not in Running
+  Running' = Running + i
+  seen' = seen - i->Position + i->listed
+  known' = known - i->Item + i->(Position.chunk)
+  finished' = finished - i->Item
+  sameLog and sameHead and sameWrites
+}
+
+/** An item ends at an endpoint. */
+pred finish[i: Instance, x: Item] {
+  i in Running and x not in i.known + i.finished
+  finished' = finished + i->x
+  seen' = seen and known' = known and Running' = Running
+  sameLog and sameHead and sameWrites
+}
+
+/** Instance i knows the chunk at p, its own or another's. */
+pred learnChunk[i: Instance, p: Position, listedItem: Item] {
+  seen' = seen + i->p
+  known' = known + i->listedItem
+  finished' = (DropListed in On implies finished - i->listedItem else finished)
+  Running' = Running
+}
+
+/** Creates the chunk with x: done, done or not with a lost answer, or refused as taken. */
+pred append[i: Instance, x: Item] {
+  i in Running and x in i.finished
+  some p: Position - i.seen {
+    NextAfterSeen in On implies p = position/min[Position - i.seen]
+    {
+      CreateIfFree in On implies no p.chunk
+      chunk' = chunk ++ p->x
+      seen' = seen + i->p
+      known' = known + i->x
+      finished' = finished - i->x
+      Running' = Running
+      sameWrites
+    } or {
+      inFlight' = inFlight + i->p->x
+      sameLog and sameMemory
+    } or {
+      CreateIfFree in On and some p.chunk
+      learnChunk[i, p, p.chunk]
+      sameLog and sameWrites
+    }
+  }
+  sameHead
+}
+
+/** A create whose answer was lost reaches the store late. */
+pred deliver[i: Instance, p: Position, x: Item] {
+  i->p->x in inFlight
+  CreateIfFree in On implies no p.chunk
+  chunk' = chunk ++ p->x
+  inFlight' = inFlight - i->p->x
+  sameHead and sameMemory
+}
+
+pred takeOver[i: Instance] {
+  Job in Head and Job not in Ended and Job.owner != i
+  owner' = Job->i
+  Head' = Head and Ended' = Ended and Deleting' = Deleting
+  sameLog and sameMemory and sameWrites
+}
+
+/** An instance learns that another one owns the job, or that it is over. */
+pred drop[i: Instance] {
+  i in Running and (Job.owner != i or Job in Ended or Job not in Head)
+  Running' = Running - i
+  forget[i]
+  sameLog and sameHead and sameWrites
+}
+
+/** An instance restarts without memory; its writes in flight may still land. */
+pred restart[i: Instance] {
+  Running' = Running - i
+  forget[i]
+  sameLog and sameHead and sameWrites
+}
+
+// ---- Deletion -------------------------------------------------------------------------------
+
+/** The owner begins to delete a whole job that was kept for long enough. */
+pred beginDeletion[i: Instance] {
+  Job in Head and Job not in Deleting and Job.owner = i and i in Running
+  Item in i.known
+  KeepTime in On implies (no inFlight and Running = i)
+  Deleting' = Deleting + Job
+  Ended' = (EndFirst in On implies Ended + Job else Ended)
+  owner' = owner and Head' = Head
+  sameLog and sameMemory and sameWrites
+}
+
+/** The owner, or whoever goes on for it, deletes a chunk. */
+pred deleteChunk[p: Position] {
+  Job in Deleting and Job in Head and some p.chunk
+  LastChunkFirst in On implies p = position/max[listed]
+  chunk' = chunk - p->Item
+  sameHead and sameMemory and sameWrites
+}
+
+pred deleteHead {
+  Job in Deleting and Job in Head
+  HeadLast in On implies no listed
+  Head' = Head - Job
+  owner' = owner and Ended' = Ended and Deleting' = Deleting
+  sameLog and sameMemory and sameWrites
+}
+
+pred idle { sameLog and sameHead and sameMemory and sameWrites }
+
+pred trace {
+  no chunk and no seen and no known and no finished and no inFlight and no Running
+  Job in Head and no Ended and no Deleting
+  always (
+    idle or deleteHead
+    or (some i: Instance | load[i] or takeOver[i] or drop[i] or restart[i] or beginDeletion[i]
+      or (some x: Item | finish[i, x] or append[i, x]
+        or (some p: Position | deliver[i, p, x])))
+    or (some p: Position | deleteChunk[p])
+  )
+}
+
+// ---- Properties -----------------------------------------------------------------------------
+
+pred itemListedOnce { always (all x: Item | lone chunk.x) }
+
+/** A position shows the same result as long as it shows one. */
+pred positionsNeverChange {
+  always (all p: Position, x: Item | p.chunk = x implies always p.chunk in x)
+}
+
+/** A read up to the first free position finds all that is listed. */
+pred noGaps { always (all p: listed | position/prevs[p] in listed) }
+
+/** Nothing is left that no head names. */
+pred noOrphans { always (no Head implies no listed) }
+
+// ---- Commands -------------------------------------------------------------------------------
+
+/** Two instances list one item each. */
+run completedAfterTakeover {
+  allGuards and trace
+  some disj a, b: Instance, disj x, y: Item {
+    eventually (x in a.finished and eventually (some chunk.x and Job.owner = b
+      and eventually (y in b.finished and eventually some chunk.y)))
+  }
+} for exactly 2 Instance, exactly 2 Item, exactly 2 Position, 1..10 steps expect 1
+
+/** A lost create lands after its instance was replaced. */
+run lateCreate {
+  allGuards and trace
+  some disj a, b: Instance, x: Item |
+    eventually (some a.inFlight.x and Job.owner = b
+      and after (some chunk.x and no a.inFlight.x))
+} for exactly 2 Instance, exactly 2 Item, exactly 2 Position, 1..8 steps expect 1
+
+/** A whole job is deleted. */
+run deleted {
+  allGuards and trace
+  eventually (Item in Position.chunk and eventually no Head)
+} for exactly 1 Instance, exactly 1 Item, exactly 2 Position, 1..8 steps expect 1
+
+check itemListedOnceHolds { (allGuards and trace) implies itemListedOnce }
+  for exactly 2 Instance, exactly 2 Item, exactly 3 Position, 9..9 steps expect 0
+
+check positionsNeverChangeHolds { (allGuards and trace) implies positionsNeverChange }
+  for exactly 2 Instance, exactly 2 Item, exactly 2 Position, 9..9 steps expect 0
+
+check noGapsHolds { (allGuards and trace) implies noGaps }
+  for exactly 2 Instance, exactly 2 Item, exactly 3 Position, 9..9 steps expect 0
+
+check noOrphansHolds { (allGuards and trace) implies noOrphans }
+  for exactly 2 Instance, exactly 1 Item, exactly 2 Position, 10..10 steps expect 0
+
+check withoutCreateIfFreeFails_positionsNeverChange { (without[CreateIfFree] and trace) implies positionsNeverChange }
+  for exactly 2 Instance, exactly 2 Item, exactly 2 Position, 9..9 steps expect 1
+
+check withoutNextAfterSeenFails_itemListedOnce { (without[NextAfterSeen] and trace) implies itemListedOnce }
+  for exactly 2 Instance, exactly 2 Item, exactly 3 Position, 9..9 steps expect 1
+
+check withoutNextAfterSeenFails_noGaps { (without[NextAfterSeen] and trace) implies noGaps }
+  for exactly 2 Instance, exactly 2 Item, exactly 3 Position, 9..9 steps expect 1
+
+check withoutDropListedFails_itemListedOnce { (without[DropListed] and trace) implies itemListedOnce }
+  for exactly 2 Instance, exactly 2 Item, exactly 3 Position, 9..9 steps expect 1
+
+check withoutEndFirstFails_positionsNeverChange { (without[EndFirst] and trace) implies positionsNeverChange }
+  for exactly 1 Instance, exactly 2 Item, exactly 2 Position, 13..13 steps expect 1
+
+check withoutKeepTimeFails_noOrphans { (without[KeepTime] and trace) implies noOrphans }
+  for exactly 2 Instance, exactly 1 Item, exactly 2 Position, 10..10 steps expect 1
+
+check withoutLastChunkFirstFails_noGaps { (without[LastChunkFirst] and trace) implies noGaps }
+  for exactly 1 Instance, exactly 2 Item, exactly 2 Position, 9..9 steps expect 1
+
+check withoutHeadLastFails_noOrphans { (without[HeadLast] and trace) implies noOrphans }
+  for exactly 1 Instance, exactly 1 Item, exactly 2 Position, 8..8 steps expect 1
