Show chunks that the owner before a takeover stores late

GatewayJobTest.Accepted.showsAChunkThatTheOwnerBeforeStoredAfter TheTakeover failed before (not shown within 2 s) and passes now. Jobs that were not taken over are read as before.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
@@ -44,6 +44,7 @@
   private final PeerJobs peerJobs;
   private final JobDirectory directory = new JobDirectory();
   private final StoredResults storedResults;
+  private final LogRefresh refresh;
   private final Map<String, List<Consumer<AcceptResult>>> accepting = new HashMap<>();
   private final Map<String, Long> acceptingTokens = new HashMap<>();
   private final Set<String> loading = new HashSet<>();
@@ -51,6 +52,9 @@
   /** Apart from {@link #loading}: the watch may show the new owner before the write's answer. */
   private final Set<String> takingOver = new HashSet<>();
 
+  /** Jobs that this process has taken over from another instance. */
+  private final Set<String> takenOver = new HashSet<>();
+
   private final long takeOverFromNanos;
   private boolean deleting;
 
@@ -60,6 +64,7 @@
     this.runner = runner;
     this.peerJobs = peerJobs;
     this.storedResults = new StoredResults(parts);
+    this.refresh = new LogRefresh(parts);
     this.takeOverFromNanos = parts.clock().deadlineAfterMillis(SETTLE_MILLIS);
   }
 
@@ -307,6 +312,7 @@
   private void forget(String id) {
     directory.forget(id);
     storedResults.forget(id);
+    takenOver.remove(id);
     runner.forget(id);
   }
 
@@ -411,6 +417,9 @@
       long now = parts.clock().nanos();
       OwnedJob job = new OwnedJob(current, specs.value(), dueNanos(current, now), now);
       results.value().forEach(job::addChunk);
+      if (takenOver.contains(head.id())) {
+        job.setTakenOver();
+      }
       runner.add(job);
     } else {
       parts.log().log(
@@ -455,6 +464,7 @@
         EventField.of("version", job.version()),
         EventField.of("outcome", outcome.getClass().getSimpleName()));
     if (outcome instanceof WriteOutcome.Written written) {
+      takenOver.add(job.head().id());
       learn(JobStore.decode(written.object()), written.object().version());
     } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() != null) {
       learn(JobStore.decode(lost.current()), lost.current().version());
@@ -468,6 +478,16 @@
   }
 
   private void readOwn(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
+    boolean current = job.listed().size() > after || job.isWhole() || job.isAppending();
+    if (!job.isTakenOver() || current) {
+      readListed(job, after, deadlineNanos, result);
+      return;
+    }
+    refresh.refresh(job, () -> readListed(job, after, deadlineNanos, result));
+  }
+
+  private void readListed(
+      OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
     boolean more = job.listed().size() > after || job.isWhole() || job.isEnded();
     if (more || parts.clock().hasPassed(deadlineNanos)) {
       result.accept(new ReadResult.Page(ResultPage.of(job.items().size(), job.listed(), after)));
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
@@ -20,6 +20,7 @@
   private long oldestFinishedNanos;
   private boolean appending;
   private boolean ended;
+  private boolean takenOver;
 
   OwnedJob(JobHead head, List<ItemSpec> specs, long dueNanos, long nowNanos) {
     this.head = head;
@@ -54,6 +55,15 @@
     ended = true;
   }
 
+  /** Returns whether another instance ran the job before, which may still store results. */
+  boolean isTakenOver() {
+    return takenOver;
+  }
+
+  void setTakenOver() {
+    takenOver = true;
+  }
+
   boolean isAppending() {
     return appending;
   }
