Simplify what the second reading of the change found

- JobStore read result objects up to the first free name in two loops; one now.
- JobService passed on the owner's answer or read the store in two copies.
- An exchange with an endpoint closes without a checked exception, so that two handlers for one that can't come are gone; ItemRun kept a field unread.
- A place that was given back was offered to each yielding request in turn although the first without exclusions decides for its service; it ends there.
No behaviour changes.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemPace.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemPace.java
@@ -2,7 +2,7 @@
 
 /** How long items take, from those that have completed here. Used on the event loop. */
 final class ItemPace {
-  /** Weight of the newest item in the means. */
+  /** Weight of the newest item in the means; the last ten items, one job, make up two thirds. */
   private static final double NEWEST_WEIGHT = 0.1;
 
   private double meanEvents;
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -1,10 +1,9 @@
 package org.sedgeroad.batch;
 
 import java.nio.ByteBuffer;
-import org.sedgeroad.event.EventField;
-import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.gateway.EndpointAnswer;
 import org.sedgeroad.gateway.EndpointCall;
+import org.sedgeroad.gateway.EndpointExchange;
 import org.sedgeroad.gateway.EndpointListener;
 import org.sedgeroad.gateway.EventStream;
 import org.sedgeroad.gateway.ServiceEndpoint;
@@ -41,8 +40,7 @@
   private final int eventsBefore;
   private final long startedNanos;
   private final EventStream events = new EventStream();
-  private AutoCloseable exchange;
-  private EndpointAnswer head;
+  private EndpointExchange exchange;
   private boolean over;
 
   ItemRun(BatchParts parts, OwnedItem item, ServiceEndpoint endpoint, EndListener listener) {
@@ -80,7 +78,7 @@
   void stop() {
     if (!over) {
       over = true;
-      close();
+      exchange.close();
     }
   }
 
@@ -91,11 +89,10 @@
     if (over) {
       return;
     }
-    head = answer;
     if (answer.notRun()) {
       end(Outcome.NOT_RUN, "rejected with " + answer.status());
     } else if (!answer.genuine()) {
-      close();
+      exchange.close();
       end(Outcome.BROKEN, "the answer is not signed or belongs to another request");
     } else if (answer.status() == UNPROCESSABLE) {
       end(Outcome.IMPOSSIBLE, "answered " + answer.status());
@@ -139,15 +136,4 @@
     over = true;
     listener.ended(this, outcome, cause);
   }
-
-  private void close() {
-    try {
-      exchange.close();
-    } catch (Exception failure) {
-      parts.log().log(
-          LogEvent.REQUEST_ERROR,
-          EventField.of("request", item.spec().id()),
-          EventField.of("cause", failure));
-    }
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRunner.java
@@ -33,13 +33,18 @@
   /** Time before a job is due from which its results are stored at once, in milliseconds. */
   private static final long URGENT_MILLIS = 2_000;
 
-  /** Time that an endpoint gets for one run of an item, in milliseconds. */
+  /**
+   * Time that an endpoint gets for one run of an item, in milliseconds; six times the usual 5 s.
+   */
   private static final long RUN_MILLIS = 30_000;
 
-  /** Time after a job is due in which a read still finds its results in time, in milliseconds. */
+  /**
+   * Time after a job is due in which a read still finds its results in time, in milliseconds;
+   * clients read about twice a second.
+   */
   private static final long READ_MILLIS = 500;
 
-  /** Pause after the store did not take results, in milliseconds. */
+  /** Pause after the store did not take results, in milliseconds; as for lists of the store. */
   private static final long STORE_RETRY_MILLIS = 300;
 
   private final BatchParts parts;
@@ -80,19 +85,18 @@
 
   /** Drops a job that another instance runs from now on. */
   void drop(String id) {
-    OwnedJob job = jobs.remove(id);
-    if (job != null) {
-      stopItems(job);
+    if (forget(id)) {
       parts.log().log(LogEvent.SEGMENT_LOST, EventField.of("job", id));
     }
   }
 
-  /** Forgets a job that has been deleted. */
-  void forget(String id) {
+  /** Stops and forgets a job that has been deleted; returns whether it was run here. */
+  boolean forget(String id) {
     OwnedJob job = jobs.remove(id);
     if (job != null) {
       stopItems(job);
     }
+    return job != null;
   }
 
   /** Returns the tokens of unfinished items by the name of the route in force. */
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobService.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
@@ -30,13 +31,18 @@
    */
   private static final long SETTLE_MILLIS = 5_000;
 
-  /** Pause between two looks at the state of a job that is being loaded, in milliseconds. */
+  /**
+   * Pause between two looks at the state of a job that is being loaded, in milliseconds; a
+   * twentieth of the longest wait of a read.
+   */
   private static final long LOAD_POLL_MILLIS = 50;
 
   /** Pause between two takeovers of a job, in milliseconds; a store is away for seconds. */
   private static final long TAKEOVER_RETRY_MILLIS = 1_000;
 
-  /** Time after which a refused submission may come back, in milliseconds. */
+  /**
+   * Pause before a job that the store did not give is read again, in milliseconds; as for lists.
+   */
   private static final long RETRY_MILLIS = 500;
 
   private final BatchParts parts;
@@ -53,7 +59,7 @@
   private final Set<String> takingOver = new HashSet<>();
 
   /** Jobs that this process has taken over from another instance. */
-  private final Set<String> takenOver = new HashSet<>();
+  private final Set<String> jobsTakenOver = new HashSet<>();
 
   private final long takeOverFromNanos;
   private boolean deleting;
@@ -132,20 +138,11 @@
             awaitLoaded(id, deadlineNanos, result, () -> read(id, after, deadlineNanos, result));
             return;
           }
-          peerJobs
-              .results(head.owner(), id, after, deadlineNanos)
-              .thenAccept(
-                  answer ->
-                      parts
-                          .loop()
-                          .execute(
-                              () -> {
-                                if (answer instanceof ReadResult.Page) {
-                                  result.accept(answer);
-                                } else {
-                                  storedResults.read(head, after, result);
-                                }
-                              }));
+          ownerOrStore(
+              peerJobs.results(head.owner(), id, after, deadlineNanos),
+              ReadResult.Page.class,
+              result,
+              () -> storedResults.read(head, after, result));
         });
   }
 
@@ -161,20 +158,11 @@
         id,
         result,
         head ->
-            peerJobs
-                .body(head.owner(), id, item)
-                .thenAccept(
-                    answer ->
-                        parts
-                            .loop()
-                            .execute(
-                                () -> {
-                                  if (answer instanceof ReadResult.Body) {
-                                    result.accept(answer);
-                                  } else {
-                                    readStoredBody(head, item, result);
-                                  }
-                                })));
+            ownerOrStore(
+                peerJobs.body(head.owner(), id, item),
+                ReadResult.Body.class,
+                result,
+                () -> readStoredBody(head, item, result)));
   }
 
   /** Ends a job for its client. */
@@ -312,7 +300,7 @@
   private void forget(String id) {
     directory.forget(id);
     storedResults.forget(id);
-    takenOver.remove(id);
+    jobsTakenOver.remove(id);
     runner.forget(id);
   }
 
@@ -417,7 +405,7 @@
       long now = parts.clock().nanos();
       OwnedJob job = new OwnedJob(current, specs.value(), dueNanos(current, now), now);
       results.value().forEach(job::addChunk);
-      if (takenOver.contains(head.id())) {
+      if (jobsTakenOver.contains(head.id())) {
         job.setTakenOver();
       }
       runner.add(job);
@@ -464,7 +452,7 @@
         EventField.of("version", job.version()),
         EventField.of("outcome", outcome.getClass().getSimpleName()));
     if (outcome instanceof WriteOutcome.Written written) {
-      takenOver.add(job.head().id());
+      jobsTakenOver.add(job.head().id());
       learn(JobStore.decode(written.object()), written.object().version());
     } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() != null) {
       learn(JobStore.decode(lost.current()), lost.current().version());
@@ -477,6 +465,26 @@
             () -> takingOver.remove(job.head().id()));
   }
 
+  /** Passes on what the owner of a job answers, or reads the store if it does not answer it. */
+  private void ownerOrStore(
+      CompletableFuture<ReadResult> owner,
+      Class<? extends ReadResult> expected,
+      Consumer<ReadResult> result,
+      Runnable store) {
+    owner.thenAccept(
+        answer ->
+            parts
+                .loop()
+                .execute(
+                    () -> {
+                      if (expected.isInstance(answer)) {
+                        result.accept(answer);
+                      } else {
+                        store.run();
+                      }
+                    }));
+  }
+
   private void readOwn(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
     boolean current = job.listed().size() > after || job.isWhole() || job.isAppending();
     if (!job.isTakenOver() || current) {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import org.sedgeroad.store.JsonStoreCalls;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoreWriter;
 import org.sedgeroad.store.StoredObject;
@@ -19,10 +20,13 @@
   /** Bound on the bodies in one object, in characters; an object may have 1 MB. */
   private static final int OBJECT_CHARACTERS = 700_000;
 
-  /** Longest time after which a refused submission may come back, in milliseconds. */
+  /**
+   * Longest time after which a refused submission may come back, in milliseconds; what the writer
+   * names for a store that refuses.
+   */
   private static final long MOST_RETRY_MILLIS = 1_000;
 
-  /** Tries of a conditional change against other writers. */
+  /** Tries of a conditional change against other writers; a head has two or three in its life. */
   private static final int CHANGE_TRIES = 5;
 
   private final StoreWriter writer;
@@ -138,18 +142,10 @@
 
   /** Reads the chunks of results from a number on, up to the first that does not exist. */
   public StoreResult<List<List<JobResult>>> readChunks(String job, int first) {
-    List<List<JobResult>> chunks = new ArrayList<>();
-    while (true) {
-      StoreResult<StoredObject> read =
-          writer.store().get(RESULTS, objectName(job, first + chunks.size()));
-      if (read instanceof StoreResult.Done<StoredObject> done) {
-        chunks.add(decodeChunk(done.value()));
-      } else if (read instanceof StoreResult.Absent) {
-        return new StoreResult.Done<>(chunks);
-      } else {
-        return new StoreResult.Unavailable<>("results not read: " + read);
-      }
-    }
+    StoreResult<List<StoredObject>> read = readResultObjects(job, first);
+    return read instanceof StoreResult.Done<List<StoredObject>> done
+        ? new StoreResult.Done<>(done.value().stream().map(JobStore::decodeChunk).toList())
+        : JsonStoreCalls.failure(read);
   }
 
   /**
@@ -167,9 +163,9 @@
           ? new StoreResult.Absent<>()
           : new StoreResult.Unavailable<>("job not marked: " + ended);
     }
-    StoreResult<List<StoredObject>> chunks = readObjects(RESULTS, job);
+    StoreResult<List<StoredObject>> chunks = readResultObjects(job, 0);
     if (!(chunks instanceof StoreResult.Done<List<StoredObject>> results)) {
-      return new StoreResult.Unavailable<>("results not read: " + chunks);
+      return JsonStoreCalls.failure(chunks);
     }
     List<StoredObject> objects = new ArrayList<>();
     for (int index = 0; index < itemObjects; index++) {
@@ -199,17 +195,17 @@
 
   // -----------------------------------------------------------------------
 
-  /** Reads the numbered objects of a job up to the first that does not exist. */
-  private StoreResult<List<StoredObject>> readObjects(String kind, String job) {
+  private StoreResult<List<StoredObject>> readResultObjects(String job, int first) {
     List<StoredObject> objects = new ArrayList<>();
     while (true) {
-      StoreResult<StoredObject> read = writer.store().get(kind, objectName(job, objects.size()));
+      StoreResult<StoredObject> read =
+          writer.store().get(RESULTS, objectName(job, first + objects.size()));
       if (read instanceof StoreResult.Done<StoredObject> done) {
         objects.add(done.value());
       } else if (read instanceof StoreResult.Absent) {
         return new StoreResult.Done<>(objects);
       } else {
-        return new StoreResult.Unavailable<>(read.toString());
+        return new StoreResult.Unavailable<>("results not read: " + read);
       }
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -51,16 +51,28 @@
   /** Time between two load reports, in milliseconds; a tenth of the time that live work is held. */
   private static final long REPORT_MILLIS = 50;
 
-  /** Time in which live requests are gathered for one urgent report, in milliseconds. */
+  /**
+   * Time in which live requests are gathered for one urgent report, in milliseconds; a tenth of the
+   * time between two reports.
+   */
   private static final long URGENT_REPORT_MILLIS = 5;
 
-  /** Reports between two of an instance whose work has not changed. */
+  /**
+   * Reports between two of an instance whose work has not changed; its counts still hold when two
+   * of these are lost.
+   */
   private static final int QUIET_REPORTS = 4;
 
-  /** Time between two looks at lost jobs and waiting results, in milliseconds. */
+  /**
+   * Time between two looks at lost jobs and waiting results, in milliseconds; a tenth of the
+   * silence after which a job is taken over.
+   */
   private static final long JOB_CHECK_MILLIS = 250;
 
-  /** Time for which a peer may have a newer configuration, in milliseconds, before it is read. */
+  /**
+   * Time for which a peer may have a newer configuration, in milliseconds, before it is read; a
+   * fifth of the time in which it must be in force.
+   */
   private static final long CONFIGURATION_LAG_MILLIS = 500;
 
   /**
@@ -69,13 +81,18 @@
    */
   private static final int STORE_THREADS = 6;
 
-  /** Time between two looks at the clients' idle connections, in milliseconds. */
+  /**
+   * Time between two looks at the clients' idle connections, in milliseconds; limits are seconds.
+   */
   private static final long IDLE_CHECK_MILLIS = 1_000;
 
-  /** Time between two looks at the requests in progress during a stop, in milliseconds. */
+  /**
+   * Time between two looks at the requests in progress during a stop, in milliseconds; short beside
+   * the seconds of a stop.
+   */
   private static final long STOP_POLL_MILLIS = 20;
 
-  /** Pause before a registration is tried again, in milliseconds. */
+  /** Pause before a registration is tried again, in milliseconds; a store is away for seconds. */
   private static final long REGISTRATION_RETRY_MILLIS = 500;
 
   private volatile GatewaySettings settings;
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
@@ -19,7 +19,10 @@
 
 /** Asks other instances over HTTP; {@link PeerJobsHandler} answers. */
 final class HttpPeerJobs implements PeerJobs {
-  /** Time for the way there and back beyond the wait that the call asks for, in milliseconds. */
+  /**
+   * Time for the way there and back beyond the wait that the call asks for, in milliseconds; ten
+   * round trips between regions.
+   */
   private static final long CALL_MILLIS = 300;
 
   private final InstanceDirectory instances;
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointCaller.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointCaller.java
@@ -8,5 +8,5 @@
    * Starts a call. Closing the result cancels the request at the endpoint; the listener then gets a
    * failure.
    */
-  AutoCloseable start(EndpointCall call, EndpointListener listener);
+  EndpointExchange start(EndpointCall call, EndpointListener listener);
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
@@ -7,10 +7,16 @@
 
 /** Serves the clients' requests that are answered while the client waits. */
 public final class Gateway {
-  /** Time after which a client of an instance that knows no configuration may come back. */
+  /**
+   * Time after which a client of an instance that knows no configuration may come back, in
+   * milliseconds; other instances are there at once, this one asks the store every 0.25 s.
+   */
   private static final long NO_CONFIGURATION_RETRY_MILLIS = 300;
 
-  /** Time after which a client of a stopping instance may come back; others are there. */
+  /**
+   * Time after which a client of a stopping instance may come back, in milliseconds; others are
+   * there at once.
+   */
   private static final long STOPPING_RETRY_MILLIS = 20;
 
   /**
@@ -19,7 +25,10 @@
    */
   private static final long START_WAIT_MILLIS = 1_000;
 
-  /** Time between two looks at what a starting instance knows, in milliseconds. */
+  /**
+   * Time between two looks at what a starting instance knows, in milliseconds; a thirtieth of the
+   * objective of a live request.
+   */
   private static final long START_POLL_MILLIS = 10;
 
   private final GatewayParts parts;
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -204,7 +204,7 @@
     private final ServiceEndpoint endpoint;
     private final EventStream events = new EventStream();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private AutoCloseable exchange;
+    private EndpointExchange exchange;
     private EndpointAnswer head;
     private boolean over;
 
@@ -220,19 +220,8 @@
     void stop() {
       if (!over) {
         over = true;
-        close();
-        parts.dispatcher().release(endpoint.name(), WorkClass.LIVE);
-      }
-    }
-
-    private void close() {
-      try {
         exchange.close();
-      } catch (Exception failure) {
-        parts.log().log(
-            LogEvent.REQUEST_ERROR,
-            EventField.of("request", request.id()),
-            EventField.of("cause", failure));
+        parts.dispatcher().release(endpoint.name(), WorkClass.LIVE);
       }
     }
 
@@ -245,11 +234,11 @@
         rejected(received.status());
       } else if (!received.genuine()) {
         over = true;
-        close();
+        exchange.close();
         broken("the answer is not signed or belongs to another request");
       } else if (begun != null && !received.isSuccess()) {
         over = true;
-        close();
+        exchange.close();
         broken("resumption was answered " + received.status());
       } else {
         head = received;
--- a/sedgeroad/src/main/java/org/sedgeroad/http/CollectingListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/CollectingListener.java
@@ -2,16 +2,16 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
-/** Collects a whole answer into a future that always completes normally. */
+/** Collects a whole answer and passes its result on, on the connection's I/O thread. */
 final class CollectingListener implements HttpListener {
-  private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
+  private final Consumer<HttpResult> done;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private HttpHead head;
 
-  CompletableFuture<HttpResult> result() {
-    return result;
+  CollectingListener(Consumer<HttpResult> done) {
+    this.done = done;
   }
 
   @Override
@@ -28,11 +28,11 @@
 
   @Override
   public void onEnd() {
-    result.complete(new HttpResult.Answered(head, body.toByteArray()));
+    done.accept(new HttpResult.Answered(head, body.toByteArray()));
   }
 
   @Override
   public void onFailure(HttpFailure failure) {
-    result.complete(new HttpResult.Failed(failure));
+    done.accept(new HttpResult.Failed(failure));
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.sedgeroad.MonotonicClock;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -108,6 +109,11 @@
     return exchange;
   }
 
+  /** Starts a call whose result is passed on as a whole, on an I/O thread. */
+  public HttpExchange start(HttpCall call, Consumer<HttpResult> done) {
+    return start(call, new CollectingListener(done));
+  }
+
   /**
    * Sends a call and waits for the whole answer, at most until the call's deadline.
    *
@@ -130,9 +136,9 @@
 
   /** Sends a call; the future completes normally, at the latest at the call's deadline. */
   public CompletableFuture<HttpResult> sendLater(HttpCall call) {
-    CollectingListener listener = new CollectingListener();
-    start(call, listener);
-    return listener.result();
+    CompletableFuture<HttpResult> result = new CompletableFuture<>();
+    start(call, result::complete);
+    return result;
   }
 
   @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -251,7 +251,7 @@
     ordered.sort(LiveOrder.at(now));
     Map<String, Integer> shares = new HashMap<>(yieldingShares);
     Set<String> full = new HashSet<>();
-    Optional<String> free = freed;
+    Optional<ServiceEndpoint> free = freed.map(fleet::get);
     for (LiveDemand demand : ordered) {
       String service = demand.service();
       if (!demand.canYield(now)) {
@@ -264,8 +264,12 @@
       } else if (shares.getOrDefault(service, 0) > 0) {
         boolean placed = placeWaiting(demand, loads(service, demand.excluded()));
         shares.put(service, placed ? shares.get(service) - 1 : 0);
-      } else if (free.isPresent() && placeWaiting(demand, loadsAt(demand, free.get()))) {
-        free = Optional.empty();
+      } else if (free.isPresent() && service.equals(free.get().service())) {
+        boolean placed = placeWaiting(demand, loadsAt(demand, free.get().name()));
+        // What is full for one without exclusions is full for all others of the service.
+        if (placed || demand.excluded().isEmpty()) {
+          free = Optional.empty();
+        }
       }
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
@@ -22,7 +22,10 @@
               "jobs", Set.of("keep-seconds"),
               "stop", Set.of("notice-millis", "timeout-seconds")));
 
-  /** Part of the time for a stop that is left to the closing of connections, in milliseconds. */
+  /**
+   * Part of the time for a stop that is left to the closing of connections, in milliseconds; a
+   * sixteenth of the default.
+   */
   private static final long STOP_MARGIN_MILLIS = 500;
 
   private GatewaySettingsReader() {}
--- a/sedgeroad/src/main/java/org/sedgeroad/store/KindFollower.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/KindFollower.java
@@ -23,7 +23,10 @@
     void changed(StoredObject object);
   }
 
-  /** Pause before a list or watch is tried again after a failure, in milliseconds. */
+  /**
+   * Pause before a list or watch is tried again after a failure, in milliseconds; a tenth of the
+   * time in which a change must be in force.
+   */
   private static final long RETRY_MILLIS = 250;
 
   private final ObjectStore store;
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplay.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/SwingReplay.java
@@ -70,20 +70,6 @@
           returning);
     }
 
-    Load withLivePerSecond(double next) {
-      return new Load(
-          instances,
-          engines,
-          next,
-          calm,
-          swing,
-          liveMillis,
-          jobsPerSecond,
-          itemMillis,
-          dueMillis,
-          returning);
-    }
-
     Load withReturning(int next) {
       return new Load(
           instances,
