Fail calls at once that meet a client that is closing

The catch of the change before stood at two of the places where an I/O thread that is ending refuses work; the others threw past the listener, so that a call was never told. HttpCaller and HttpExchange now fail the call with one reason at each of them, and tasks for an event loop that has ended are dropped.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpCaller.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -101,10 +102,14 @@
   public HttpExchange start(HttpCall call, HttpListener listener) {
     HttpExchange exchange = new HttpExchange(this, call, listener, clock);
     ClientConnection pooled = call.fresh() ? null : takeIdle(call.uri());
-    if (pooled != null) {
-      pooled.getIoThread().execute(() -> exchange.send(pooled, true));
-    } else {
-      connect(exchange);
+    try {
+      if (pooled != null) {
+        pooled.getIoThread().execute(() -> exchange.send(pooled, true));
+      } else {
+        connect(exchange);
+      }
+    } catch (RejectedExecutionException ending) {
+      exchange.fail(HttpFailure.CLIENT_CLOSING);
     }
     return exchange;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -100,7 +100,7 @@
                   remainingMillis(),
                   TimeUnit.MILLISECONDS);
     } catch (RejectedExecutionException ending) {
-      fail(new HttpFailure.NotSent("the client is closing"));
+      fail(HttpFailure.CLIENT_CLOSING);
       return;
     }
     sent = true;
@@ -143,7 +143,10 @@
    */
   private void closeConnection() {
     ClientConnection open = connection;
-    if (open != null) {
+    if (open == null) {
+      return;
+    }
+    try {
       open.getIoThread()
           .execute(
               () -> {
@@ -154,6 +157,9 @@
                 }
                 IoUtils.safeClose(open);
               });
+    } catch (RejectedExecutionException ending) {
+      // The thread ends with the client and closes its sockets.
+      IoUtils.safeClose(open);
     }
   }
 
@@ -173,7 +179,11 @@
       cancelTimeout();
       IoUtils.safeClose(connection);
       connection = null;
-      caller.connect(this);
+      try {
+        caller.connect(this);
+      } catch (RejectedExecutionException ending) {
+        fail(new HttpFailure.Broken(HttpFailure.CLIENT_CLOSING.reason()));
+      }
     } else {
       fail(new HttpFailure.Broken(HttpFailure.describe(failure)));
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpFailure.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpFailure.java
@@ -5,6 +5,9 @@
 /** Reasons why an exchange brought no whole answer. */
 public sealed interface HttpFailure {
 
+  /** The client is closing; its I/O threads take no more work. */
+  HttpFailure CLIENT_CLOSING = new NotSent("the client is closing");
+
   /** Returns a description for logs and errors. */
   String reason();
 
--- a/sedgeroad/src/main/java/org/sedgeroad/http/IoEventLoop.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/IoEventLoop.java
@@ -20,7 +20,11 @@
 
   @Override
   public void execute(Runnable task) {
-    thread.execute(task);
+    try {
+      thread.execute(task);
+    } catch (RejectedExecutionException ending) {
+      // The process stops and its last lines are logged; what comes now does not matter.
+    }
   }
 
   @Override
@@ -30,7 +34,7 @@
       XnioExecutor.Key key = thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
       return key::remove;
     } catch (RejectedExecutionException ending) {
-      // The process stops and its last lines are logged; nothing that is still due matters.
+      // As above.
       return Timeout.NONE;
     }
   }
