Read the result log of every job that was loaded from the store

Cause: a job was marked as taken over when the answer of the takeover write arrived. The watch may deliver the new owner first, so that the job is loaded without the mark; if the answer is lost, the mark is never made.

Change: every job that this process did not create itself is read again for late chunks. This also covers an earlier process of the same instance, whose last write may still take effect after the restart.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
@@ -20,7 +20,7 @@
   private long oldestUnstoredNanos;
   private boolean appending;
   private boolean ended;
-  private boolean takenOver;
+  private boolean loadedFromStore;
 
   OwnedJob(JobHead head, List<ItemSpec> specs, long dueNanos, long nowNanos) {
     this.head = head;
@@ -56,15 +56,15 @@
   }
 
   /**
-   * Returns whether this instance took the job over from another one. The previous owner may still
-   * store results.
+   * Returns whether the job was loaded from the store, and not created by this process. Its
+   * previous owner may still store results.
    */
-  boolean isTakenOver() {
-    return takenOver;
+  boolean isLoadedFromStore() {
+    return loadedFromStore;
   }
 
-  void setTakenOver() {
-    takenOver = true;
+  void setLoadedFromStore() {
+    loadedFromStore = true;
   }
 
   boolean isAppending() {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -60,9 +60,6 @@
   // takeover write is answered.
   private final Set<String> takingOver = new HashSet<>();
 
-  /** Ids of the jobs that this process has taken over from another instance. */
-  private final Set<String> jobsTakenOver = new HashSet<>();
-
   private final long takeoversAllowedFromNanos;
   private boolean deleting;
 
@@ -301,7 +298,6 @@
   private void remove(String id) {
     jobHeads.remove(id);
     storedResults.remove(id);
-    jobsTakenOver.remove(id);
     runner.remove(id);
   }
 
@@ -406,9 +402,8 @@
       long now = context.clock().nanos();
       OwnedJob job = new OwnedJob(current, specs.value(), dueNanos(current, now), now);
       results.value().forEach(job::addChunk);
-      if (jobsTakenOver.contains(head.id())) {
-        job.setTakenOver();
-      }
+      // The previous owner, or the previous process of this instance, may still store results.
+      job.setLoadedFromStore();
       runner.add(job);
     } else {
       context.log().log(
@@ -455,7 +450,6 @@
         EventField.of("version", job.version()),
         EventField.of("outcome", outcome.getClass().getSimpleName()));
     if (outcome instanceof WriteOutcome.Written written) {
-      jobsTakenOver.add(job.head().id());
       updateHead(JobStore.decode(written.object()), written.object().version());
     } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() != null) {
       updateHead(JobStore.decode(lost.current()), lost.current().version());
@@ -490,7 +484,7 @@
 
   private void readOwned(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
     boolean upToDate = job.storedResults().size() > after || job.isComplete() || job.isAppending();
-    if (!job.isTakenOver() || upToDate) {
+    if (!job.isLoadedFromStore() || upToDate) {
       answerOrAwaitChunk(job, after, deadlineNanos, result);
       return;
     }
