--- a/sedgeroad/src/main/java/org/sedgeroad/batch/BatchDependencies.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/BatchDependencies.java
@@ -8,7 +8,7 @@
 import org.sedgeroad.gateway.RouteTableHolder;
 import org.sedgeroad.metric.GatewayMetrics;
 import org.sedgeroad.placement.Dispatcher;
-import org.sedgeroad.presence.LoadReportTable;
+import org.sedgeroad.presence.FleetLoad;
 
 /**
  * Dependencies of the classes that run batch jobs. No component may be null.
@@ -19,7 +19,7 @@
  * @param routes holder of the current route table
  * @param dispatcher assigns endpoint slots
  * @param endpointClient sends items to endpoints
- * @param loadReports table of the load reports of other instances
+ * @param fleetLoad load and liveness of the other instances
  * @param loop event loop that runs all non-blocking calls
  * @param clock monotonic clock
  * @param metrics counters and histograms
@@ -34,7 +34,7 @@
     RouteTableHolder routes,
     Dispatcher dispatcher,
     EndpointClient endpointClient,
-    LoadReportTable loadReports,
+    FleetLoad fleetLoad,
     EventLoop loop,
     MonotonicClock clock,
     GatewayMetrics metrics,
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -14,7 +14,6 @@
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.gateway.Route;
 import org.sedgeroad.peer.RendezvousHashing;
-import org.sedgeroad.presence.LoadReport;
 import org.sedgeroad.store.KindWatcher;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoredObject;
@@ -224,8 +223,8 @@
   /** Takes over jobs whose owner is considered failed. Called several times a second. */
   public void takeOverOrphanedJobs() {
     long now = context.clock().nanos();
-    List<String> liveInstances = context.loadReports().liveInstances(now);
-    if (now - takeoversAllowedFromNanos < 0 || context.loadReports().isIsolated(now)) {
+    List<String> liveInstances = context.fleetLoad().liveInstances(now);
+    if (now - takeoversAllowedFromNanos < 0 || context.fleetLoad().isIsolated(now)) {
       return;
     }
     for (JobHeadCache.CachedJob job : jobHeads.all()) {
@@ -244,8 +243,8 @@
   /** Deletes one finished job whose retention time has passed. Called several times a second. */
   public void deleteExpiredJob() {
     long now = context.clock().nanos();
-    if (!deleting && !context.loadReports().isIsolated(now)) {
-      List<String> liveInstances = context.loadReports().liveInstances(now);
+    if (!deleting && !context.fleetLoad().isIsolated(now)) {
+      List<String> liveInstances = context.fleetLoad().liveInstances(now);
       jobHeads.all().stream()
           .filter(job -> isExpired(job, now) && mayDelete(job.head(), liveInstances))
           .findFirst()
@@ -307,10 +306,8 @@
     for (long pending : pendingTokens.values()) {
       tokens += pending;
     }
-    for (LoadReport report : context.loadReports().current(now)) {
-      tokens += report.waitingTokens().getOrDefault(route.name(), 0L);
-    }
-    List<String> live = context.loadReports().liveInstances(now);
+    tokens += context.fleetLoad().others(now).waitingTokens().getOrDefault(route.name(), 0L);
+    List<String> live = context.fleetLoad().liveInstances(now);
     for (JobHeadCache.CachedJob job : jobHeads.all()) {
       JobHead head = job.head();
       boolean reported = head.owner().equals(context.instance()) || live.contains(head.owner());
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -29,9 +29,9 @@
 import org.sedgeroad.http.PooledHttpClient;
 import org.sedgeroad.metric.GatewayMetrics;
 import org.sedgeroad.placement.Dispatcher;
+import org.sedgeroad.presence.HubExchange;
 import org.sedgeroad.presence.LoadExchange;
 import org.sedgeroad.presence.LoadReport;
-import org.sedgeroad.presence.LoadReportTable;
 import org.sedgeroad.settings.GatewaySettings;
 import org.sedgeroad.settings.GatewaySettingsReload;
 import org.sedgeroad.store.KindWatcher;
@@ -50,28 +50,15 @@
  */
 public final class GatewayInstance implements AutoCloseable {
   /**
-   * Time between two load reports, in milliseconds. A live request usually holds a slot for at
-   * least ten times as long.
+   * Delay of a load report after the work of the instance has changed, in milliseconds. One report
+   * covers all changes during the delay.
    */
-  private static final long REPORT_MILLIS = 50;
-
-  /**
-   * Delay of an urgent load report, in milliseconds; a tenth of the time between two reports. One
-   * report covers all live requests that are queued during the delay.
-   */
-  private static final long URGENT_REPORT_MILLIS = 5;
-
-  /**
-   * Number of report intervals between two reports while the work of the instance is unchanged. The
-   * interval of 200 ms is a third of {@link LoadReportTable#COUNTS_VALID_MILLIS}, so that the
-   * counts of the last report stay valid at the peers if one such report is lost.
-   */
-  private static final int UNCHANGED_REPORT_INTERVALS = 4;
+  private static final long REPORT_DELAY_MILLIS = 5;
 
   /**
    * Time between two checks for orphaned jobs and for results that are due to be stored, in
-   * milliseconds; a tenth of {@link LoadReportTable#FAILURE_TIMEOUT_MILLIS}, after which an
-   * instance without load reports is considered failed and its jobs are taken over.
+   * milliseconds; a tenth of a failure timeout, after which an instance without load reports is
+   * considered failed and its jobs are taken over.
    */
   private static final long JOB_CHECK_MILLIS = 250;
 
@@ -117,8 +104,9 @@
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final PooledHttpClient httpClient;
   private final StoreWriter writer;
+  private final long incarnation = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
   private final RouteTableHolder routes = new RouteTableHolder();
-  private final LoadReportTable loadReports = new LoadReportTable();
+  private final HubExchange hubExchange;
   private final InstanceDirectory instances;
   private final Dispatcher dispatcher;
   private final EndpointsUpdater endpointsUpdater;
@@ -130,9 +118,6 @@
   private final ClientConnections connections;
   private final Undertow server;
   private LoadExchange loadExchange;
-  private LoadReport lastReport;
-  private long sequence;
-  private int unchangedReports;
   private boolean reportScheduled;
   private long laggingSinceNanos;
   private boolean lagging;
@@ -140,7 +125,6 @@
   private boolean leaving;
   // Whether periodic tasks have ended; used on the event loop.
   private boolean stopped;
-  private final long incarnation = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
   // Whether close() has been called; a second call has no effect.
   private final AtomicBoolean closed = new AtomicBoolean();
   // Whether the instance is no longer ready and takes over no more jobs.
@@ -163,19 +147,29 @@
     ObjectStore store = metrics.measure(platform.store(settings, httpClient));
     this.writer = StoreWriter.of(store, settings.instance() + "#" + incarnation);
     this.instances = new InstanceDirectory(settings.instance(), log);
+    this.hubExchange =
+        new HubExchange(
+            settings.instance(),
+            settings.domain(),
+            incarnation,
+            instances::domainsByInstance,
+            (message, names) -> loadExchange.send(message, instances.reportAddresses(names)),
+            eventLoop,
+            clock,
+            this::refreshPlacement);
     this.dispatcher =
         new Dispatcher(
             settings.instance(),
             settings.domain(),
             name -> this.settings.region(name),
-            loadReports,
+            hubExchange.view(),
             clock,
             () -> ThreadLocalRandom.current().nextDouble());
     this.endpointsUpdater = new EndpointsUpdater(platform, routes, dispatcher, clock, log);
     BatchDependencies batch = createBatchDependencies();
     this.runner = new OwnedJobRunner(batch);
     dispatcher.setBatchSource(runner);
-    dispatcher.setPressureListener(this::scheduleUrgentReport);
+    dispatcher.setChangeListener(this::scheduleReport);
     this.jobs = new OwnedJobService(batch, runner, new HttpPeerJobs(instances, httpClient, clock));
     GatewayDependencies dependencies =
         new GatewayDependencies(
@@ -225,7 +219,7 @@
         routes,
         dispatcher,
         platform.endpointClient(httpClient),
-        loadReports,
+        hubExchange.view(),
         eventLoop,
         clock,
         metrics,
@@ -272,14 +266,13 @@
   /** Starts all threads and listeners. */
   public void start() {
     loadExchange =
-        LoadExchange.open(
-            settings.reportAddress(), report -> eventLoop.execute(() -> receive(report)), log);
+        LoadExchange.open(settings.reportAddress(), hubExchange::receive, eventLoop, clock, log);
     server.start();
     eventLoop.execute(
         () -> {
           register();
           watchers.forEach(KindWatcher::start);
-          scheduleRepeatedly(REPORT_MILLIS, this::sendReport);
+          scheduleRepeatedly(HubExchange.TICK_MILLIS, this::exchangeLoads);
           scheduleRepeatedly(JOB_CHECK_MILLIS, this::runPeriodicChecks);
           scheduleRepeatedly(IDLE_CHECK_MILLIS, this::closeIdleConnections);
         });
@@ -389,7 +382,8 @@
     InstanceRegistration.write(
         writer,
         settings.instance(),
-        new InstanceDirectory.Addresses(settings.reportAddress(), settings.exchangeAddress()),
+        new InstanceDirectory.Addresses(
+            settings.reportAddress(), settings.exchangeAddress(), settings.domain()),
         storeWorkers,
         registered -> {
           if (!registered) {
@@ -399,23 +393,19 @@
         });
   }
 
-  private void receive(LoadReport report) {
-    if (!report.instance().equals(settings.instance())
-        && loadReports.receive(report, clock.nanos())) {
-      dispatcher.refresh();
-    }
+  private void refreshPlacement() {
+    dispatcher.refresh();
   }
 
   /**
-   * Schedules a load report for shortly after a live request has been queued at an endpoint without
-   * a free slot, so that other instances preempt their batch items there. The report holds the
-   * counts at the time of sending.
+   * Schedules a load report for shortly after the work of this instance has changed. The report
+   * holds the counts at the time of sending.
    */
-  private void scheduleUrgentReport() {
+  private void scheduleReport() {
     if (!reportScheduled) {
       reportScheduled = true;
       eventLoop.scheduleAt(
-          clock.deadlineAfterMillis(URGENT_REPORT_MILLIS),
+          clock.deadlineAfterMillis(REPORT_DELAY_MILLIS),
           () -> {
             reportScheduled = false;
             sendReport();
@@ -423,28 +413,26 @@
     }
   }
 
-  private void sendReport() {
+  private void exchangeLoads() {
+    hubExchange.tick();
     // Places and preempts work that has become due, so that the report contains the result.
     dispatcher.tick(instances.count());
-    // Keeps the last sequence number, so that equals() tells whether any other field changed. A
-    // report that is sent gets a new number.
-    LoadReport next =
+    sendReport();
+    checkRoutesVersion();
+  }
+
+  private void sendReport() {
+    hubExchange.report(
         new LoadReport(
             settings.instance(),
             incarnation,
-            lastReport == null ? 0 : lastReport.sequence(),
+            0,
             routes.current().version(),
             dispatcher.liveWaiting(),
             runner.readyByService(),
             runner.waitingTokens(),
             dispatcher.occupancy(),
-            leaving);
-    unchangedReports = next.equals(lastReport) ? unchangedReports + 1 : 0;
-    if (unchangedReports % UNCHANGED_REPORT_INTERVALS == 0) {
-      lastReport = next.withSequence(++sequence);
-      loadExchange.send(lastReport, instances.reportAddresses());
-    }
-    checkRoutesVersion();
+            leaving));
   }
 
   /**
@@ -453,7 +441,7 @@
    */
   private void checkRoutesVersion() {
     long now = clock.nanos();
-    if (loadReports.newestConfigurationVersion(now) <= routes.current().version()) {
+    if (hubExchange.view().others(now).configurationVersion() <= routes.current().version()) {
       lagging = false;
     } else if (!lagging) {
       lagging = true;
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/InstanceDirectory.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/InstanceDirectory.java
@@ -23,8 +23,9 @@
    *
    * @param reports UDP address that receives load reports
    * @param exchange TCP address that serves the HTTP calls of other instances
+   * @param domain failure domain of the instance, empty if it does not state one
    */
-  record Addresses(InetSocketAddress reports, InetSocketAddress exchange) {}
+  record Addresses(InetSocketAddress reports, InetSocketAddress exchange, String domain) {}
 
   private final String ownName;
   private final EventLog log;
@@ -40,7 +41,8 @@
         .objectNode()
         .put("address", addresses.reports().getHostString())
         .put("reports_port", addresses.reports().getPort())
-        .put("exchange_port", addresses.exchange().getPort());
+        .put("exchange_port", addresses.exchange().getPort())
+        .put("domain", addresses.domain());
   }
 
   Optional<Addresses> find(String instance) {
@@ -52,8 +54,16 @@
     return instances.size();
   }
 
-  Collection<InetSocketAddress> reportAddresses() {
-    return instances.values().stream().map(Addresses::reports).toList();
+  /** Returns the addresses for load messages of some instances; unknown ones are left out. */
+  List<InetSocketAddress> reportAddresses(Collection<String> names) {
+    return names.stream().flatMap(name -> find(name).stream()).map(Addresses::reports).toList();
+  }
+
+  /** Returns the failure domains of the other registered instances by name. */
+  Map<String, String> domainsByInstance() {
+    Map<String, String> domains = new HashMap<>();
+    instances.forEach((name, addresses) -> domains.put(name, addresses.domain()));
+    return domains;
   }
 
   @Override
@@ -84,6 +94,8 @@
     instances.put(
         object.name(),
         new Addresses(
-            new InetSocketAddress(host, reportsPort), new InetSocketAddress(host, exchangePort)));
+            new InetSocketAddress(host, reportsPort),
+            new InetSocketAddress(host, exchangePort),
+            object.spec().path("domain").asText()));
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/peer/RendezvousHashing.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/RendezvousHashing.java
@@ -39,6 +39,24 @@
     return true;
   }
 
+  /**
+   * Returns the one of two candidates that has the higher weight for a key; an empty name stands
+   * for no candidate.
+   */
+  public static String first(String key, String one, String other) {
+    if (one.isEmpty() || one.equals(other)) {
+      return other;
+    }
+    return other.isEmpty() || ranksFirst(key, one, List.of(other)) ? one : other;
+  }
+
+  /**
+   * Returns the weight of a candidate for a key as a fraction from 0 (inclusive) to 1 (exclusive).
+   */
+  public static double fraction(String key, String candidate) {
+    return (weight(key, candidate) >>> 11) * 0x1.0p-53;
+  }
+
   private static long weight(String key, String candidate) {
     return Hashing.komihash5_0().hashCharsToLong(key + "\u0000" + candidate);
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/BatchPlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/BatchPlacement.java
@@ -1,5 +1,7 @@
 package org.sedgeroad.placement;
 
+import java.util.List;
+
 /**
  * Decides how many batch items an instance starts at an endpoint, and how many it preempts there.
  *
@@ -17,6 +19,9 @@
    */
   static final int RESERVED_SLOTS = 0;
 
+  /** Slots that items leave to live requests, for each square root of the live requests. */
+  private static final double VARIATION = 0.75;
+
   private BatchPlacement() {}
 
   /**
@@ -25,6 +30,7 @@
    * <p>The free slots are divided among the instances in proportion to their ready items.
    *
    * @param load load of the endpoint, not null
+   * @param fraction fraction of the free slots that items may take, see {@link #startableFraction}
    * @param ownReady number of ready items of this instance
    * @param allReady number of ready items of all instances; values below {@code ownReady} count as
    *     {@code ownReady}
@@ -32,26 +38,56 @@
    *     share is rounded up or down
    * @return number of items from 0 to {@code ownReady}; 0 if the endpoint is suspect
    */
-  public static int allowance(EndpointLoad load, int ownReady, int allReady, double rounding) {
+  public static int allowance(
+      EndpointLoad load, double fraction, int ownReady, int allReady, double rounding) {
     int free = load.free() - RESERVED_SLOTS;
     if (load.suspect() || free <= 0 || ownReady <= 0) {
       return 0;
     }
-    double share = (double) free * ownReady / Math.max(ownReady, allReady);
+    double share = free * fraction * ownReady / Math.max(ownReady, allReady);
     return Math.min(ownReady, (int) Math.floor(share + rounding));
   }
 
+  /**
+   * Returns the fraction of the free slots of a service that items may take.
+   *
+   * <p>Answers a load at which live requests take most of the slots: a slot that one live request
+   * releases is needed by the next one. The number of live requests varies by about its square
+   * root, so that many slots are left to them; an item that takes one would be preempted soon, and
+   * a live request would wait until then.
+   *
+   * @param loads loads of all endpoints of the service
+   */
+  public static double startableFraction(List<EndpointLoad> loads) {
+    int free = 0;
+    int live = 0;
+    for (EndpointLoad load : loads) {
+      free += load.suspect() ? 0 : Math.max(0, load.free());
+      live += load.live();
+    }
+    return free == 0 ? 0 : Math.max(0, free - VARIATION * Math.sqrt(live)) / free;
+  }
+
   /**
    * Returns how many of its items this instance preempts at an endpoint now.
    *
+   * <p>The instances with items there decide at the same time, each for its own items. Each takes
+   * its share, rounded by a number that is fixed for the instance and the endpoint, so that the
+   * preemptions add up to about the number of live requests without a slot.
+   *
    * @param load load of the endpoint, not null
-   * @param chosen whether this instance was chosen to preempt, out of the instances with items at
-   *     the endpoint
-   * @return number of items, not negative; 0 if this instance was not chosen or the endpoint has no
-   *     live requests
+   * @param first whether this instance preempts first among those with items at the endpoint; it
+   *     preempts at least one item if any is to be preempted
+   * @param rounding number from 0 (inclusive) to 1 (exclusive) that decides whether the share is
+   *     rounded up or down, independent of those of the other instances
+   * @return number of items, not negative; 0 if the endpoint has no live requests
    */
-  public static int itemsToPreempt(EndpointLoad load, boolean chosen) {
-    int excess = RESERVED_SLOTS - load.free();
-    return chosen && load.live() > 0 ? Math.max(0, Math.min(excess, load.ownBatch())) : 0;
+  public static int itemsToPreempt(EndpointLoad load, boolean first, double rounding) {
+    int excess = Math.min(RESERVED_SLOTS - load.free(), load.batch());
+    if (load.live() == 0 || excess <= 0 || load.ownBatch() <= 0) {
+      return 0;
+    }
+    double share = (double) excess * load.ownBatch() / load.batch();
+    return Math.min(load.ownBatch(), Math.max(first ? 1 : 0, (int) Math.floor(share + rounding)));
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/DeferredPlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/DeferredPlacement.java
@@ -13,23 +13,22 @@
  */
 public final class DeferredPlacement {
   /**
-   * Time after the last round at which the next may begin even if some instances have not reported
-   * since, in milliseconds; four report periods.
+   * Time after the last round at which the next may begin even if the instances have not exchanged
+   * their loads since, in milliseconds.
    */
   static final long ROUND_TIMEOUT_MILLIS = 200;
 
   private DeferredPlacement() {}
 
   /**
-   * Returns whether a round may begin: since the last round, all other instances have reported the
-   * slots that they use, or {@link #ROUND_TIMEOUT_MILLIS} have passed.
+   * Returns whether a round may begin: since the last round, the instances have exchanged the slots
+   * that they use, or {@link #ROUND_TIMEOUT_MILLIS} have passed.
    *
-   * @param reported number of other instances that have reported since the last round
-   * @param expected number of other instances
+   * @param exchanged whether the instances have exchanged their loads since the last round
    * @param sinceNanos time since the last round, in nanoseconds
    */
-  public static boolean mayBegin(int reported, int expected, long sinceNanos) {
-    return reported >= expected || sinceNanos >= ROUND_TIMEOUT_MILLIS * 1_000_000L;
+  public static boolean mayBegin(boolean exchanged, long sinceNanos) {
+    return exchanged || sinceNanos >= ROUND_TIMEOUT_MILLIS * 1_000_000L;
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -16,8 +16,9 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.peer.RendezvousHashing;
-import org.sedgeroad.presence.LoadReport;
-import org.sedgeroad.presence.LoadReportTable;
+import org.sedgeroad.presence.EndpointTotal;
+import org.sedgeroad.presence.FleetLoad;
+import org.sedgeroad.presence.LoadTotals;
 import org.sedgeroad.presence.Occupancy;
 
 /**
@@ -28,16 +29,20 @@
   private final String instance;
   private final String domain;
   private final UnaryOperator<String> regionOfDomain;
-  private final LoadReportTable loadReports;
+  private final FleetLoad fleetLoad;
   private final MonotonicClock clock;
   private final DoubleSupplier random;
   private final EndpointHealth health = new EndpointHealth();
   private final Map<String, Occupancy> ownOccupancy = new HashMap<>();
   private final Set<LiveDemand> waiting = new LinkedHashSet<>();
+
+  /** Distances of failure domains, computed again at each tick because settings may be reloaded. */
+  private final Map<String, EndpointLoad.Distance> distances = new HashMap<>();
+
   private Map<String, ServiceEndpoint> endpointsByName = new LinkedHashMap<>();
   private Set<String> unregisteredNames = Set.of();
   private BatchSource batchSource = BatchSource.NONE;
-  private Runnable pressureListener = () -> {};
+  private Runnable changeListener = () -> {};
   private long lastDeferralRoundNanos;
 
   /**
@@ -46,7 +51,7 @@
    * @param instance name of this instance
    * @param domain failure domain of this instance
    * @param regionOfDomain returns the region of a failure domain
-   * @param loadReports reports of the other instances
+   * @param fleetLoad load of the other instances
    * @param clock source of monotonic time
    * @param random source of random numbers from 0 (inclusive) to 1 (exclusive)
    */
@@ -54,13 +59,13 @@
       String instance,
       String domain,
       UnaryOperator<String> regionOfDomain,
-      LoadReportTable loadReports,
+      FleetLoad fleetLoad,
       MonotonicClock clock,
       DoubleSupplier random) {
     this.instance = instance;
     this.domain = domain;
     this.regionOfDomain = regionOfDomain;
-    this.loadReports = loadReports;
+    this.fleetLoad = fleetLoad;
     this.clock = clock;
     this.random = random;
     this.lastDeferralRoundNanos =
@@ -73,11 +78,12 @@
   }
 
   /**
-   * Sets the task that runs when a live request is queued inside an endpoint. It should report the
-   * request to the other instances soon, so that they preempt their items there.
+   * Sets the task that runs when the work of this instance has changed. It should report the work
+   * to the other instances soon, so that they do not count on its slots, and preempt their items
+   * where live requests need slots.
    */
-  public void setPressureListener(Runnable listener) {
-    pressureListener = listener;
+  public void setChangeListener(Runnable listener) {
+    changeListener = listener;
   }
 
   /** Returns the health of the endpoints, to which recent failures and successes are reported. */
@@ -130,6 +136,7 @@
     if (demand.isDeferrable(clock.nanos())
         || !place(demand, loads(demand.service(), demand.excluded()))) {
       waiting.add(demand);
+      changeListener.run();
     }
   }
 
@@ -167,6 +174,7 @@
    * @param peersExpected number of other instances, whether or not they have reported
    */
   public void tick(int peersExpected) {
+    distances.clear();
     placeWaiting(deferredShares(peersExpected), Optional.empty());
     preemptItems();
     startItems(List.copyOf(endpointsByName.values()), false);
@@ -191,29 +199,27 @@
    * @param excluded names of endpoints to leave out
    */
   public List<EndpointLoad> loads(String service, Set<String> excluded) {
-    List<LoadReport> reports = loadReports.current(clock.nanos());
+    LoadTotals others = fleetLoad.others(clock.nanos());
     List<EndpointLoad> loads = new ArrayList<>();
     for (ServiceEndpoint endpoint : endpointsByName.values()) {
       if (endpoint.service().equals(service)
           && !endpoint.draining()
           && !excluded.contains(endpoint.name())) {
-        loads.add(load(endpoint, reports));
+        loads.add(load(endpoint, others));
       }
     }
     return loads;
   }
 
   private boolean place(LiveDemand demand, List<EndpointLoad> loads) {
-    Optional<LiveChoice> choice = LivePlacement.choose(loads, demand.isDeferrable(clock.nanos()));
+    Optional<LiveChoice> choice =
+        LivePlacement.choose(loads, demand.isDeferrable(clock.nanos()), random);
     choice.ifPresent(
         chosen -> {
           if (chosen.preemptBatch()) {
             preemptItem(chosen.endpoint().name());
           }
           addOccupancy(chosen.endpoint().name(), WorkClass.LIVE, 1);
-          if (chosen.queued()) {
-            pressureListener.run();
-          }
           demand.place(chosen.endpoint());
         });
     return choice.isPresent();
@@ -231,22 +237,25 @@
         deferred.merge(demand.service(), 1, Integer::sum);
       }
     }
-    int reported = loadReports.countReceivedSince(lastDeferralRoundNanos, now);
+    boolean exchanged = fleetLoad.hasExchangedSince(lastDeferralRoundNanos, peersExpected, now);
     if (deferred.isEmpty()
-        || !DeferredPlacement.mayBegin(reported, peersExpected, now - lastDeferralRoundNanos)) {
+        || !DeferredPlacement.mayBegin(exchanged, now - lastDeferralRoundNanos)) {
       return Map.of();
     }
     lastDeferralRoundNanos = now;
-    List<LoadReport> reports = loadReports.current(now);
-    int notReporting = Math.max(0, peersExpected - reports.size());
-    int others = reports.stream().mapToInt(LoadReport::liveWaiting).sum();
+    LoadTotals others = fleetLoad.others(now);
+    int notReporting = Math.max(0, peersExpected - others.reporters());
     Map<String, Integer> shares = new HashMap<>();
     deferred.forEach(
         (service, count) ->
             shares.put(
                 service,
                 DeferredPlacement.share(
-                    loads(service, Set.of()), count, others, notReporting, random.getAsDouble())));
+                    loads(service, Set.of()),
+                    count,
+                    others.liveWaiting(),
+                    notReporting,
+                    random.getAsDouble())));
     return shares;
   }
 
@@ -315,13 +324,15 @@
   }
 
   private void preemptItems() {
-    List<LoadReport> reports = loadReports.current(clock.nanos());
+    LoadTotals others = fleetLoad.others(clock.nanos());
     for (ServiceEndpoint endpoint : List.copyOf(endpointsByName.values())) {
       Occupancy ours = ownOccupancy.getOrDefault(endpoint.name(), Occupancy.NONE);
       if (ours.batch() > 0) {
         int preemptions =
             BatchPlacement.itemsToPreempt(
-                load(endpoint, reports), isFirstToPreempt(endpoint, reports));
+                load(endpoint, others),
+                isFirstToPreempt(endpoint, others),
+                RendezvousHashing.fraction(endpoint.name(), instance));
         for (int index = 0; index < preemptions; index++) {
           preemptItem(endpoint.name());
         }
@@ -339,14 +350,10 @@
    * Returns whether this instance is the first to preempt items among those that have items at the
    * endpoint.
    */
-  private boolean isFirstToPreempt(ServiceEndpoint endpoint, List<LoadReport> reports) {
-    List<String> holders = new ArrayList<>();
-    for (LoadReport report : reports) {
-      if (report.occupancy().getOrDefault(endpoint.name(), Occupancy.NONE).batch() > 0) {
-        holders.add(report.instance());
-      }
-    }
-    return RendezvousHashing.ranksFirst(endpoint.name(), instance, holders);
+  private boolean isFirstToPreempt(ServiceEndpoint endpoint, LoadTotals others) {
+    String name = endpoint.name();
+    String other = others.endpoints().getOrDefault(name, EndpointTotal.NONE).firstHolder();
+    return RendezvousHashing.first(name, instance, other).equals(instance);
   }
 
   /**
@@ -356,31 +363,31 @@
    *     instances still count as taken
    */
   private void startItems(List<ServiceEndpoint> endpoints, boolean reusesOwnSlot) {
-    List<LoadReport> reports = loadReports.current(clock.nanos());
-    int liveWaiting = waiting.size();
-    for (LoadReport report : reports) {
-      liveWaiting += report.liveWaiting();
-    }
+    LoadTotals others = fleetLoad.others(clock.nanos());
+    int liveWaiting = waiting.size() + others.liveWaiting();
     Set<String> services = batchSource.services();
     if (liveWaiting > 0 || services.isEmpty()) {
       return;
     }
+    Map<String, Double> fractions = new HashMap<>();
+    for (String service : services) {
+      fractions.put(service, BatchPlacement.startableFraction(loads(service, Set.of())));
+    }
     for (ServiceEndpoint endpoint : endpoints) {
-      if (!endpoint.draining() && services.contains(endpoint.service())) {
-        startItemsAt(endpoint, reports, reusesOwnSlot);
+      double fraction = fractions.getOrDefault(endpoint.service(), 0.0);
+      if (!endpoint.draining() && fraction > 0) {
+        startItemsAt(endpoint, others, fraction, reusesOwnSlot);
       }
     }
   }
 
   private void startItemsAt(
-      ServiceEndpoint endpoint, List<LoadReport> reports, boolean reusesOwnSlot) {
+      ServiceEndpoint endpoint, LoadTotals others, double fraction, boolean reusesOwnSlot) {
     int ownReady = batchSource.ready(endpoint.service());
-    int allReady = ownReady;
-    for (LoadReport report : reports) {
-      allReady += report.batchReady().getOrDefault(endpoint.service(), 0);
-    }
-    EndpointLoad load = load(endpoint, reports);
-    int allowed = BatchPlacement.allowance(load, ownReady, allReady, random.getAsDouble());
+    int allReady = ownReady + others.batchReady().getOrDefault(endpoint.service(), 0);
+    EndpointLoad load = load(endpoint, others);
+    int allowed =
+        BatchPlacement.allowance(load, fraction, ownReady, allReady, random.getAsDouble());
     if (reusesOwnSlot && load.free() > BatchPlacement.RESERVED_SLOTS) {
       allowed = Math.max(allowed, 1);
     }
@@ -394,22 +401,17 @@
         endpoint,
         workClass == WorkClass.LIVE ? new Occupancy(change, 0) : new Occupancy(0, change),
         (before, delta) -> before.plus(delta.live(), delta.batch()));
+    changeListener.run();
   }
 
-  private EndpointLoad load(ServiceEndpoint endpoint, List<LoadReport> reports) {
+  private EndpointLoad load(ServiceEndpoint endpoint, LoadTotals others) {
     Occupancy ours = ownOccupancy.getOrDefault(endpoint.name(), Occupancy.NONE);
-    int live = ours.live();
-    int items = ours.batch();
-    for (LoadReport report : reports) {
-      Occupancy theirs = report.occupancy().getOrDefault(endpoint.name(), Occupancy.NONE);
-      live += theirs.live();
-      items += theirs.batch();
-    }
+    EndpointTotal theirs = others.endpoints().getOrDefault(endpoint.name(), EndpointTotal.NONE);
     return new EndpointLoad(
         endpoint,
-        distance(endpoint.domain()),
-        live,
-        items,
+        distances.computeIfAbsent(endpoint.domain(), this::distance),
+        ours.live() + theirs.live(),
+        ours.batch() + theirs.batch(),
         ours.batch(),
         unregisteredNames.contains(endpoint.name())
             || health.isSuspect(endpoint.name(), clock.nanos()));
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LiveChoice.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LiveChoice.java
@@ -7,6 +7,5 @@
  *
  * @param endpoint the endpoint, not null
  * @param preemptBatch whether a batch item of this instance has to be preempted at the endpoint
- * @param queued whether the request is queued inside the endpoint until a slot is free
  */
-public record LiveChoice(ServiceEndpoint endpoint, boolean preemptBatch, boolean queued) {}
+public record LiveChoice(ServiceEndpoint endpoint, boolean preemptBatch) {}
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
@@ -1,9 +1,9 @@
 package org.sedgeroad.placement;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.function.DoubleSupplier;
+import java.util.function.ToIntFunction;
 
 /**
  * Chooses the endpoint for a live request.
@@ -19,41 +19,56 @@
    */
   public static final int MAXIMUM_QUEUE_IN_ENDPOINT = 2;
 
-  /** Additional load, as a fraction of the slots, that is accepted to stay in the region. */
-  private static final double OTHER_REGION_PENALTY = 0.2;
-
   /**
-   * Additional load, as a fraction of the slots, that is accepted to stay in the failure domain.
+   * Weight of an endpoint in another region, relative to one in this region with as many slots: its
+   * answers take tens of milliseconds longer and use the link between the regions.
    */
-  private static final double OTHER_DOMAIN_PENALTY = 0.02;
+  private static final double OTHER_REGION_WEIGHT = 0.1;
+
+  /** Weight of an endpoint in another failure domain of this region. */
+  private static final double OTHER_DOMAIN_WEIGHT = 0.9;
 
   private LivePlacement() {}
 
   /**
    * Returns the endpoint for a request, empty if the request has to wait.
    *
+   * <p>All instances choose by counts that are some tens of milliseconds old. If each one chose the
+   * least loaded endpoint, the requests of this time would all arrive there; so the choice is
+   * random, in proportion to the slots that can be had.
+   *
    * @param loads loads of the endpoints that the request may use
    * @param deferrable whether the request is late and can wait
+   * @param random source of random numbers from 0 (inclusive) to 1 (exclusive)
    */
-  public static Optional<LiveChoice> choose(List<EndpointLoad> loads, boolean deferrable) {
+  public static Optional<LiveChoice> choose(
+      List<EndpointLoad> loads, boolean deferrable, DoubleSupplier random) {
     List<EndpointLoad> candidates = healthy(loads);
-    return leastLoaded(candidates, load -> load.free() > 0, false)
-        .or(() -> leastLoaded(candidates, LivePlacement::hasPreemptibleItem, true))
-        .or(() -> leastLoaded(candidates, load -> hasCapacity(load, deferrable), false));
+    return weighted(candidates, EndpointLoad::free, random)
+        .map(load -> new LiveChoice(load.endpoint(), false))
+        .or(
+            () ->
+                weighted(candidates, LivePlacement::ownPreemptible, random)
+                    .map(load -> new LiveChoice(load.endpoint(), true)))
+        .or(
+            () ->
+                weighted(candidates, load -> load.endpoint().slots() - load.live(), random)
+                    .or(() -> weighted(candidates, load -> queueRoom(load, deferrable), random))
+                    .map(load -> new LiveChoice(load.endpoint(), false)));
   }
 
-  private static boolean hasPreemptibleItem(EndpointLoad load) {
-    return load.ownBatch() > 0 && load.live() < load.endpoint().slots();
+  /** Returns the number of own items at an endpoint that may give way to live requests. */
+  private static int ownPreemptible(EndpointLoad load) {
+    return Math.min(load.ownBatch(), load.endpoint().slots() - load.live());
   }
 
   /**
-   * Returns whether an endpoint has a slot without a live request, or room in its queue. An item of
-   * another instance in such a slot is preempted as soon as that instance receives the report of
-   * the request. A deferrable request is not queued behind live requests inside an endpoint,
-   * because a request that can still be on time could not overtake it there.
+   * Returns how many more requests may be queued inside an endpoint whose slots all have live
+   * requests. A deferrable request is not queued there, because a request that can still be on time
+   * could not overtake it.
    */
-  private static boolean hasCapacity(EndpointLoad load, boolean deferrable) {
-    return load.live() < load.endpoint().slots() + (deferrable ? 0 : MAXIMUM_QUEUE_IN_ENDPOINT);
+  private static int queueRoom(EndpointLoad load, boolean deferrable) {
+    return deferrable ? 0 : load.endpoint().slots() + MAXIMUM_QUEUE_IN_ENDPOINT - load.live();
   }
 
   /** Returns the endpoints that are not suspect, or all of them if each one is. */
@@ -62,23 +77,36 @@
     return healthy.isEmpty() ? loads : healthy;
   }
 
-  private static Optional<LiveChoice> leastLoaded(
-      List<EndpointLoad> loads, Predicate<EndpointLoad> condition, boolean preempt) {
-    return loads.stream()
-        .filter(condition)
-        .min(Comparator.comparingDouble(LivePlacement::score))
-        .map(load -> new LiveChoice(load.endpoint(), preempt, !preempt && load.free() <= 0));
+  /**
+   * Returns an endpoint at random, in proportion to its room and its nearness; empty if none has
+   * room.
+   */
+  private static Optional<EndpointLoad> weighted(
+      List<EndpointLoad> loads, ToIntFunction<EndpointLoad> room, DoubleSupplier random) {
+    double sum = 0;
+    for (EndpointLoad load : loads) {
+      sum += Math.max(0, room.applyAsInt(load)) * nearness(load);
+    }
+    double left = random.getAsDouble() * sum;
+    EndpointLoad last = null;
+    for (EndpointLoad load : loads) {
+      double weight = Math.max(0, room.applyAsInt(load)) * nearness(load);
+      if (weight > 0) {
+        last = load;
+        left -= weight;
+        if (left < 0) {
+          return Optional.of(load);
+        }
+      }
+    }
+    return Optional.ofNullable(last);
   }
 
-  private static double score(EndpointLoad load) {
-    // Batch items count less than live requests, because they can be preempted.
-    double occupied = load.live() + 0.5 * load.batch();
-    double penalty =
-        switch (load.distance()) {
-          case SAME_DOMAIN -> 0;
-          case SAME_REGION -> OTHER_DOMAIN_PENALTY;
-          case OTHER_REGION -> OTHER_REGION_PENALTY;
-        };
-    return occupied / Math.max(1, load.endpoint().slots()) + penalty;
+  private static double nearness(EndpointLoad load) {
+    return switch (load.distance()) {
+      case SAME_DOMAIN -> 1;
+      case SAME_REGION -> OTHER_DOMAIN_WEIGHT;
+      case OTHER_REGION -> OTHER_REGION_WEIGHT;
+    };
   }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
@@ -0,0 +1,39 @@
+package org.sedgeroad.presence;
+
+import java.util.List;
+
+/**
+ * Load and liveness of the other instances as known to this instance. Used on the event loop.
+ *
+ * <p>Times are readings of the monotonic clock in nanoseconds. Counts that are too old are left
+ * out.
+ */
+public interface FleetLoad {
+  /** Returns the sums of the loads of the other instances, never null. */
+  LoadTotals others(long nowNanos);
+
+  /**
+   * Returns whether the loads are known as they were after a time, with the work that this instance
+   * had then known to the others.
+   *
+   * @param sinceNanos the time
+   * @param expected number of other instances that are registered
+   * @param nowNanos current time
+   */
+  boolean hasExchangedSince(long sinceNanos, int expected, long nowNanos);
+
+  /**
+   * Returns whether an instance has reported within {@link LoadReportTable#FAILURE_TIMEOUT_MILLIS}
+   * and did not announce that it is leaving.
+   */
+  boolean isLive(String instance, long nowNanos);
+
+  /** Returns the names of the other instances that are live. */
+  List<String> liveInstances(long nowNanos);
+
+  /**
+   * Returns whether this instance itself may be cut off from the network: it has heard of several
+   * others, and none of them is live.
+   */
+  boolean isIsolated(long nowNanos);
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
@@ -0,0 +1,146 @@
+package org.sedgeroad.presence;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Load of the fleet from the summaries of the hubs of this instance's failure domain. Used on the
+ * event loop.
+ *
+ * <p>A summary contains the load of this instance as it was in the report that the hub had then.
+ * The view remembers what it has reported and takes it out again, so that the instance can add its
+ * work as it is now.
+ */
+public final class FleetLoadView implements FleetLoad {
+  /**
+   * Number of own reports that are remembered; a summary contains a report that is at most a few
+   * tens of milliseconds old, and an instance sends one in 5 ms at most.
+   */
+  private static final int REMEMBERED_REPORTS = 128;
+
+  /**
+   * Time that the work of other failure domains takes to reach this instance, in milliseconds: the
+   * pauses between two summaries on each part of the way, and room for one that is late.
+   */
+  private static final long EXCHANGE_MILLIS = 110;
+
+  private record Sent(LoadReport report, long sentNanos) {}
+
+  private record Heard(long heardNanos, boolean leaving) {}
+
+  private final String instance;
+  private final Map<String, DomainHub.Received> summaries = new HashMap<>();
+  private final Deque<Sent> sentReports = new ArrayDeque<>();
+  private final Map<String, Heard> heard = new HashMap<>();
+  private DomainHub.Received used;
+  private LoadTotals others = LoadTotals.NONE;
+  private long includedNanos;
+  private boolean includesOwnReport;
+
+  /** Creates a view of an instance that has received no summary. */
+  public FleetLoadView(String instance) {
+    this.instance = instance;
+  }
+
+  /** Remembers a report that this instance sends. */
+  void sent(LoadReport report, long nowNanos) {
+    sentReports.addLast(new Sent(report, nowNanos));
+    if (sentReports.size() > REMEMBERED_REPORTS) {
+      sentReports.removeFirst();
+    }
+  }
+
+  /**
+   * Stores a summary of the fleet; returns whether the loads of the others have changed.
+   *
+   * @param summary a summary of a hub of this failure domain
+   * @param nowNanos monotonic time of arrival, in nanoseconds
+   */
+  boolean receive(LoadSummary summary, long nowNanos) {
+    if (!DomainHub.store(summaries, summary, nowNanos)) {
+      return false;
+    }
+    summary.reporters().forEach((name, state) -> heard(name, state, nowNanos));
+    DomainHub.Received best = DomainHub.best(summaries, nowNanos);
+    if (best == used) {
+      return false;
+    }
+    used = best;
+    LoadTotals before = others;
+    takeOutOwnReport();
+    return !others.equals(before);
+  }
+
+  private void heard(String name, ReporterState state, long nowNanos) {
+    long heardNanos = nowNanos - state.ageMillis() * 1_000_000L;
+    Heard before = heard.get(name);
+    if (!name.equals(instance) && (before == null || heardNanos - before.heardNanos() >= 0)) {
+      heard.put(name, new Heard(heardNanos, state.leaving()));
+    }
+  }
+
+  private void takeOutOwnReport() {
+    LoadTotals totals = used.summary().totals();
+    ReporterState own = used.summary().reporters().get(instance);
+    others = totals;
+    includesOwnReport = false;
+    if (own == null) {
+      return;
+    }
+    for (Sent sent : sentReports) {
+      if (sent.report().incarnation() == own.incarnation()
+          && sent.report().sequence() == own.sequence()) {
+        others = totals.minus(sent.report());
+        includesOwnReport = true;
+        includedNanos = sent.sentNanos();
+      }
+    }
+  }
+
+  /** Returns whether an instance has announced that it is leaving. */
+  boolean isLeaving(String name) {
+    Heard last = heard.get(name);
+    return last != null && last.leaving();
+  }
+
+  @Override
+  public LoadTotals others(long nowNanos) {
+    boolean valid =
+        used != null
+            && nowNanos - used.receivedNanos() < LoadReportTable.COUNTS_VALID_MILLIS * 1_000_000L;
+    return valid ? others : LoadTotals.NONE;
+  }
+
+  /**
+   * Returns whether the summary in use contains a report that this instance sent after a time, and
+   * arrived late enough to contain the work that other failure domains had then.
+   */
+  @Override
+  public boolean hasExchangedSince(long sinceNanos, int expected, long nowNanos) {
+    return used != null
+        && includesOwnReport
+        && includedNanos - sinceNanos >= 0
+        && used.receivedNanos() - sinceNanos >= EXCHANGE_MILLIS * 1_000_000L;
+  }
+
+  @Override
+  public boolean isLive(String name, long nowNanos) {
+    Heard last = heard.get(name);
+    return last != null
+        && !last.leaving()
+        && nowNanos - last.heardNanos() < LoadReportTable.FAILURE_TIMEOUT_MILLIS * 1_000_000L;
+  }
+
+  @Override
+  public List<String> liveInstances(long nowNanos) {
+    return heard.keySet().stream().filter(name -> isLive(name, nowNanos)).toList();
+  }
+
+  @Override
+  public boolean isIsolated(long nowNanos) {
+    return heard.size() > 1 && liveInstances(nowNanos).isEmpty();
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessage.java
@@ -0,0 +1,4 @@
+package org.sedgeroad.presence;
+
+/** A message about load, sent from one instance to others in one datagram. */
+public sealed interface LoadMessage permits LoadReport, LoadSummary {}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
@@ -0,0 +1,182 @@
+package org.sedgeroad.presence;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes and decodes load messages as sequences of MessagePack values. */
+final class LoadMessageCodec {
+  /**
+   * Version of the layout, first value of each datagram; each change of the layout increases it.
+   */
+  private static final int LAYOUT = 2;
+
+  private static final int REPORT = 0;
+  private static final int DOMAIN_SUMMARY = 1;
+  private static final int FLEET_SUMMARY = 2;
+
+  private LoadMessageCodec() {}
+
+  static byte[] encode(LoadMessage message) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(LAYOUT);
+      if (message instanceof LoadReport report) {
+        packer.packInt(REPORT);
+        pack(packer, report);
+      } else if (message instanceof LoadSummary summary) {
+        packer.packInt(
+            summary.scope() == LoadSummary.Scope.DOMAIN ? DOMAIN_SUMMARY : FLEET_SUMMARY);
+        pack(packer, summary);
+      }
+      return packer.toByteArray();
+    }
+  }
+
+  static LoadMessage decode(byte[] bytes, int length) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
+      int layout = unpacker.unpackInt();
+      if (layout != LAYOUT) {
+        throw new IOException("unknown layout " + layout);
+      }
+      int kind = unpacker.unpackInt();
+      return switch (kind) {
+        case REPORT -> unpackReport(unpacker);
+        case DOMAIN_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.DOMAIN);
+        case FLEET_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.FLEET);
+        default -> throw new IOException("unknown kind " + kind);
+      };
+    } catch (RuntimeException malformed) {
+      // The unpacker throws unchecked exceptions for unexpected types.
+      throw new IOException("not a load message", malformed);
+    }
+  }
+
+  private static void pack(MessagePacker packer, LoadReport report) throws IOException {
+    packer.packString(report.instance());
+    packer.packLong(report.incarnation());
+    packer.packLong(report.sequence());
+    packer.packLong(report.configurationVersion());
+    packer.packInt(report.liveWaiting());
+    packCounts(packer, report.batchReady());
+    packCounts(packer, report.waitingTokens());
+    packer.packMapHeader(report.occupancy().size());
+    for (Map.Entry<String, Occupancy> entry : report.occupancy().entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packInt(entry.getValue().live());
+      packer.packInt(entry.getValue().batch());
+    }
+    packer.packBoolean(report.leaving());
+  }
+
+  private static LoadReport unpackReport(MessageUnpacker unpacker) throws IOException {
+    String instance = unpacker.unpackString();
+    long incarnation = unpacker.unpackLong();
+    long sequence = unpacker.unpackLong();
+    long version = unpacker.unpackLong();
+    int liveWaiting = unpacker.unpackInt();
+    Map<String, Integer> ready = unpackCounts(unpacker);
+    Map<String, Long> tokens = unpackLongCounts(unpacker);
+    Map<String, Occupancy> occupancy = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      occupancy.put(
+          unpacker.unpackString(), new Occupancy(unpacker.unpackInt(), unpacker.unpackInt()));
+    }
+    boolean leaving = unpacker.unpackBoolean();
+    return new LoadReport(
+        instance, incarnation, sequence, version, liveWaiting, ready, tokens, occupancy, leaving);
+  }
+
+  private static void pack(MessagePacker packer, LoadSummary summary) throws IOException {
+    packer.packString(summary.hub());
+    packer.packString(summary.domain());
+    packer.packLong(summary.incarnation());
+    packer.packLong(summary.sequence());
+    LoadTotals totals = summary.totals();
+    packer.packInt(totals.reporters());
+    packer.packLong(totals.configurationVersion());
+    packer.packInt(totals.liveWaiting());
+    packCounts(packer, totals.batchReady());
+    packCounts(packer, totals.waitingTokens());
+    packer.packMapHeader(totals.endpoints().size());
+    for (Map.Entry<String, EndpointTotal> entry : totals.endpoints().entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packInt(entry.getValue().live());
+      packer.packInt(entry.getValue().batch());
+      packer.packString(entry.getValue().firstHolder());
+    }
+    packer.packMapHeader(summary.reporters().size());
+    for (Map.Entry<String, ReporterState> entry : summary.reporters().entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packLong(entry.getValue().incarnation());
+      packer.packLong(entry.getValue().sequence());
+      packer.packInt(entry.getValue().ageMillis());
+      packer.packBoolean(entry.getValue().leaving());
+    }
+  }
+
+  private static LoadSummary unpackSummary(MessageUnpacker unpacker, LoadSummary.Scope scope)
+      throws IOException {
+    String hub = unpacker.unpackString();
+    String domain = unpacker.unpackString();
+    long incarnation = unpacker.unpackLong();
+    long sequence = unpacker.unpackLong();
+    int reporterCount = unpacker.unpackInt();
+    long version = unpacker.unpackLong();
+    int liveWaiting = unpacker.unpackInt();
+    Map<String, Integer> ready = unpackCounts(unpacker);
+    Map<String, Long> tokens = unpackLongCounts(unpacker);
+    Map<String, EndpointTotal> endpoints = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      endpoints.put(
+          unpacker.unpackString(),
+          new EndpointTotal(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackString()));
+    }
+    Map<String, ReporterState> reporters = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      reporters.put(
+          unpacker.unpackString(),
+          new ReporterState(
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              unpacker.unpackInt(),
+              unpacker.unpackBoolean()));
+    }
+    return new LoadSummary(
+        scope,
+        hub,
+        domain,
+        incarnation,
+        sequence,
+        new LoadTotals(reporterCount, version, liveWaiting, ready, tokens, endpoints),
+        reporters);
+  }
+
+  private static void packCounts(MessagePacker packer, Map<String, ? extends Number> counts)
+      throws IOException {
+    packer.packMapHeader(counts.size());
+    for (Map.Entry<String, ? extends Number> entry : counts.entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packLong(entry.getValue().longValue());
+    }
+  }
+
+  private static Map<String, Integer> unpackCounts(MessageUnpacker unpacker) throws IOException {
+    Map<String, Integer> counts = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      counts.put(unpacker.unpackString(), unpacker.unpackInt());
+    }
+    return counts;
+  }
+
+  private static Map<String, Long> unpackLongCounts(MessageUnpacker unpacker) throws IOException {
+    Map<String, Long> counts = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      counts.put(unpacker.unpackString(), unpacker.unpackLong());
+    }
+    return counts;
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
@@ -25,7 +25,8 @@
     Map<String, Integer> batchReady,
     Map<String, Long> waitingTokens,
     Map<String, Occupancy> occupancy,
-    boolean leaving) {
+    boolean leaving)
+    implements LoadMessage {
 
   /**
    * Copies the maps.
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
@@ -6,10 +6,14 @@
 import java.util.Map;
 
 /**
- * Table of the newest report of each other instance with its time of arrival. Used on the event
- * loop.
+ * Table of the newest report of each of several instances with its time of arrival. Used on the
+ * event loop.
+ *
+ * <p>If each instance sends its reports to all others, the table is all that an instance knows of
+ * the fleet; the cost of such an exchange grows with the square of the number of instances. A hub
+ * keeps a table of the instances of its failure domain.
  */
-public final class LoadReportTable {
+public final class LoadReportTable implements FleetLoad {
   /**
    * Age from which the counts of a report are no longer used, in milliseconds. An instance reports
    * changing work every 50 ms, so that several lost datagrams in a row do not hide it, and
@@ -24,15 +28,7 @@
    */
   public static final long FAILURE_TIMEOUT_MILLIS = 2_500;
 
-  /**
-   * A received report.
-   *
-   * @param report the report
-   * @param receivedNanos monotonic time of arrival, in nanoseconds
-   * @param previousIncarnation incarnation of the previous process, or of the process that sent
-   *     this report if no previous process is known
-   */
-  private record Received(LoadReport report, long receivedNanos, long previousIncarnation) {}
+  private record Received(LoadReport report, long receivedNanos, MessageOrder order) {}
 
   private final Map<String, Received> reports = new HashMap<>();
 
@@ -45,21 +41,14 @@
    */
   public boolean receive(LoadReport report, long nowNanos) {
     Received before = reports.get(report.instance());
-    long previousIncarnation = report.incarnation();
-    if (before != null && report.incarnation() == before.report().incarnation()) {
-      if (report.sequence() <= before.report().sequence()) {
-        return false;
-      }
-      previousIncarnation = before.previousIncarnation();
-    } else if (before != null) {
-      // Incarnations are random, so a new process may have a lower one than the previous process.
-      // They are compared for equality only.
-      if (report.incarnation() == before.previousIncarnation()) {
-        return false;
-      }
-      previousIncarnation = before.report().incarnation();
+    if (before != null && !before.order().isNewer(report.incarnation(), report.sequence())) {
+      return false;
     }
-    reports.put(report.instance(), new Received(report, nowNanos, previousIncarnation));
+    MessageOrder order =
+        before == null
+            ? MessageOrder.first(report.incarnation(), report.sequence())
+            : before.order().after(report.incarnation(), report.sequence());
+    reports.put(report.instance(), new Received(report, nowNanos, order));
     return true;
   }
 
@@ -75,24 +64,40 @@
   }
 
   /**
-   * Returns the number of reports whose counts are valid and that arrived after a time.
-   *
-   * @param sinceNanos monotonic time after which a report counts, in nanoseconds
-   * @param nowNanos current monotonic time, in nanoseconds
+   * Returns the states of the instances whose counts are valid at a monotonic time in nanoseconds.
    */
-  public int countReceivedSince(long sinceNanos, long nowNanos) {
+  Map<String, ReporterState> reporters(long nowNanos) {
+    Map<String, ReporterState> states = new HashMap<>();
+    for (Received received : reports.values()) {
+      long ageMillis = (nowNanos - received.receivedNanos()) / 1_000_000L;
+      if (ageMillis < COUNTS_VALID_MILLIS) {
+        LoadReport report = received.report();
+        states.put(
+            report.instance(),
+            new ReporterState(
+                report.incarnation(), report.sequence(), (int) ageMillis, report.leaving()));
+      }
+    }
+    return states;
+  }
+
+  @Override
+  public LoadTotals others(long nowNanos) {
+    return LoadTotals.ofReports(current(nowNanos));
+  }
+
+  /** Returns whether all other instances have reported since a time; see {@link FleetLoad}. */
+  @Override
+  public boolean hasExchangedSince(long sinceNanos, int expected, long nowNanos) {
     int count = 0;
     for (Received received : reports.values()) {
       boolean valid = nowNanos - received.receivedNanos() < COUNTS_VALID_MILLIS * 1_000_000L;
       count += valid && received.receivedNanos() - sinceNanos > 0 ? 1 : 0;
     }
-    return count;
+    return count >= expected;
   }
 
-  /**
-   * Returns whether an instance has reported within {@link #FAILURE_TIMEOUT_MILLIS} before a
-   * monotonic time in nanoseconds and did not announce that it is leaving.
-   */
+  @Override
   public boolean isLive(String instance, long nowNanos) {
     Received received = reports.get(instance);
     return received != null
@@ -100,24 +105,13 @@
         && nowNanos - received.receivedNanos() < FAILURE_TIMEOUT_MILLIS * 1_000_000L;
   }
 
-  /**
-   * Returns whether this instance itself may be cut off from the network: it has received reports
-   * of several others, and none of them is live at a monotonic time in nanoseconds.
-   */
+  @Override
   public boolean isIsolated(long nowNanos) {
     return reports.size() > 1 && liveInstances(nowNanos).isEmpty();
   }
 
-  /** Returns the names of the instances that are live at a monotonic time in nanoseconds. */
+  @Override
   public List<String> liveInstances(long nowNanos) {
     return reports.keySet().stream().filter(name -> isLive(name, nowNanos)).toList();
   }
-
-  /**
-   * Returns the newest configuration version in the reports whose counts are valid at a monotonic
-   * time in nanoseconds, 0 if there are none.
-   */
-  public long newestConfigurationVersion(long nowNanos) {
-    return current(nowNanos).stream().mapToLong(LoadReport::configurationVersion).max().orElse(0);
-  }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
@@ -0,0 +1,100 @@
+package org.sedgeroad.presence;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Sums of the loads of several instances. No component may be null.
+ *
+ * @param reporters number of instances
+ * @param configurationVersion newest configuration version in force at one of them, 0 without any
+ * @param liveWaiting number of live requests that wait for a slot
+ * @param batchReady number of batch items that could start, by service
+ * @param waitingTokens tokens of unfinished items, by route
+ * @param endpoints work at the endpoints by name, without endpoints that have none
+ */
+public record LoadTotals(
+    int reporters,
+    long configurationVersion,
+    int liveWaiting,
+    Map<String, Integer> batchReady,
+    Map<String, Long> waitingTokens,
+    Map<String, EndpointTotal> endpoints) {
+  /** The sums of no instance. */
+  public static final LoadTotals NONE = new LoadTotals(0, 0, 0, Map.of(), Map.of(), Map.of());
+
+  /**
+   * Copies the maps.
+   *
+   * @throws NullPointerException if a component is null
+   */
+  public LoadTotals {
+    batchReady = Map.copyOf(batchReady);
+    waitingTokens = Map.copyOf(waitingTokens);
+    endpoints = Map.copyOf(endpoints);
+  }
+
+  /** Returns the sums of reports of different instances. */
+  public static LoadTotals ofReports(Collection<LoadReport> reports) {
+    return sum(reports.stream().map(LoadTotals::of).toList());
+  }
+
+  /** Returns the sums of totals of different instances. */
+  public static LoadTotals sum(List<LoadTotals> parts) {
+    if (parts.size() == 1) {
+      return parts.get(0);
+    }
+    int reporters = 0;
+    long version = 0;
+    int liveWaiting = 0;
+    Map<String, Integer> ready = new HashMap<>();
+    Map<String, Long> tokens = new HashMap<>();
+    Map<String, EndpointTotal> endpoints = new HashMap<>();
+    for (LoadTotals part : parts) {
+      reporters += part.reporters;
+      version = Math.max(version, part.configurationVersion);
+      liveWaiting += part.liveWaiting;
+      part.batchReady.forEach((service, count) -> ready.merge(service, count, Integer::sum));
+      part.waitingTokens.forEach((route, count) -> tokens.merge(route, count, Long::sum));
+      part.endpoints.forEach(
+          (name, total) ->
+              endpoints.merge(name, total, (before, other) -> before.plus(name, other)));
+    }
+    return new LoadTotals(reporters, version, liveWaiting, ready, tokens, endpoints);
+  }
+
+  /** Returns these sums without the report of one of the instances. */
+  public LoadTotals minus(LoadReport report) {
+    Map<String, Integer> ready = new HashMap<>(batchReady);
+    report.batchReady().forEach((service, count) -> ready.merge(service, -count, Integer::sum));
+    Map<String, Long> tokens = new HashMap<>(waitingTokens);
+    report.waitingTokens().forEach((route, count) -> tokens.merge(route, -count, Long::sum));
+    Map<String, EndpointTotal> left = new HashMap<>(endpoints);
+    report
+        .occupancy()
+        .forEach((name, work) -> left.computeIfPresent(name, (key, total) -> total.minus(work)));
+    return new LoadTotals(
+        Math.max(0, reporters - 1),
+        configurationVersion,
+        Math.max(0, liveWaiting - report.liveWaiting()),
+        ready,
+        tokens,
+        left);
+  }
+
+  private static LoadTotals of(LoadReport report) {
+    Map<String, EndpointTotal> endpoints = new HashMap<>();
+    report
+        .occupancy()
+        .forEach((name, work) -> endpoints.put(name, EndpointTotal.of(work, report.instance())));
+    return new LoadTotals(
+        1,
+        report.configurationVersion(),
+        report.liveWaiting(),
+        report.batchReady(),
+        report.waitingTokens(),
+        endpoints);
+  }
+}
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/DeferredPlacementTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/DeferredPlacementTest.java
@@ -57,15 +57,15 @@
   @Nested
   class Round {
     @Test
-    void beginsWhenAllHaveReported() {
-      assertTrue(DeferredPlacement.mayBegin(8, 8, 1));
-      assertFalse(DeferredPlacement.mayBegin(7, 8, 1));
+    void beginsWhenTheLoadsWereExchanged() {
+      assertTrue(DeferredPlacement.mayBegin(true, 1));
+      assertFalse(DeferredPlacement.mayBegin(false, 1));
     }
 
     @Test
-    void beginsAfterATimeoutWithoutReports() {
+    void beginsAfterATimeoutWithoutAnExchange() {
       assertTrue(
-          DeferredPlacement.mayBegin(0, 8, DeferredPlacement.ROUND_TIMEOUT_MILLIS * 1_000_000L));
+          DeferredPlacement.mayBegin(false, DeferredPlacement.ROUND_TIMEOUT_MILLIS * 1_000_000L));
     }
   }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -9,16 +9,19 @@
 import java.util.Random;
 import java.util.Set;
 import org.sedgeroad.gateway.ServiceEndpoint;
+import org.sedgeroad.presence.FleetLoad;
+import org.sedgeroad.presence.HubExchange;
+import org.sedgeroad.presence.LoadMessage;
 import org.sedgeroad.presence.LoadReport;
 import org.sedgeroad.presence.LoadReportTable;
 
 /**
  * Simulates live requests beside batch jobs on several instances that share engines. The live load
  * alternates: low load for 3.8 s, then a peak of nearly five times as many requests for 2.8 s.
+ * Instances and engines are spread over failure domains of one region.
  */
 final class PeakLoadSimulation {
-  static final double REPORT_MILLIS = 50;
-  private static final double URGENT_REPORT_MILLIS = 5;
+  private static final double REPORT_DELAY_MILLIS = 5;
   private static final double NETWORK_MILLIS = 3;
   private static final double LOW_LOAD_MILLIS = 3_800;
   private static final double CYCLE_MILLIS = 6_600;
@@ -27,9 +30,19 @@
   private static final double CLIENT_TIMEOUT_MILLIS = 5_000;
   private static final String SERVICE = "engine";
 
+  /** Ways in which the instances learn each other's loads. */
+  enum Exchange {
+    /** Each instance sends its reports to all others, every 50 ms. */
+    DIRECT,
+    /** Reports go to the hubs of the failure domain, which publish the sums. */
+    HUBS
+  }
+
   /**
    * Simulated deployment and its load.
    *
+   * @param exchange how the instances learn each other's loads
+   * @param domains number of failure domains
    * @param instances number of instances
    * @param engines number of engines with 8 slots each
    * @param livePerSecond mean arrival rate of live requests, per second
@@ -43,6 +56,8 @@
    *     as after an outage
    */
   record Load(
+      Exchange exchange,
+      int domains,
       int instances,
       int engines,
       double livePerSecond,
@@ -54,10 +69,37 @@
       double dueMillis,
       int returning) {
     /** Nine instances, eight engines: live work takes 44% of the slots, batch work 37%. */
-    static final Load TYPICAL = new Load(9, 8, 39, 0.377, 1.84, 720, 0.48, 4_900, 18_000, 0);
+    static final Load TYPICAL =
+        new Load(Exchange.HUBS, 3, 9, 8, 39, 0.377, 1.84, 720, 0.48, 4_900, 18_000, 0);
+
+    /** As typical, on 80 instances in six failure domains that share 29 engines. */
+    static final Load LARGE =
+        new Load(Exchange.HUBS, 6, 80, 29, 141, 0.377, 1.84, 720, 1.74, 4_900, 18_000, 0);
+
+    /** As typical, on 410 instances in 13 failure domains that share 150 engines. */
+    static final Load VERY_LARGE =
+        new Load(Exchange.HUBS, 13, 410, 150, 731, 0.377, 1.84, 720, 9, 4_900, 18_000, 0);
+
+    Load withExchange(Exchange next) {
+      return new Load(
+          next,
+          domains,
+          instances,
+          engines,
+          livePerSecond,
+          lowLoad,
+          peakLoad,
+          liveMillis,
+          jobsPerSecond,
+          itemMillis,
+          dueMillis,
+          returning);
+    }
 
     Load withEngines(int next) {
       return new Load(
+          exchange,
+          domains,
           instances,
           next,
           livePerSecond,
@@ -72,6 +114,8 @@
 
     Load withReturning(int next) {
       return new Load(
+          exchange,
+          domains,
           instances,
           engines,
           livePerSecond,
@@ -96,6 +140,8 @@
    *     2 s after the returning requests had begun to arrive
    * @param unserved number of live requests that got no slot before the client timeout, divided by
    *     the sum of this number and the number of measured requests that started
+   * @param messages number of load messages that an instance received in a second
+   * @param mostMessages the same for the instance that received most
    */
   record Figures(
       double liveOnTime,
@@ -103,7 +149,9 @@
       double preemptions,
       double utilization,
       double freshOnTime,
-      double unserved) {}
+      double unserved,
+      double messages,
+      double mostMessages) {}
 
   private final Load load;
   private final VirtualTime time = new VirtualTime();
@@ -116,6 +164,8 @@
   private final Map<String, SimulatedEngine> engines = new HashMap<>();
   private final List<ServiceEndpoint> endpoints = new ArrayList<>();
   private final List<Instance> instances = new ArrayList<>();
+  private final Map<String, Instance> instancesByName = new HashMap<>();
+  private final Map<String, String> domainsByInstance = new HashMap<>();
   private int live;
   private int liveOnTime;
   private int fresh;
@@ -137,16 +187,26 @@
     for (int number = 0; number < load.engines(); number++) {
       String name = "engine-" + number;
       engines.put(name, new SimulatedEngine(time, 8));
-      endpoints.add(new ServiceEndpoint(name, SERVICE, "10.0.0." + number + ":80", "a", 8, false));
+      endpoints.add(
+          new ServiceEndpoint(name, SERVICE, "10.0.0." + number + ":80", domain(number), 8, false));
+    }
+    for (int number = 0; number < load.instances(); number++) {
+      domainsByInstance.put("instance-" + number, domain(number));
     }
     for (int number = 0; number < load.instances(); number++) {
-      instances.add(new Instance("instance-" + number));
+      Instance instance = new Instance("instance-" + number, domain(number));
+      instances.add(instance);
+      instancesByName.put(instance.name, instance);
     }
   }
 
+  private String domain(int number) {
+    return "domain-" + number % load.domains();
+  }
+
   /** Runs the load once for each seed from 1 to {@code seeds} and returns the mean figures. */
   static Figures mean(Load load, int seeds, double seconds) {
-    double[] sums = new double[6];
+    double[] sums = new double[8];
     for (int seed = 1; seed <= seeds; seed++) {
       Figures figures = new PeakLoadSimulation(load, seed).run(seconds);
       sums[0] += figures.liveOnTime();
@@ -155,6 +215,8 @@
       sums[3] += figures.utilization();
       sums[4] += figures.freshOnTime();
       sums[5] += figures.unserved();
+      sums[6] += figures.messages();
+      sums[7] += figures.mostMessages();
     }
     return new Figures(
         sums[0] / seeds,
@@ -162,7 +224,9 @@
         sums[2] / seeds,
         sums[3] / seeds,
         sums[4] / seeds,
-        sums[5] / seeds);
+        sums[5] / seeds,
+        sums[6] / seeds,
+        sums[7] / seeds);
   }
 
   /**
@@ -172,7 +236,8 @@
   Figures run(double seconds) {
     measuredFromMillis = 5_000;
     measuredUntilMillis = seconds * 1_000 - load.dueMillis();
-    instances.forEach(instance -> time.after(random.nextDouble() * REPORT_MILLIS, instance::tick));
+    instances.forEach(
+        instance -> time.after(random.nextDouble() * HubExchange.TICK_MILLIS, instance::tick));
     scheduleLive();
     scheduleJob();
     if (load.returning() > 0) {
@@ -186,7 +251,9 @@
         (double) preemptions / Math.max(1, itemsEnded),
         busy / (seconds * 1_000 * 8 * load.engines()),
         (double) freshOnTime / Math.max(1, fresh),
-        (double) unserved / Math.max(1, live + unserved));
+        (double) unserved / Math.max(1, live + unserved),
+        instances.stream().mapToInt(instance -> instance.received).average().orElse(0) / seconds,
+        instances.stream().mapToInt(instance -> instance.received).max().orElse(0) / seconds);
   }
 
   private void scheduleLive() {
@@ -221,6 +288,12 @@
         });
   }
 
+  private Map<String, String> domainsOfOthers(String name) {
+    Map<String, String> domains = new HashMap<>(domainsByInstance);
+    domains.remove(name);
+    return domains;
+  }
+
   private boolean isMeasured(double atMillis) {
     return atMillis >= measuredFromMillis && atMillis < measuredUntilMillis;
   }
@@ -244,25 +317,43 @@
   /** One instance with its own dispatcher and its own reports of the others. */
   private final class Instance implements BatchSource {
     private final String name;
-    private final LoadReportTable loadReports = new LoadReportTable();
+    private final LoadReportTable directReports = new LoadReportTable();
+    private final HubExchange hubExchange;
     private final Dispatcher dispatcher;
     private final List<Item> items = new ArrayList<>();
     private final Map<String, List<Run>> runs = new HashMap<>();
     private long sequence;
     private boolean reportScheduled;
+    private int received;
 
-    Instance(String name) {
+    Instance(String name, String domain) {
       this.name = name;
+      this.hubExchange =
+          new HubExchange(
+              name,
+              domain,
+              1,
+              () -> domainsOfOthers(name),
+              (message, names) ->
+                  names.forEach(
+                      receiver ->
+                          time.after(
+                              NETWORK_MILLIS,
+                              () -> instancesByName.get(receiver).receive(message))),
+              time,
+              time,
+              () -> this.dispatcher().refresh());
+      FleetLoad fleetLoad = load.exchange() == Exchange.HUBS ? hubExchange.view() : directReports;
       this.dispatcher =
-          new Dispatcher(name, "a", domain -> "region", loadReports, time, random::nextDouble);
+          new Dispatcher(name, domain, key -> "region", fleetLoad, time, random::nextDouble);
       dispatcher.setEndpoints(endpoints, List.of());
       dispatcher.setBatchSource(this);
-      dispatcher.setPressureListener(
+      dispatcher.setChangeListener(
           () -> {
-            if (!reportScheduled) {
+            if (load.exchange() == Exchange.HUBS && !reportScheduled) {
               reportScheduled = true;
               time.after(
-                  URGENT_REPORT_MILLIS,
+                  REPORT_DELAY_MILLIS,
                   () -> {
                     reportScheduled = false;
                     report();
@@ -271,13 +362,20 @@
           });
     }
 
+    private Dispatcher dispatcher() {
+      return dispatcher;
+    }
+
     void tick() {
+      if (load.exchange() == Exchange.HUBS) {
+        hubExchange.tick();
+      }
+      dispatcher.tick(instances.size() - 1);
       report();
-      time.after(REPORT_MILLIS, this::tick);
+      time.after(HubExchange.TICK_MILLIS, this::tick);
     }
 
     private void report() {
-      dispatcher.tick(instances.size() - 1);
       LoadReport report =
           new LoadReport(
               name,
@@ -289,6 +387,10 @@
               Map.of(),
               dispatcher.occupancy(),
               false);
+      if (load.exchange() == Exchange.HUBS) {
+        hubExchange.report(report);
+        return;
+      }
       for (Instance other : instances) {
         if (other != this) {
           time.after(NETWORK_MILLIS, () -> other.receive(report));
@@ -296,9 +398,14 @@
       }
     }
 
-    private void receive(LoadReport report) {
-      loadReports.receive(report, time.nanos());
-      dispatcher.refresh();
+    private void receive(LoadMessage message) {
+      received++;
+      if (load.exchange() == Exchange.HUBS) {
+        hubExchange.receive(message);
+      } else {
+        directReports.receive((LoadReport) message, time.nanos());
+        dispatcher.refresh();
+      }
     }
 
     /** Submits a request whose client had already waited for a time before it arrived here. */
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/LoadReportCodecTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
@@ -12,7 +12,7 @@
  * Guards against report fields that are lost or changed by encoding, and against malformed
  * datagrams that stop the receiving thread.
  */
-class LoadReportCodecTest {
+class LoadMessageCodecTest {
   private static final LoadReport REPORT =
       new LoadReport(
           "a",
@@ -29,18 +29,18 @@
   class Encoding {
     @Test
     void keepsAllFields() throws IOException {
-      byte[] bytes = LoadReportCodec.encode(REPORT);
-      assertEquals(REPORT, LoadReportCodec.decode(bytes, bytes.length));
+      byte[] bytes = LoadMessageCodec.encode(REPORT);
+      assertEquals(REPORT, LoadMessageCodec.decode(bytes, bytes.length));
     }
 
     @Test
     void rejectsMalformedReports() throws IOException {
-      byte[] bytes = LoadReportCodec.encode(REPORT);
+      byte[] bytes = LoadMessageCodec.encode(REPORT);
       for (int length = 0; length < bytes.length; length++) {
         int cut = length;
-        assertThrows(IOException.class, () -> LoadReportCodec.decode(bytes, cut));
+        assertThrows(IOException.class, () -> LoadMessageCodec.decode(bytes, cut));
       }
-      assertThrows(IOException.class, () -> LoadReportCodec.decode(new byte[] {1, 2, 3, 4}, 4));
+      assertThrows(IOException.class, () -> LoadMessageCodec.decode(new byte[] {1, 2, 3, 4}, 4));
     }
   }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/LoadReportTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadReportTableTest.java
@@ -62,6 +62,20 @@
     }
   }
 
+  @Nested
+  class Exchanged {
+    @Test
+    void onlyIfAllOthersHaveReportedSince() {
+      table.receive(report("a", 1, 1), 5 * MILLI);
+      table.receive(report("b", 1, 1), 15 * MILLI);
+      assertFalse(table.hasExchangedSince(10 * MILLI, 2, 20 * MILLI));
+      table.receive(report("a", 1, 2), 16 * MILLI);
+      assertTrue(table.hasExchangedSince(10 * MILLI, 2, 20 * MILLI));
+      assertFalse(table.hasExchangedSince(10 * MILLI, 3, 20 * MILLI));
+      assertFalse(table.hasExchangedSince(10 * MILLI, 2, 700 * MILLI));
+    }
+  }
+
   @Nested
   class Isolation {
     @Test
