Let few instances watch all jobs, and let watches wait longer

Each instance watched four kinds with waits of 4 s, and each change of a job was an answer for every instance.

Change: the first hub of a failure domain watches the heads of all jobs; the others list them once and look a head up when they need it, first with a stale read. End and takeover of a job are told to the owner until it answers; an owner that finds another's results reads the head again. The wait of a watch grows with the number of instances; reports carry the newest endpoint change, and an instance that a peer is ahead of lists again. Retry-After of the store may have a fraction.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
@@ -91,6 +91,11 @@
     return writer.store().get(JOBS, job);
   }
 
+  /** Reads the object that contains the head of a job as it was some seconds ago or later. */
+  public StoreResult<StoredObject> readStale(String job) {
+    return writer.store().getStale(JOBS, job);
+  }
+
   /** Returns the job head that an object contains. */
   public static JobHead decode(StoredObject object) {
     return JobCodec.decodeHead(object.name(), object.spec());
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.gateway.EndpointCall;
@@ -53,13 +54,21 @@
   private final BatchDependencies dependencies;
   private final ItemDurationEstimator durationEstimator = new ItemDurationEstimator();
   private final ResultAppender appender;
+  private Consumer<String> conflictListener = id -> {};
   private final Map<String, OwnedJob> jobs = new HashMap<>();
   private final Map<String, List<ItemRun>> runsByEndpoint = new HashMap<>();
 
   /** Creates a runner without jobs. */
   public OwnedJobRunner(BatchDependencies dependencies) {
     this.dependencies = dependencies;
-    this.appender = new ResultAppender(dependencies, this::scheduleAppend);
+    this.appender =
+        new ResultAppender(
+            dependencies, this::scheduleAppend, job -> conflictListener.accept(job.head().id()));
+  }
+
+  /** Sets the receiver of the ids of jobs of which another instance has stored results. */
+  void setConflictListener(Consumer<String> listener) {
+    conflictListener = listener;
   }
 
   /** Starts running a job whose stored results have been loaded. */
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.gateway.Route;
@@ -45,6 +48,12 @@
    */
   private static final long STORE_RETRY_MILLIS = 500;
 
+  /** Delay before a notification that got no answer is sent again, in milliseconds. */
+  private static final long NOTICE_RETRY_MILLIS = 400;
+
+  /** Number of times that a notification is sent; an instance that freezes does so for seconds. */
+  private static final int NOTICE_ATTEMPTS = 50;
+
   private final BatchDependencies context;
   private final OwnedJobRunner runner;
   private final PeerJobs peerJobs;
@@ -59,6 +68,7 @@
   // takeover write is answered.
   private final Set<String> takingOver = new HashSet<>();
 
+  private final Map<String, Long> orphanTokens = new HashMap<>();
   private final long takeoversAllowedFromNanos;
   private boolean deleting;
 
@@ -69,6 +79,7 @@
     this.peerJobs = peerJobs;
     this.storedResults = new StoredResults(context);
     this.logRefresher = new ResultLogRefresher(context);
+    runner.setConflictListener(this::readHeadAgain);
     this.takeoversAllowedFromNanos = context.clock().deadlineAfterMillis(TAKEOVER_DELAY_MILLIS);
   }
 
@@ -138,10 +149,11 @@
             return;
           }
           answerFromOwnerOrStore(
-              peerJobs.results(head.owner(), id, after, deadlineNanos),
+              head,
+              owner -> peerJobs.results(owner, id, after, deadlineNanos),
               ReadResult.Page.class,
               result,
-              () -> storedResults.read(head, after, result));
+              current -> storedResults.read(current, after, result));
         });
   }
 
@@ -158,10 +170,11 @@
         result,
         head ->
             answerFromOwnerOrStore(
-                peerJobs.body(head.owner(), id, item),
+                head,
+                owner -> peerJobs.body(owner, id, item),
                 ReadResult.Body.class,
                 result,
-                () -> readStoredBody(head, item, result)));
+                current -> readStoredBody(current, item, result)));
   }
 
   /** Marks a job as ended on behalf of a client and stops its items. */
@@ -220,8 +233,14 @@
     }
   }
 
-  /** Takes over jobs whose owner is considered failed. Called several times a second. */
-  public void takeOverOrphanedJobs() {
+  /**
+   * Takes over jobs whose owner is considered failed. Called several times a second while this
+   * instance watches all jobs.
+   *
+   * @param watchers names of the live instances that watch all jobs; for each orphaned job, one of
+   *     them is responsible
+   */
+  public void takeOverOrphanedJobs(Collection<String> watchers) {
     long now = context.clock().nanos();
     List<String> liveInstances = context.fleetLoad().liveInstances(now);
     if (now - takeoversAllowedFromNanos < 0 || context.fleetLoad().isIsolated(now)) {
@@ -234,19 +253,30 @@
           && !liveInstances.contains(owner)
           && !storedResults.isComplete(job.head())
           && !takingOver.contains(job.head().id())
-          && RendezvousHashing.ranksFirst(job.head().id(), context.instance(), liveInstances)) {
+          && RendezvousHashing.ranksFirst(job.head().id(), context.instance(), watchers)) {
         takeOver(job);
       }
     }
   }
 
-  /** Deletes one finished job whose retention time has passed. Called several times a second. */
-  public void deleteExpiredJob() {
+  /**
+   * Deletes one finished job whose retention time has passed, and forgets the heads of expired jobs
+   * of other instances unless this instance watches all jobs. Called several times a second.
+   *
+   * @param watchers names of the live instances that watch all jobs
+   */
+  public void deleteExpiredJob(Collection<String> watchers) {
     long now = context.clock().nanos();
+    boolean watching = watchers.contains(context.instance());
+    if (!watching) {
+      jobHeads.all().stream()
+          .filter(job -> isExpired(job, now) && !job.head().owner().equals(context.instance()))
+          .forEach(job -> remove(job.head().id()));
+    }
     if (!deleting && !context.fleetLoad().isIsolated(now)) {
       List<String> liveInstances = context.fleetLoad().liveInstances(now);
       jobHeads.all().stream()
-          .filter(job -> isExpired(job, now) && mayDelete(job.head(), liveInstances))
+          .filter(job -> isExpired(job, now) && mayDelete(job.head(), liveInstances, watchers))
           .findFirst()
           .ifPresent(this::delete);
     }
@@ -257,13 +287,14 @@
   }
 
   /** Returns whether a job is finished and this instance is responsible for deleting it. */
-  private boolean mayDelete(JobHead head, List<String> liveInstances) {
+  private boolean mayDelete(JobHead head, List<String> liveInstances, Collection<String> watchers) {
     if (head.owner().equals(context.instance())) {
       return runner.job(head.id()).map(job -> job.isComplete() || job.isEnded()).orElse(false);
     }
     return !liveInstances.contains(head.owner())
         && (head.ended() || storedResults.isComplete(head))
-        && RendezvousHashing.ranksFirst(head.id(), context.instance(), liveInstances);
+        && watchers.contains(context.instance())
+        && RendezvousHashing.ranksFirst(head.id(), context.instance(), watchers);
   }
 
   private void delete(JobHeadCache.CachedJob job) {
@@ -307,24 +338,46 @@
       tokens += pending;
     }
     tokens += context.fleetLoad().others(now).waitingTokens().getOrDefault(route.name(), 0L);
+    return tokens + orphanTokens.getOrDefault(route.name(), 0L);
+  }
+
+  /**
+   * Counts the tokens of the orphaned jobs that this instance is responsible for. Called several
+   * times a second.
+   *
+   * @param watchers names of the live instances that watch all jobs
+   */
+  public void countOrphanTokens(Collection<String> watchers) {
+    long now = context.clock().nanos();
+    orphanTokens.clear();
+    if (!watchers.contains(context.instance())) {
+      return;
+    }
     List<String> live = context.fleetLoad().liveInstances(now);
     for (JobHeadCache.CachedJob job : jobHeads.all()) {
       JobHead head = job.head();
       boolean reported = head.owner().equals(context.instance()) || live.contains(head.owner());
-      if (!reported && !head.ended() && !storedResults.isComplete(head) && matches(route, head)) {
-        tokens += head.tokens();
+      if (!reported
+          && !head.ended()
+          && !storedResults.isComplete(head)
+          && RendezvousHashing.ranksFirst(head.id(), context.instance(), watchers)) {
+        context
+            .routes()
+            .current()
+            .match(head.host(), head.path())
+            .ifPresent(route -> orphanTokens.merge(route.name(), head.tokens(), Long::sum));
       }
     }
-    return tokens;
   }
 
-  private boolean matches(Route route, JobHead head) {
-    return context
-        .routes()
-        .current()
-        .match(head.host(), head.path())
-        .map(found -> found.name().equals(route.name()))
-        .orElse(false);
+  /**
+   * Returns the tokens of unfinished items by route: those of the jobs that this instance runs, and
+   * of the orphaned jobs that it is responsible for.
+   */
+  public Map<String, Long> waitingTokens() {
+    Map<String, Long> tokens = new HashMap<>(runner.waitingTokens());
+    orphanTokens.forEach((route, count) -> tokens.merge(route, count, Long::sum));
+    return tokens;
   }
 
   private void accepted(Route route, JobSubmission submission, AcceptResult outcome) {
@@ -363,6 +416,10 @@
     }
     boolean owned = head.owner().equals(context.instance());
     if (!owned) {
+      if (head.ended() && context.fleetLoad().isLive(head.owner(), context.clock().nanos())) {
+        // The instance that has ended the job may have failed before it could tell the owner.
+        peerJobs.notifyEnded(head.owner(), head.id());
+      }
       runner.drop(head.id());
     } else if (head.ended()) {
       runner.end(head.id());
@@ -448,6 +505,8 @@
         EventField.of("outcome", outcome.getClass().getSimpleName()));
     if (outcome instanceof WriteOutcome.Written written) {
       updateHead(JobStore.decode(written.object()), written.object().version());
+      notifyUntilAnswered(
+          NOTICE_ATTEMPTS, () -> peerJobs.notifyTakenOver(job.head().owner(), job.head().id()));
     } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() != null) {
       updateHead(JobStore.decode(lost.current()), lost.current().version());
     }
@@ -459,24 +518,62 @@
             () -> takingOver.remove(job.head().id()));
   }
 
-  /** Forwards the owner's answer if it has the expected type; otherwise reads the store. */
+  /**
+   * Forwards the owner's answer if it has the expected type. Otherwise the head is read again, and
+   * a new owner is asked once; if that fails too, the store is read.
+   */
   private void answerFromOwnerOrStore(
-      CompletableFuture<ReadResult> ownerAnswer,
+      JobHead head,
+      Function<String, CompletableFuture<ReadResult>> askOwner,
+      Class<? extends ReadResult> expected,
+      Consumer<ReadResult> result,
+      Consumer<JobHead> readStore) {
+    askOwner(
+        head.owner(),
+        askOwner,
+        expected,
+        result,
+        () ->
+            readHead(
+                head.id(),
+                result,
+                current -> {
+                  boolean moved =
+                      !current.owner().equals(head.owner())
+                          && !current.owner().equals(context.instance());
+                  if (moved) {
+                    askOwner(
+                        current.owner(),
+                        askOwner,
+                        expected,
+                        result,
+                        () -> readStore.accept(current));
+                  } else {
+                    readStore.accept(current);
+                  }
+                }));
+  }
+
+  private void askOwner(
+      String owner,
+      Function<String, CompletableFuture<ReadResult>> question,
       Class<? extends ReadResult> expected,
       Consumer<ReadResult> result,
-      Runnable readStore) {
-    ownerAnswer.thenAccept(
-        answer ->
-            context
-                .loop()
-                .execute(
-                    () -> {
-                      if (expected.isInstance(answer)) {
-                        result.accept(answer);
-                      } else {
-                        readStore.run();
-                      }
-                    }));
+      Runnable onFailure) {
+    question
+        .apply(owner)
+        .thenAccept(
+            answer ->
+                context
+                    .loop()
+                    .execute(
+                        () -> {
+                          if (expected.isInstance(answer)) {
+                            result.accept(answer);
+                          } else {
+                            onFailure.run();
+                          }
+                        }));
   }
 
   private void readOwned(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
@@ -505,6 +602,27 @@
     context.loop().scheduleAt(deadlineNanos, answer);
   }
 
+  /**
+   * Sends a notification until its receiver answers, with pauses of {@link #NOTICE_RETRY_MILLIS}.
+   * The receiver may be frozen or cut off; if it never answers, it learns of the change when it
+   * stores results.
+   */
+  private void notifyUntilAnswered(
+      int attempts, Supplier<CompletableFuture<ReadResult>> notification) {
+    notification
+        .get()
+        .thenAccept(
+            answer -> {
+              if (!(answer instanceof ReadResult.Ended) && attempts > 1) {
+                context
+                    .loop()
+                    .scheduleAt(
+                        context.clock().deadlineAfterMillis(NOTICE_RETRY_MILLIS),
+                        () -> notifyUntilAnswered(attempts - 1, notification));
+              }
+            });
+  }
+
   private void awaitLoaded(
       String id, long deadlineNanos, Consumer<ReadResult> result, Runnable task) {
     if (runner.job(id).isPresent()) {
@@ -520,13 +638,36 @@
     }
   }
 
-  /** Runs a task with the head of a job, which is read from the store if it is not cached. */
+  /**
+   * Runs a task with the head of a job. If it is not cached, it is read from the store: first as it
+   * was some seconds ago, because its owner is then known in most cases.
+   */
   private void withHead(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
     Optional<JobHeadCache.CachedJob> cached = jobHeads.find(id);
     if (cached.isPresent()) {
       task.accept(cached.get().head());
       return;
     }
+    context
+        .storeWorkers()
+        .execute(
+            () -> {
+              StoreResult<StoredObject> read = context.store().readStale(id);
+              context
+                  .loop()
+                  .execute(
+                      () -> {
+                        if (read instanceof StoreResult.Done<StoredObject> done) {
+                          received(done.value(), result, task);
+                        } else {
+                          readHead(id, result, task);
+                        }
+                      });
+            });
+  }
+
+  /** Runs a task with the head of a job as it is in the store now. */
+  private void readHead(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
     context
         .storeWorkers()
         .execute(
@@ -537,9 +678,9 @@
                   .execute(
                       () -> {
                         if (read instanceof StoreResult.Done<StoredObject> done) {
-                          changed(done.value());
-                          task.accept(JobStore.decode(done.value()));
+                          received(done.value(), result, task);
                         } else if (read instanceof StoreResult.Absent) {
+                          remove(id);
                           result.accept(new ReadResult.Absent());
                         } else {
                           result.accept(new ReadResult.Unavailable(read.toString()));
@@ -548,6 +689,21 @@
             });
   }
 
+  private void received(StoredObject object, Consumer<ReadResult> result, Consumer<JobHead> task) {
+    changed(object);
+    Optional<JobHeadCache.CachedJob> newest = jobHeads.find(object.name());
+    if (newest.isPresent()) {
+      task.accept(newest.get().head());
+    } else {
+      result.accept(new ReadResult.Absent());
+    }
+  }
+
+  /** Reads the head of a job again, whose owner may have changed. */
+  public void readHeadAgain(String id) {
+    readHead(id, ignored -> {}, head -> {});
+  }
+
   private void readStoredBody(JobHead head, String item, Consumer<ReadResult> result) {
     context
         .storeWorkers()
@@ -578,8 +734,7 @@
       updateHead(head, written.object().version());
       runner.end(id);
       if (!head.owner().equals(context.instance())) {
-        // The owner also receives the change through its watch; this notification is faster.
-        peerJobs.notifyEnded(head.owner(), id);
+        notifyUntilAnswered(NOTICE_ATTEMPTS, () -> peerJobs.notifyEnded(head.owner(), id));
       }
       result.accept(new ReadResult.Ended());
     } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() == null) {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ResultAppender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ResultAppender.java
@@ -14,10 +14,22 @@
 
   private final BatchDependencies dependencies;
   private final Consumer<OwnedJob> onUnstoredResults;
+  private final Consumer<OwnedJob> onConflict;
 
-  ResultAppender(BatchDependencies dependencies, Consumer<OwnedJob> onUnstoredResults) {
+  /**
+   * Creates an appender.
+   *
+   * @param dependencies dependencies
+   * @param onUnstoredResults receives a job that has results left after an append
+   * @param onConflict receives a job of which another instance has stored results
+   */
+  ResultAppender(
+      BatchDependencies dependencies,
+      Consumer<OwnedJob> onUnstoredResults,
+      Consumer<OwnedJob> onConflict) {
     this.dependencies = dependencies;
     this.onUnstoredResults = onUnstoredResults;
+    this.onConflict = onConflict;
   }
 
   /** Starts appending the unstored results of a job unless an append is in progress. */
@@ -51,6 +63,7 @@
       // Another instance also runs the job and has stored a chunk under this number first.
       job.addChunk(JobStore.decodeChunk(lost.current()));
       dependencies.log().log(LogEvent.SEGMENT_LOST, EventField.of("job", job.head().id()));
+      onConflict.accept(job);
     } else {
       dependencies.log().log(
           LogEvent.STORE_UNAVAILABLE,
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.batch.BatchDependencies;
 import org.sedgeroad.batch.JobStore;
@@ -32,6 +33,7 @@
 import org.sedgeroad.presence.HubExchange;
 import org.sedgeroad.presence.LoadExchange;
 import org.sedgeroad.presence.LoadReport;
+import org.sedgeroad.presence.LoadTotals;
 import org.sedgeroad.settings.GatewaySettings;
 import org.sedgeroad.settings.GatewaySettingsReload;
 import org.sedgeroad.store.KindWatcher;
@@ -63,10 +65,10 @@
   private static final long JOB_CHECK_MILLIS = 250;
 
   /**
-   * Time for which a peer may have a newer configuration before the routes are read again, in
-   * milliseconds; a fifth of the time within which a new configuration must take effect.
+   * Time for which the watch of the addresses of instances may stay without an answer, in
+   * milliseconds. An instance whose address is missing is reached through other instances.
    */
-  private static final long CONFIGURATION_LAG_MILLIS = 500;
+  private static final long INSTANCES_QUIET_MILLIS = 25_000;
 
   /**
    * Threads that wait for the store: one for each of the four kinds that are listed at startup
@@ -74,6 +76,15 @@
    */
   private static final int STORE_THREADS = 6;
 
+  /** Shortest time for which a watch may stay without an answer, in milliseconds. */
+  private static final long MINIMUM_QUIET_MILLIS = 1_500;
+
+  /** Time by which a watch may stay longer without an answer for each peer, in milliseconds. */
+  private static final long QUIET_MILLIS_OF_PEER = 500;
+
+  /** Longest time for which a watch may stay without an answer, in milliseconds. */
+  private static final long MAXIMUM_QUIET_MILLIS = 25_000;
+
   /**
    * Time between two checks for idle client connections, in milliseconds; the idle limits are
    * several seconds.
@@ -115,12 +126,14 @@
   private final OwnedJobService jobs;
   private final List<KindWatcher> watchers = new ArrayList<>();
   private final KindWatcher routesWatcher;
+  private final KindWatcher endpointsWatcher;
+  private final LagDetector routesLag;
+  private final LagDetector endpointsLag;
+  private final JobWatch jobWatch;
   private final ClientConnections connections;
   private final Undertow server;
   private LoadExchange loadExchange;
   private boolean reportScheduled;
-  private long laggingSinceNanos;
-  private boolean lagging;
   // Whether load reports announce that this instance is leaving; used on the event loop.
   private boolean leaving;
   // Whether periodic tasks have ended; used on the event loop.
@@ -188,10 +201,16 @@
         watch(
             store,
             platform.routesKind(),
+            this::quietMillis,
             new RoutesUpdater(platform, routes, endpointsUpdater, log));
-    watch(store, platform.endpointsKind(), endpointsUpdater);
-    watch(store, InstanceDirectory.KIND, instances);
-    watch(store, JobStore.JOBS, jobs);
+    this.endpointsWatcher =
+        watch(store, platform.endpointsKind(), this::quietMillis, endpointsUpdater);
+    this.routesLag = new LagDetector(clock, () -> routesWatcher.restart("a peer has newer routes"));
+    this.endpointsLag =
+        new LagDetector(clock, () -> endpointsWatcher.restart("a peer has newer endpoints"));
+    watch(store, InstanceDirectory.KIND, () -> INSTANCES_QUIET_MILLIS, instances);
+    this.jobWatch =
+        new JobWatch(() -> createWatcher(store, JobStore.JOBS, this::quietMillis, jobs));
     this.server = createServer();
   }
 
@@ -227,13 +246,29 @@
         settings.keepJobMillis());
   }
 
-  private KindWatcher watch(ObjectStore store, String kind, KindWatcher.Listener listener) {
-    KindWatcher watcher =
-        new KindWatcher(store, kind, storeWorkers, eventLoop, clock, log, listener);
+  private KindWatcher watch(
+      ObjectStore store, String kind, LongSupplier quietMillis, KindWatcher.Listener listener) {
+    KindWatcher watcher = createWatcher(store, kind, quietMillis, listener);
     watchers.add(watcher);
     return watcher;
   }
 
+  private KindWatcher createWatcher(
+      ObjectStore store, String kind, LongSupplier quietMillis, KindWatcher.Listener listener) {
+    return new KindWatcher(store, kind, storeWorkers, eventLoop, clock, log, quietMillis, listener);
+  }
+
+  /**
+   * Returns for how long a watch may stay without an answer, in milliseconds. If the connections of
+   * all instances stop delivering anything, the first instance that notices receives the change
+   * that the others have missed, and they learn of it from the load exchange; so the more instances
+   * there are, the longer each may wait.
+   */
+  private long quietMillis() {
+    return Math.min(
+        MAXIMUM_QUIET_MILLIS, MINIMUM_QUIET_MILLIS + QUIET_MILLIS_OF_PEER * instances.count());
+  }
+
   private Undertow createServer() {
     HttpHandler readiness =
         exchange -> {
@@ -272,6 +307,7 @@
         () -> {
           register();
           watchers.forEach(KindWatcher::start);
+          jobWatch.start();
           scheduleRepeatedly(HubExchange.TICK_MILLIS, this::exchangeLoads);
           scheduleRepeatedly(JOB_CHECK_MILLIS, this::runPeriodicChecks);
           scheduleRepeatedly(IDLE_CHECK_MILLIS, this::closeIdleConnections);
@@ -341,6 +377,7 @@
         () -> {
           stopped = true;
           watchers.forEach(KindWatcher::close);
+          jobWatch.close();
         });
     server.stop();
     loadExchange.close();
@@ -418,7 +455,8 @@
     // Places and preempts work that has become due, so that the report contains the result.
     dispatcher.tick(instances.count());
     sendReport();
-    checkRoutesVersion();
+    checkLag();
+    jobWatch.update(hubExchange.isFirstHub());
   }
 
   private void sendReport() {
@@ -428,28 +466,19 @@
             incarnation,
             0,
             routes.current().version(),
+            endpointsWatcher.newestChange(),
             dispatcher.liveWaiting(),
             runner.readyByService(),
-            runner.waitingTokens(),
+            jobs.waitingTokens(),
             dispatcher.occupancy(),
             leaving));
   }
 
-  /**
-   * Lists and watches the routes again if a peer has had newer ones for longer than a watch
-   * normally takes to deliver them.
-   */
-  private void checkRoutesVersion() {
-    long now = clock.nanos();
-    if (hubExchange.view().others(now).configurationVersion() <= routes.current().version()) {
-      lagging = false;
-    } else if (!lagging) {
-      lagging = true;
-      laggingSinceNanos = now;
-    } else if (now - laggingSinceNanos > CONFIGURATION_LAG_MILLIS * 1_000_000L) {
-      lagging = false;
-      routesWatcher.restart("a peer has newer routes");
-    }
+  /** Restarts watches that have missed a change that a peer has received. */
+  private void checkLag() {
+    LoadTotals others = hubExchange.view().others(clock.nanos());
+    routesLag.check(others.configurationVersion() > routes.current().version());
+    endpointsLag.check(others.endpointsVersion() > endpointsWatcher.version());
   }
 
   private void closeIdleConnections() {
@@ -462,8 +491,12 @@
     endpointsUpdater.refresh();
     runner.storeDueResults();
     if (!stopping) {
-      jobs.takeOverOrphanedJobs();
-      jobs.deleteExpiredJob();
+      List<String> jobWatchers = hubExchange.liveFirstHubs();
+      jobs.countOrphanTokens(jobWatchers);
+      if (hubExchange.isFirstHub()) {
+        jobs.takeOverOrphanedJobs(jobWatchers);
+      }
+      jobs.deleteExpiredJob(jobWatchers);
     }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
@@ -59,7 +59,16 @@
 
   @Override
   public CompletableFuture<ReadResult> notifyEnded(String owner, String job) {
-    return call(owner, "POST", "ended", job, "", 0)
+    return notify(owner, "ended", job);
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> notifyTakenOver(String previousOwner, String job) {
+    return notify(previousOwner, "taken-over", job);
+  }
+
+  private CompletableFuture<ReadResult> notify(String instance, String event, String job) {
+    return call(instance, "POST", event, job, "", 0)
         .thenApply(
             result ->
                 result instanceof HttpResult.Answered
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
@@ -48,6 +48,10 @@
         jobs.stopJobEndedByPeer(job);
         send(exchange, new ReadResult.Ended());
       }
+      case "/taken-over" -> {
+        jobs.readHeadAgain(job);
+        send(exchange, new ReadResult.Ended());
+      }
       default -> send(exchange, new ReadResult.Absent());
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/CollectingListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/CollectingListener.java
@@ -6,6 +6,11 @@
 
 /** Collects a whole answer and passes the result to a consumer on the connection's I/O thread. */
 final class CollectingListener implements HttpListener {
+  /**
+   * Largest body that is collected, in bytes; an answer of the store has some megabytes at most.
+   */
+  static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+
   private final Consumer<HttpResult> resultConsumer;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private HttpHead head;
@@ -19,6 +24,11 @@
     head = received;
   }
 
+  @Override
+  public boolean accepts(int moreBytes) {
+    return body.size() + moreBytes <= MAXIMUM_BODY_BYTES;
+  }
+
   @Override
   public void onBytes(ByteBuffer bytes) {
     byte[] copy = new byte[bytes.remaining()];
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -305,6 +305,10 @@
           return false;
         }
         buffer.flip();
+        if (!listener.accepts(buffer.remaining())) {
+          fail(new HttpFailure.Broken("the answer is too long"));
+          return false;
+        }
         listener.onBytes(buffer);
       }
       return false;
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpListener.java
@@ -11,6 +11,16 @@
   /** Receives the status line and headers. */
   void onHead(HttpHead head);
 
+  /**
+   * Returns whether the listener takes more of the body; otherwise the exchange fails and its
+   * connection is closed.
+   *
+   * @param moreBytes number of bytes that have arrived
+   */
+  default boolean accepts(int moreBytes) {
+    return true;
+  }
+
   /** Receives a part of the body. The buffer is valid only during the call. */
   void onBytes(ByteBuffer bytes);
 
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/MeasuredStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/MeasuredStore.java
@@ -37,6 +37,11 @@
     return measure("get", () -> store.get(kind, name));
   }
 
+  @Override
+  public StoreResult<StoredObject> getStale(String kind, String name) {
+    return measure("get_stale", () -> store.getStale(kind, name));
+  }
+
   @Override
   public StoreResult<StoredObject> create(String kind, String name, JsonNode spec) {
     return measure("create", () -> store.create(kind, name, spec));
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -115,6 +115,22 @@
     return view;
   }
 
+  /** Returns whether this instance is the first hub of its failure domain. */
+  public boolean isFirstHub() {
+    return hubsByDomain.get(domain).get(0).equals(instance);
+  }
+
+  /**
+   * Returns the names of the first hubs of all failure domains, without those that are not live.
+   */
+  public List<String> liveFirstHubs() {
+    long now = clock.nanos();
+    return hubsByDomain.values().stream()
+        .map(hubs -> hubs.get(0))
+        .filter(name -> name.equals(instance) || view.isLive(name, now))
+        .toList();
+  }
+
   /**
    * Reports the load of this instance if it has changed, or if the last report is old.
    *
@@ -207,7 +223,7 @@
   }
 
   private int rarity() {
-    return hubsByDomain.get(domain).get(0).equals(instance) ? 1 : SECOND_HUB_FACTOR;
+    return isFirstHub() ? 1 : SECOND_HUB_FACTOR;
   }
 
   private void publishFleet() {
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
@@ -60,6 +60,7 @@
     packer.packLong(report.incarnation());
     packer.packLong(report.sequence());
     packer.packLong(report.configurationVersion());
+    packer.packLong(report.endpointsVersion());
     packer.packInt(report.liveWaiting());
     packCounts(packer, report.batchReady());
     packCounts(packer, report.waitingTokens());
@@ -77,6 +78,7 @@
     long incarnation = unpacker.unpackLong();
     long sequence = unpacker.unpackLong();
     long version = unpacker.unpackLong();
+    long endpointsVersion = unpacker.unpackLong();
     int liveWaiting = unpacker.unpackInt();
     Map<String, Integer> ready = unpackCounts(unpacker);
     Map<String, Long> tokens = unpackLongCounts(unpacker);
@@ -87,7 +89,16 @@
     }
     boolean leaving = unpacker.unpackBoolean();
     return new LoadReport(
-        instance, incarnation, sequence, version, liveWaiting, ready, tokens, occupancy, leaving);
+        instance,
+        incarnation,
+        sequence,
+        version,
+        endpointsVersion,
+        liveWaiting,
+        ready,
+        tokens,
+        occupancy,
+        leaving);
   }
 
   private static void pack(MessagePacker packer, LoadSummary summary) throws IOException {
@@ -98,6 +109,7 @@
     LoadTotals totals = summary.totals();
     packer.packInt(totals.reporters());
     packer.packLong(totals.configurationVersion());
+    packer.packLong(totals.endpointsVersion());
     packer.packInt(totals.liveWaiting());
     packCounts(packer, totals.batchReady());
     packCounts(packer, totals.waitingTokens());
@@ -126,6 +138,7 @@
     long sequence = unpacker.unpackLong();
     int reporterCount = unpacker.unpackInt();
     long version = unpacker.unpackLong();
+    long endpointsVersion = unpacker.unpackLong();
     int liveWaiting = unpacker.unpackInt();
     Map<String, Integer> ready = unpackCounts(unpacker);
     Map<String, Long> tokens = unpackLongCounts(unpacker);
@@ -151,7 +164,8 @@
         domain,
         incarnation,
         sequence,
-        new LoadTotals(reporterCount, version, liveWaiting, ready, tokens, endpoints),
+        new LoadTotals(
+            reporterCount, version, endpointsVersion, liveWaiting, ready, tokens, endpoints),
         reporters);
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
@@ -10,6 +10,7 @@
  * @param incarnation number of the process, a different one after each restart
  * @param sequence number of the report, increasing within the incarnation
  * @param configurationVersion configuration version in force at the instance
+ * @param endpointsVersion store version of the newest change of an endpoint that was received
  * @param liveWaiting number of live requests that wait for a slot
  * @param batchReady number of batch items that could start, by service
  * @param waitingTokens tokens of unfinished items of the jobs that the instance runs, by route
@@ -21,6 +22,7 @@
     long incarnation,
     long sequence,
     long configurationVersion,
+    long endpointsVersion,
     int liveWaiting,
     Map<String, Integer> batchReady,
     Map<String, Long> waitingTokens,
@@ -47,6 +49,7 @@
         incarnation,
         next,
         configurationVersion,
+        endpointsVersion,
         liveWaiting,
         batchReady,
         waitingTokens,
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
@@ -10,6 +10,8 @@
  *
  * @param reporters number of instances
  * @param configurationVersion newest configuration version in force at one of them, 0 without any
+ * @param endpointsVersion newest store version of a change of an endpoint that one of them has
+ *     received, 0 without any
  * @param liveWaiting number of live requests that wait for a slot
  * @param batchReady number of batch items that could start, by service
  * @param waitingTokens tokens of unfinished items, by route
@@ -18,12 +20,13 @@
 public record LoadTotals(
     int reporters,
     long configurationVersion,
+    long endpointsVersion,
     int liveWaiting,
     Map<String, Integer> batchReady,
     Map<String, Long> waitingTokens,
     Map<String, EndpointTotal> endpoints) {
   /** The sums of no instance. */
-  public static final LoadTotals NONE = new LoadTotals(0, 0, 0, Map.of(), Map.of(), Map.of());
+  public static final LoadTotals NONE = new LoadTotals(0, 0, 0, 0, Map.of(), Map.of(), Map.of());
 
   /**
    * Copies the maps.
@@ -48,6 +51,7 @@
     }
     int reporters = 0;
     long version = 0;
+    long endpointsVersion = 0;
     int liveWaiting = 0;
     Map<String, Integer> ready = new HashMap<>();
     Map<String, Long> tokens = new HashMap<>();
@@ -55,6 +59,7 @@
     for (LoadTotals part : parts) {
       reporters += part.reporters;
       version = Math.max(version, part.configurationVersion);
+      endpointsVersion = Math.max(endpointsVersion, part.endpointsVersion);
       liveWaiting += part.liveWaiting;
       part.batchReady.forEach((service, count) -> ready.merge(service, count, Integer::sum));
       part.waitingTokens.forEach((route, count) -> tokens.merge(route, count, Long::sum));
@@ -62,7 +67,8 @@
           (name, total) ->
               endpoints.merge(name, total, (before, other) -> before.plus(name, other)));
     }
-    return new LoadTotals(reporters, version, liveWaiting, ready, tokens, endpoints);
+    return new LoadTotals(
+        reporters, version, endpointsVersion, liveWaiting, ready, tokens, endpoints);
   }
 
   /** Returns these sums without the report of one of the instances. */
@@ -78,6 +84,7 @@
     return new LoadTotals(
         Math.max(0, reporters - 1),
         configurationVersion,
+        endpointsVersion,
         Math.max(0, liveWaiting - report.liveWaiting()),
         ready,
         tokens,
@@ -92,6 +99,7 @@
     return new LoadTotals(
         1,
         report.configurationVersion(),
+        report.endpointsVersion(),
         report.liveWaiting(),
         report.batchReady(),
         report.waitingTokens(),
--- a/sedgeroad/src/main/java/org/sedgeroad/store/JsonObjectCalls.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/JsonObjectCalls.java
@@ -45,6 +45,15 @@
     return send(kind, "GET", uri(kind, name), null);
   }
 
+  /**
+   * Reads an object with a query.
+   *
+   * @param query query with its question mark
+   */
+  public StoreResult<StoredObject> get(String kind, String name, String query) {
+    return send(kind, "GET", URI.create(uri(kind, name) + query), null);
+  }
+
   /** Creates an object; {@link StoreResult.Conflict} if the name exists. */
   public StoreResult<StoredObject> create(String kind, String name, JsonNode spec) {
     return send(kind, "POST", uri(kind), body(name, 0, "spec", spec));
--- a/sedgeroad/src/main/java/org/sedgeroad/store/JsonStoreCalls.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/JsonStoreCalls.java
@@ -123,13 +123,22 @@
                       answered
                           .head()
                           .header("Retry-After")
-                          .map(seconds -> Long.parseLong(seconds) * 1_000)
+                          .map(this::retryMillis)
                           .orElse(defaultRetryMillis)));
       case UNAVAILABLE -> new StoreResult.Unavailable<>("store answered " + status);
       default -> new StoreResult.Unknown<>("store answered " + status);
     };
   }
 
+  /** Returns a retry delay in seconds, possibly with a fraction, in milliseconds. */
+  private long retryMillis(String seconds) {
+    try {
+      return Math.max(0, (long) (Double.parseDouble(seconds) * 1_000));
+    } catch (NumberFormatException notANumber) {
+      return defaultRetryMillis;
+    }
+  }
+
   private <T> StoreResult<T> read(byte[] body, Function<JsonNode, T> reader) {
     try {
       return new StoreResult.Done<>(reader.apply(mapper.readTree(body)));
--- a/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.event.EventField;
@@ -40,8 +41,15 @@
   private final MonotonicClock clock;
   private final EventLog log;
   private final Listener listener;
+  private final LongSupplier quietMillis;
   private AutoCloseable watch = () -> {};
+
+  /** Version of the store up to which all changes were delivered. */
   private long version;
+
+  /** Version of the newest object that was delivered. */
+  private long newestChange;
+
   private int generation;
   private boolean connected;
   private boolean closed;
@@ -55,6 +63,7 @@
    * @param loop event loop that runs everything else
    * @param clock monotonic clock
    * @param log event log
+   * @param quietMillis returns for how long a watch may stay without an answer, in milliseconds
    * @param listener receives the objects and their changes
    */
   public KindWatcher(
@@ -64,6 +73,7 @@
       EventLoop loop,
       MonotonicClock clock,
       EventLog log,
+      LongSupplier quietMillis,
       Listener listener) {
     this.store = store;
     this.kind = kind;
@@ -71,9 +81,20 @@
     this.loop = loop;
     this.clock = clock;
     this.log = log;
+    this.quietMillis = quietMillis;
     this.listener = listener;
   }
 
+  /** Returns the version of the newest object or deletion that was delivered, 0 without any. */
+  public long newestChange() {
+    return newestChange;
+  }
+
+  /** Returns the version of the store up to which all changes were delivered. */
+  public long version() {
+    return version;
+  }
+
   /** Lists the objects and then watches for changes. */
   public void start() {
     int startedGeneration = ++generation;
@@ -111,7 +132,8 @@
             EventField.of("version", done.value().version()),
             EventField.of("objects", done.value().objects().size()));
       }
-      version = done.value().version();
+      version = Math.max(version, done.value().version());
+      done.value().objects().forEach(this::noteChange);
       listener.listed(done.value().objects());
       watch(expectedGeneration);
     } else {
@@ -131,6 +153,16 @@
                 loop.execute(() -> changed(expectedGeneration, object));
               }
 
+              @Override
+              public void onProgress(long reached) {
+                loop.execute(() -> progressed(expectedGeneration, reached));
+              }
+
+              @Override
+              public long quietMillis() {
+                return quietMillis.getAsLong();
+              }
+
               @Override
               public void onClosed(String reason) {
                 loop.execute(() -> watchEnded(expectedGeneration, reason, false));
@@ -146,10 +178,21 @@
   private void changed(int expectedGeneration, StoredObject object) {
     if (expectedGeneration == generation && !closed) {
       version = Math.max(version, object.version());
+      noteChange(object);
       listener.changed(object);
     }
   }
 
+  private void progressed(int expectedGeneration, long reached) {
+    if (expectedGeneration == generation && !closed) {
+      version = Math.max(version, reached);
+    }
+  }
+
+  private void noteChange(StoredObject object) {
+    newestChange = Math.max(newestChange, object.version());
+  }
+
   private void watchEnded(int expectedGeneration, String reason, boolean expired) {
     if (expectedGeneration != generation || closed) {
       return;
--- a/sedgeroad/src/main/java/org/sedgeroad/store/ObjectStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/ObjectStore.java
@@ -13,6 +13,14 @@
   /** Reads an object; {@link StoreResult.Absent} if it does not exist. */
   StoreResult<StoredObject> get(String kind, String name);
 
+  /**
+   * Reads an object as it was some seconds ago or later, which may cost less than {@link #get}.
+   * {@link StoreResult.Absent} if it did not exist then.
+   */
+  default StoreResult<StoredObject> getStale(String kind, String name) {
+    return get(kind, name);
+  }
+
   /** Creates an object; {@link StoreResult.Conflict} if the name exists. */
   StoreResult<StoredObject> create(String kind, String name, JsonNode spec);
 
--- a/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
@@ -6,6 +6,21 @@
   /** Receives a created, changed or deleted object. */
   void onChange(StoredObject object);
 
+  /**
+   * Called when all changes up to a version have been delivered, also if there were none.
+   *
+   * @param version version of the store
+   */
+  default void onProgress(long version) {}
+
+  /**
+   * Returns for how long the store may leave the watch without an answer while nothing changes, in
+   * milliseconds. A connection that no longer delivers anything is noticed after this time.
+   */
+  default long quietMillis() {
+    return 4_000;
+  }
+
   /** Receives the end of the watch. The receiver may start a new one from a new list. */
   void onClosed(String reason);
 
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -382,6 +382,7 @@
               1,
               ++sequence,
               1,
+              1,
               dispatcher.liveWaiting(),
               Map.of(SERVICE, ready(SERVICE)),
               Map.of(),
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/HubExchangeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/HubExchangeTest.java
@@ -84,6 +84,7 @@
           incarnation,
           0,
           7,
+          8,
           0,
           Map.of(),
           Map.of(),
@@ -384,7 +385,16 @@
       run(1_000);
       LoadReport report =
           new LoadReport(
-              "stranger", 1, 1, 1, 0, Map.of(), Map.of(), Map.of("e", new Occupancy(9, 0)), false);
+              "stranger",
+              1,
+              1,
+              1,
+              1,
+              0,
+              Map.of(),
+              Map.of(),
+              Map.of("e", new Occupancy(9, 0)),
+              false);
       members.values().forEach(member -> member.exchange.receive(report));
       run(500);
       assertAllKnow(6);
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
@@ -19,6 +19,7 @@
           7,
           8,
           9,
+          10,
           2,
           Map.of("engine", 3),
           Map.of("route", 5_000_000_000L),
