Bound the bytes of an answer that has no end, and of an event

Cause: a server in trouble may send a head, chunk headers, trailers or a body without end. The client's parser kept heads without a bound and its reads held the event loop for as long as bytes came, so that not even the deadline's timer ran. A stream that ended properly inside an event was passed on as complete.

Change: a thread of the client's own compares the bytes on the wire with the body received and closes the connection; a read gives way to other exchanges after 16 buffers; collected answers, events and what a client does not take are bounded; a stream that ends inside an event is broken, and resumed where it may.

Measured: EndlessAnswerTest, six of eight cases failed before (the client read until the test's server stopped), all pass; GatewayStreamTest$BrokenStream with two new cases passes.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -107,6 +107,10 @@
   public void onBytes(ByteBuffer bytes) {
     if (!finished) {
       eventParser.accept(bytes).forEach(item.progress()::add);
+      if (eventParser.isTooLong()) {
+        exchange.close();
+        end(Outcome.BROKEN, "an event has no end");
+      }
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/ClientAnswer.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/ClientAnswer.java
@@ -11,6 +11,11 @@
   /** Sends a part of the body of a started answer; the buffer is copied. */
   void send(ByteBuffer bytes);
 
+  /** Returns the number of bytes of the answer that the client has not taken yet. */
+  default long unsentBytes() {
+    return 0;
+  }
+
   /** Completes a started answer. */
   void end();
 
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
@@ -18,6 +18,9 @@
    */
   public record Event(String id, String data, byte[] bytes) {}
 
+  /** Largest event that is accepted, in bytes. */
+  public static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private boolean lineEmpty = true;
 
@@ -40,6 +43,14 @@
     return events;
   }
 
+  /**
+   * Returns whether the incomplete event is longer than {@link #MAXIMUM_EVENT_BYTES}, which no
+   * sound endpoint sends.
+   */
+  public boolean isTooLong() {
+    return pending.size() > MAXIMUM_EVENT_BYTES;
+  }
+
   /** Removes and returns the bytes of an incomplete event; empty if there are none. */
   public byte[] takeIncompleteEvent() {
     byte[] rest = pending.toByteArray();
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -39,6 +39,9 @@
    */
   private static final long MINIMUM_REMAINING_MILLIS = 20;
 
+  /** Largest part of an answer that is kept for a client, in bytes. */
+  private static final long MAXIMUM_KEPT_BYTES = 8 * 1024 * 1024;
+
   private final GatewayDependencies dependencies;
   private final Route route;
   private final String service;
@@ -220,6 +223,7 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private EndpointExchange exchange;
     private EndpointAnswer head;
+    private long bodyBytes;
     private boolean ended;
 
     EndpointAttempt(ServiceEndpoint endpoint) {
@@ -264,6 +268,16 @@
       }
     }
 
+    /**
+     * Returns whether the endpoint has sent more than is kept here: a whole answer that is no
+     * stream, a single event, or bytes that the client does not take.
+     */
+    private boolean isTooLong() {
+      return isStream()
+          ? eventParser.isTooLong() || answer.unsentBytes() > MAXIMUM_KEPT_BYTES
+          : bodyBytes > MAXIMUM_KEPT_BYTES;
+    }
+
     private boolean isStream() {
       return route.kind() == RouteKind.STREAMING && head.isSuccess();
     }
@@ -273,6 +287,17 @@
       if (ended) {
         return;
       }
+      bodyBytes += bytes.remaining();
+      if (isTooLong()) {
+        ended = true;
+        exchange.close();
+        dependencies
+            .dispatcher()
+            .health()
+            .recordBrokenAnswer(endpoint.name(), dependencies.clock().nanos());
+        onBrokenAnswer("the answer has no end");
+        return;
+      }
       if (!isStream()) {
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
@@ -284,6 +309,8 @@
           answer.send(ByteBuffer.wrap(event.bytes()));
         }
       } else {
+        // The events are parsed only to recognise an answer that ends inside an event.
+        eventParser.accept(bytes.duplicate());
         answer.send(bytes);
       }
     }
@@ -294,13 +321,17 @@
         return;
       }
       ended = true;
+      if (isStream() && eventParser.takeIncompleteEvent().length > 0) {
+        dependencies
+            .dispatcher()
+            .health()
+            .recordBrokenAnswer(endpoint.name(), dependencies.clock().nanos());
+        onBrokenAnswer("the answer ended inside an event");
+        return;
+      }
       attempt = null;
       dependencies.dispatcher().health().recordSuccess(endpoint.name());
       if (isStream()) {
-        byte[] rest = eventParser.takeIncompleteEvent();
-        if (rest.length > 0) {
-          answer.send(ByteBuffer.wrap(rest));
-        }
         finish("complete");
         answer.end();
       } else if (!head.isSuccess() && canRunElsewhere()) {
--- a/sedgeroad/src/main/java/org/sedgeroad/http/CollectingListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/CollectingListener.java
@@ -9,7 +9,7 @@
   /**
    * Largest body that is collected, in bytes; an answer of the store has some megabytes at most.
    */
-  static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+  static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
   private final Consumer<HttpResult> resultConsumer;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -25,8 +25,8 @@
   }
 
   @Override
-  public boolean accepts(int moreBytes) {
-    return body.size() + moreBytes <= MAXIMUM_BODY_BYTES;
+  public long maximumBodyBytes() {
+    return MAXIMUM_BODY_BYTES;
   }
 
   @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -33,6 +33,15 @@
 public final class HttpExchange implements AutoCloseable {
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
 
+  /** Largest head of an answer, in bytes. */
+  private static final long MAXIMUM_HEAD_BYTES = 256 * 1024;
+
+  /** Largest number of bytes on the wire for each byte of a body; a chunk of one byte takes six. */
+  private static final long MAXIMUM_FRAMING_FACTOR = 16;
+
+  /** Number of reads after which the other exchanges of the thread have their turn. */
+  private static final int MAXIMUM_READS_IN_A_ROW = 16;
+
   private final PooledHttpClient client;
   private final HttpCall call;
   private final HttpListener listener;
@@ -43,6 +52,12 @@
   private volatile boolean sendStarted;
   private volatile XnioExecutor.Key deadlineTimer;
 
+  /** Bytes of the body that were received; written on the I/O thread only. */
+  private volatile long bodyBytes;
+
+  /** Bytes that had been read from the connection when the request was sent. */
+  private volatile long connectionBytesBefore;
+
   HttpExchange(
       PooledHttpClient client, HttpCall call, HttpListener listener, MonotonicClock clock) {
     this.client = client;
@@ -117,6 +132,8 @@
       return;
     }
     sendStarted = true;
+    connectionBytesBefore = opened.getStatistics().getRead();
+    client.guard(this);
     opened.sendRequest(
         toClientRequest(),
         new ClientCallback<>() {
@@ -133,6 +150,37 @@
         });
   }
 
+  boolean hasEnded() {
+    return ended.get();
+  }
+
+  /**
+   * Fails the exchange if more bytes have arrived than an answer can have: a head without end, or
+   * framing without content. Runs on a thread of its own, because the I/O thread may be busy with
+   * these bytes.
+   */
+  void checkSize() {
+    ClientConnection open = connection;
+    if (open == null || ended.get()) {
+      return;
+    }
+    long received = open.getStatistics().getRead() - connectionBytesBefore;
+    if (received > MAXIMUM_HEAD_BYTES + MAXIMUM_FRAMING_FACTOR * bodyBytes) {
+      // The connection is closed first; the I/O thread then leaves its loop and runs the listener.
+      closeRaw(open);
+      open.getIoThread().execute(() -> fail(new HttpFailure.Broken("the answer has no end")));
+    }
+  }
+
+  private static void closeRaw(ClientConnection open) {
+    try {
+      IoUtils.safeClose(open.performUpgrade());
+    } catch (IOException alreadyClosed) {
+      // The connection is closed already.
+    }
+    IoUtils.safeClose(open);
+  }
+
   /** Ends the exchange with a failure, unless it has ended already. */
   void fail(HttpFailure failure) {
     if (ended.compareAndSet(false, true)) {
@@ -161,16 +209,7 @@
       return;
     }
     try {
-      open.getIoThread()
-          .execute(
-              () -> {
-                try {
-                  IoUtils.safeClose(open.performUpgrade());
-                } catch (IOException alreadyClosed) {
-                  // The connection is closed already.
-                }
-                IoUtils.safeClose(open);
-              });
+      open.getIoThread().execute(() -> closeRaw(open));
     } catch (RejectedExecutionException rejected) {
       // The I/O threads are shutting down and close their sockets.
       IoUtils.safeClose(open);
@@ -284,8 +323,8 @@
     }
     listener.onHead(new HttpHead(answer.getResponseCode(), headers));
     StreamSourceChannel source = exchange.getResponseChannel();
+    source.getReadSetter().set(channel -> readAvailable((StreamSourceChannel) channel, exchange));
     if (readAvailable(source, exchange)) {
-      source.getReadSetter().set(channel -> readAvailable((StreamSourceChannel) channel, exchange));
       source.resumeReads();
     }
   }
@@ -294,7 +333,12 @@
   private boolean readAvailable(StreamSourceChannel source, ClientExchange exchange) {
     try (PooledByteBuffer pooled = client.buffers().allocate()) {
       ByteBuffer buffer = pooled.getBuffer();
-      while (!ended.get()) {
+      for (int reads = 0; !ended.get(); reads++) {
+        if (reads == MAXIMUM_READS_IN_A_ROW) {
+          // Other exchanges of this thread must have their turn.
+          source.wakeupReads();
+          return true;
+        }
         buffer.clear();
         int count = source.read(buffer);
         if (count == 0) {
@@ -305,7 +349,8 @@
           return false;
         }
         buffer.flip();
-        if (!listener.accepts(buffer.remaining())) {
+        bodyBytes += buffer.remaining();
+        if (bodyBytes > listener.maximumBodyBytes()) {
           fail(new HttpFailure.Broken("the answer is too long"));
           return false;
         }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpListener.java
@@ -12,13 +12,11 @@
   void onHead(HttpHead head);
 
   /**
-   * Returns whether the listener takes more of the body; otherwise the exchange fails and its
-   * connection is closed.
-   *
-   * @param moreBytes number of bytes that have arrived
+   * Returns the largest body that the listener takes, in bytes. The exchange fails, and its
+   * connection is closed, if there is more.
    */
-  default boolean accepts(int moreBytes) {
-    return true;
+  default long maximumBodyBytes() {
+    return Long.MAX_VALUE;
   }
 
   /** Receives a part of the body. The buffer is valid only during the call. */
--- a/sedgeroad/src/main/java/org/sedgeroad/http/PooledHttpClient.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/PooledHttpClient.java
@@ -1,5 +1,6 @@
 package org.sedgeroad.http;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -9,6 +10,7 @@
 import java.net.URI;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -35,6 +37,13 @@
 public final class PooledHttpClient implements AutoCloseable {
   private static final int BUFFER_BYTES = 16 * 1024;
   private static final int MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64;
+
+  /**
+   * Time between two checks of the sizes of answers, in milliseconds; a link of 1 Gbit/s delivers
+   * 12 MB in this time.
+   */
+  private static final long GUARD_INTERVAL_MILLIS = 100;
+
   private static final int DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000;
 
   /**
@@ -53,6 +62,12 @@
   private final long connectTimeoutMillis;
   private final boolean ownsWorker;
 
+  /** Exchanges whose request was sent. */
+  private final Set<HttpExchange> guarded = ConcurrentHashMap.newKeySet();
+
+  private final Thread guard = new Thread(this::checkSizes, "answer-guard");
+  private volatile boolean closed;
+
   private record IdleConnection(ClientConnection connection, long reusableUntilNanos) {}
 
   private PooledHttpClient(
@@ -61,6 +76,8 @@
     this.clock = clock;
     this.connectTimeoutMillis = connectTimeoutMillis;
     this.ownsWorker = ownsWorker;
+    guard.setDaemon(true);
+    guard.start();
   }
 
   /**
@@ -168,8 +185,32 @@
     return result;
   }
 
+  /** Has the size of an exchange's answer checked until the exchange ends. */
+  void guard(HttpExchange exchange) {
+    guarded.add(exchange);
+  }
+
+  private void checkSizes() {
+    while (!closed) {
+      try {
+        Thread.sleep(GUARD_INTERVAL_MILLIS);
+      } catch (InterruptedException interrupted) {
+        return;
+      }
+      for (HttpExchange exchange : guarded) {
+        if (exchange.hasEnded()) {
+          guarded.remove(exchange);
+        } else {
+          exchange.checkSize();
+        }
+      }
+    }
+  }
+
   @Override
   public void close() {
+    closed = true;
+    guard.interrupt();
     idleByAddress
         .values()
         .forEach(
@@ -184,7 +225,7 @@
     OptionMap options =
         OptionMap.builder()
             .set(Options.TCP_NODELAY, true)
-            .set(io.undertow.UndertowOptions.MAX_HEADER_SIZE, 64 * 1024)
+            .set(UndertowOptions.ENABLE_STATISTICS, true)
             .getMap();
     exchange.startConnectTimer(connectTimeoutMillis, worker.getIoThread());
     UndertowClient.getInstance()
