Continue a stream or item elsewhere if its endpoint delivers no events

Cause: an endpoint that has lost power, or that sends a byte now and then, held an item for 30 s, longer than its job has, and a stream until its client gave up after 2 s.

Change: a resumable stream without an event for 1 s, or a repeatable one before its first, continues at another endpoint; one that can't is left alone until its deadline, since it may be slow. An item has 4 s for its first event and 2 s for each further one. Only complete events count as progress. A run of an item that was aborted reported its end twice, so that its slot was released twice.

Measured: GatewayStreamTest$BrokenStream, GatewayJobTest$Accepted with four new cases pass; resumesAtAnotherWorkerIfItStalls and continuesElsewhereIfAWorkerStalls can't pass before, as nothing but the deadline ended such a run.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -1,6 +1,8 @@
 package org.sedgeroad.batch;
 
 import java.nio.ByteBuffer;
+import java.util.List;
+import org.sedgeroad.EventLoop;
 import org.sedgeroad.gateway.EndpointAnswer;
 import org.sedgeroad.gateway.EndpointAnswerListener;
 import org.sedgeroad.gateway.EndpointCall;
@@ -33,6 +35,15 @@
 
   private static final int UNPROCESSABLE = 422;
 
+  /**
+   * Time within which a run must deliver its first event, in milliseconds; an item that is queued
+   * inside an endpoint waits there for running items.
+   */
+  private static final long FIRST_EVENT_MILLIS = 4_000;
+
+  /** Time after an event within which the next must follow, in milliseconds. */
+  private static final long NEXT_EVENT_MILLIS = 2_000;
+
   private final BatchDependencies dependencies;
   private final OwnedItem item;
   private final ServiceEndpoint endpoint;
@@ -41,6 +52,8 @@
   private final long startedNanos;
   private final EventStreamParser eventParser = new EventStreamParser();
   private EndpointExchange exchange;
+  private EventLoop.Timeout progressCheck = EventLoop.Timeout.NONE;
+  private long progressDeadlineNanos;
   private boolean finished;
 
   ItemRun(
@@ -75,11 +88,34 @@
   }
 
   void start(EndpointCall call) {
+    progressDeadlineNanos = dependencies.clock().deadlineAfterMillis(FIRST_EVENT_MILLIS);
     exchange = dependencies.endpointClient().start(call, this);
+    scheduleProgressCheck();
+  }
+
+  private void scheduleProgressCheck() {
+    progressCheck = dependencies.loop().scheduleAt(progressDeadlineNanos, this::checkProgress);
+  }
+
+  /** Ends a run whose endpoint delivers no more events, so that the item continues elsewhere. */
+  private void checkProgress() {
+    if (finished) {
+      return;
+    }
+    if (!dependencies.clock().hasPassed(progressDeadlineNanos)) {
+      scheduleProgressCheck();
+      return;
+    }
+    dependencies
+        .dispatcher()
+        .health()
+        .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
+    abort("no event in time");
   }
 
   /** Cancels the run at the endpoint without notifying the listener. */
   void stop() {
+    progressCheck.close();
     if (!finished) {
       finished = true;
       exchange.close();
@@ -94,8 +130,7 @@
     if (answer.notRun()) {
       end(Outcome.NOT_RUN, "rejected with " + answer.status());
     } else if (!answer.genuine()) {
-      exchange.close();
-      end(Outcome.BROKEN, "the answer is not signed or belongs to another request");
+      abort("the answer is not signed or belongs to another request");
     } else if (answer.status() == UNPROCESSABLE) {
       end(Outcome.IMPOSSIBLE, "answered " + answer.status());
     } else if (!answer.isSuccess()) {
@@ -106,10 +141,13 @@
   @Override
   public void onBytes(ByteBuffer bytes) {
     if (!finished) {
-      eventParser.accept(bytes).forEach(item.progress()::add);
+      List<EventStreamParser.Event> events = eventParser.accept(bytes);
+      if (!events.isEmpty()) {
+        progressDeadlineNanos = dependencies.clock().deadlineAfterMillis(NEXT_EVENT_MILLIS);
+      }
+      events.forEach(item.progress()::add);
       if (eventParser.isTooLong()) {
-        exchange.close();
-        end(Outcome.BROKEN, "an event has no end");
+        abort("an event has no end");
       }
     }
   }
@@ -144,8 +182,17 @@
     }
   }
 
+  /** Ends the run as broken and closes its connection. */
+  private void abort(String cause) {
+    // Set first, because closing the exchange reports a failure.
+    finished = true;
+    exchange.close();
+    end(Outcome.BROKEN, cause);
+  }
+
   private void end(Outcome outcome, String cause) {
     finished = true;
+    progressCheck.close();
     listener.ended(this, outcome, cause);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -39,6 +39,13 @@
    */
   private static final long MINIMUM_REMAINING_MILLIS = 20;
 
+  /**
+   * Time without an event after which a stream continues at another endpoint if it may, in
+   * milliseconds; half the time after which clients give up a stream. Bytes that complete no event
+   * are no progress.
+   */
+  private static final long STALL_MILLIS = 1_000;
+
   /** Largest part of an answer that is kept for a client, in bytes. */
   private static final long MAXIMUM_KEPT_BYTES = 8 * 1024 * 1024;
 
@@ -223,6 +230,8 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private EndpointExchange exchange;
     private EndpointAnswer head;
+    private EventLoop.Timeout progressCheck = EventLoop.Timeout.NONE;
+    private long lastEventNanos;
     private long bodyBytes;
     private boolean ended;
 
@@ -231,11 +240,46 @@
     }
 
     void start(EndpointCall call) {
+      lastEventNanos = dependencies.clock().nanos();
       exchange = dependencies.endpointClient().start(call, this);
+      if (route.kind() == RouteKind.STREAMING) {
+        scheduleProgressCheck();
+      }
+    }
+
+    private void scheduleProgressCheck() {
+      progressCheck =
+          dependencies
+              .loop()
+              .scheduleAt(lastEventNanos + STALL_MILLIS * 1_000_000L, this::checkProgress);
+    }
+
+    /**
+     * Moves a stream whose endpoint delivers nothing more, for example because it has lost power. A
+     * stream that can't continue elsewhere is left alone: it may be slow.
+     */
+    private void checkProgress() {
+      if (ended || done) {
+        return;
+      }
+      boolean stalled = dependencies.clock().nanos() - lastEventNanos >= STALL_MILLIS * 1_000_000L;
+      boolean movable = startedAnswer == null || route.isResumableStream();
+      if (!stalled) {
+        scheduleProgressCheck();
+      } else if (movable && canRunElsewhere()) {
+        ended = true;
+        exchange.close();
+        dependencies
+            .dispatcher()
+            .health()
+            .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
+        onBrokenAnswer("no event for " + STALL_MILLIS + " ms");
+      }
     }
 
     /** Cancels the work at the endpoint. */
     void stop() {
+      progressCheck.close();
       if (!ended) {
         ended = true;
         exchange.close();
@@ -305,6 +349,7 @@
       } else if (route.isResumableStream()) {
         // Only complete events are forwarded, so that another endpoint can continue after the last.
         for (EventStreamParser.Event event : eventParser.accept(bytes)) {
+          lastEventNanos = dependencies.clock().nanos();
           lastEventId = event.id().isEmpty() ? lastEventId : event.id();
           answer.send(ByteBuffer.wrap(event.bytes()));
         }
