--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -9,14 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.Supplier;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.gateway.Route;
-import org.sedgeroad.peer.RendezvousHashing;
 import org.sedgeroad.store.KindWatcher;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoredObject;
@@ -27,33 +23,18 @@
  * deletes expired jobs. Must be used on the event loop, which also runs the callbacks.
  */
 public final class OwnedJobService implements KindWatcher.Listener {
-  /**
-   * Time after the start during which no job is taken over, in milliseconds. The first load reports
-   * of all other instances arrive within this time.
-   */
-  private static final long TAKEOVER_DELAY_MILLIS = 5_000;
-
   /**
    * Interval at which a read polls for a job that is being loaded, in milliseconds. It is a
    * twentieth of the maximum wait of a read.
    */
   private static final long LOAD_POLL_MILLIS = 50;
 
-  /** Delay between two takeover attempts of a job, in milliseconds. Store outages last seconds. */
-  private static final long TAKEOVER_RETRY_MILLIS = 1_000;
-
   /**
-   * Delay before a job that could not be loaded or deleted is tried again, in milliseconds. It is
-   * similar to the retry delay of list calls to the store.
+   * Delay before a job that could not be loaded is tried again, in milliseconds. It is similar to
+   * the retry delay of list calls to the store.
    */
   private static final long STORE_RETRY_MILLIS = 500;
 
-  /** Delay before a notification that got no answer is sent again, in milliseconds. */
-  private static final long NOTICE_RETRY_MILLIS = 400;
-
-  /** Number of times that a notification is sent; an instance that freezes does so for seconds. */
-  private static final int NOTICE_ATTEMPTS = 50;
-
   private final BatchDependencies context;
   private final OwnedJobRunner runner;
   private final PeerJobs peerJobs;
@@ -64,13 +45,9 @@
   private final Map<String, Long> pendingTokens = new HashMap<>();
   private final Set<String> loading = new HashSet<>();
 
-  // Separate from loading: the watch may report the new owner, and so start loading, before the
-  // takeover write is answered.
-  private final Set<String> takingOver = new HashSet<>();
-
-  private final Map<String, Long> orphanTokens = new HashMap<>();
-  private final long takeoversAllowedFromNanos;
-  private boolean deleting;
+  private final PeerQuestions questions;
+  private final OrphanedJobs orphans;
+  private final ExpiredJobDeleter deleter;
 
   /** Creates a service. */
   public OwnedJobService(BatchDependencies context, OwnedJobRunner runner, PeerJobs peerJobs) {
@@ -80,7 +57,9 @@
     this.storedResults = new StoredResults(context);
     this.logRefresher = new ResultLogRefresher(context);
     runner.setConflictListener(this::readHeadAgain);
-    this.takeoversAllowedFromNanos = context.clock().deadlineAfterMillis(TAKEOVER_DELAY_MILLIS);
+    this.questions = new PeerQuestions(context, peerJobs, this::readHead);
+    this.orphans = new OrphanedJobs(context, jobHeads, storedResults, questions, this::changed);
+    this.deleter = new ExpiredJobDeleter(context, runner, jobHeads, storedResults, this::remove);
   }
 
   /** Accepts a job on a batch route. An id that was accepted before creates no second job. */
@@ -148,7 +127,7 @@
             awaitLoaded(id, deadlineNanos, result, () -> read(id, after, deadlineNanos, result));
             return;
           }
-          answerFromOwnerOrStore(
+          questions.answerFromOwnerOrStore(
               head,
               owner -> peerJobs.results(owner, id, after, deadlineNanos),
               ReadResult.Page.class,
@@ -169,7 +148,7 @@
         id,
         result,
         head ->
-            answerFromOwnerOrStore(
+            questions.answerFromOwnerOrStore(
                 head,
                 owner -> peerJobs.body(owner, id, item),
                 ReadResult.Body.class,
@@ -220,7 +199,7 @@
     objects.forEach(object -> present.add(object.name()));
     long now = context.clock().nanos();
     jobHeads.all().stream()
-        .filter(job -> !present.contains(job.head().id()) && isExpired(job, now))
+        .filter(job -> !present.contains(job.head().id()) && deleter.isExpired(job, now))
         .forEach(job -> remove(job.head().id()));
   }
 
@@ -233,96 +212,19 @@
     }
   }
 
-  /**
-   * Takes over jobs whose owner is considered failed. Called several times a second while this
-   * instance watches all jobs.
-   *
-   * @param watchers names of the live instances that watch all jobs; for each orphaned job, one of
-   *     them is responsible
-   */
+  /** Takes over orphaned jobs; see {@link OrphanedJobs}. Called several times a second. */
   public void takeOverOrphanedJobs(Collection<String> watchers) {
-    long now = context.clock().nanos();
-    List<String> liveInstances = context.fleetLoad().liveInstances(now);
-    if (now - takeoversAllowedFromNanos < 0 || context.fleetLoad().isIsolated(now)) {
-      return;
-    }
-    for (JobHeadCache.CachedJob job : jobHeads.all()) {
-      String owner = job.head().owner();
-      if (!job.head().ended()
-          && !owner.equals(context.instance())
-          && !liveInstances.contains(owner)
-          && !storedResults.isComplete(job.head())
-          && !takingOver.contains(job.head().id())
-          && RendezvousHashing.ranksFirst(job.head().id(), context.instance(), watchers)) {
-        takeOver(job);
-      }
-    }
+    orphans.takeOver(watchers);
   }
 
-  /**
-   * Deletes one finished job whose retention time has passed, and forgets the heads of expired jobs
-   * of other instances unless this instance watches all jobs. Called several times a second.
-   *
-   * @param watchers names of the live instances that watch all jobs
-   */
-  public void deleteExpiredJob(Collection<String> watchers) {
-    long now = context.clock().nanos();
-    boolean watching = watchers.contains(context.instance());
-    if (!watching) {
-      jobHeads.all().stream()
-          .filter(job -> isExpired(job, now) && !job.head().owner().equals(context.instance()))
-          .forEach(job -> remove(job.head().id()));
-    }
-    if (!deleting && !context.fleetLoad().isIsolated(now)) {
-      List<String> liveInstances = context.fleetLoad().liveInstances(now);
-      jobHeads.all().stream()
-          .filter(job -> isExpired(job, now) && mayDelete(job.head(), liveInstances, watchers))
-          .findFirst()
-          .ifPresent(this::delete);
-    }
-  }
-
-  private boolean isExpired(JobHeadCache.CachedJob job, long nowNanos) {
-    return nowNanos - job.firstSeenNanos() > context.keepJobMillis() * 1_000_000L;
-  }
-
-  /** Returns whether a job is finished and this instance is responsible for deleting it. */
-  private boolean mayDelete(JobHead head, List<String> liveInstances, Collection<String> watchers) {
-    if (head.owner().equals(context.instance())) {
-      return runner.job(head.id()).map(job -> job.isComplete() || job.isEnded()).orElse(false);
-    }
-    return !liveInstances.contains(head.owner())
-        && (head.ended() || storedResults.isComplete(head))
-        && watchers.contains(context.instance())
-        && RendezvousHashing.ranksFirst(head.id(), context.instance(), watchers);
-  }
-
-  private void delete(JobHeadCache.CachedJob job) {
-    deleting = true;
-    JobHead head = job.head();
-    context
-        .storeWorkers()
-        .execute(
-            () -> {
-              StoreResult<StoredObject> outcome =
-                  context.store().delete(head.id(), head.itemObjects());
-              context.loop().execute(() -> deleted(head.id(), outcome));
-            });
+  /** Counts the tokens of orphaned jobs; see {@link OrphanedJobs}. */
+  public void countOrphanTokens(Collection<String> watchers) {
+    orphans.countTokens(watchers);
   }
 
-  private void deleted(String id, StoreResult<StoredObject> outcome) {
-    if (JobStore.isDeleted(outcome)) {
-      deleting = false;
-      remove(id);
-      context.log().log(LogEvent.JOB_DELETED, EventField.of("job", id));
-    } else {
-      context.log().log(
-          LogEvent.STORE_UNAVAILABLE, EventField.of("job", id), EventField.of("deletion", outcome));
-      context
-          .loop()
-          .scheduleAt(
-              context.clock().deadlineAfterMillis(STORE_RETRY_MILLIS), () -> deleting = false);
-    }
+  /** Deletes an expired job; see {@link ExpiredJobDeleter}. Called several times a second. */
+  public void deleteExpiredJob(Collection<String> watchers) {
+    deleter.deleteExpiredJob(watchers);
   }
 
   private void remove(String id) {
@@ -338,36 +240,7 @@
       tokens += pending;
     }
     tokens += context.fleetLoad().others(now).waitingTokens().getOrDefault(route.name(), 0L);
-    return tokens + orphanTokens.getOrDefault(route.name(), 0L);
-  }
-
-  /**
-   * Counts the tokens of the orphaned jobs that this instance is responsible for. Called several
-   * times a second.
-   *
-   * @param watchers names of the live instances that watch all jobs
-   */
-  public void countOrphanTokens(Collection<String> watchers) {
-    long now = context.clock().nanos();
-    orphanTokens.clear();
-    if (!watchers.contains(context.instance())) {
-      return;
-    }
-    List<String> live = context.fleetLoad().liveInstances(now);
-    for (JobHeadCache.CachedJob job : jobHeads.all()) {
-      JobHead head = job.head();
-      boolean reported = head.owner().equals(context.instance()) || live.contains(head.owner());
-      if (!reported
-          && !head.ended()
-          && !storedResults.isComplete(head)
-          && RendezvousHashing.ranksFirst(head.id(), context.instance(), watchers)) {
-        context
-            .routes()
-            .current()
-            .match(head.host(), head.path())
-            .ifPresent(route -> orphanTokens.merge(route.name(), head.tokens(), Long::sum));
-      }
-    }
+    return tokens + orphans.tokens().getOrDefault(route.name(), 0L);
   }
 
   /**
@@ -376,7 +249,7 @@
    */
   public Map<String, Long> waitingTokens() {
     Map<String, Long> tokens = new HashMap<>(runner.waitingTokens());
-    orphanTokens.forEach((route, count) -> tokens.merge(route, count, Long::sum));
+    orphans.tokens().forEach((route, count) -> tokens.merge(route, count, Long::sum));
     return tokens;
   }
 
@@ -484,98 +357,6 @@
     return nowNanos + Math.max(0, Math.min(runTargetMillis, remainingMillis)) * 1_000_000L;
   }
 
-  private void takeOver(JobHeadCache.CachedJob job) {
-    takingOver.add(job.head().id());
-    context
-        .storeWorkers()
-        .execute(
-            () -> {
-              WriteOutcome outcome =
-                  context.store().takeOver(job.head(), job.version(), context.instance());
-              context.loop().execute(() -> takenOver(job, outcome));
-            });
-  }
-
-  private void takenOver(JobHeadCache.CachedJob job, WriteOutcome outcome) {
-    context.log().log(
-        LogEvent.SEGMENT_TAKEN_OVER,
-        EventField.of("job", job.head().id()),
-        EventField.of("from", job.head().owner()),
-        EventField.of("version", job.version()),
-        EventField.of("outcome", outcome.getClass().getSimpleName()));
-    if (outcome instanceof WriteOutcome.Written written) {
-      updateHead(JobStore.decode(written.object()), written.object().version());
-      notifyUntilAnswered(
-          NOTICE_ATTEMPTS, () -> peerJobs.notifyTakenOver(job.head().owner(), job.head().id()));
-    } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() != null) {
-      updateHead(JobStore.decode(lost.current()), lost.current().version());
-    }
-    // The job may need another takeover later, whatever the outcome, but not immediately.
-    context
-        .loop()
-        .scheduleAt(
-            context.clock().deadlineAfterMillis(TAKEOVER_RETRY_MILLIS),
-            () -> takingOver.remove(job.head().id()));
-  }
-
-  /**
-   * Forwards the owner's answer if it has the expected type. Otherwise the head is read again, and
-   * a new owner is asked once; if that fails too, the store is read.
-   */
-  private void answerFromOwnerOrStore(
-      JobHead head,
-      Function<String, CompletableFuture<ReadResult>> askOwner,
-      Class<? extends ReadResult> expected,
-      Consumer<ReadResult> result,
-      Consumer<JobHead> readStore) {
-    askOwner(
-        head.owner(),
-        askOwner,
-        expected,
-        result,
-        () ->
-            readHead(
-                head.id(),
-                result,
-                current -> {
-                  boolean moved =
-                      !current.owner().equals(head.owner())
-                          && !current.owner().equals(context.instance());
-                  if (moved) {
-                    askOwner(
-                        current.owner(),
-                        askOwner,
-                        expected,
-                        result,
-                        () -> readStore.accept(current));
-                  } else {
-                    readStore.accept(current);
-                  }
-                }));
-  }
-
-  private void askOwner(
-      String owner,
-      Function<String, CompletableFuture<ReadResult>> question,
-      Class<? extends ReadResult> expected,
-      Consumer<ReadResult> result,
-      Runnable onFailure) {
-    question
-        .apply(owner)
-        .thenAccept(
-            answer ->
-                context
-                    .loop()
-                    .execute(
-                        () -> {
-                          if (expected.isInstance(answer)) {
-                            result.accept(answer);
-                          } else {
-                            onFailure.run();
-                          }
-                        }));
-  }
-
   private void readOwned(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
     boolean upToDate = job.storedResults().size() > after || job.isComplete() || job.isAppending();
     if (!job.isLoadedFromStore() || upToDate) {
@@ -602,27 +383,6 @@
     context.loop().scheduleAt(deadlineNanos, answer);
   }
 
-  /**
-   * Sends a notification until its receiver answers, with pauses of {@link #NOTICE_RETRY_MILLIS}.
-   * The receiver may be frozen or cut off; if it never answers, it learns of the change when it
-   * stores results.
-   */
-  private void notifyUntilAnswered(
-      int attempts, Supplier<CompletableFuture<ReadResult>> notification) {
-    notification
-        .get()
-        .thenAccept(
-            answer -> {
-              if (!(answer instanceof ReadResult.Ended) && attempts > 1) {
-                context
-                    .loop()
-                    .scheduleAt(
-                        context.clock().deadlineAfterMillis(NOTICE_RETRY_MILLIS),
-                        () -> notifyUntilAnswered(attempts - 1, notification));
-              }
-            });
-  }
-
   private void awaitLoaded(
       String id, long deadlineNanos, Consumer<ReadResult> result, Runnable task) {
     if (runner.job(id).isPresent()) {
@@ -734,7 +494,7 @@
       updateHead(head, written.object().version());
       runner.end(id);
       if (!head.owner().equals(context.instance())) {
-        notifyUntilAnswered(NOTICE_ATTEMPTS, () -> peerJobs.notifyEnded(head.owner(), id));
+        questions.notifyEnded(head.owner(), id);
       }
       result.accept(new ReadResult.Ended());
     } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() == null) {
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/PeerQuestions.java
@@ -0,0 +1,130 @@
+package org.sedgeroad.batch;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/**
+ * Asks and notifies the owners of jobs. An owner may have failed, be cut off, or have lost the job
+ * to another instance. Must be used on the event loop.
+ */
+final class PeerQuestions {
+  /** Delay before a notification that got no answer is sent again, in milliseconds. */
+  private static final long NOTICE_RETRY_MILLIS = 400;
+
+  /** Number of times that a notification is sent; an instance that freezes does so for seconds. */
+  private static final int NOTICE_ATTEMPTS = 50;
+
+  private final BatchDependencies context;
+  private final PeerJobs peerJobs;
+  private final HeadReader headReader;
+
+  /** Reads the head of a job as it is in the store now. */
+  @FunctionalInterface
+  interface HeadReader {
+    /**
+     * Reads a head.
+     *
+     * @param job id of the job
+     * @param failure receives the result if the job does not exist or can't be read
+     * @param task receives the head
+     */
+    void read(String job, Consumer<ReadResult> failure, Consumer<JobHead> task);
+  }
+
+  PeerQuestions(BatchDependencies context, PeerJobs peerJobs, HeadReader headReader) {
+    this.context = context;
+    this.peerJobs = peerJobs;
+    this.headReader = headReader;
+  }
+
+  /** Tells the owner that its job has ended, until it answers. */
+  void notifyEnded(String owner, String job) {
+    notifyUntilAnswered(NOTICE_ATTEMPTS, () -> peerJobs.notifyEnded(owner, job));
+  }
+
+  /** Tells the previous owner that its job was taken over, until it answers. */
+  void notifyTakenOver(String previousOwner, String job) {
+    notifyUntilAnswered(NOTICE_ATTEMPTS, () -> peerJobs.notifyTakenOver(previousOwner, job));
+  }
+
+  /**
+   * Forwards the owner's answer if it has the expected type. Otherwise the head is read again, and
+   * a new owner is asked once; if that fails too, the store is read.
+   */
+  void answerFromOwnerOrStore(
+      JobHead head,
+      Function<String, CompletableFuture<ReadResult>> askOwner,
+      Class<? extends ReadResult> expected,
+      Consumer<ReadResult> result,
+      Consumer<JobHead> readStore) {
+    askOwner(
+        head.owner(),
+        askOwner,
+        expected,
+        result,
+        () ->
+            headReader.read(
+                head.id(),
+                result,
+                current -> {
+                  boolean moved =
+                      !current.owner().equals(head.owner())
+                          && !current.owner().equals(context.instance());
+                  if (moved) {
+                    askOwner(
+                        current.owner(),
+                        askOwner,
+                        expected,
+                        result,
+                        () -> readStore.accept(current));
+                  } else {
+                    readStore.accept(current);
+                  }
+                }));
+  }
+
+  private void askOwner(
+      String owner,
+      Function<String, CompletableFuture<ReadResult>> question,
+      Class<? extends ReadResult> expected,
+      Consumer<ReadResult> result,
+      Runnable onFailure) {
+    question
+        .apply(owner)
+        .thenAccept(
+            answer ->
+                context
+                    .loop()
+                    .execute(
+                        () -> {
+                          if (expected.isInstance(answer)) {
+                            result.accept(answer);
+                          } else {
+                            onFailure.run();
+                          }
+                        }));
+  }
+
+  /**
+   * Sends a notification until its receiver answers, with pauses of {@link #NOTICE_RETRY_MILLIS}.
+   * The receiver may be frozen or cut off; if it never answers, it learns of the change when it
+   * stores results.
+   */
+  private void notifyUntilAnswered(
+      int attempts, Supplier<CompletableFuture<ReadResult>> notification) {
+    notification
+        .get()
+        .thenAccept(
+            answer -> {
+              if (!(answer instanceof ReadResult.Ended) && attempts > 1) {
+                context
+                    .loop()
+                    .scheduleAt(
+                        context.clock().deadlineAfterMillis(NOTICE_RETRY_MILLIS),
+                        () -> notifyUntilAnswered(attempts - 1, notification));
+              }
+            });
+  }
+}
