--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -29,7 +29,7 @@
   private static final long FLEET_INTERVAL_MILLIS = 25;
 
   /** Shortest time between two summaries for the other domains, in milliseconds. */
-  private static final long DOMAIN_INTERVAL_MILLIS = 50;
+  private static final long DOMAIN_INTERVAL_MILLIS = 30;
 
   /** Factor by which the second hub's summaries are rarer. */
   private static final int SECOND_HUB_FACTOR = 4;
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulationTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulationTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -37,6 +38,31 @@
     }
   }
 
+  /**
+   * In a large fleet each instance has a few requests only, and decides by sums that are some tens
+   * of milliseconds old. One simulation each, of 50 s and 25 s.
+   */
+  @Nested
+  class LargeFleet {
+    @Test
+    void keepsLiveRequestsAndItemsOnTimeOnEightyInstances() {
+      PeakLoadSimulation.Figures figures =
+          PeakLoadSimulation.mean(PeakLoadSimulation.Load.LARGE, 1, 50);
+      assertTrue(figures.liveOnTime() >= 0.95, figures.toString());
+      assertTrue(figures.itemsOnTime() >= 0.95, figures.toString());
+    }
+
+    /** An instance receives as many messages as in a fleet of a fifth of the size. */
+    @Test
+    @Tag("known-red")
+    void costsAnInstanceNoMoreOnFourHundredAndTenInstances() {
+      PeakLoadSimulation.Figures figures =
+          PeakLoadSimulation.mean(PeakLoadSimulation.Load.VERY_LARGE, 1, 25);
+      assertTrue(figures.liveOnTime() >= 0.95, figures.toString());
+      assertTrue(figures.messages() <= 150, figures.toString());
+    }
+  }
+
   @Nested
   class LossOfEngines {
     @Test
