--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -43,6 +43,9 @@
    */
   private static final long UNCHANGED_MILLIS = 200;
 
+  /** Time between two selections of the hubs, in milliseconds. */
+  private static final long SELECTION_MILLIS = 100;
+
   /** Time between two summaries that contain the states of all instances, in milliseconds. */
   private static final long COMPLETE_MILLIS = 250;
 
@@ -66,6 +69,7 @@
   private final Interval reportProbe = new Interval();
   private final Interval domainProbe = new Interval();
   private final Interval completeSummary = new Interval();
+  private final Interval selection = new Interval();
 
   /** Names of the other instances of this domain. */
   private final Set<String> members = new HashSet<>();
@@ -180,11 +184,13 @@
   }
 
   /**
-   * Selects the hubs again, and publishes summaries that are due without a change. To be called
-   * every {@link #TICK_MILLIS}.
+   * Selects the hubs again if it is time, and publishes summaries that are due without a change. To
+   * be called every {@link #TICK_MILLIS}.
    */
   public void tick() {
-    selectHubs();
+    if (selection.isDue(SELECTION_MILLIS)) {
+      selectHubs();
+    }
     if (!hubRole) {
       return;
     }
@@ -197,6 +203,7 @@
   }
 
   private void selectHubs() {
+    selection.mark();
     long now = clock.nanos();
     Map<String, String> registered = domainsByInstance.get();
     Map<String, List<String>> candidates = new HashMap<>();
