--- a/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
@@ -29,10 +29,16 @@
   }
 
   /**
-   * Delay before listing again after a failure, in milliseconds. It is a tenth of the time within
-   * which a change must take effect.
+   * Delay before listing again after a first failure, in milliseconds. It is a tenth of the time
+   * within which a change must take effect.
    */
-  private static final long RETRY_MILLIS = 250;
+  private static final long FIRST_RETRY_MILLIS = 250;
+
+  /**
+   * Longest delay before listing again, in milliseconds. Each further failure doubles the delay,
+   * because refused calls have their price too; an outage lasts for seconds.
+   */
+  private static final long LONGEST_RETRY_MILLIS = 2_000;
 
   private final ObjectStore store;
   private final String kind;
@@ -51,6 +57,10 @@
   private long newestChange;
 
   private int generation;
+
+  /** Number of failures since the last successful list. */
+  private int failures;
+
   private boolean connected;
   private boolean closed;
 
@@ -132,6 +142,7 @@
             EventField.of("version", done.value().version()),
             EventField.of("objects", done.value().objects().size()));
       }
+      failures = 0;
       version = Math.max(version, done.value().version());
       done.value().objects().forEach(this::noteChange);
       listener.listed(done.value().objects());
@@ -224,8 +235,10 @@
   }
 
   private void retry(int expectedGeneration, Runnable task) {
+    long delay = Math.min(LONGEST_RETRY_MILLIS, FIRST_RETRY_MILLIS << Math.min(failures, 10));
+    failures++;
     loop.scheduleAt(
-        clock.deadlineAfterMillis(RETRY_MILLIS),
+        clock.deadlineAfterMillis(delay),
         () -> {
           if (expectedGeneration == generation && !closed) {
             task.run();
