--- a/sedgeroad/src/main/java/org/sedgeroad/api/Authenticator.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/Authenticator.java
@@ -5,9 +5,11 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
@@ -56,15 +58,27 @@
     if (header == null || !header.startsWith(SCHEME)) {
       return Optional.empty();
     }
-    return Optional.ofNullable(
-        memberByHash.get(hashKey(header.substring(SCHEME.length()).strip())));
+    return findMember(hashKey(header.substring(SCHEME.length()).strip()));
   }
 
-  /** Replaces the keys of one member by those of its current object. */
+  /** Returns the name of the member that has a key with the given hash, empty if none has. */
+  Optional<String> findMember(String keyHash) {
+    return Optional.ofNullable(memberByHash.get(keyHash));
+  }
+
+  /**
+   * Replaces the keys of one member by those of its current object. A key that stays is valid all
+   * the time, also for requests that arrive meanwhile.
+   */
   private synchronized void updateKeys(StoredObject object) {
-    memberByHash.values().removeIf(object.name()::equals);
+    Set<String> current = new HashSet<>();
     if (!object.isDeleted()) {
-      object.spec().path("keys").forEach(key -> memberByHash.put(key.asText(), object.name()));
+      object.spec().path("keys").forEach(key -> current.add(key.asText()));
     }
+    current.forEach(key -> memberByHash.put(key, object.name()));
+    memberByHash
+        .entrySet()
+        .removeIf(
+            entry -> entry.getValue().equals(object.name()) && !current.contains(entry.getKey()));
   }
 }
