Add an experiment on the cost of knowing the fleet's load

bin/bench exchange measures the processor time of a load message and of placing what waits, at 9, 80 and 410 instances, against reports from each to each.

--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/BenchMain.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/BenchMain.java
@@ -21,6 +21,7 @@
               "batch-interference", BatchInterferenceExperiment::new,
               "control", ControlExperiment::new,
               "drain", DrainExperiment::new,
+              "exchange", ExchangeExperiment::new,
               "head-of-line", HeadOfLineExperiment::new,
               "limits", LimitsExperiment::new,
               "link", LinkExperiment::new,
--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Targets.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/Targets.java
@@ -13,6 +13,7 @@
   static final double DRAIN_SECONDS = 3;
   static final double OVERHEAD_MILLIS = 1;
   static final double LINK_RATIO = 1.05;
+  static final double CONTROL_CORE_PERCENT = 1.7;
   static final double ZERO = 0;
 
   private Targets() {}
