Do not start a job that ends while it is being loaded

Since few instances watch all jobs, an owner learns of the end by a notification, and one that arrives while the job is loaded or accepted was lost: the job was not known to the runner yet.

Change: such a notification is remembered until the job is loaded, and the head is read once more after the items and results.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -29,6 +29,9 @@
    */
   private static final long LOAD_POLL_MILLIS = 50;
 
+  /** Number of jobs that have ended before their start at which they are forgotten. */
+  private static final int MAXIMUM_ENDED_JOBS = 1_000;
+
   /**
    * Delay before a job that could not be loaded is tried again, in milliseconds. It is similar to
    * the retry delay of list calls to the store.
@@ -45,6 +48,9 @@
   private final Map<String, Long> pendingTokens = new HashMap<>();
   private final Set<String> loading = new HashSet<>();
 
+  /** Ids of jobs that have ended while they were being loaded or accepted here. */
+  private final Set<String> endedBeforeStart = new HashSet<>();
+
   private final PeerQuestions questions;
   private final OrphanedJobs orphans;
   private final ExpiredJobDeleter deleter;
@@ -167,11 +173,27 @@
             });
   }
 
-  /** Stops a job that another instance has marked as ended. */
+  /**
+   * Stops a job that another instance has marked as ended. If the job is still being loaded or
+   * accepted here, it does not start.
+   */
   public void stopJobEndedByPeer(String id) {
+    if (runner.job(id).isEmpty()) {
+      if (endedBeforeStart.size() >= MAXIMUM_ENDED_JOBS) {
+        endedBeforeStart.clear();
+      }
+      endedBeforeStart.add(id);
+    }
     runner.end(id);
   }
 
+  private void start(OwnedJob job) {
+    if (endedBeforeStart.remove(job.head().id())) {
+      job.setEnded();
+    }
+    runner.add(job);
+  }
+
   /** Answers a peer's read; {@link ReadResult.Unavailable} if the job is not run here. */
   public void readForPeer(String id, int after, long deadlineNanos, Consumer<ReadResult> result) {
     runner
@@ -262,7 +284,7 @@
           jobHeads.find(submission.id()).map(JobHeadCache.CachedJob::head).orElse(accepted.head());
       if (accepted.created() && owned && head.owner().equals(context.instance())) {
         long now = context.clock().nanos();
-        runner.add(new OwnedJob(head, submission.items(), dueNanos(head, now), now));
+        start(new OwnedJob(head, submission.items(), dueNanos(head, now), now));
       } else if (owned && runner.job(submission.id()).isEmpty()) {
         load(head);
       }
@@ -313,7 +335,21 @@
             () -> {
               StoreResult<List<ItemSpec>> items = context.store().readItems(head);
               StoreResult<List<List<JobResult>>> chunks = context.store().readChunks(head.id(), 0);
-              context.loop().execute(() -> loaded(head, items, chunks));
+              // Read last: the job may have ended, or have another owner, since the head was read.
+              StoreResult<StoredObject> newest = context.store().read(head.id());
+              context
+                  .loop()
+                  .execute(
+                      () -> {
+                        if (newest instanceof StoreResult.Done<StoredObject> done) {
+                          changed(done.value());
+                        } else if (newest instanceof StoreResult.Absent) {
+                          loading.remove(head.id());
+                          remove(head.id());
+                          return;
+                        }
+                        loaded(head, items, chunks);
+                      });
             });
   }
 
@@ -331,7 +367,7 @@
       results.value().forEach(job::addChunk);
       // The previous owner, or the previous process of this instance, may still store results.
       job.setLoadedFromStore();
-      runner.add(job);
+      start(job);
     } else {
       context.log().log(
           LogEvent.STORE_UNAVAILABLE,
