--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -77,10 +77,13 @@
   private static final int STORE_THREADS = 6;
 
   /** Shortest time for which a watch may stay without an answer, in milliseconds. */
-  private static final long MINIMUM_QUIET_MILLIS = 1_500;
+  private static final long MINIMUM_QUIET_MILLIS = 4_000;
 
-  /** Time by which a watch may stay longer without an answer for each peer, in milliseconds. */
-  private static final long QUIET_MILLIS_OF_PEER = 500;
+  /**
+   * Time for which a watch may stay without an answer for each peer, in milliseconds: the time
+   * between two ends of watches in the whole fleet.
+   */
+  private static final long QUIET_MILLIS_OF_PEER = 250;
 
   /** Longest time for which a watch may stay without an answer, in milliseconds. */
   private static final long MAXIMUM_QUIET_MILLIS = 25_000;
@@ -266,7 +269,8 @@
    */
   private long quietMillis() {
     return Math.min(
-        MAXIMUM_QUIET_MILLIS, MINIMUM_QUIET_MILLIS + QUIET_MILLIS_OF_PEER * instances.count());
+        MAXIMUM_QUIET_MILLIS,
+        Math.max(MINIMUM_QUIET_MILLIS, QUIET_MILLIS_OF_PEER * instances.count()));
   }
 
   private Undertow createServer() {
