Let watches wait for random times

Change: a wait is a random time from a tenth of 6 s, or of 0.25 s a peer, up to the whole. The first instance whose wait ends is ahead, and the others follow.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -76,18 +76,6 @@
    */
   private static final int STORE_THREADS = 6;
 
-  /** Shortest time for which a watch may stay without an answer, in milliseconds. */
-  private static final long MINIMUM_QUIET_MILLIS = 4_000;
-
-  /**
-   * Time for which a watch may stay without an answer for each peer, in milliseconds: the time
-   * between two ends of watches in the whole fleet.
-   */
-  private static final long QUIET_MILLIS_OF_PEER = 250;
-
-  /** Longest time for which a watch may stay without an answer, in milliseconds. */
-  private static final long MAXIMUM_QUIET_MILLIS = 25_000;
-
   /**
    * Time between two checks for idle client connections, in milliseconds; the idle limits are
    * several seconds.
@@ -261,16 +249,8 @@
     return new KindWatcher(store, kind, storeWorkers, eventLoop, clock, log, quietMillis, listener);
   }
 
-  /**
-   * Returns for how long a watch may stay without an answer, in milliseconds. If the connections of
-   * all instances stop delivering anything, the first instance that notices receives the change
-   * that the others have missed, and they learn of it from the load exchange; so the more instances
-   * there are, the longer each may wait.
-   */
   private long quietMillis() {
-    return Math.min(
-        MAXIMUM_QUIET_MILLIS,
-        Math.max(MINIMUM_QUIET_MILLIS, QUIET_MILLIS_OF_PEER * instances.count()));
+    return WatchWait.millis(instances.count(), ThreadLocalRandom.current().nextDouble());
   }
 
   private Undertow createServer() {
