--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -66,7 +66,7 @@
 
   /**
    * Time for which the watch of the addresses of instances may stay without an answer, in
-   * milliseconds. An instance whose address is missing is reached through other instances.
+   * milliseconds. An instance whose address is missing is not used as a hub until then.
    */
   private static final long INSTANCES_QUIET_MILLIS = 25_000;
 
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/EndpointTotal.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/EndpointTotal.java
@@ -47,9 +47,4 @@
     return new EndpointTotal(
         Math.max(0, live - work.live()), Math.max(0, batch - work.batch()), firstHolder);
   }
-
-  /** Returns whether there is no work. */
-  public boolean isEmpty() {
-    return live == 0 && batch == 0;
-  }
 }
