Log broken answers with the parts of the prompt

An operator could not see whether the runs that break off before their first event have something in common: the log named the request and the endpoint only. No logic changes.

--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -49,6 +49,8 @@
   REQUEST_ENDED(3006, Level.INFO, "request ended"),
   /** A request is continued at another endpoint. */
   REQUEST_MOVED(3007, Level.INFO, "request moved"),
+  /** The answer of an endpoint broke off or was not valid; the request may have run there. */
+  ANSWER_BROKEN(3008, Level.INFO, "answer broken"),
   /** An endpoint was registered, or its registration changed or was removed. */
   ENDPOINT_CHANGED(4007, Level.INFO, "endpoint changed"),
   /** An endpoint refuses new work and receives no more requests. */
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/ClientRequest.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/ClientRequest.java
@@ -1,5 +1,6 @@
 package org.sedgeroad.gateway;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
@@ -11,6 +12,8 @@
  * @param target path with query, as received
  * @param headers headers to forward, without hop-by-hop headers
  * @param body complete body; must not be modified
+ * @param promptParts ids of the parts of the prompt in order; empty if the request has no prompt or
+ *     does not state its parts. The last part belongs to this request or its session alone
  * @param lastEventId id of the last event that the client has received, empty to get the stream
  *     from the start
  * @param arrivedNanos monotonic time of arrival, in nanoseconds
@@ -22,12 +25,13 @@
     String target,
     Map<String, String> headers,
     byte[] body,
+    List<String> promptParts,
     String lastEventId,
     long arrivedNanos,
     long deadlineNanos) {
 
   /**
-   * Copies the headers.
+   * Copies the headers and the prompt parts.
    *
    * @throws NullPointerException if a component is null
    */
@@ -37,6 +41,7 @@
     Objects.requireNonNull(target);
     headers = Map.copyOf(headers);
     Objects.requireNonNull(body);
+    promptParts = List.copyOf(promptParts);
     Objects.requireNonNull(lastEventId);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -233,6 +233,10 @@
     private EventLoop.Timeout progressCheck = EventLoop.Timeout.NONE;
     private long lastEventNanos;
     private long bodyBytes;
+
+    /** Number of complete events that were received in this attempt. */
+    private int eventCount;
+
     private boolean ended;
 
     EndpointAttempt(ServiceEndpoint endpoint) {
@@ -349,13 +353,14 @@
       } else if (route.isResumableStream()) {
         // Only complete events are forwarded, so that another endpoint can continue after the last.
         for (EventStreamParser.Event event : eventParser.accept(bytes)) {
+          eventCount++;
           lastEventNanos = dependencies.clock().nanos();
           lastEventId = event.id().isEmpty() ? lastEventId : event.id();
           answer.send(ByteBuffer.wrap(event.bytes()));
         }
       } else {
         // The events are parsed only to recognise an answer that ends inside an event.
-        eventParser.accept(bytes.duplicate());
+        eventCount += eventParser.accept(bytes.duplicate()).size();
         answer.send(bytes);
       }
     }
@@ -443,6 +448,7 @@
 
     /** Handles a broken answer. The request may have run at this endpoint. */
     private void onBrokenAnswer(String cause) {
+      logBrokenAnswer(cause);
       dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
       attempt = null;
       if (done) {
@@ -467,6 +473,17 @@
       requestSlot();
     }
 
+    private void logBrokenAnswer(String cause) {
+      dependencies.log().log(
+          LogEvent.ANSWER_BROKEN,
+          EventField.of("request", request.id()),
+          EventField.of("endpoint", endpoint.name()),
+          EventField.of("cause", cause),
+          EventField.of("begun", head != null),
+          EventField.of("events", eventCount),
+          EventField.of("prompt", String.join(",", request.promptParts())));
+    }
+
     private void logMove(String cause) {
       dependencies.log().log(
           LogEvent.REQUEST_MOVED,
