Refuse requests whose prompt part crashes endpoints

Cause: nothing in the gateway connected a broken run with the parts of its prompt, so each request crashed an endpoint at each attempt. Crashes hit requests without the part only at endpoints that one with it had reached.

Change: runs that break before their first event form series by prompt part and by whole request; an answer ends a series. Series are exchanged through the hubs. After three crashes in a row without an answer anywhere, requests that have all keys of the series are refused at once. Quarantines are kept in the store and end by a trial, one at a time in the fleet. Batch items are never refused.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -39,6 +39,10 @@
 import org.sedgeroad.store.KindWatcher;
 import org.sedgeroad.store.ObjectStore;
 import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.suspicion.QuarantineStore;
+import org.sedgeroad.suspicion.SuspicionExchange;
+import org.sedgeroad.suspicion.SuspicionGuard;
+import org.sedgeroad.suspicion.SuspicionTable;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -65,13 +69,14 @@
   private static final long JOB_CHECK_MILLIS = 250;
 
   /**
-   * Time for which the watch of the addresses of instances may stay without an answer, in
-   * milliseconds. An instance whose address is missing is not used as a hub until then.
+   * Time for which the watches of the addresses of instances and of quarantines may stay without an
+   * answer, in milliseconds. An instance whose address is missing is not used as a hub until then;
+   * quarantines are also exchanged between instances.
    */
-  private static final long INSTANCES_QUIET_MILLIS = 25_000;
+  private static final long RARE_CHANGES_QUIET_MILLIS = 25_000;
 
   /**
-   * Threads that wait for the store: one for each of the four kinds that are listed at startup
+   * Threads that wait for the store: one for each of the four kinds that matter most at startup
    * (routes, endpoints, instances and jobs), and two for concurrent calls about jobs.
    */
   private static final int STORE_THREADS = 6;
@@ -180,6 +185,7 @@
             routes,
             this::hasConfiguration,
             dispatcher,
+            createSuspicionGuard(store),
             batch.endpointClient(),
             eventLoop,
             clock,
@@ -199,7 +205,7 @@
     this.routesLag = new LagDetector(clock, () -> routesWatcher.restart("a peer has newer routes"));
     this.endpointsLag =
         new LagDetector(clock, () -> endpointsWatcher.restart("a peer has newer endpoints"));
-    watch(store, InstanceDirectory.KIND, () -> INSTANCES_QUIET_MILLIS, instances);
+    watch(store, InstanceDirectory.KIND, () -> RARE_CHANGES_QUIET_MILLIS, instances);
     this.jobWatch =
         new JobWatch(() -> createWatcher(store, JobStore.JOBS, this::quietMillis, jobs));
     this.server = createServer();
@@ -237,6 +243,18 @@
         settings.keepJobMillis());
   }
 
+  private SuspicionGuard createSuspicionGuard(ObjectStore store) {
+    SuspicionTable table = new SuspicionTable(clock, System::currentTimeMillis);
+    SuspicionExchange exchange =
+        new SuspicionExchange(table, hubExchange::spread, hubExchange::isHub, eventLoop, clock);
+    hubExchange.setCrashListener(exchange::receive);
+    QuarantineStore quarantines =
+        new QuarantineStore(
+            writer, storeWorkers, eventLoop, System::currentTimeMillis, log, exchange::receive);
+    watch(store, QuarantineStore.KIND, () -> RARE_CHANGES_QUIET_MILLIS, quarantines);
+    return new SuspicionGuard(table, exchange, quarantines, log);
+  }
+
   private KindWatcher watch(
       ObjectStore store, String kind, LongSupplier quietMillis, KindWatcher.Listener listener) {
     KindWatcher watcher = createWatcher(store, kind, quietMillis, listener);
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -61,7 +61,7 @@
   INSTANCE_LIST_UNAVAILABLE(4003, Level.WARNING, "instance list unavailable"),
   /** An endpoint crashed while it ran requests; each of them is suspected of being the cause. */
   ENDPOINT_LOST(4004, Level.WARNING, "endpoint lost"),
-  /** A request crashed two endpoints and is refused from now on. */
+  /** Endpoints crashed under a request, or under requests like it; it is refused from now on. */
   REQUEST_QUARANTINED(4005, Level.WARNING, "request quarantined"),
   /** The quarantine of a request could not be written to the store yet. */
   QUARANTINE_NOT_STORED(4006, Level.WARNING, "quarantine not stored"),
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/GatewayDependencies.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/GatewayDependencies.java
@@ -6,6 +6,7 @@
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.metric.GatewayMetrics;
 import org.sedgeroad.placement.Dispatcher;
+import org.sedgeroad.suspicion.SuspicionGuard;
 
 /**
  * Dependencies of the classes that forward requests. No component may be null.
@@ -13,6 +14,7 @@
  * @param routes holds the routes in force
  * @param ready returns whether routes and endpoints are known
  * @param dispatcher assigns slots at endpoints
+ * @param suspicions keeps requests that crash endpoints from being sent
  * @param endpointClient sends requests to endpoints
  * @param loop event loop on which all calls run
  * @param clock source of monotonic time
@@ -23,6 +25,7 @@
     RouteTableHolder routes,
     BooleanSupplier ready,
     Dispatcher dispatcher,
+    SuspicionGuard suspicions,
     EndpointClient endpointClient,
     EventLoop loop,
     MonotonicClock clock,
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.event.EventField;
@@ -10,6 +12,8 @@
 import org.sedgeroad.http.HttpFailure;
 import org.sedgeroad.placement.LiveDemand;
 import org.sedgeroad.placement.WorkClass;
+import org.sedgeroad.suspicion.CrashSeries;
+import org.sedgeroad.suspicion.Suspicion;
 
 /**
  * Processing of one client request from its arrival to its final answer. Used on the event loop.
@@ -74,6 +78,12 @@
   private int rejections;
   private boolean done;
 
+  /** Keys by which the request is suspected; computed once they are needed. */
+  private List<String> suspectKeys;
+
+  /** Whether the request may be sent once although requests like it are quarantined. */
+  private boolean trial;
+
   RequestRun(
       GatewayDependencies dependencies,
       Route route,
@@ -107,7 +117,52 @@
     }
   }
 
+  /** Waits for a slot, unless requests like this one crash endpoints. */
   private void requestSlot() {
+    if (done) {
+      return;
+    }
+    Suspicion suspicion =
+        trial ? Suspicion.NONE : dependencies.suspicions().suspicion(suspectKeys());
+    switch (suspicion.verdict()) {
+      case CLEAR -> submitDemand();
+      case AWAITING_REPORTS ->
+          dependencies.loop().scheduleAt(suspicion.decidedAtNanos(), this::requestSlot);
+      case QUARANTINED ->
+          dependencies
+              .suspicions()
+              .requestTrial(suspicion.key(), allowed -> onTrialDecided(suspicion.key(), allowed));
+      default -> throw new IllegalStateException(suspicion.verdict().name());
+    }
+  }
+
+  private void onTrialDecided(String key, boolean allowed) {
+    if (done) {
+      return;
+    }
+    if (allowed) {
+      trial = true;
+      submitDemand();
+      return;
+    }
+    String text = "endpoints crashed under requests with " + key;
+    if (possibleRuns > 0) {
+      fail(Refusal.of(Refusal.Reason.UNKNOWN, text));
+    } else {
+      long retryAt =
+          dependencies.clock().deadlineAfterMillis(dependencies.suspicions().millisUntilTrial(key));
+      fail(new Refusal(Refusal.Reason.NOT_RUN, text, retryAt));
+    }
+  }
+
+  private List<String> suspectKeys() {
+    if (suspectKeys == null) {
+      suspectKeys = dependencies.suspicions().keys(request);
+    }
+    return suspectKeys;
+  }
+
+  private void submitDemand() {
     if (!dependencies.dispatcher().hasEndpoint(service, excluded)) {
       refuseForLackOfEndpoints();
       return;
@@ -129,6 +184,17 @@
 
   private void send(ServiceEndpoint endpoint) {
     demand = null;
+    boolean suspected =
+        !trial
+            && dependencies.suspicions().suspicion(suspectKeys()).verdict()
+                != Suspicion.Verdict.CLEAR;
+    if (suspected) {
+      // The suspicion arose while the request waited for a slot.
+      dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+      requestSlot();
+      return;
+    }
+    trial = false;
     long waited = (dependencies.clock().nanos() - request.arrivedNanos()) / 1_000_000L;
     dependencies.metrics().recordPlacement(route.name(), waited);
     dependencies
@@ -237,6 +303,10 @@
     /** Number of complete events that were received in this attempt. */
     private int eventCount;
 
+    /** Series of the request's suspect keys when the attempt began. */
+    private final Map<String, CrashSeries> seriesAtStart =
+        dependencies.suspicions().series(suspectKeys());
+
     private boolean ended;
 
     EndpointAttempt(ServiceEndpoint endpoint) {
@@ -309,7 +379,9 @@
         onBrokenAnswer("resumption was answered " + received.status());
       } else {
         head = received;
-        if (isStream() && startedAnswer == null) {
+        if (!isStream()) {
+          dependencies.suspicions().recordAnswer(suspectKeys());
+        } else if (startedAnswer == null) {
           startedAnswer = received;
           answer.begin(received);
         }
@@ -353,18 +425,33 @@
       } else if (route.isResumableStream()) {
         // Only complete events are forwarded, so that another endpoint can continue after the last.
         for (EventStreamParser.Event event : eventParser.accept(bytes)) {
-          eventCount++;
+          countEvents(1);
           lastEventNanos = dependencies.clock().nanos();
           lastEventId = event.id().isEmpty() ? lastEventId : event.id();
           answer.send(ByteBuffer.wrap(event.bytes()));
         }
       } else {
         // The events are parsed only to recognise an answer that ends inside an event.
-        eventCount += eventParser.accept(bytes.duplicate()).size();
+        countEvents(eventParser.accept(bytes.duplicate()).size());
         answer.send(bytes);
       }
     }
 
+    private void countEvents(int events) {
+      if (eventCount == 0 && events > 0) {
+        dependencies.suspicions().recordAnswer(suspectKeys());
+      }
+      eventCount += events;
+    }
+
+    /** Records a crash of the endpoint if the connection broke before it began to answer. */
+    private void recordCrash() {
+      boolean answered = eventCount > 0 || (head != null && !isStream());
+      if (!answered && hasTime()) {
+        dependencies.suspicions().recordCrash(endpoint.name(), seriesAtStart);
+      }
+    }
+
     @Override
     public void onEnd() {
       if (ended) {
@@ -376,6 +463,7 @@
             .dispatcher()
             .health()
             .recordBrokenAnswer(endpoint.name(), dependencies.clock().nanos());
+        recordCrash();
         onBrokenAnswer("the answer ended inside an event");
         return;
       }
@@ -414,6 +502,7 @@
             .dispatcher()
             .health()
             .recordBrokenAnswer(endpoint.name(), dependencies.clock().nanos());
+        recordCrash();
         onBrokenAnswer(failure.reason());
       }
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.suspicion.CrashSeries;
 
 /**
  * Exchange of loads through the hubs of the failure domains: each instance sends its reports to the
@@ -63,6 +65,7 @@
   private final FleetLoadView view;
   private final PacedTask fleetPublisher;
   private final PacedTask domainPublisher;
+  private Consumer<Map<String, CrashSeries>> crashListener = series -> {};
   private LoadReport lastReport;
   private long sequence;
   private final Interval unchangedReport = new Interval();
@@ -124,6 +127,11 @@
     return hubsByDomain.get(domain).get(0).equals(instance);
   }
 
+  /** Returns whether this instance publishes summaries and passes on series of crashes. */
+  public boolean isHub() {
+    return hubRole;
+  }
+
   /**
    * Returns the names of the first hubs of all failure domains, without those that are not live.
    */
@@ -162,10 +170,31 @@
     }
   }
 
+  /**
+   * Sends series of crashes to the hubs of this domain, and as a hub also to the instances of the
+   * domain and to the hubs of the others.
+   */
+  public void spread(Map<String, CrashSeries> series) {
+    Set<String> receivers = new HashSet<>(hubsByDomain.get(domain));
+    if (hubRole) {
+      receivers.addAll(members);
+      hubsByDomain.values().forEach(receivers::addAll);
+    }
+    receivers.remove(instance);
+    sender.send(new CrashNews(instance, series), receivers);
+  }
+
+  /** Sets the receiver of the series of crashes that other instances send. */
+  public void setCrashListener(Consumer<Map<String, CrashSeries>> listener) {
+    crashListener = listener;
+  }
+
   /** Receives a message of another instance. */
   public void receive(LoadMessage message) {
     long now = clock.nanos();
-    if (message instanceof LoadReport report) {
+    if (message instanceof CrashNews news) {
+      crashListener.accept(news.series());
+    } else if (message instanceof LoadReport report) {
       // An instance of another domain, or one that is not registered, is not counted here.
       if (members.contains(report.instance()) && hub.receive(report, now)) {
         requestSummaries();
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
@@ -1,12 +1,15 @@
 package org.sedgeroad.presence;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.sedgeroad.suspicion.CrashSeries;
 
 /** Encodes and decodes load messages as sequences of MessagePack values. */
 final class LoadMessageCodec {
@@ -18,6 +21,7 @@
   private static final int REPORT = 0;
   private static final int DOMAIN_SUMMARY = 1;
   private static final int FLEET_SUMMARY = 2;
+  private static final int CRASH_NEWS = 3;
 
   private LoadMessageCodec() {}
 
@@ -31,6 +35,9 @@
         packer.packInt(
             summary.scope() == LoadSummary.Scope.DOMAIN ? DOMAIN_SUMMARY : FLEET_SUMMARY);
         pack(packer, summary);
+      } else if (message instanceof CrashNews news) {
+        packer.packInt(CRASH_NEWS);
+        pack(packer, news);
       }
       return packer.toByteArray();
     }
@@ -47,6 +54,7 @@
         case REPORT -> unpackReport(unpacker);
         case DOMAIN_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.DOMAIN);
         case FLEET_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.FLEET);
+        case CRASH_NEWS -> unpackNews(unpacker);
         default -> throw new IOException("unknown kind " + kind);
       };
     } catch (RuntimeException malformed) {
@@ -169,6 +177,36 @@
         reporters);
   }
 
+  private static void pack(MessagePacker packer, CrashNews news) throws IOException {
+    packer.packString(news.instance());
+    packer.packMapHeader(news.series().size());
+    for (Map.Entry<String, CrashSeries> entry : news.series().entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packLong(entry.getValue().number());
+      packer.packBoolean(entry.getValue().answered());
+      packer.packArrayHeader(entry.getValue().crashes().size());
+      for (String crash : entry.getValue().crashes()) {
+        packer.packString(crash);
+      }
+    }
+  }
+
+  private static CrashNews unpackNews(MessageUnpacker unpacker) throws IOException {
+    String instance = unpacker.unpackString();
+    Map<String, CrashSeries> series = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      String key = unpacker.unpackString();
+      long number = unpacker.unpackLong();
+      boolean answered = unpacker.unpackBoolean();
+      List<String> crashes = new ArrayList<>();
+      for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+        crashes.add(unpacker.unpackString());
+      }
+      series.put(key, new CrashSeries(number, crashes, answered));
+    }
+    return new CrashNews(instance, series);
+  }
+
   private static void packCounts(MessagePacker packer, Map<String, ? extends Number> counts)
       throws IOException {
     packer.packMapHeader(counts.size());
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
@@ -0,0 +1,211 @@
+package org.sedgeroad.suspicion;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.sedgeroad.EventLoop;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.store.KindWatcher;
+import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WriteOutcome;
+
+/**
+ * Keeps quarantines in the store, so that they survive a restart of all instances, and allows one
+ * trial at a time in the whole fleet. Used on the event loop.
+ */
+public final class QuarantineStore implements KindWatcher.Listener {
+  /** Kind of the objects; the name of an object is the key. */
+  public static final String KIND = "crash-quarantines";
+
+  /** Time between a quarantine and its first trial, in milliseconds. */
+  static final long FIRST_TRIAL_MILLIS = 4_000;
+
+  /** Factor between the times before two trials; each failed one costs an endpoint. */
+  private static final long TRIAL_FACTOR = 4;
+
+  /** Longest time before a trial, in milliseconds. */
+  private static final long LONGEST_TRIAL_MILLIS = 3_600_000;
+
+  /** Time after a due trial after which a quarantine is deleted, in milliseconds. */
+  private static final long UNUSED_MILLIS = 3_600_000;
+
+  private record Stored(long version, CrashSeries series, int trials, long trialAtMillis) {}
+
+  private final StoreWriter writer;
+  private final Executor workers;
+  private final EventLoop loop;
+  private final LongSupplier wallMillis;
+  private final EventLog log;
+  private final Consumer<Map<String, CrashSeries>> listener;
+  private final Map<String, Stored> quarantines = new HashMap<>();
+
+  /** Keys with a call to the store in progress. */
+  private final Set<String> calls = new HashSet<>();
+
+  /**
+   * Creates a store without quarantines; a watch of {@link #KIND} delivers them.
+   *
+   * @param writer writes objects, not null
+   * @param workers executor for blocking store calls, not null
+   * @param loop event loop, not null
+   * @param wallMillis source of wall-clock time in milliseconds, not null
+   * @param log the log, not null
+   * @param listener receives the series of stored quarantines, not null
+   */
+  public QuarantineStore(
+      StoreWriter writer,
+      Executor workers,
+      EventLoop loop,
+      LongSupplier wallMillis,
+      EventLog log,
+      Consumer<Map<String, CrashSeries>> listener) {
+    this.writer = writer;
+    this.workers = workers;
+    this.loop = loop;
+    this.wallMillis = wallMillis;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  /** Returns the time until a key's next trial, in milliseconds, at least 0. */
+  long millisUntilTrial(String key) {
+    Stored stored = quarantines.get(key);
+    return stored == null
+        ? FIRST_TRIAL_MILLIS
+        : Math.max(0, stored.trialAtMillis() - wallMillis.getAsLong());
+  }
+
+  /** Stores the quarantine of a key unless it is stored or being stored. */
+  void add(String key, CrashSeries series) {
+    Stored stored = quarantines.get(key);
+    if (stored != null && stored.series().merge(series).equals(stored.series())) {
+      return;
+    }
+    long version = stored == null ? 0 : stored.version();
+    int trials = stored == null ? 0 : stored.trials();
+    long trialAt =
+        stored == null ? wallMillis.getAsLong() + FIRST_TRIAL_MILLIS : stored.trialAtMillis();
+    write(key, new Stored(version, series, trials, trialAt), written -> {});
+  }
+
+  /**
+   * Asks for a trial of a key.
+   *
+   * @param receiver is called with whether this request may be sent as the trial, at once if no
+   *     trial is due
+   */
+  void requestTrial(String key, Consumer<Boolean> receiver) {
+    Stored stored = quarantines.get(key);
+    long now = wallMillis.getAsLong();
+    if (stored == null || stored.trialAtMillis() > now || calls.contains(key)) {
+      receiver.accept(false);
+      return;
+    }
+    int trials = stored.trials() + 1;
+    long wait = FIRST_TRIAL_MILLIS;
+    for (int trial = 0; trial < trials && wait < LONGEST_TRIAL_MILLIS; trial++) {
+      wait *= TRIAL_FACTOR;
+    }
+    long trialAt = now + Math.min(wait, LONGEST_TRIAL_MILLIS);
+    write(key, new Stored(stored.version(), stored.series(), trials, trialAt), receiver);
+  }
+
+  /** Deletes the quarantine of a key whose requests are answered again. */
+  void remove(String key) {
+    Stored stored = quarantines.remove(key);
+    if (stored != null) {
+      workers.execute(() -> writer.store().delete(KIND, key, stored.version()));
+    }
+  }
+
+  @Override
+  public void listed(List<StoredObject> objects) {
+    quarantines.clear();
+    objects.forEach(this::changed);
+  }
+
+  @Override
+  public void changed(StoredObject object) {
+    if (object.isDeleted()) {
+      Stored before = quarantines.remove(object.name());
+      if (before != null) {
+        listener.accept(Map.of(object.name(), before.series().afterAnswer()));
+      }
+      return;
+    }
+    Stored stored = decode(object);
+    if (stored.series().length() < SuspicionTable.QUARANTINE_LENGTH) {
+      log.log(
+          LogEvent.OBJECT_INVALID,
+          EventField.of("kind", KIND),
+          EventField.of("name", object.name()));
+      return;
+    }
+    quarantines.put(object.name(), stored);
+    if (stored.trialAtMillis() + UNUSED_MILLIS < wallMillis.getAsLong()) {
+      remove(object.name());
+    } else {
+      listener.accept(Map.of(object.name(), stored.series()));
+    }
+  }
+
+  private void write(String key, Stored next, Consumer<Boolean> receiver) {
+    if (!calls.add(key)) {
+      receiver.accept(false);
+      return;
+    }
+    workers.execute(
+        () -> {
+          WriteOutcome outcome =
+              next.version() == 0
+                  ? writer.create(KIND, key, encode(next))
+                  : writer.update(KIND, key, next.version(), encode(next));
+          loop.execute(() -> written(key, outcome, receiver));
+        });
+  }
+
+  private void written(String key, WriteOutcome outcome, Consumer<Boolean> receiver) {
+    calls.remove(key);
+    if (outcome instanceof WriteOutcome.Written done) {
+      quarantines.put(key, decode(done.object()));
+    } else if (!(outcome instanceof WriteOutcome.Lost)) {
+      log.log(
+          LogEvent.QUARANTINE_NOT_STORED,
+          EventField.of("key", key),
+          EventField.of("reason", outcome));
+    }
+    receiver.accept(outcome instanceof WriteOutcome.Written);
+  }
+
+  private static ObjectNode encode(Stored stored) {
+    ObjectNode spec = JsonNodeFactory.instance.objectNode();
+    spec.put("series", stored.series().number());
+    stored.series().crashes().forEach(spec.putArray("crashes")::add);
+    spec.put("trials", stored.trials());
+    spec.put("trial_at", stored.trialAtMillis());
+    return spec;
+  }
+
+  private static Stored decode(StoredObject object) {
+    JsonNode spec = object.spec();
+    List<String> crashes = new ArrayList<>();
+    spec.path("crashes").forEach(crash -> crashes.add(crash.asText()));
+    return new Stored(
+        object.version(),
+        new CrashSeries(spec.path("series").asLong(), crashes, false),
+        spec.path("trials").asInt(),
+        spec.path("trial_at").asLong());
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionExchange.java
@@ -0,0 +1,100 @@
+package org.sedgeroad.suspicion;
+
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.sedgeroad.EventLoop;
+import org.sedgeroad.MonotonicClock;
+
+/**
+ * Tells the other instances about changes of a {@link SuspicionTable}. Used on the event loop.
+ *
+ * <p>A change is sent several times, because messages may be lost. Nothing is sent while no series
+ * changes.
+ */
+public final class SuspicionExchange {
+  /** Delay before a change is sent, in milliseconds. */
+  private static final long COLLECTION_MILLIS = 5;
+
+  /** Time between two messages while series change, in milliseconds. */
+  private static final long INTERVAL_MILLIS = 50;
+
+  /** Time between two messages with the same content, in milliseconds. */
+  private static final long REPEAT_MILLIS = 400;
+
+  /** Time for which a change is sent, in milliseconds. */
+  private static final long SPREAD_MILLIS = 1_500;
+
+  /** Maximum number of series in a message; the others follow once these are old. */
+  private static final int MAXIMUM_SERIES = 16;
+
+  private final SuspicionTable table;
+  private final Consumer<Map<String, CrashSeries>> sender;
+  private final BooleanSupplier passesOn;
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private boolean scheduled;
+  private long scheduledNanos;
+  private long lastSentNanos;
+
+  /**
+   * Creates an exchange.
+   *
+   * @param table the table, not null
+   * @param sender sends series to other instances, not null
+   * @param passesOn returns whether this instance passes on what it receives, not null
+   * @param loop event loop, not null
+   * @param clock monotonic clock of the loop, not null
+   */
+  public SuspicionExchange(
+      SuspicionTable table,
+      Consumer<Map<String, CrashSeries>> sender,
+      BooleanSupplier passesOn,
+      EventLoop loop,
+      MonotonicClock clock) {
+    this.table = table;
+    this.sender = sender;
+    this.passesOn = passesOn;
+    this.loop = loop;
+    this.clock = clock;
+    this.lastSentNanos = clock.nanos() - INTERVAL_MILLIS * 1_000_000L;
+  }
+
+  /** Receives series of another instance. */
+  public void receive(Map<String, CrashSeries> series) {
+    boolean news = !table.merge(series).isEmpty();
+    if (news && passesOn.getAsBoolean()) {
+      changed();
+    }
+  }
+
+  /** Sends the newest changes soon. To be called after each change of the table. */
+  void changed() {
+    long paced = lastSentNanos + INTERVAL_MILLIS * 1_000_000L;
+    long soon = clock.deadlineAfterMillis(COLLECTION_MILLIS);
+    schedule(paced - soon > 0 ? paced : soon);
+  }
+
+  private void schedule(long deadlineNanos) {
+    if (scheduled && scheduledNanos - deadlineNanos <= 0) {
+      return;
+    }
+    scheduled = true;
+    scheduledNanos = deadlineNanos;
+    loop.scheduleAt(deadlineNanos, this::send);
+  }
+
+  private void send() {
+    if (!scheduled || clock.nanos() - scheduledNanos < 0) {
+      // Another timer took over.
+      return;
+    }
+    scheduled = false;
+    Map<String, CrashSeries> recent = table.recentSeries(SPREAD_MILLIS, MAXIMUM_SERIES);
+    if (!recent.isEmpty()) {
+      lastSentNanos = clock.nanos();
+      sender.accept(recent);
+      schedule(clock.deadlineAfterMillis(REPEAT_MILLIS));
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
@@ -0,0 +1,97 @@
+package org.sedgeroad.suspicion;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.sedgeroad.event.EventField;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.gateway.ClientRequest;
+
+/**
+ * Keeps requests that crash endpoints from being sent. Batch items are no suspects: they are owed
+ * whatever happened while they ran. Used on the event loop.
+ */
+public final class SuspicionGuard {
+  private final SuspicionTable table;
+  private final SuspicionExchange exchange;
+  private final QuarantineStore store;
+  private final EventLog log;
+
+  /** Creates a guard; no argument may be null. */
+  public SuspicionGuard(
+      SuspicionTable table, SuspicionExchange exchange, QuarantineStore store, EventLog log) {
+    this.table = table;
+    this.exchange = exchange;
+    this.store = store;
+    this.log = log;
+  }
+
+  /** Returns the keys by which a request is suspected. */
+  public List<String> keys(ClientRequest request) {
+    return SuspectKeys.of(request);
+  }
+
+  /** Returns what is known against a request with the keys. */
+  public Suspicion suspicion(List<String> keys) {
+    return table.isEmpty() ? Suspicion.NONE : table.suspicion(keys);
+  }
+
+  /** Returns the series of the keys, to be passed to {@link #recordCrash} if the run breaks. */
+  public Map<String, CrashSeries> series(List<String> keys) {
+    return table.series(keys);
+  }
+
+  /** Returns the time until requests with a quarantined key are tried again, in milliseconds. */
+  public long millisUntilTrial(String key) {
+    return store.millisUntilTrial(key);
+  }
+
+  /**
+   * Asks whether a quarantined request may be sent nevertheless, to find out whether it is sound.
+   *
+   * @param key key that decided, not null
+   * @param receiver is called once, at once or later, not null
+   */
+  public void requestTrial(String key, Consumer<Boolean> receiver) {
+    store.add(key, table.series(key));
+    store.requestTrial(key, receiver);
+  }
+
+  /**
+   * Records that an endpoint ended, as far as can be told, before it answered a request.
+   *
+   * @param endpoint name of the endpoint
+   * @param atStart series of the request's keys when it was sent
+   */
+  public void recordCrash(String endpoint, Map<String, CrashSeries> atStart) {
+    Set<String> changed = table.recordCrash(endpoint, atStart);
+    if (changed.isEmpty()) {
+      return;
+    }
+    exchange.changed();
+    for (String key : changed) {
+      CrashSeries series = table.series(key);
+      if (series.length() >= SuspicionTable.QUARANTINE_LENGTH) {
+        log.log(
+            LogEvent.REQUEST_QUARANTINED,
+            EventField.of("key", key),
+            EventField.of("series", series.number()),
+            EventField.of("crashes", String.join(",", series.crashes())));
+      }
+    }
+  }
+
+  /** Records that an endpoint has begun to answer a request, which clears its keys. */
+  public void recordAnswer(List<String> keys) {
+    if (table.isEmpty()) {
+      return;
+    }
+    Set<String> changed = table.recordAnswer(keys);
+    if (!changed.isEmpty()) {
+      exchange.changed();
+      changed.forEach(store::remove);
+    }
+  }
+}
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
@@ -0,0 +1,188 @@
+package org.sedgeroad.suspicion;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.sedgeroad.MonotonicClock;
+
+/**
+ * Series of crashes by what the requests have in common, and the verdicts that follow. Used on the
+ * event loop.
+ *
+ * <p>A key is quarantined once {@link #QUARANTINE_LENGTH} endpoints have crashed one after the
+ * other under requests with it while none was answered. If several keys were present at all these
+ * crashes, only requests with all of them are quarantined: any of them may be the cause.
+ */
+public final class SuspicionTable {
+  /** Number of crashes in a row from which on requests are no longer sent. */
+  static final int QUARANTINE_LENGTH = 3;
+
+  /**
+   * Time for which requests wait for reports of answers at other instances, in milliseconds;
+   * reports take about 110 ms between the most distant instances.
+   */
+  static final long REPORT_WAIT_MILLIS = 250;
+
+  /** Time after which a series without changes is forgotten, in milliseconds. */
+  private static final long RETENTION_MILLIS = 600_000;
+
+  private static final int MAXIMUM_SERIES = 1_024;
+
+  private record Entry(CrashSeries series, long changedNanos, long decidedAtNanos) {}
+
+  private final MonotonicClock clock;
+  private final LongSupplier wallMillis;
+  private final Map<String, Entry> entries = new HashMap<>();
+
+  /**
+   * Creates an empty table.
+   *
+   * @param clock source of monotonic time, not null
+   * @param wallMillis source of wall-clock time in milliseconds, which numbers the series, not null
+   */
+  public SuspicionTable(MonotonicClock clock, LongSupplier wallMillis) {
+    this.clock = clock;
+    this.wallMillis = wallMillis;
+  }
+
+  /** Returns whether no crash is remembered. */
+  boolean isEmpty() {
+    return entries.isEmpty();
+  }
+
+  /** Returns the series of a key, {@link CrashSeries#NONE} without a crash. */
+  CrashSeries series(String key) {
+    Entry entry = entries.get(key);
+    return entry == null ? CrashSeries.NONE : entry.series();
+  }
+
+  /** Returns the series of some keys. */
+  Map<String, CrashSeries> series(List<String> keys) {
+    Map<String, CrashSeries> known = new HashMap<>();
+    keys.forEach(key -> known.put(key, series(key)));
+    return known;
+  }
+
+  /**
+   * Records that an endpoint crashed before it answered a request.
+   *
+   * @param endpoint name of the endpoint
+   * @param atStart series of the request's keys when it was sent
+   * @return the keys whose series has changed
+   */
+  Set<String> recordCrash(String endpoint, Map<String, CrashSeries> atStart) {
+    long number = wallMillis.getAsLong();
+    Set<String> changed = new HashSet<>();
+    atStart.forEach(
+        (key, before) -> {
+          if (store(key, series(key).afterCrash(endpoint, before, number))) {
+            changed.add(key);
+          }
+        });
+    return changed;
+  }
+
+  /** Records that a request was answered; returns the keys whose series ended by that. */
+  Set<String> recordAnswer(List<String> keys) {
+    Set<String> changed = new HashSet<>();
+    for (String key : keys) {
+      CrashSeries before = series(key);
+      if (!before.answered() && store(key, before.afterAnswer())) {
+        changed.add(key);
+      }
+    }
+    return changed;
+  }
+
+  /** Merges series of other instances or of the store; returns the keys whose series changed. */
+  Set<String> merge(Map<String, CrashSeries> received) {
+    Set<String> changed = new HashSet<>();
+    received.forEach(
+        (key, series) -> {
+          if (store(key, series(key).merge(series))) {
+            changed.add(key);
+          }
+        });
+    return changed;
+  }
+
+  /** Returns what is known against a request with the keys. */
+  Suspicion suspicion(List<String> keys) {
+    Suspicion strongest = Suspicion.NONE;
+    long now = clock.nanos();
+    for (String key : keys) {
+      Entry entry = entries.get(key);
+      if (entry == null || entry.series().length() < QUARANTINE_LENGTH || !blames(key, keys)) {
+        continue;
+      }
+      if (now - entry.decidedAtNanos() >= 0) {
+        return new Suspicion(Suspicion.Verdict.QUARANTINED, key, 0);
+      }
+      strongest = new Suspicion(Suspicion.Verdict.AWAITING_REPORTS, key, entry.decidedAtNanos());
+    }
+    return strongest;
+  }
+
+  /** Returns whether a request has all keys that were present at all crashes of a key's series. */
+  private boolean blames(String key, List<String> keys) {
+    CrashSeries series = series(key);
+    return entries.entrySet().stream()
+        .filter(other -> other.getValue().series().containsAll(series))
+        .allMatch(other -> keys.contains(other.getKey()));
+  }
+
+  /**
+   * Returns the series that have changed within a time, the longest ones first and then the newest.
+   *
+   * @param millis the time, in milliseconds
+   * @param limit maximum number of series
+   */
+  Map<String, CrashSeries> recentSeries(long millis, int limit) {
+    long now = clock.nanos();
+    Map<String, CrashSeries> recent = new HashMap<>();
+    entries.entrySet().stream()
+        .filter(entry -> now - entry.getValue().changedNanos() < millis * 1_000_000L)
+        .sorted(
+            Comparator.comparingInt(
+                    (Map.Entry<String, Entry> entry) -> -entry.getValue().series().length())
+                .thenComparingLong(entry -> now - entry.getValue().changedNanos()))
+        .limit(limit)
+        .forEach(entry -> recent.put(entry.getKey(), entry.getValue().series()));
+    return recent;
+  }
+
+  private boolean store(String key, CrashSeries next) {
+    Entry before = entries.get(key);
+    CrashSeries known = before == null ? CrashSeries.NONE : before.series();
+    if (next.equals(known)) {
+      return false;
+    }
+    long now = clock.nanos();
+    boolean wasLong = known.length() >= QUARANTINE_LENGTH && known.number() == next.number();
+    long decidedAt = wasLong ? before.decidedAtNanos() : now + REPORT_WAIT_MILLIS * 1_000_000L;
+    entries.put(key, new Entry(next, now, decidedAt));
+    if (entries.size() > MAXIMUM_SERIES) {
+      removeOld(now);
+    }
+    return true;
+  }
+
+  private void removeOld(long now) {
+    entries.values().removeIf(entry -> now - entry.changedNanos() >= RETENTION_MILLIS * 1_000_000L);
+    while (entries.size() > MAXIMUM_SERIES) {
+      String oldest =
+          entries.entrySet().stream()
+              .min(
+                  Comparator.comparingInt(
+                          (Map.Entry<String, Entry> entry) -> entry.getValue().series().length())
+                      .thenComparingLong(entry -> entry.getValue().changedNanos() - now))
+              .orElseThrow()
+              .getKey();
+      entries.remove(oldest);
+    }
+  }
+}
