Keep quarantines when an instance that missed them reports a crash

- A crash at an instance that did not know of a quarantine began a series with a larger number (the wall clock) and so replaced the fleet's series of three crashes by one of one crash, which lifted the quarantine everywhere.
Series are numbered by answers now, and an instance that sends an older series is told of the newer one.
- The head of a plain answer, or an answer of 500 to a stream, ended a series.
Only a first event or a complete answer with success does.
- A quarantine that was deleted while it was being stored stayed in the store, and instances that had missed the deletion in a list kept refusing.
- One instance whose clock is an hour ahead deleted quarantines.
- Only the key that decided was stored; all keys that are to blame are.
- A trial that reached no endpoint was used up.
- Answers were sent after all longer series, so that they came late in bursts.
- Two crashes and a third one ten minutes later counted as three in a row.

RequestRun leaves the decision before each attempt to SuspicionCheck.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -76,8 +76,8 @@
   private static final long RARE_CHANGES_QUIET_MILLIS = 25_000;
 
   /**
-   * Threads that wait for the store: one for each of the four kinds that matter most at startup
-   * (routes, endpoints, instances and jobs), and two for concurrent calls about jobs.
+   * Threads that wait for the store: one for each of the five kinds that are listed at startup
+   * (routes, endpoints, instances, jobs and quarantines), and one for the registration.
    */
   private static final int STORE_THREADS = 6;
 
@@ -244,7 +244,7 @@
   }
 
   private SuspicionGuard createSuspicionGuard(ObjectStore store) {
-    SuspicionTable table = new SuspicionTable(clock, System::currentTimeMillis);
+    SuspicionTable table = new SuspicionTable(clock);
     SuspicionExchange exchange =
         new SuspicionExchange(table, hubExchange::spread, hubExchange::isHub, eventLoop, clock);
     hubExchange.setCrashListener(exchange::receive);
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.sedgeroad.EventLoop;
@@ -13,7 +12,6 @@
 import org.sedgeroad.placement.LiveDemand;
 import org.sedgeroad.placement.WorkClass;
 import org.sedgeroad.suspicion.CrashSeries;
-import org.sedgeroad.suspicion.Suspicion;
 
 /**
  * Processing of one client request from its arrival to its final answer. Used on the event loop.
@@ -66,6 +64,7 @@
 
   private final long deadlineNanos;
   private final Set<String> excluded = new HashSet<>();
+  private final SuspicionCheck suspicionCheck;
   private EventLoop.Timeout timeout = EventLoop.Timeout.NONE;
   private LiveDemand demand;
   private EndpointAttempt attempt;
@@ -78,12 +77,6 @@
   private int rejections;
   private boolean done;
 
-  /** Keys by which the request is suspected; computed once they are needed. */
-  private List<String> suspectKeys;
-
-  /** Whether the request may be sent once although requests like it are quarantined. */
-  private boolean trial;
-
   RequestRun(
       GatewayDependencies dependencies,
       Route route,
@@ -96,6 +89,7 @@
     this.service = service;
     this.request = request;
     this.answer = answer;
+    this.suspicionCheck = new SuspicionCheck(dependencies, request);
     this.lastEventId = request.lastEventId();
     this.objectiveNanos =
         request.arrivedNanos() - priorWaitNanos + route.objectiveMillis() * 1_000_000L;
@@ -119,50 +113,19 @@
 
   /** Waits for a slot, unless requests like this one crash endpoints. */
   private void requestSlot() {
-    if (done) {
-      return;
-    }
-    Suspicion suspicion =
-        trial ? Suspicion.NONE : dependencies.suspicions().suspicion(suspectKeys());
-    switch (suspicion.verdict()) {
-      case CLEAR -> submitDemand();
-      case AWAITING_REPORTS ->
-          dependencies.loop().scheduleAt(suspicion.decidedAtNanos(), this::requestSlot);
-      case QUARANTINED ->
-          dependencies
-              .suspicions()
-              .requestTrial(suspicion.key(), allowed -> onTrialDecided(suspicion.key(), allowed));
-      default -> throw new IllegalStateException(suspicion.verdict().name());
-    }
-  }
-
-  private void onTrialDecided(String key, boolean allowed) {
-    if (done) {
-      return;
-    }
-    if (allowed) {
-      trial = true;
-      submitDemand();
-      return;
-    }
-    String text = "endpoints crashed under requests with " + key;
-    if (possibleRuns > 0) {
-      fail(Refusal.of(Refusal.Reason.UNKNOWN, text));
-    } else {
-      long retryAt =
-          dependencies.clock().deadlineAfterMillis(dependencies.suspicions().millisUntilTrial(key));
-      fail(new Refusal(Refusal.Reason.NOT_RUN, text, retryAt));
-    }
+    suspicionCheck.decide(this::submitDemand, this::refuseQuarantined);
   }
 
-  private List<String> suspectKeys() {
-    if (suspectKeys == null) {
-      suspectKeys = dependencies.suspicions().keys(request);
+  private void refuseQuarantined(Refusal refusal) {
+    if (!done) {
+      fail(possibleRuns == 0 ? refusal : Refusal.of(Refusal.Reason.UNKNOWN, refusal.text()));
     }
-    return suspectKeys;
   }
 
   private void submitDemand() {
+    if (done) {
+      return;
+    }
     if (!dependencies.dispatcher().hasEndpoint(service, excluded)) {
       refuseForLackOfEndpoints();
       return;
@@ -184,17 +147,11 @@
 
   private void send(ServiceEndpoint endpoint) {
     demand = null;
-    boolean suspected =
-        !trial
-            && dependencies.suspicions().suspicion(suspectKeys()).verdict()
-                != Suspicion.Verdict.CLEAR;
-    if (suspected) {
+    if (!suspicionCheck.maySend()) {
       // The suspicion arose while the request waited for a slot.
-      dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
-      requestSlot();
+      dependencies.loop().execute(() -> giveSlotBack(endpoint));
       return;
     }
-    trial = false;
     long waited = (dependencies.clock().nanos() - request.arrivedNanos()) / 1_000_000L;
     dependencies.metrics().recordPlacement(route.name(), waited);
     dependencies
@@ -226,6 +183,11 @@
             deadlineNanos));
   }
 
+  private void giveSlotBack(ServiceEndpoint endpoint) {
+    dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+    requestSlot();
+  }
+
   private void onDeadline() {
     if (done) {
       return;
@@ -292,6 +254,7 @@
   /** One attempt to run the request at one endpoint. */
   private final class EndpointAttempt implements EndpointAnswerListener {
     private final ServiceEndpoint endpoint;
+    private final boolean isTrial = suspicionCheck.isTrial();
     private final EventStreamParser eventParser = new EventStreamParser();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private EndpointExchange exchange;
@@ -304,8 +267,7 @@
     private int eventCount;
 
     /** Series of the request's suspect keys when the attempt began. */
-    private final Map<String, CrashSeries> seriesAtStart =
-        dependencies.suspicions().series(suspectKeys());
+    private final Map<String, CrashSeries> seriesAtStart = suspicionCheck.beginAttempt();
 
     private boolean ended;
 
@@ -379,9 +341,7 @@
         onBrokenAnswer("resumption was answered " + received.status());
       } else {
         head = received;
-        if (!isStream()) {
-          dependencies.suspicions().recordAnswer(suspectKeys());
-        } else if (startedAnswer == null) {
+        if (isStream() && startedAnswer == null) {
           startedAnswer = received;
           answer.begin(received);
         }
@@ -439,16 +399,15 @@
 
     private void countEvents(int events) {
       if (eventCount == 0 && events > 0) {
-        dependencies.suspicions().recordAnswer(suspectKeys());
+        suspicionCheck.recordAnswer();
       }
       eventCount += events;
     }
 
-    /** Records a crash of the endpoint if the connection broke before it began to answer. */
+    /** Records a crash of the endpoint if the connection broke before it answered. */
     private void recordCrash() {
-      boolean answered = eventCount > 0 || (head != null && !isStream());
-      if (!answered && hasTime()) {
-        dependencies.suspicions().recordCrash(endpoint.name(), seriesAtStart);
+      if (eventCount == 0 && hasTime()) {
+        suspicionCheck.recordCrash(endpoint.name(), seriesAtStart);
       }
     }
 
@@ -469,6 +428,9 @@
       }
       attempt = null;
       dependencies.dispatcher().health().recordSuccess(endpoint.name());
+      if (head.isSuccess()) {
+        suspicionCheck.recordAnswer();
+      }
       if (isStream()) {
         finish("complete");
         answer.end();
@@ -496,6 +458,9 @@
             .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
         dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
         attempt = null;
+        if (isTrial) {
+          suspicionCheck.repeatTrial();
+        }
         handleRejection("not reached: " + failure.reason());
       } else {
         dependencies
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/CrashSeries.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/CrashSeries.java
@@ -11,7 +11,7 @@
  * the same time may have one cause that is not a request. Instances exchange series and merge them,
  * in any order, to the same result.
  *
- * @param number number of the series; a later one has a larger number
+ * @param number number of the series, one more than that of the series before it
  * @param crashes names of the endpoints that crashed, in order; a repeated name has a suffix. Not
  *     null
  * @param answered whether a request was answered since; such a series is over and has no crashes
@@ -50,24 +50,23 @@
   /**
    * Returns the series after a crash.
    *
-   * @param endpoint name of the endpoint that crashed
+   * @param crash name of the crash, which no other crash of the series has
    * @param atStart series that was known when the run began
-   * @param nextNumber number of a new series, used if it is larger than that of this series
    */
-  CrashSeries afterCrash(String endpoint, CrashSeries atStart, long nextNumber) {
+  CrashSeries afterCrash(String crash, CrashSeries atStart) {
     if (answered && !equals(atStart)) {
       // A request was answered while this one ran.
       return this;
     }
     if (answered) {
-      return new CrashSeries(Math.max(number + 1, nextNumber), List.of(endpoint), false);
+      return new CrashSeries(number + 1, List.of(crash), false);
     }
     boolean sameSeries = atStart.number == number && !atStart.answered;
     List<String> extended = new ArrayList<>(sameSeries ? atStart.crashes : List.of());
     if (extended.size() >= MAXIMUM_CRASHES) {
       return this;
     }
-    extended.add(extended.contains(endpoint) ? endpoint + "#" + extended.size() : endpoint);
+    extended.add(crash);
     return merge(new CrashSeries(number, extended, false));
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.sedgeroad.EventLoop;
@@ -38,8 +39,11 @@
   /** Longest time before a trial, in milliseconds. */
   private static final long LONGEST_TRIAL_MILLIS = 3_600_000;
 
-  /** Time after a due trial after which a quarantine is deleted, in milliseconds. */
-  private static final long UNUSED_MILLIS = 3_600_000;
+  /**
+   * Time after a due trial after which a quarantine is deleted, in milliseconds; more than the
+   * clocks of two instances may differ.
+   */
+  private static final long UNUSED_MILLIS = 86_400_000;
 
   private record Stored(long version, CrashSeries series, int trials, long trialAtMillis) {}
 
@@ -51,8 +55,11 @@
   private final Consumer<Map<String, CrashSeries>> listener;
   private final Map<String, Stored> quarantines = new HashMap<>();
 
-  /** Keys with a call to the store in progress. */
-  private final Set<String> calls = new HashSet<>();
+  /** Keys whose requests are answered again and whose objects are to be deleted. */
+  private final Set<String> answered = new HashSet<>();
+
+  /** Whether a write is in progress; there is one at a time, because other calls matter more. */
+  private boolean writing;
 
   /**
    * Creates a store without quarantines; a watch of {@link #KIND} delivers them.
@@ -87,12 +94,13 @@
         : Math.max(0, stored.trialAtMillis() - wallMillis.getAsLong());
   }
 
-  /** Stores the quarantine of a key unless it is stored or being stored. */
+  /** Stores the quarantine of a key unless it is stored or another write is in progress. */
   void add(String key, CrashSeries series) {
     Stored stored = quarantines.get(key);
-    if (stored != null && stored.series().merge(series).equals(stored.series())) {
+    if (stored != null && stored.series().number() >= series.number()) {
       return;
     }
+    answered.remove(key);
     long version = stored == null ? 0 : stored.version();
     int trials = stored == null ? 0 : stored.trials();
     long trialAt =
@@ -109,7 +117,7 @@
   void requestTrial(String key, Consumer<Boolean> receiver) {
     Stored stored = quarantines.get(key);
     long now = wallMillis.getAsLong();
-    if (stored == null || stored.trialAtMillis() > now || calls.contains(key)) {
+    if (stored == null || stored.trialAtMillis() > now) {
       receiver.accept(false);
       return;
     }
@@ -124,25 +132,33 @@
 
   /** Deletes the quarantine of a key whose requests are answered again. */
   void remove(String key) {
+    answered.add(key);
     Stored stored = quarantines.remove(key);
     if (stored != null) {
-      workers.execute(() -> writer.store().delete(KIND, key, stored.version()));
+      execute(key, () -> writer.store().delete(KIND, key, stored.version()));
     }
   }
 
   @Override
   public void listed(List<StoredObject> objects) {
-    quarantines.clear();
+    Set<String> missing = new HashSet<>(quarantines.keySet());
+    objects.forEach(object -> missing.remove(object.name()));
+    missing.forEach(this::removed);
     objects.forEach(this::changed);
   }
 
+  private void removed(String key) {
+    answered.remove(key);
+    Stored before = quarantines.remove(key);
+    if (before != null) {
+      listener.accept(Map.of(key, before.series().afterAnswer()));
+    }
+  }
+
   @Override
   public void changed(StoredObject object) {
     if (object.isDeleted()) {
-      Stored before = quarantines.remove(object.name());
-      if (before != null) {
-        listener.accept(Map.of(object.name(), before.series().afterAnswer()));
-      }
+      removed(object.name());
       return;
     }
     Stored stored = decode(object);
@@ -154,7 +170,10 @@
       return;
     }
     quarantines.put(object.name(), stored);
-    if (stored.trialAtMillis() + UNUSED_MILLIS < wallMillis.getAsLong()) {
+    if (answered.contains(object.name())) {
+      // The object was changed while it was being deleted.
+      remove(object.name());
+    } else if (stored.trialAtMillis() + UNUSED_MILLIS < wallMillis.getAsLong()) {
       remove(object.name());
     } else {
       listener.accept(Map.of(object.name(), stored.series()));
@@ -162,11 +181,13 @@
   }
 
   private void write(String key, Stored next, Consumer<Boolean> receiver) {
-    if (!calls.add(key)) {
+    if (writing) {
       receiver.accept(false);
       return;
     }
-    workers.execute(
+    writing = true;
+    execute(
+        key,
         () -> {
           WriteOutcome outcome =
               next.version() == 0
@@ -176,11 +197,26 @@
         });
   }
 
+  private void execute(String key, Runnable call) {
+    try {
+      workers.execute(call);
+    } catch (RejectedExecutionException stopping) {
+      log.log(
+          LogEvent.QUARANTINE_NOT_STORED,
+          EventField.of("key", key),
+          EventField.of("reason", "the instance is stopping"));
+    }
+  }
+
   private void written(String key, WriteOutcome outcome, Consumer<Boolean> receiver) {
-    calls.remove(key);
+    writing = false;
     if (outcome instanceof WriteOutcome.Written done) {
-      quarantines.put(key, decode(done.object()));
-    } else if (!(outcome instanceof WriteOutcome.Lost)) {
+      changed(done.object());
+    } else if (outcome instanceof WriteOutcome.Lost lost) {
+      if (lost.current() != null) {
+        changed(lost.current());
+      }
+    } else {
       log.log(
           LogEvent.QUARANTINE_NOT_STORED,
           EventField.of("key", key),
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspectKeys.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspectKeys.java
@@ -21,6 +21,7 @@
       keys.add("part-" + parts.get(index));
     }
     HashStream64 hash = Hashing.komihash5_0().hashStream();
+    hash.putString(request.headers().getOrDefault("Host", ""));
     hash.putString(request.method()).putString(request.target()).putByteArray(request.body());
     keys.add("request-" + Long.toHexString(hash.getAsLong()));
     return keys;
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionExchange.java
@@ -25,8 +25,8 @@
   /** Time for which a change is sent, in milliseconds. */
   private static final long SPREAD_MILLIS = 1_500;
 
-  /** Maximum number of series in a message; the others follow once these are old. */
-  private static final int MAXIMUM_SERIES = 16;
+  /** Maximum number of series in a message. */
+  private static final int SERIES_IN_MESSAGE = 16;
 
   private final SuspicionTable table;
   private final Consumer<Map<String, CrashSeries>> sender;
@@ -60,10 +60,14 @@
     this.lastSentNanos = clock.nanos() - INTERVAL_MILLIS * 1_000_000L;
   }
 
-  /** Receives series of another instance. */
+  /**
+   * Receives series of another instance. An instance that passes series on also answers with newer
+   * ones, so that an instance that missed them learns of them with its next crash.
+   */
   public void receive(Map<String, CrashSeries> series) {
     boolean news = !table.merge(series).isEmpty();
-    if (news && passesOn.getAsBoolean()) {
+    boolean newer = table.refresh(series);
+    if ((news || newer) && passesOn.getAsBoolean()) {
       changed();
     }
   }
@@ -90,7 +94,7 @@
       return;
     }
     scheduled = false;
-    Map<String, CrashSeries> recent = table.recentSeries(SPREAD_MILLIS, MAXIMUM_SERIES);
+    Map<String, CrashSeries> recent = table.recentSeries(SPREAD_MILLIS, SERIES_IN_MESSAGE);
     if (!recent.isEmpty()) {
       lastSentNanos = clock.nanos();
       sender.accept(recent);
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
@@ -51,11 +51,12 @@
   /**
    * Asks whether a quarantined request may be sent nevertheless, to find out whether it is sound.
    *
+   * @param keys keys of the request, not null
    * @param key key that decided, not null
    * @param receiver is called once, at once or later, not null
    */
-  public void requestTrial(String key, Consumer<Boolean> receiver) {
-    store.add(key, table.series(key));
+  public void requestTrial(List<String> keys, String key, Consumer<Boolean> receiver) {
+    table.blamedKeys(keys).forEach(blamed -> store.add(blamed, table.series(blamed)));
     store.requestTrial(key, receiver);
   }
 
@@ -83,7 +84,7 @@
     }
   }
 
-  /** Records that an endpoint has begun to answer a request, which clears its keys. */
+  /** Records that an endpoint has answered a request with success, which clears its keys. */
   public void recordAnswer(List<String> keys) {
     if (table.isEmpty()) {
       return;
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.LongSupplier;
 import org.sedgeroad.MonotonicClock;
 
 /**
@@ -27,26 +26,27 @@
    */
   static final long REPORT_WAIT_MILLIS = 250;
 
-  /** Time after which a series without changes is forgotten, in milliseconds. */
+  /**
+   * Time without another crash after which a series that is too short for a quarantine is over, in
+   * milliseconds.
+   */
   private static final long RETENTION_MILLIS = 600_000;
 
   private static final int MAXIMUM_SERIES = 1_024;
 
-  private record Entry(CrashSeries series, long changedNanos, long decidedAtNanos) {}
+  /**
+   * A series and its last change.
+   *
+   * @param longest length of the series before it was answered
+   */
+  private record Entry(CrashSeries series, int longest, long changedNanos, long decidedAtNanos) {}
 
   private final MonotonicClock clock;
-  private final LongSupplier wallMillis;
   private final Map<String, Entry> entries = new HashMap<>();
 
-  /**
-   * Creates an empty table.
-   *
-   * @param clock source of monotonic time, not null
-   * @param wallMillis source of wall-clock time in milliseconds, which numbers the series, not null
-   */
-  public SuspicionTable(MonotonicClock clock, LongSupplier wallMillis) {
+  /** Creates an empty table; the clock must not be null. */
+  public SuspicionTable(MonotonicClock clock) {
     this.clock = clock;
-    this.wallMillis = wallMillis;
   }
 
   /** Returns whether no crash is remembered. */
@@ -57,7 +57,13 @@
   /** Returns the series of a key, {@link CrashSeries#NONE} without a crash. */
   CrashSeries series(String key) {
     Entry entry = entries.get(key);
-    return entry == null ? CrashSeries.NONE : entry.series();
+    if (entry == null) {
+      return CrashSeries.NONE;
+    }
+    boolean expired =
+        entry.series().length() < QUARANTINE_LENGTH
+            && clock.nanos() - entry.changedNanos() >= RETENTION_MILLIS * 1_000_000L;
+    return expired ? entry.series().afterAnswer() : entry.series();
   }
 
   /** Returns the series of some keys. */
@@ -75,11 +81,14 @@
    * @return the keys whose series has changed
    */
   Set<String> recordCrash(String endpoint, Map<String, CrashSeries> atStart) {
-    long number = wallMillis.getAsLong();
+    boolean repeated =
+        atStart.values().stream().anyMatch(series -> series.crashes().contains(endpoint));
+    int longest = atStart.values().stream().mapToInt(CrashSeries::length).max().orElse(0);
+    String crash = repeated ? endpoint + "#" + longest : endpoint;
     Set<String> changed = new HashSet<>();
     atStart.forEach(
         (key, before) -> {
-          if (store(key, series(key).afterCrash(endpoint, before, number))) {
+          if (store(key, series(key).afterCrash(crash, before))) {
             changed.add(key);
           }
         });
@@ -98,6 +107,26 @@
     return changed;
   }
 
+  /**
+   * Marks the series that are newer here than at another instance, so that they are sent again;
+   * returns whether there are any.
+   */
+  boolean refresh(Map<String, CrashSeries> received) {
+    boolean any = false;
+    for (Map.Entry<String, CrashSeries> other : received.entrySet()) {
+      Entry own = entries.get(other.getKey());
+      if (own != null
+          && !own.series().equals(other.getValue())
+          && own.series().merge(other.getValue()).equals(own.series())) {
+        entries.put(
+            other.getKey(),
+            new Entry(own.series(), own.longest(), clock.nanos(), own.decidedAtNanos()));
+        any = true;
+      }
+    }
+    return any;
+  }
+
   /** Merges series of other instances or of the store; returns the keys whose series changed. */
   Set<String> merge(Map<String, CrashSeries> received) {
     Set<String> changed = new HashSet<>();
@@ -116,7 +145,9 @@
     long now = clock.nanos();
     for (String key : keys) {
       Entry entry = entries.get(key);
-      if (entry == null || entry.series().length() < QUARANTINE_LENGTH || !blames(key, keys)) {
+      if (entry == null
+          || entry.series().length() < QUARANTINE_LENGTH
+          || !hasAllCommonKeys(key, keys)) {
         continue;
       }
       if (now - entry.decidedAtNanos() >= 0) {
@@ -127,8 +158,15 @@
     return strongest;
   }
 
+  /** Returns those of a request's keys that are quarantined or await reports. */
+  List<String> blamedKeys(List<String> keys) {
+    return keys.stream()
+        .filter(key -> series(key).length() >= QUARANTINE_LENGTH && hasAllCommonKeys(key, keys))
+        .toList();
+  }
+
   /** Returns whether a request has all keys that were present at all crashes of a key's series. */
-  private boolean blames(String key, List<String> keys) {
+  private boolean hasAllCommonKeys(String key, List<String> keys) {
     CrashSeries series = series(key);
     return entries.entrySet().stream()
         .filter(other -> other.getValue().series().containsAll(series))
@@ -136,7 +174,8 @@
   }
 
   /**
-   * Returns the series that have changed within a time, the longest ones first and then the newest.
+   * Returns the series that have changed within a time. The longest ones come first, also if they
+   * have been answered, and then the newest.
    *
    * @param millis the time, in milliseconds
    * @param limit maximum number of series
@@ -147,8 +186,7 @@
     entries.entrySet().stream()
         .filter(entry -> now - entry.getValue().changedNanos() < millis * 1_000_000L)
         .sorted(
-            Comparator.comparingInt(
-                    (Map.Entry<String, Entry> entry) -> -entry.getValue().series().length())
+            Comparator.comparingInt((Map.Entry<String, Entry> entry) -> -entry.getValue().longest())
                 .thenComparingLong(entry -> now - entry.getValue().changedNanos()))
         .limit(limit)
         .forEach(entry -> recent.put(entry.getKey(), entry.getValue().series()));
@@ -164,7 +202,8 @@
     long now = clock.nanos();
     boolean wasLong = known.length() >= QUARANTINE_LENGTH && known.number() == next.number();
     long decidedAt = wasLong ? before.decidedAtNanos() : now + REPORT_WAIT_MILLIS * 1_000_000L;
-    entries.put(key, new Entry(next, now, decidedAt));
+    int longest = next.answered() ? known.length() : next.length();
+    entries.put(key, new Entry(next, longest, now, decidedAt));
     if (entries.size() > MAXIMUM_SERIES) {
       removeOld(now);
     }
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
@@ -0,0 +1,123 @@
+package org.sedgeroad.suspicion;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.placement.VirtualTime;
+import org.sedgeroad.store.FakeStore;
+import org.sedgeroad.store.ObjectList;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoreWriter;
+
+/** Guards against quarantines that are forgotten, kept for good, or tried too often. */
+class QuarantineStoreTest {
+  private static final CrashSeries SERIES = new CrashSeries(1, List.of("a", "b", "c"), false);
+
+  private final VirtualTime time = new VirtualTime();
+  private final FakeStore objects = new FakeStore();
+  private final Deque<Runnable> calls = new ArrayDeque<>();
+  private final Map<String, CrashSeries> received = new HashMap<>();
+  private long wallMillis = 1_000_000;
+  private final QuarantineStore first = create("first");
+  private final QuarantineStore second = create("second");
+
+  private QuarantineStore create(String name) {
+    return new QuarantineStore(
+        StoreWriter.of(objects, name),
+        calls::add,
+        time,
+        () -> wallMillis,
+        EventLog.of(name),
+        received::putAll);
+  }
+
+  private void runCalls() {
+    while (!calls.isEmpty()) {
+      calls.remove().run();
+      time.runUntil(time.nanos() / 1e6 + 1);
+    }
+  }
+
+  private void list(QuarantineStore store) {
+    store.listed(
+        ((StoreResult.Done<ObjectList>) objects.list(QuarantineStore.KIND, "")).value().objects());
+  }
+
+  private List<Boolean> requestTrials(String key) {
+    List<Boolean> allowed = new ArrayList<>();
+    first.requestTrial(key, allowed::add);
+    second.requestTrial(key, allowed::add);
+    runCalls();
+    return allowed;
+  }
+
+  @Nested
+  class Trial {
+    @Test
+    void isOneInTheFleetWhenItIsDue() {
+      first.add("part-x", SERIES);
+      runCalls();
+      list(second);
+      assertEquals(List.of(false, false), requestTrials("part-x"));
+      wallMillis += QuarantineStore.FIRST_TRIAL_MILLIS;
+      List<Boolean> allowed = requestTrials("part-x");
+      assertEquals(1, allowed.stream().filter(one -> one).count());
+      wallMillis += QuarantineStore.FIRST_TRIAL_MILLIS;
+      assertEquals(List.of(false, false), requestTrials("part-x"));
+    }
+  }
+
+  @Nested
+  class Quarantine {
+    @Test
+    void isReadByAnInstanceThatStarts() {
+      first.add("part-x", SERIES);
+      runCalls();
+      list(second);
+      assertEquals(Map.of("part-x", SERIES), received);
+    }
+
+    /** The clock of one instance may be ahead of the others. */
+    @Test
+    void isKeptByAnInstanceWhoseClockIsAhead() {
+      first.add("part-x", SERIES);
+      runCalls();
+      wallMillis += 7_200_000;
+      list(second);
+      runCalls();
+      list(first);
+      assertTrue(first.millisUntilTrial("part-x") < QuarantineStore.FIRST_TRIAL_MILLIS);
+    }
+
+    @Test
+    void endsAtAnInstanceThatMissedItsDeletion() {
+      first.add("part-x", SERIES);
+      runCalls();
+      list(second);
+      first.remove("part-x");
+      runCalls();
+      list(second);
+      assertTrue(received.get("part-x").answered());
+    }
+
+    /** The first part of a prompt may be answered while its quarantine is being stored. */
+    @Test
+    void isNotLeftInTheStoreIfItEndsWhileItIsStored() {
+      first.add("part-x", SERIES);
+      first.remove("part-x");
+      runCalls();
+      list(second);
+      assertFalse(received.containsKey("part-x") && !received.get("part-x").answered());
+    }
+  }
+}
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionExchangeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionExchangeTest.java
@@ -56,7 +56,7 @@
               time,
               time,
               () -> {});
-      this.table = new SuspicionTable(time, () -> 1_000 + time.nanos() / 1_000_000L);
+      this.table = new SuspicionTable(time);
       this.exchange = new SuspicionExchange(table, hubs::spread, hubs::isHub, time, time);
       hubs.setCrashListener(exchange::receive);
       tick();
@@ -164,8 +164,51 @@
     }
   }
 
+  @Nested
+  class InstanceWithoutKnowledge {
+    /** An instance that missed the news reports a first crash of a quarantined part. */
+    @Test
+    void doesNotLiftAQuarantine() {
+      start(3, 3);
+      cut = (from, to) -> from.equals("d2-i1") || to.equals("d2-i1");
+      for (int index = 0; index < 3; index++) {
+        members.get("d0-i0").crash("e" + index);
+        run(SuspicionTable.REPORT_WAIT_MILLIS);
+      }
+      run(2_000);
+      cut = (from, to) -> false;
+      run(1_000);
+      members.get("d2-i1").crash("e9");
+      run(1_000);
+      assertEquals(
+          9,
+          members.values().stream()
+              .filter(
+                  member -> member.table.suspicion(KEYS).verdict() == Suspicion.Verdict.QUARANTINED)
+              .count());
+    }
+  }
+
   @Nested
   class Answer {
+    @Test
+    void arrivesInTimeInABurstOfCrashes() {
+      start(3, 3);
+      for (int index = 0; index < 3; index++) {
+        members.get("d0-i0").crash("e" + index);
+        run(100);
+      }
+      for (int index = 0; index < 60; index++) {
+        Member member = members.get("d" + index % 3 + "-i2");
+        List<String> keys = List.of("request-x" + index);
+        member.table.recordCrash("e9", member.table.series(keys));
+        member.exchange.changed();
+      }
+      members.get("d1-i1").answer();
+      run(SuspicionTable.REPORT_WAIT_MILLIS);
+      assertEquals(9, knowing(0));
+    }
+
     @Test
     void endsTheSeriesEverywhere() {
       start(6, 13);
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionTableTest.java
@@ -17,8 +17,7 @@
   private static final List<String> SOUND = List.of("part-first", "part-rare", "request-3");
 
   private long nowMillis = 1_000;
-  private final SuspicionTable table =
-      new SuspicionTable(() -> nowMillis * 1_000_000L, () -> nowMillis);
+  private final SuspicionTable table = new SuspicionTable(() -> nowMillis * 1_000_000L);
 
   private void crash(String endpoint, List<String> keys) {
     table.recordCrash(endpoint, table.series(keys));
@@ -63,6 +62,15 @@
       assertEquals(Suspicion.Verdict.CLEAR, verdict(SOUND));
     }
 
+    @Test
+    void quarantineNothingIfTheyAreFarApart() {
+      crashInARow(2, DEADLY);
+      nowMillis += 660_000;
+      crash("e2", DEADLY);
+      passReportWait();
+      assertEquals(Suspicion.Verdict.CLEAR, verdict(DEADLY));
+    }
+
     @Test
     void quarantineNothingIfTwo() {
       crashInARow(2, DEADLY);
