Treat an answer without length as broken if its request could not be written

Callers saw a truncated answer as complete if a server answered early, with neither a length nor chunks, and then reset the connection while the request was still being sent.

Cause: the kernel reports a reset once. If a write of the request receives the error, it is dropped, and the read that follows reports a normal end, which is how an answer without a length ends.

The exchange now remembers that a write failed. An answer that ends with its connection is then broken; one with a length or chunks states its own end and is judged by that, as before.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -58,6 +58,9 @@
   /** Whether the connection was closed because the answer has no end. */
   private volatile boolean withoutEnd;
 
+  /** Whether a write on the present connection failed; used on its I/O thread only. */
+  private boolean writeFailed;
+
   /** Bytes that had been read from the connection when the request was sent. */
   private volatile long connectionBytesBefore;
 
@@ -135,6 +138,7 @@
       return;
     }
     sendStarted = true;
+    writeFailed = false;
     connectionBytesBefore = opened.getStatistics().getRead();
     client.guard(this);
     opened.sendRequest(
@@ -300,6 +304,7 @@
     } catch (IOException failure) {
       // The server may have answered early and closed its side. The answer, or its absence,
       // determines the outcome.
+      writeFailed = true;
       sink.suspendWrites();
       return true;
     }
@@ -376,6 +381,9 @@
   private void complete(ClientExchange exchange) {
     if (withoutEnd) {
       failWithoutEnd();
+    } else if (writeFailed && endsWithConnection(exchange.getResponse())) {
+      // A reset is reported once, to the write; the read that follows reports a normal end.
+      fail(new HttpFailure.Broken("the connection failed before the end of the answer"));
     } else if (ended.compareAndSet(false, true)) {
       cancelDeadlineTimer();
       String connectionOption =
@@ -390,6 +398,15 @@
     }
   }
 
+  /**
+   * Returns whether an answer has neither a length nor chunks, so that it ends with its connection.
+   */
+  private static boolean endsWithConnection(ClientResponse answer) {
+    String encoding = answer.getResponseHeaders().getLast(Headers.TRANSFER_ENCODING);
+    return !"chunked".equalsIgnoreCase(encoding)
+        && !answer.getResponseHeaders().contains(Headers.CONTENT_LENGTH);
+  }
+
   /**
    * Returns the timeout in seconds of a {@code Keep-Alive} header such as {@code timeout=5,
    * max=100}, null if there is none.
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
@@ -0,0 +1,236 @@
+package org.sedgeroad.http;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sedgeroad.MonotonicClock;
+
+/** Guards against an answer that breaks off and looks complete, and against the opposite. */
+class AnswerEndTest {
+  private static final byte[] BODY = "id: 1\ndata: a\n\n".getBytes(StandardCharsets.US_ASCII);
+  private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\n" + text(BODY);
+
+  private final PooledHttpClient client = PooledHttpClient.create(1);
+  private final AtomicInteger connections = new AtomicInteger();
+  private ServerSocket server;
+
+  /** How a server ends its side of a connection. */
+  private enum End {
+    CLOSED,
+    RESET,
+    RESET_LATER
+  }
+
+  /** What a server does with a connection after it was opened. */
+  private interface Script {
+    void run(Socket socket) throws IOException, InterruptedException;
+  }
+
+  @BeforeEach
+  void listen() throws IOException {
+    server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    client.close();
+    server.close();
+  }
+
+  private void serve(Script script) {
+    Thread thread =
+        new Thread(
+            () -> {
+              while (!server.isClosed()) {
+                try (Socket socket = server.accept()) {
+                  connections.incrementAndGet();
+                  script.run(socket);
+                } catch (IOException | InterruptedException closed) {
+                  // The client has closed the connection, or the test has ended.
+                }
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Reads requests without a body and sends the same text and end after each. */
+  private void serve(String answer, End end) {
+    serve(
+        socket -> {
+          readHead(socket);
+          socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+          if (end == End.RESET_LATER) {
+            Thread.sleep(50);
+          }
+          if (end != End.CLOSED) {
+            socket.setSoLinger(true, 0);
+          }
+        });
+  }
+
+  private static void readHead(Socket socket) throws IOException {
+    InputStream input = new BufferedInputStream(socket.getInputStream(), 1);
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = input.read();
+      if (next < 0) {
+        throw new IOException("closed");
+      }
+      head.append((char) next);
+    }
+  }
+
+  private HttpResult call(String method, byte[] body) {
+    URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort() + "/");
+    return client.send(
+        new HttpCall(
+            method, uri, Map.of(), body, false, MonotonicClock.SYSTEM.deadlineAfterMillis(3_000)));
+  }
+
+  private HttpResult get() {
+    return call("GET", new byte[0]);
+  }
+
+  private static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.US_ASCII);
+  }
+
+  private void assertComplete(byte[] body, HttpResult result) {
+    assertArrayEquals(body, assertInstanceOf(HttpResult.Answered.class, result).body());
+  }
+
+  @Nested
+  class WithoutLength {
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1", "HTTP/1.0"})
+    void isCompleteIfTheServerClosesTheConnection(String version) {
+      serve(version + " 200 OK\r\n\r\n" + text(BODY), End.CLOSED);
+      assertComplete(BODY, get());
+      assertComplete(BODY, get());
+      assertEquals(2, connections.get());
+    }
+
+    @Test
+    void isCompleteWithConnectionClose() {
+      serve("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + text(BODY), End.CLOSED);
+      assertComplete(BODY, get());
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+        value = End.class,
+        names = {"RESET", "RESET_LATER"})
+    void isBrokenIfTheServerResetsTheConnection(End end) {
+      serve(UNFRAMED, end);
+      for (int number = 0; number < 20; number++) {
+        assertInstanceOf(HttpResult.Failed.class, get());
+      }
+    }
+
+    /** The failed write of the request body consumes the error that a read would report. */
+    @Test
+    void isBrokenIfTheConnectionIsResetWhileTheRequestIsSent() {
+      serve(
+          socket -> {
+            readHead(socket);
+            socket.getOutputStream().write(UNFRAMED.getBytes(StandardCharsets.US_ASCII));
+            socket.getInputStream().readNBytes(4 * 1024 * 1024);
+            socket.setSoLinger(true, 0);
+          });
+      byte[] body = new byte[32 * 1024 * 1024];
+      for (int number = 0; number < 50; number++) {
+        assertInstanceOf(HttpResult.Failed.class, call("POST", body));
+      }
+    }
+
+    @Test
+    void isCompleteIfItIsLong() {
+      byte[] part = new byte[64 * 1024];
+      serve(
+          socket -> {
+            readHead(socket);
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\n".getBytes());
+            for (int number = 0; number < 100; number++) {
+              socket.getOutputStream().write(part);
+              Thread.sleep(5);
+            }
+          });
+      assertComplete(new byte[100 * part.length], get());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+    void hasNoBodyIfItsStatusAllowsNone(String status) {
+      serve("HTTP/1.1 " + status + "\r\n\r\n", End.CLOSED);
+      assertComplete(new byte[0], get());
+    }
+
+    @Test
+    void hasNoBodyIfItAnswersAHeadRequest() {
+      serve("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", End.CLOSED);
+      assertComplete(new byte[0], call("HEAD", new byte[0]));
+    }
+  }
+
+  @Nested
+  class WithLengthOrChunks {
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void isBrokenIfBytesAreMissing(End end) {
+      String whole = "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n" + text(BODY);
+      assertBrokenAtEachByte(whole, end);
+    }
+
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void isBrokenIfAChunkIsMissing(End end) {
+      String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+      assertBrokenAtEachByte(head + "f\r\n" + text(BODY) + "\r\n0\r\n\r\n", end);
+    }
+
+    @Test
+    void isCompleteIfTheConnectionIsResetAfterItsEnd() {
+      serve("HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n" + text(BODY), End.RESET_LATER);
+      assertComplete(BODY, get());
+    }
+
+    private void assertBrokenAtEachByte(String whole, End end) {
+      AtomicInteger length = new AtomicInteger();
+      serve(
+          socket -> {
+            readHead(socket);
+            String part = whole.substring(0, length.get());
+            socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+            if (end == End.RESET_LATER) {
+              Thread.sleep(5);
+            }
+            if (end != End.CLOSED) {
+              socket.setSoLinger(true, 0);
+            }
+          });
+      for (int next = 0; next < whole.length(); next++) {
+        length.set(next);
+        assertInstanceOf(HttpResult.Failed.class, get(), "at " + next);
+      }
+    }
+  }
+}
