Treat a stream that ends before its first event as broken off

Callers got an empty stream as a complete success if the endpoint sent the head of its answer and then closed the connection. An endpoint that fails between the head and the first event looks exactly like that if its answer has no length.

Cause: RequestRun.onEnd took every end between two events, also the one before the first, for the end of the stream.

Evidence: AnswerEndTest$WithoutEvents.isFollowedByTheEventsOfAnotherRun and .breaksAStreamThatCannotBeResumed failed before, each with an answer without length, with length 0 and in chunks (6 of 6; status 200, empty body, complete).

A stream that has delivered no event, and that didn't ask to resume after one, is now handled like one that ends inside an event: it runs elsewhere if its route allows that, and is aborted otherwise. A run that resumes after the last event has none left to send, and stays complete (completesAStreamThatResumesAfterItsLastEvent).

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
@@ -23,6 +23,7 @@
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private boolean lineEmpty = true;
+  private boolean eventSeen;
 
   /** Consumes all remaining bytes and returns the events that they complete. */
   public List<Event> accept(ByteBuffer bytes) {
@@ -32,7 +33,9 @@
       pending.write(next);
       if (next == '\n') {
         if (lineEmpty) {
-          events.add(parse(pending.toByteArray()));
+          Event event = parse(pending.toByteArray());
+          eventSeen |= !event.id().isEmpty() || !event.data().isEmpty();
+          events.add(event);
           pending.reset();
         }
         lineEmpty = true;
@@ -51,6 +54,11 @@
     return pending.size() > MAXIMUM_EVENT_BYTES;
   }
 
+  /** Returns whether the stream has had a complete event with an id or data. */
+  public boolean hasEvent() {
+    return eventSeen;
+  }
+
   /** Removes and returns the bytes of an incomplete event; empty if there are none. */
   public byte[] takeIncompleteEvent() {
     byte[] rest = pending.toByteArray();
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -458,13 +458,19 @@
         return;
       }
       ended = true;
-      if (isStream() && eventParser.takeIncompleteEvent().length > 0) {
+      boolean insideEvent = eventParser.takeIncompleteEvent().length > 0;
+      // A run that resumes after the last event has no event left to send.
+      boolean beforeFirstEvent = !eventParser.hasEvent() && lastEventId.isEmpty();
+      if (isStream() && (insideEvent || beforeFirstEvent)) {
         dependencies
             .dispatcher()
             .health()
             .recordBrokenAnswer(endpoint.name(), dependencies.clock().nanos());
         recordCrash();
-        onBrokenAnswer("the answer ended inside an event");
+        onBrokenAnswer(
+            insideEvent
+                ? "the answer ended inside an event"
+                : "the answer ended before its first event");
         return;
       }
       attempt = null;
