Run an item again if its answer ends before its first event

Readers of a job got an item as completed with an empty output if the endpoint sent the head of its answer and then closed the connection.

Cause: ItemRun.onEnd took every end between two events for the end of the output, also if no run of the item had delivered an event.

Such a run is now broken, like one that ends inside an event, and the item runs again after its delay. An item that resumes after its last event stays complete (completesAnItemThatResumesAfterItsLastEvent).

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -157,6 +157,8 @@
     if (!finished) {
       if (eventParser.takeIncompleteEvent().length > 0) {
         end(Outcome.BROKEN, "the answer ended inside an event");
+      } else if (item.progress().eventCount() == 0) {
+        end(Outcome.BROKEN, "the answer ended before its first event");
       } else {
         end(Outcome.COMPLETED, "complete");
       }
