Keep the retry delay of an item short after endpoint crashes

Callers saw an item wait for up to 4 s after a burst of crashes, though an endpoint had room. Each run that broke before the item's first event doubled the delay, as if the item were to blame. Items of the platform's jobs do not crash endpoints; a broken run is evidence about the endpoint, which EndpointHealth keeps.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedItem.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedItem.java
@@ -16,7 +16,6 @@
   private final ItemProgress progress = new ItemProgress();
   private ItemRun run;
   private int failures;
-  private int consecutiveBreaksWithoutEvent;
   private long notBeforeNanos;
   private boolean done;
 
@@ -65,18 +64,6 @@
     return failures;
   }
 
-  /**
-   * Records a run that ended as {@link ItemRun.Outcome#BROKEN}. An item whose runs repeatedly break
-   * off before its first event may itself crash the endpoints, so its retry delay doubles each
-   * time.
-   *
-   * @param withoutEvent whether no run of the item has delivered an event yet
-   */
-  void addBrokenRun(boolean withoutEvent, long nowNanos) {
-    consecutiveBreaksWithoutEvent = withoutEvent ? consecutiveBreaksWithoutEvent + 1 : 0;
-    backOff(consecutiveBreaksWithoutEvent, nowNanos);
-  }
-
   /** Delays the next run by the initial delay, doubled the given number of times and bounded. */
   void backOff(int doublings, long nowNanos) {
     long millis =
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -269,8 +269,8 @@
           job.addUnstoredResult(item, new JobResult(id, false, ""), now);
         }
       }
-      case NOT_RUN -> item.backOff(1, now);
-      case BROKEN -> item.addBrokenRun(item.progress().eventCount() == 0, now);
+      // A broken run is evidence about the endpoint, which EndpointHealth keeps, not the item.
+      case NOT_RUN, BROKEN -> item.backOff(1, now);
       default -> throw new IllegalStateException(outcome.name());
     }
     storeIfDue(job);
