Give items up for answers of 500 only, not for other failures

An item whose runs ended three times at the deadline (504), or with any other status than 422 and 500, was listed as dead_letter. Overloaded or restarting endpoints answer so, and the item is sound.

GatewayJobTest$CrashedEndpoints.leaveItemsToBeCompletedWhoseDeadlinePassed failed before (no more runs after three for each item).

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -20,11 +20,13 @@
     COMPLETED,
     /** The endpoint reported that the item can never succeed. */
     IMPOSSIBLE,
-    /** The endpoint reported that the run failed. */
+    /** The endpoint answered with status 500. */
     FAILED,
     /** The endpoint did not start the item. */
     NOT_RUN,
-    /** The connection failed, or the answer was invalid, after the item may have started. */
+    /**
+     * The item may have started, and the connection failed or the answer was none of those above.
+     */
     BROKEN
   }
 
@@ -34,6 +36,7 @@
   }
 
   private static final int UNPROCESSABLE = 422;
+  private static final int INTERNAL_SERVER_ERROR = 500;
 
   /**
    * Time within which a run must deliver its first event, in milliseconds; an item that is queued
@@ -133,8 +136,10 @@
       abort("the answer is not signed or belongs to another request");
     } else if (answer.status() == UNPROCESSABLE) {
       end(Outcome.IMPOSSIBLE, "answered " + answer.status());
-    } else if (!answer.isSuccess()) {
+    } else if (answer.status() == INTERNAL_SERVER_ERROR) {
       end(Outcome.FAILED, "answered " + answer.status());
+    } else if (!answer.isSuccess()) {
+      end(Outcome.BROKEN, "answered " + answer.status());
     }
   }
 
