Give items up on evidence of several crashes, not after a burst

Callers of the OpenAI-compatible door saw a sound item end as failed ("the item crashed two endpoints") after two endpoints were lost under it, or after 20 crashes ("refused 20 times"), and wait up to 30 s between its runs.

Cause: presence at two losses was taken for guilt, also during a burst, and a crash counted as a refusal. An item now has a verdict of its own: a loss counts if the item was the only suspect and no endpoint without it was lost at about the same time; two such losses condemn it if others were answered meanwhile, else four. The first loss never counts. A crash uses up no attempts, and the next run follows after 3 to 12 s. Items are not quarantined, so the next job with the same body is a trial. Live requests keep their rule.

JobRunnerTest$CrashedEndpoints.doNotEndAnItemThatMetABurst and .doNotEndAnItemWhileOthersAreCrashingToo failed before (item failed); the two tests of condemned items show that an item that does crash endpoints still ends. CrashingRequestDetectorTest$Items tests the verdict.

--- a/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
@@ -26,6 +26,7 @@
   private final PriorityQueue<DelayedItem> delayed = new PriorityQueue<>();
   private final Map<Integer, Integer> attempts = new HashMap<>();
   private final Map<Integer, Integer> refusals = new HashMap<>();
+  private final Map<Integer, Integer> interruptions = new HashMap<>();
   private final Set<RunningItem> running = new LinkedHashSet<>();
   private final List<ItemResult> pending = new ArrayList<>();
   private Segment segment;
@@ -154,6 +155,14 @@
     return refusals.merge(item.index(), 1, Integer::sum);
   }
 
+  /**
+   * Counts a run of an item that ended without an answer and returns the number so far. It is not
+   * counted as an attempt.
+   */
+  int countInterruption(BatchItem item) {
+    return interruptions.merge(item.index(), 1, Integer::sum);
+  }
+
   Set<RunningItem> running() {
     return running;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -21,7 +21,9 @@
 import org.sedgeroad.engine.EngineFailure;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.peer.RendezvousHashing;
 import org.sedgeroad.route.CrashVerdict;
+import org.sedgeroad.route.CrashingRequestDetector;
 import org.sedgeroad.route.EndpointView;
 import org.sedgeroad.route.Placement;
 import org.sedgeroad.route.RequestShape;
@@ -217,12 +219,9 @@
   private void withholdSuspect(HeldSegment segment, BatchItem item, Placement placement) {
     dependencies.endpoints().end(placement);
     CrashVerdict verdict =
-        dependencies
-            .crashGuard()
-            .detector()
-            .verdict(placement.request().fingerprint(), state.now());
+        dependencies.crashGuard().detector().itemVerdict(placement.request(), state.now());
     if (verdict == CrashVerdict.QUARANTINED) {
-      failItem(new RunningItem(segment, item, placement), "the item crashed two endpoints");
+      failItem(new RunningItem(segment, item, placement), "the item crashed several endpoints");
     } else {
       segment.putBackLater(item, state.now() + SUSPECT_RETRY_NANOS);
     }
@@ -254,7 +253,7 @@
     if (!endRun(run)) {
       return;
     }
-    dependencies.crashGuard().detector().clearSuspicion(run.placement().request().fingerprint());
+    dependencies.crashGuard().detector().itemAnswered(run.placement().request(), state.now());
     BatchItem item = run.item();
     if (item.idempotent() && (status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE)) {
       retryAfterRefusal(run, "endpoint answered " + status);
@@ -303,8 +302,9 @@
   }
 
   /**
-   * Ends a run whose connection broke. If the endpoint crashed, an idempotent item is retried as
-   * after a refusal, which does not use up its attempts: another item may have caused the crash.
+   * Ends a run whose connection broke. If the endpoint crashed, an idempotent item is retried
+   * without using up its attempts; {@link CrashingRequestDetector#itemVerdict} decides whether the
+   * item is to blame.
    */
   private void handleProbeResult(RunningItem run, EngineFailure failure, boolean crashed) {
     if (crashed) {
@@ -314,7 +314,7 @@
       endWithoutAnswer(run, failure);
     } else if (endRun(run)) {
       dependencies.endpoints().markFailed(run.placement().endpoint());
-      retryAfterRefusal(run, "the endpoint died: " + failure.reason());
+      retryAfterInterruption(run);
     }
   }
 
@@ -382,6 +382,15 @@
     }
   }
 
+  private void retryAfterInterruption(RunningItem run) {
+    int interruptions = run.segment().countInterruption(run.item());
+    double fraction =
+        RendezvousHashing.fraction(
+            run.placement().request().fingerprint(), Integer.toString(interruptions));
+    long delay = RunnerDecisions.interruptionDelayNanos(interruptions, fraction);
+    run.segment().putBackLater(run.item(), state.now() + delay);
+  }
+
   private void failItem(RunningItem run, String reason) {
     dependencies.log().log(
         LogEvent.ITEM_FAILED,
--- a/sedgeroad/src/main/java/org/sedgeroad/job/RunnerDecisions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/RunnerDecisions.java
@@ -12,9 +12,8 @@
   static final int MAX_ATTEMPTS = 3;
 
   /**
-   * Number of refusals after which an item fails; a crash of the endpoint counts as a refusal. It
-   * is higher than {@link #MAX_ATTEMPTS}, because a busy endpoint that refuses an item has not run
-   * it.
+   * Number of refusals after which an item fails. It is higher than {@link #MAX_ATTEMPTS}, because
+   * a busy endpoint that refuses an item has not run it.
    */
   static final int MAX_REFUSALS = 20;
 
@@ -38,6 +37,9 @@
   private static final long FIRST_RETRY_DELAY_NANOS = 500_000_000L;
   private static final long MAX_RETRY_DELAY_NANOS = 30_000_000_000L;
 
+  private static final long FIRST_INTERRUPTION_DELAY_NANOS = 3_000_000_000L;
+  private static final long MAX_INTERRUPTION_DELAY_NANOS = 8_000_000_000L;
+
   private RunnerDecisions() {}
 
   /**
@@ -92,6 +94,21 @@
     return bytes < MAX_PENDING_BYTES;
   }
 
+  /**
+   * Returns the delay in nanoseconds before an item runs again whose run ended without an answer.
+   *
+   * @param interruptions number of such runs, at least 1
+   * @param fraction number from 0 (inclusive) to 1 (exclusive) by which the delays of items that
+   *     were interrupted together differ, so that they do not run together again
+   */
+  static long interruptionDelayNanos(int interruptions, double fraction) {
+    long delay =
+        Math.min(
+            MAX_INTERRUPTION_DELAY_NANOS,
+            FIRST_INTERRUPTION_DELAY_NANOS << Math.min(interruptions - 1, 10));
+    return delay + (long) (fraction * delay / 2);
+  }
+
   /** Returns the delay in nanoseconds before the next try; doubles each time up to a limit. */
   static long retryDelayNanos(int tries) {
     return Math.min(MAX_RETRY_DELAY_NANOS, FIRST_RETRY_DELAY_NANOS << Math.min(tries - 1, 10));
--- a/sedgeroad/src/main/java/org/sedgeroad/route/CrashVerdict.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/CrashVerdict.java
@@ -14,6 +14,6 @@
    * reported the requests that they had in flight there.
    */
   AWAITING_REPORTS,
-  /** The request crashed two endpoints and must not be sent. */
+  /** The request crashed two endpoints, or the item several, and must not be sent. */
   QUARANTINED
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/CrashingRequestDetector.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/CrashingRequestDetector.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.sedgeroad.ServiceClass;
 
 /**
  * Detects requests that crash endpoints. Requests are identified by their fingerprints.
@@ -22,9 +23,10 @@
  *
  * <p>The sender of a request calls {@link #verdict}, then {@link #tryBegin} before sending and
  * {@link #end} afterwards. If the connection broke, it checks whether the endpoint has crashed and
- * calls {@link #endpointLost} if so. After a complete answer it calls {@link #clearSuspicion}.
- * Requests with an empty fingerprint are ignored. All {@code now} parameters are monotonic times in
- * nanoseconds. Thread-safe.
+ * calls {@link #endpointLost} if so. After a complete answer it calls {@link #clearSuspicion}. For
+ * items of jobs, {@link #itemVerdict} and {@link #itemAnswered} take the place of {@link #verdict}
+ * and {@link #clearSuspicion}. Requests with an empty fingerprint are ignored. All {@code now}
+ * parameters are monotonic times in nanoseconds. Thread-safe.
  */
 public final class CrashingRequestDetector {
   /**
@@ -42,6 +44,15 @@
   private static final Duration QUARANTINE_DURATION = Duration.ofHours(1);
   private static final int MAX_LOST_ENDPOINTS = 1_000;
 
+  /** Time before and after a loss within which another endpoint's loss shows a common cause. */
+  private static final long CALM_NANOS = 2_000_000_000L;
+
+  /** Number of losses that condemn an item, if others were answered in the meantime. */
+  private static final int CONDEMNING_LOSSES = 2;
+
+  /** Number of losses that condemn an item, if no other was answered in the meantime. */
+  private static final int CONDEMNING_LOSSES_WITHOUT_ANSWERS = 4;
+
   /**
    * Reports on the same address that are further apart than this refer to two losses: the endpoint
    * has restarted in between.
@@ -100,6 +111,55 @@
     return CrashVerdict.QUARANTINED;
   }
 
+  /**
+   * Returns the verdict on an item of a job. An item is owed until it is shown to crash endpoints,
+   * so that stricter conditions apply to it than to a live request, and no quarantine.
+   *
+   * <p>A loss counts against an item if the item was the only suspect there and no endpoint that
+   * did not run it was lost at about the same time. {@link CrashVerdict#QUARANTINED} is returned
+   * after two such losses if another request of the service was answered between the item's first
+   * loss and its last one, and after four otherwise.
+   */
+  public synchronized CrashVerdict itemVerdict(RequestShape item, long now) {
+    String fingerprint = item.fingerprint();
+    List<LostEndpoint> losses =
+        lostEndpoints.stream()
+            .filter(loss -> now - loss.lostAtNanos() < SUSPICION_DURATION_NANOS)
+            .filter(loss -> loss.fingerprints().contains(fingerprint))
+            .toList();
+    if (fingerprint.isEmpty() || losses.isEmpty()) {
+      return CrashVerdict.CLEAR;
+    }
+    LostEndpoint last = losses.get(losses.size() - 1);
+    long counted = losses.stream().filter(loss -> countsAgainst(fingerprint, loss)).count();
+    int needed =
+        losses.get(0).isAnswerBetween(item.service(), last)
+            ? CONDEMNING_LOSSES
+            : CONDEMNING_LOSSES_WITHOUT_ANSWERS;
+    if (counted < needed) {
+      return CrashVerdict.SUSPECT;
+    }
+    return now - last.lostAtNanos() < CALM_NANOS
+        ? CrashVerdict.AWAITING_REPORTS
+        : CrashVerdict.QUARANTINED;
+  }
+
+  private boolean countsAgainst(String fingerprint, LostEndpoint loss) {
+    return loss.isOnlySuspect(fingerprint)
+        && lostEndpoints.stream()
+            .filter(other -> !other.fingerprints().contains(fingerprint))
+            .noneMatch(other -> Math.abs(other.lostAtNanos() - loss.lostAtNanos()) < CALM_NANOS);
+  }
+
+  /**
+   * Clears an item of suspicion after a complete answer, which also shows that endpoints of its
+   * service are sound.
+   */
+  public synchronized void itemAnswered(RequestShape item, long now) {
+    clearSuspicion(item.fingerprint());
+    lostEndpoints.forEach(loss -> loss.recordAnswer(item.service(), now));
+  }
+
   /**
    * Returns the names of the endpoints at which a suspect is running. No other suspect may be sent
    * to them.
@@ -126,7 +186,10 @@
     if (fingerprint.isEmpty()) {
       return true;
     }
-    CrashVerdict verdict = verdict(fingerprint, now);
+    CrashVerdict verdict =
+        placement.request().serviceClass() == ServiceClass.BATCH
+            ? itemVerdict(placement.request(), now)
+            : verdict(fingerprint, now);
     List<Placement> placements =
         inFlight.computeIfAbsent(endpointKey(placement), key -> new ArrayList<>());
     boolean allowed =
--- a/sedgeroad/src/main/java/org/sedgeroad/route/LostEndpoint.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/LostEndpoint.java
@@ -1,6 +1,8 @@
 package org.sedgeroad.route;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -11,6 +13,7 @@
   private final long lostAtNanos;
   private final Set<String> fingerprints = new HashSet<>();
   private final Set<String> priorSuspects = new HashSet<>();
+  private final Map<String, Long> firstAnswerNanosByService = new HashMap<>();
 
   LostEndpoint(String key, long nanos) {
     this.key = key;
@@ -41,6 +44,17 @@
     }
   }
 
+  /** Records that a request of a service has been answered since this loss. */
+  void recordAnswer(String service, long nanos) {
+    firstAnswerNanosByService.putIfAbsent(service, nanos);
+  }
+
+  /** Returns whether a request of a service was answered between this loss and a later one. */
+  boolean isAnswerBetween(String service, LostEndpoint later) {
+    Long answeredAt = firstAnswerNanosByService.get(service);
+    return answeredAt != null && answeredAt - later.lostAtNanos < 0;
+  }
+
   /** Returns whether the request was the only one there that was already a suspect. */
   boolean isOnlySuspect(String fingerprint) {
     return priorSuspects.size() == 1 && priorSuspects.contains(fingerprint);
--- a/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -136,6 +137,78 @@
     }
   }
 
+  /** Endpoints that crash under an item, after which a sound item is completed. */
+  @Nested
+  class CrashedEndpoints {
+    /** Crashes the endpoint whenever it runs an item, at most the given number of times. */
+    private void crashUnderItem(SimulatedInstance instance, String prompt, int times) {
+      instance.engine.hold(prompt);
+      for (int crash = 0; crash < times && !runners.job().isCounted(); crash++) {
+        runners.runUntil(() -> instance.engine.isOpen(prompt) || runners.job().isCounted());
+        crash(instance);
+      }
+    }
+
+    private void crash(SimulatedInstance instance) {
+      instance.endpointCrashed = true;
+      instance.engine.breakAllCalls();
+      runners.runFor(100);
+      instance.endpointCrashed = false;
+    }
+
+    private void assertSoundItemsEndWithin(long millis) throws Exception {
+      runners.instances.forEach(each -> each.engine.releaseAll());
+      long calmSince = runners.clock.nanos();
+      runners.runToEnd();
+      runners.assertEachItemEndedOnce();
+      assertEquals(runners.job().itemCount(), runners.job().counts().done());
+      long took = (runners.clock.nanos() - calmSince) / 1_000_000;
+      assertTrue(took <= millis, () -> "completed " + took + " ms after the last crash");
+    }
+
+    /** The item was given up after its second crash, and others after their twentieth. */
+    @Test
+    void doNotEndAnItemThatMetABurst() throws Exception {
+      runners.createJob("w");
+      SimulatedInstance instance = runners.add("entry-1");
+      crashUnderItem(instance, "item0", 4);
+      assertSoundItemsEndWithin(15_000);
+    }
+
+    @Test
+    void doNotEndAnItemWhileOthersAreCrashingToo() throws Exception {
+      runners.createJob("wwwwww");
+      SimulatedInstance instance = runners.add("entry-1");
+      instance.engine.hold("item0");
+      for (int strike = 0; strike < 25; strike++) {
+        runners.runUntil(() -> instance.engine.isOpen("item0"));
+        instance.detector.recordLoss(
+            "other", "http://127.0.0.1:2", List.of("of another instance"), runners.clock.nanos());
+        crash(instance);
+      }
+      assertSoundItemsEndWithin(15_000);
+    }
+
+    @Test
+    void endAnItemThatCrashesThemWhileOthersAreCompleted() throws Exception {
+      runners.createJob("w".repeat(200));
+      SimulatedInstance instance = runners.add("entry-1");
+      crashUnderItem(instance, "item3", 3);
+      runners.runToEnd();
+      runners.assertEachItemEndedOnce();
+      assertEquals(new ItemCounts(199, 1, 0, 0), runners.job().counts());
+      assertEquals(3, runners.sendCount("item3"));
+    }
+
+    @Test
+    void endAnItemThatCrashesThemWithoutOtherWork() throws Exception {
+      runners.createJob("w");
+      crashUnderItem(runners.add("entry-1"), "item0", 100);
+      assertEquals(new ItemCounts(0, 1, 0, 0), runners.job().counts());
+      assertEquals(5, runners.sendCount("item0"));
+    }
+  }
+
   @Nested
   class Cancel {
     @Test
--- a/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedEngine.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedEngine.java
@@ -3,9 +3,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.sedgeroad.engine.EngineCall;
 import org.sedgeroad.engine.EngineCallHandle;
 import org.sedgeroad.engine.EngineClient;
@@ -20,9 +22,15 @@
 final class SimulatedEngine implements EngineClient {
   private final List<Call> open = new ArrayList<>();
   private final Map<String, Integer> sendCounts = new HashMap<>();
+  private final Set<String> heldPrompts = new HashSet<>();
+  private boolean refusing;
 
   @Override
   public EngineCallHandle start(EngineCall call, EngineListener listener) {
+    if (refusing) {
+      listener.onFailure(new EngineFailure.NotRun("connection refused", false));
+      return () -> {};
+    }
     String body = new String(call.body(), StandardCharsets.UTF_8);
     Call started = new Call(body, listener);
     open.add(started);
@@ -30,6 +38,33 @@
     return () -> end(started, () -> listener.onFailure(new EngineFailure.Broken("cancelled")));
   }
 
+  /** Sets whether the endpoint refuses connections. */
+  void setRefusing(boolean value) {
+    refusing = value;
+  }
+
+  /** Keeps the calls of the item with a prompt open until they are broken or cancelled. */
+  void hold(String prompt) {
+    heldPrompts.add(prompt);
+  }
+
+  /** Lets the calls of all items end again. */
+  void releaseAll() {
+    heldPrompts.clear();
+  }
+
+  /** Breaks the connections of all open calls. */
+  void breakAllCalls() {
+    for (Call call : List.copyOf(open)) {
+      end(call, () -> call.listener().onFailure(new EngineFailure.Broken("connection lost")));
+    }
+  }
+
+  /** Returns whether a call of the item with a prompt is open. */
+  boolean isOpen(String prompt) {
+    return open.stream().anyMatch(call -> promptOf(call.body()).equals(prompt));
+  }
+
   int openCallCount() {
     return open.size();
   }
@@ -43,10 +78,12 @@
    * Ends a random open call with an answer or, with the given probability in percent, a failure.
    */
   void endRandomCall(Random random, int failurePercent) {
-    if (open.isEmpty()) {
+    List<Call> endable =
+        open.stream().filter(call -> !heldPrompts.contains(promptOf(call.body()))).toList();
+    if (endable.isEmpty()) {
       return;
     }
-    Call call = open.get(random.nextInt(open.size()));
+    Call call = endable.get(random.nextInt(endable.size()));
     if (call.body().contains("poison")) {
       end(call, () -> answer(call, 500));
     } else if (random.nextInt(100) < failurePercent) {
--- a/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URI;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -18,6 +19,7 @@
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.lease.LeaseTable;
 import org.sedgeroad.route.CrashGuard;
+import org.sedgeroad.route.CrashingRequestDetector;
 import org.sedgeroad.route.EndpointTable;
 import org.sedgeroad.store.FakeStore;
 import org.sedgeroad.store.StoreResult;
@@ -35,7 +37,12 @@
   final Deque<Runnable> pool = new ArrayDeque<>();
   final LeaseTable leases = LeaseTable.ofMillis(LEASE_MILLIS);
   final String holder;
+  final CrashingRequestDetector detector;
   boolean alive = true;
+
+  /** Whether the endpoint is found to refuse connections after a connection broke. */
+  boolean endpointCrashed;
+
   long pausedUntilNanos;
 
   private final Deque<StoredObject> changes = new ArrayDeque<>();
@@ -47,6 +54,7 @@
   SimulatedInstance(String name, int run, FakeStore store, VirtualClock clock) {
     this.clock = clock;
     this.holder = name + "#" + run;
+    this.detector = new CrashingRequestDetector(() -> Instant.EPOCH.plusNanos(clock.nanos()));
     this.writer = StoreWriter.of(store, holder, () -> clock.advanceMillis(20));
     EndpointTable endpoints = EndpointTable.of("patagonia-norte", clock);
     endpoints.replace(
@@ -77,7 +85,10 @@
                 EventLog.of(name),
                 60_000,
                 (job, results) -> {},
-                CrashGuard.none()));
+                new CrashGuard(
+                    detector,
+                    placement -> endpointCrashed,
+                    placement -> detector.endpointLost(placement, clock.nanos()))));
   }
 
   /** Renews the lease as an instance does: writes its own counter and reads those of the others. */
--- a/sedgeroad/src/test/java/org/sedgeroad/route/CrashingRequestDetectorTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/route/CrashingRequestDetectorTest.java
@@ -152,6 +152,95 @@
     }
   }
 
+  /** Guards against sound items that are given up because endpoints crashed under them. */
+  @Nested
+  class Items {
+    private final RequestShape item = shape("item");
+    private int endpoints;
+
+    private RequestShape shape(String fingerprint) {
+      return new RequestShape("s", "m", ServiceClass.BATCH, 1, 1, 0, fingerprint, true, Set.of());
+    }
+
+    private CrashVerdict itemVerdict() {
+      return detector.itemVerdict(item, nanos);
+    }
+
+    /** Loses another endpoint that ran the item, and waits for a while. */
+    private void lose(long waitMillis, String... beside) {
+      List<String> fingerprints = with("item", List.of(beside));
+      detector.recordLoss("e" + endpoints++, "http://127.0.0.1:1", fingerprints, nanos);
+      nanos += waitMillis * MILLI;
+    }
+
+    @Test
+    void areSuspectsAfterTwoLosses() {
+      lose(5_000);
+      lose(5_000);
+      assertEquals(CrashVerdict.SUSPECT, itemVerdict());
+    }
+
+    @Test
+    void areCondemnedIfOthersAreAnsweredBetweenThreeLosses() {
+      lose(1_000);
+      detector.itemAnswered(shape("other"), nanos);
+      nanos += 4_000 * MILLI;
+      lose(5_000);
+      lose(500);
+      assertEquals(CrashVerdict.AWAITING_REPORTS, itemVerdict());
+      nanos += 1_500 * MILLI;
+      assertEquals(CrashVerdict.QUARANTINED, itemVerdict());
+      assertTrue(detector.takeUnpublishedQuarantines().isEmpty());
+    }
+
+    @Test
+    void areCondemnedAfterFiveLossesWithoutOtherAnswers() {
+      for (int loss = 0; loss < 4; loss++) {
+        lose(5_000);
+      }
+      assertEquals(CrashVerdict.SUSPECT, itemVerdict());
+      lose(5_000);
+      assertEquals(CrashVerdict.QUARANTINED, itemVerdict());
+    }
+
+    @Test
+    void areNotCondemnedByABurstThatHitsOtherEndpointsToo() {
+      for (int loss = 0; loss < 20; loss++) {
+        detector.recordLoss("other" + loss, "http://127.0.0.1:2", List.of("x" + loss), nanos);
+        detector.itemAnswered(shape("other"), nanos);
+        lose(5_000);
+      }
+      assertEquals(CrashVerdict.SUSPECT, itemVerdict());
+    }
+
+    @Test
+    void areNotCondemnedBesideAnotherSuspect() {
+      lose(5_000, "other");
+      detector.itemAnswered(shape("third"), nanos);
+      for (int loss = 0; loss < 20; loss++) {
+        lose(5_000, "other");
+      }
+      assertEquals(CrashVerdict.SUSPECT, itemVerdict());
+    }
+
+    @Test
+    void areClearAfterAnAnswer() {
+      lose(5_000);
+      lose(5_000);
+      detector.itemAnswered(item, nanos);
+      assertEquals(CrashVerdict.CLEAR, itemVerdict());
+    }
+
+    /** An item waited for an hour if a live request with its fingerprint was quarantined. */
+    @Test
+    void areNotQuarantined() {
+      detector.quarantine("item", wall.plusSeconds(3_600));
+      assertTrue(
+          detector.tryBegin(
+              new Placement("e", URI.create("http://127.0.0.1:1"), 1, item, false, nanos), nanos));
+    }
+  }
+
   @Nested
   class Suspects {
     /**
