Count the broken connections of a burst as one failure of an item

An endpoint that is back before it is probed does not count as crashed. Three such restarts within seconds ended a sound item as failed ("failed 3 times"). Broken connections within 30 s of a counted one are now the same failure; the third ends the item. Answers of 500 and answers that are not JSON count as before.

JobRunnerTest$CrashedEndpoints.doNotEndAnItemIfTheyAreBackAtOnce failed before (no fourth run; the item had failed).

--- a/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
@@ -27,6 +27,7 @@
   private final Map<Integer, Integer> attempts = new HashMap<>();
   private final Map<Integer, Integer> refusals = new HashMap<>();
   private final Map<Integer, Integer> interruptions = new HashMap<>();
+  private final Map<Integer, Breaks> breaks = new HashMap<>();
   private final Set<RunningItem> running = new LinkedHashSet<>();
   private final List<ItemResult> pending = new ArrayList<>();
   private Segment segment;
@@ -163,6 +164,19 @@
     return interruptions.merge(item.index(), 1, Integer::sum);
   }
 
+  /**
+   * Counts a broken connection at an endpoint that goes on, and returns the number so far. Those
+   * that follow a counted one within {@link RunnerDecisions#BURST_NANOS} count as the same one.
+   */
+  int countBreak(BatchItem item, long nowNanos) {
+    Breaks known = breaks.get(item.index());
+    if (known == null || nowNanos - known.lastCountedNanos() >= RunnerDecisions.BURST_NANOS) {
+      known = new Breaks(known == null ? 1 : known.count() + 1, nowNanos);
+      breaks.put(item.index(), known);
+    }
+    return known.count();
+  }
+
   Set<RunningItem> running() {
     return running;
   }
@@ -278,6 +292,9 @@
         && nowNanos - lastProgressNanos >= nanos;
   }
 
+  /** Number of bursts of broken connections, and the start of the last one. */
+  private record Breaks(int count, long lastCountedNanos) {}
+
   /** An item and the earliest time of its next attempt. */
   private record DelayedItem(BatchItem item, long readyAtNanos) implements Comparable<DelayedItem> {
     @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -336,7 +336,7 @@
       if (!run.isPreempted()) {
         dependencies.endpoints().markFailed(endpoint);
       }
-      retryAfterFailure(run, failure.reason());
+      retryAfterBreak(run, failure.reason());
     }
   }
 
@@ -382,6 +382,24 @@
     }
   }
 
+  /**
+   * Retries an item whose connection broke at an endpoint that answers a probe. The endpoint may
+   * have restarted before the probe, so that a burst of broken connections counts as one failure.
+   */
+  private void retryAfterBreak(RunningItem run, String reason) {
+    BatchItem item = run.item();
+    if (!item.idempotent()) {
+      addResult(run, ItemResult.ofError(item, ItemState.OUTCOME_UNKNOWN, reason));
+      return;
+    }
+    int breaks = run.segment().countBreak(item, state.now());
+    if (breaks < RunnerDecisions.MAX_ATTEMPTS) {
+      retryAfterInterruption(run);
+    } else {
+      failItem(run, "broke off " + breaks + " times, last: " + reason);
+    }
+  }
+
   private void retryAfterInterruption(RunningItem run) {
     int interruptions = run.segment().countInterruption(run.item());
     double fraction =
--- a/sedgeroad/src/main/java/org/sedgeroad/job/RunnerDecisions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/RunnerDecisions.java
@@ -37,6 +37,9 @@
   private static final long FIRST_RETRY_DELAY_NANOS = 500_000_000L;
   private static final long MAX_RETRY_DELAY_NANOS = 30_000_000_000L;
 
+  /** Time within which the broken connections of an item count as one failure. */
+  static final long BURST_NANOS = 30_000_000_000L;
+
   private static final long FIRST_INTERRUPTION_DELAY_NANOS = 3_000_000_000L;
   private static final long MAX_INTERRUPTION_DELAY_NANOS = 8_000_000_000L;
 
--- a/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
@@ -189,6 +189,20 @@
       assertSoundItemsEndWithin(15_000);
     }
 
+    /** An endpoint that is back before it is probed does not count as crashed. */
+    @Test
+    void doNotEndAnItemIfTheyAreBackAtOnce() throws Exception {
+      runners.createJob("w");
+      SimulatedInstance instance = runners.add("entry-1");
+      instance.engine.hold("item0");
+      for (int strike = 0; strike < 4; strike++) {
+        runners.runUntil(() -> instance.engine.isOpen("item0"));
+        instance.engine.breakAllCalls();
+        runners.runFor(100);
+      }
+      assertSoundItemsEndWithin(15_000);
+    }
+
     @Test
     void endAnItemThatCrashesThemWhileOthersAreCompleted() throws Exception {
       runners.createJob("w".repeat(200));
