Release segments whose holder has lost all its endpoints

A lost endpoint that is still listed is used again after 1 s, and each refused connection counted as progress of the segment, so that it never became idle; items whose delay had passed hid the stall as well. The lost endpoints also counted as free slots, so the holder would have claimed the segment again.

An endpoint that refused a connection now gets no items until a probe is accepted, a refused connection is no progress, and only items whose delay has not passed keep a segment.

JobRunnerTest$CrashedEndpoints.releaseASegmentThatTheirOwnerCanNotProcess failed before (the job had not ended after 200 s of virtual time; now within 60 s).

--- a/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
@@ -282,13 +282,13 @@
   }
 
   /**
-   * Returns whether the segment makes no progress: items wait, but none runs, is delayed, or was
-   * sent or ended within the given time.
+   * Returns whether the segment makes no progress: items wait, but none runs, will be ready later,
+   * or may have run at an endpoint within the given time.
    */
   boolean isStalledFor(long nanos, long nowNanos) {
     return running.isEmpty()
-        && delayed.isEmpty()
-        && !waiting.isEmpty()
+        && delayed.stream().allMatch(each -> nowNanos - each.readyAtNanos() >= 0)
+        && !(waiting.isEmpty() && delayed.isEmpty())
         && nowNanos - lastProgressNanos >= nanos;
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -45,6 +45,7 @@
   private final Consumer<Runnable> inbox;
   private final Map<String, String> serviceByModel = new HashMap<>();
   private final Set<String> servicesWithFreeSlots = new HashSet<>();
+  private final RefusingEndpoints refusing;
   private long checkedExpiryCount;
 
   ItemSender(RunnerState state, BackgroundCalls calls, Consumer<Runnable> inbox) {
@@ -52,6 +53,7 @@
     this.dependencies = state.dependencies();
     this.calls = calls;
     this.inbox = inbox;
+    this.refusing = new RefusingEndpoints(state, calls);
   }
 
   /**
@@ -72,7 +74,8 @@
                 Comparator.comparing((HeldSegment segment) -> segment.job().deadline())
                     .thenComparing(segment -> !segment.isTakenOver()))
             .toList();
-    List<EndpointView> owned = state.ownedEndpoints();
+    refusing.probeDue();
+    List<EndpointView> owned = reachableEndpoints();
     for (EndpointView view : owned) {
       sendItems(view, segments);
     }
@@ -99,7 +102,7 @@
   Map<String, Integer> freeSlots() {
     Map<String, Integer> free = new HashMap<>();
     long now = state.now();
-    for (EndpointView view : state.ownedEndpoints()) {
+    for (EndpointView view : reachableEndpoints()) {
       int active = runningByEndpoint.getOrDefault(view.endpoint().name(), List.of()).size();
       int slots = Math.max(0, dependencies.batchPolicy().allowedItems(view, now) - active);
       free.merge(view.endpoint().service(), slots, Integer::sum);
@@ -116,6 +119,13 @@
     return waiting;
   }
 
+  /** Returns the owned endpoints without those that refused a connection. */
+  private List<EndpointView> reachableEndpoints() {
+    return state.ownedEndpoints().stream()
+        .filter(view -> !refusing.contains(view.endpoint()))
+        .toList();
+  }
+
   private void sendItems(EndpointView view, List<HeldSegment> segments) {
     List<RunningItem> active =
         runningByEndpoint.computeIfAbsent(view.endpoint().name(), key -> new ArrayList<>());
@@ -199,7 +209,6 @@
             item.idempotent(),
             dependencies.clock().deadlineAfterMillis(dependencies.itemTimeoutMillis()));
     segment.running().add(run);
-    segment.recordProgress(state.now());
     active.add(run);
     ItemAnswerListener answerListener =
         new ItemAnswerListener(
@@ -250,7 +259,7 @@
   }
 
   private void handleAnswer(RunningItem run, String requestId, int status, byte[] answer) {
-    if (!endRun(run)) {
+    if (!endRun(run, true)) {
       return;
     }
     dependencies.crashGuard().detector().itemAnswered(run.placement().request(), state.now());
@@ -312,14 +321,14 @@
     }
     if (!crashed || !run.item().idempotent()) {
       endWithoutAnswer(run, failure);
-    } else if (endRun(run)) {
+    } else if (endRun(run, true)) {
       dependencies.endpoints().markFailed(run.placement().endpoint());
       retryAfterInterruption(run);
     }
   }
 
   private void endWithoutAnswer(RunningItem run, EngineFailure failure) {
-    if (!endRun(run)) {
+    if (!endRun(run, failure instanceof EngineFailure.Broken)) {
       return;
     }
     String endpoint = run.placement().endpoint();
@@ -328,6 +337,7 @@
         dependencies.endpoints().markDraining(endpoint);
       } else if (!run.isPreempted()) {
         dependencies.endpoints().markFailed(endpoint);
+        refusing.add(run.placement());
       }
       run.segment().putBack(run.item());
     } else if (run.isPreempted() && run.item().idempotent()) {
@@ -340,8 +350,12 @@
     }
   }
 
-  /** Ends a run and frees its slot. Returns false if the run had ended before. */
-  private boolean endRun(RunningItem run) {
+  /**
+   * Ends a run and frees its slot. Returns false if the run had ended before.
+   *
+   * @param mayHaveRun whether the endpoint may have started the item
+   */
+  private boolean endRun(RunningItem run, boolean mayHaveRun) {
     if (!run.segment().running().remove(run)) {
       return false;
     }
@@ -354,7 +368,9 @@
     if (active != null) {
       active.remove(run);
     }
-    run.segment().recordProgress(state.now());
+    if (mayHaveRun) {
+      run.segment().recordProgress(state.now());
+    }
     return true;
   }
 
--- a/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
@@ -221,6 +221,20 @@
       assertEquals(new ItemCounts(0, 1, 0, 0), runners.job().counts());
       assertEquals(5, runners.sendCount("item0"));
     }
+
+    /** The holder sent its items to the lost endpoint again and again, and kept the segment. */
+    @Test
+    void releaseASegmentThatTheirOwnerCanNotProcess() throws Exception {
+      runners.createJob("w".repeat(40));
+      SimulatedInstance first = runners.add("entry-1");
+      runners.runUntil(() -> first.engine.openCallCount() > 0);
+      runners.add("entry-2");
+      runners.runFor(200);
+      first.engine.setRefusing(true);
+      crash(first);
+      first.endpointCrashed = true;
+      assertSoundItemsEndWithin(60_000);
+    }
   }
 
   @Nested
