Avoid an endpoint for items after it answered 421

The address of a crashed endpoint may belong to another one, which refuses each item with 421 at once. It looked free until its registration was removed, so that items were sent there again and again. Such an endpoint is now avoided like one that can't be reached.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -35,6 +35,9 @@
     void ended(ItemRun run, Outcome outcome, String cause);
   }
 
+  /** Status of an endpoint that is not the named one, which has ended. */
+  private static final int MISDIRECTED = 421;
+
   private static final int UNPROCESSABLE = 422;
   private static final int INTERNAL_SERVER_ERROR = 500;
 
@@ -109,11 +112,15 @@
       scheduleProgressCheck();
       return;
     }
+    recordUnreachable();
+    abort("no event in time");
+  }
+
+  private void recordUnreachable() {
     dependencies
         .dispatcher()
         .health()
         .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
-    abort("no event in time");
   }
 
   /** Cancels the run at the endpoint without notifying the listener. */
@@ -131,6 +138,9 @@
       return;
     }
     if (answer.notRun()) {
+      if (answer.status() == MISDIRECTED) {
+        recordUnreachable();
+      }
       end(Outcome.NOT_RUN, "rejected with " + answer.status());
     } else if (!answer.genuine()) {
       abort("the answer is not signed or belongs to another request");
@@ -172,10 +182,7 @@
   public void onFailure(HttpFailure failure) {
     if (!finished) {
       if (failure instanceof HttpFailure.NotSent) {
-        dependencies
-            .dispatcher()
-            .health()
-            .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
+        recordUnreachable();
         end(Outcome.NOT_RUN, failure.reason());
       } else {
         dependencies
