Fail a condemned item at once instead of after its retry delay

An item that crashed its last endpoint waited for up to 12 s more before it ended as failed, though it could not be sent again.

--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -421,7 +421,13 @@
     double fraction =
         RendezvousHashing.fraction(
             run.placement().request().fingerprint(), Integer.toString(interruptions));
-    long delay = RunnerDecisions.interruptionDelayNanos(interruptions, fraction);
+    CrashVerdict verdict =
+        dependencies.crashGuard().detector().itemVerdict(run.placement().request(), state.now());
+    // An item about to be condemned is not sent again, and needs no delay.
+    long delay =
+        verdict == CrashVerdict.AWAITING_REPORTS
+            ? SUSPECT_RETRY_NANOS
+            : RunnerDecisions.interruptionDelayNanos(interruptions, fraction);
     run.segment().putBackLater(run.item(), state.now() + delay);
   }
 
