--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -20,11 +20,13 @@
     COMPLETED,
     /** The endpoint reported that the item can never succeed. */
     IMPOSSIBLE,
-    /** The endpoint reported that the run failed. */
+    /** The endpoint answered with status 500. */
     FAILED,
     /** The endpoint did not start the item. */
     NOT_RUN,
-    /** The connection failed, or the answer was invalid, after the item may have started. */
+    /**
+     * The item may have started, and the connection failed or the answer was none of those above.
+     */
     BROKEN
   }
 
@@ -33,7 +35,11 @@
     void ended(ItemRun run, Outcome outcome, String cause);
   }
 
+  /** Status of an endpoint that is not the named one, which has ended. */
+  private static final int MISDIRECTED = 421;
+
   private static final int UNPROCESSABLE = 422;
+  private static final int INTERNAL_SERVER_ERROR = 500;
 
   /**
    * Time within which a run must deliver its first event, in milliseconds; an item that is queued
@@ -106,11 +112,15 @@
       scheduleProgressCheck();
       return;
     }
+    recordUnreachable();
+    abort("no event in time");
+  }
+
+  private void recordUnreachable() {
     dependencies
         .dispatcher()
         .health()
         .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
-    abort("no event in time");
   }
 
   /** Cancels the run at the endpoint without notifying the listener. */
@@ -128,13 +138,18 @@
       return;
     }
     if (answer.notRun()) {
+      if (answer.status() == MISDIRECTED) {
+        recordUnreachable();
+      }
       end(Outcome.NOT_RUN, "rejected with " + answer.status());
     } else if (!answer.genuine()) {
       abort("the answer is not signed or belongs to another request");
     } else if (answer.status() == UNPROCESSABLE) {
       end(Outcome.IMPOSSIBLE, "answered " + answer.status());
-    } else if (!answer.isSuccess()) {
+    } else if (answer.status() == INTERNAL_SERVER_ERROR) {
       end(Outcome.FAILED, "answered " + answer.status());
+    } else if (!answer.isSuccess()) {
+      end(Outcome.BROKEN, "answered " + answer.status());
     }
   }
 
@@ -169,10 +184,7 @@
   public void onFailure(HttpFailure failure) {
     if (!finished) {
       if (failure instanceof HttpFailure.NotSent) {
-        dependencies
-            .dispatcher()
-            .health()
-            .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
+        recordUnreachable();
         end(Outcome.NOT_RUN, failure.reason());
       } else {
         dependencies
--- a/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
@@ -26,6 +26,8 @@
   private final PriorityQueue<DelayedItem> delayed = new PriorityQueue<>();
   private final Map<Integer, Integer> attempts = new HashMap<>();
   private final Map<Integer, Integer> refusals = new HashMap<>();
+  private final Map<Integer, Integer> interruptions = new HashMap<>();
+  private final Map<Integer, Breaks> breaks = new HashMap<>();
   private final Set<RunningItem> running = new LinkedHashSet<>();
   private final List<ItemResult> pending = new ArrayList<>();
   private Segment segment;
@@ -154,6 +156,27 @@
     return refusals.merge(item.index(), 1, Integer::sum);
   }
 
+  /**
+   * Counts a run of an item that ended without an answer and returns the number so far. It is not
+   * counted as an attempt.
+   */
+  int countInterruption(BatchItem item) {
+    return interruptions.merge(item.index(), 1, Integer::sum);
+  }
+
+  /**
+   * Counts a broken connection at an endpoint that goes on, and returns the number so far. Those
+   * that follow a counted one within {@link RunnerDecisions#BURST_NANOS} count as the same one.
+   */
+  int countBreak(BatchItem item, long nowNanos) {
+    Breaks known = breaks.get(item.index());
+    if (known == null || nowNanos - known.lastCountedNanos() >= RunnerDecisions.BURST_NANOS) {
+      known = new Breaks(known == null ? 1 : known.count() + 1, nowNanos);
+      breaks.put(item.index(), known);
+    }
+    return known.count();
+  }
+
   Set<RunningItem> running() {
     return running;
   }
@@ -259,16 +282,19 @@
   }
 
   /**
-   * Returns whether the segment makes no progress: items wait, but none runs, is delayed, or was
-   * sent or ended within the given time.
+   * Returns whether the segment makes no progress: items wait, but none runs, will be ready later,
+   * or may have run at an endpoint within the given time.
    */
   boolean isStalledFor(long nanos, long nowNanos) {
     return running.isEmpty()
-        && delayed.isEmpty()
-        && !waiting.isEmpty()
+        && delayed.stream().allMatch(each -> nowNanos - each.readyAtNanos() >= 0)
+        && !(waiting.isEmpty() && delayed.isEmpty())
         && nowNanos - lastProgressNanos >= nanos;
   }
 
+  /** Number of bursts of broken connections, and the start of the last one. */
+  private record Breaks(int count, long lastCountedNanos) {}
+
   /** An item and the earliest time of its next attempt. */
   private record DelayedItem(BatchItem item, long readyAtNanos) implements Comparable<DelayedItem> {
     @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -21,7 +21,9 @@
 import org.sedgeroad.engine.EngineFailure;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.peer.RendezvousHashing;
 import org.sedgeroad.route.CrashVerdict;
+import org.sedgeroad.route.CrashingRequestDetector;
 import org.sedgeroad.route.EndpointView;
 import org.sedgeroad.route.Placement;
 import org.sedgeroad.route.RequestShape;
@@ -43,6 +45,7 @@
   private final Consumer<Runnable> inbox;
   private final Map<String, String> serviceByModel = new HashMap<>();
   private final Set<String> servicesWithFreeSlots = new HashSet<>();
+  private final RefusingEndpoints refusing;
   private long checkedExpiryCount;
 
   ItemSender(RunnerState state, BackgroundCalls calls, Consumer<Runnable> inbox) {
@@ -50,6 +53,7 @@
     this.dependencies = state.dependencies();
     this.calls = calls;
     this.inbox = inbox;
+    this.refusing = new RefusingEndpoints(state, calls);
   }
 
   /**
@@ -70,7 +74,8 @@
                 Comparator.comparing((HeldSegment segment) -> segment.job().deadline())
                     .thenComparing(segment -> !segment.isTakenOver()))
             .toList();
-    List<EndpointView> owned = state.ownedEndpoints();
+    refusing.probeDue();
+    List<EndpointView> owned = reachableEndpoints();
     for (EndpointView view : owned) {
       sendItems(view, segments);
     }
@@ -97,7 +102,7 @@
   Map<String, Integer> freeSlots() {
     Map<String, Integer> free = new HashMap<>();
     long now = state.now();
-    for (EndpointView view : state.ownedEndpoints()) {
+    for (EndpointView view : reachableEndpoints()) {
       int active = runningByEndpoint.getOrDefault(view.endpoint().name(), List.of()).size();
       int slots = Math.max(0, dependencies.batchPolicy().allowedItems(view, now) - active);
       free.merge(view.endpoint().service(), slots, Integer::sum);
@@ -114,6 +119,13 @@
     return waiting;
   }
 
+  /** Returns the owned endpoints without those that refused a connection. */
+  private List<EndpointView> reachableEndpoints() {
+    return state.ownedEndpoints().stream()
+        .filter(view -> !refusing.contains(view.endpoint()))
+        .toList();
+  }
+
   private void sendItems(EndpointView view, List<HeldSegment> segments) {
     List<RunningItem> active =
         runningByEndpoint.computeIfAbsent(view.endpoint().name(), key -> new ArrayList<>());
@@ -197,7 +209,6 @@
             item.idempotent(),
             dependencies.clock().deadlineAfterMillis(dependencies.itemTimeoutMillis()));
     segment.running().add(run);
-    segment.recordProgress(state.now());
     active.add(run);
     ItemAnswerListener answerListener =
         new ItemAnswerListener(
@@ -217,12 +228,9 @@
   private void withholdSuspect(HeldSegment segment, BatchItem item, Placement placement) {
     dependencies.endpoints().end(placement);
     CrashVerdict verdict =
-        dependencies
-            .crashGuard()
-            .detector()
-            .verdict(placement.request().fingerprint(), state.now());
+        dependencies.crashGuard().detector().itemVerdict(placement.request(), state.now());
     if (verdict == CrashVerdict.QUARANTINED) {
-      failItem(new RunningItem(segment, item, placement), "the item crashed two endpoints");
+      failItem(new RunningItem(segment, item, placement), "the item crashed several endpoints");
     } else {
       segment.putBackLater(item, state.now() + SUSPECT_RETRY_NANOS);
     }
@@ -251,10 +259,10 @@
   }
 
   private void handleAnswer(RunningItem run, String requestId, int status, byte[] answer) {
-    if (!endRun(run)) {
+    if (!endRun(run, true)) {
       return;
     }
-    dependencies.crashGuard().detector().clearSuspicion(run.placement().request().fingerprint());
+    dependencies.crashGuard().detector().itemAnswered(run.placement().request(), state.now());
     BatchItem item = run.item();
     if (item.idempotent() && (status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE)) {
       retryAfterRefusal(run, "endpoint answered " + status);
@@ -303,8 +311,9 @@
   }
 
   /**
-   * Ends a run whose connection broke. If the endpoint crashed, an idempotent item is retried as
-   * after a refusal, which does not use up its attempts: another item may have caused the crash.
+   * Ends a run whose connection broke. If the endpoint crashed, an idempotent item is retried
+   * without using up its attempts; {@link CrashingRequestDetector#itemVerdict} decides whether the
+   * item is to blame.
    */
   private void handleProbeResult(RunningItem run, EngineFailure failure, boolean crashed) {
     if (crashed) {
@@ -312,14 +321,14 @@
     }
     if (!crashed || !run.item().idempotent()) {
       endWithoutAnswer(run, failure);
-    } else if (endRun(run)) {
+    } else if (endRun(run, true)) {
       dependencies.endpoints().markFailed(run.placement().endpoint());
-      retryAfterRefusal(run, "the endpoint died: " + failure.reason());
+      retryAfterInterruption(run);
     }
   }
 
   private void endWithoutAnswer(RunningItem run, EngineFailure failure) {
-    if (!endRun(run)) {
+    if (!endRun(run, failure instanceof EngineFailure.Broken)) {
       return;
     }
     String endpoint = run.placement().endpoint();
@@ -328,6 +337,7 @@
         dependencies.endpoints().markDraining(endpoint);
       } else if (!run.isPreempted()) {
         dependencies.endpoints().markFailed(endpoint);
+        refusing.add(run.placement());
       }
       run.segment().putBack(run.item());
     } else if (run.isPreempted() && run.item().idempotent()) {
@@ -336,12 +346,16 @@
       if (!run.isPreempted()) {
         dependencies.endpoints().markFailed(endpoint);
       }
-      retryAfterFailure(run, failure.reason());
+      retryAfterBreak(run, failure.reason());
     }
   }
 
-  /** Ends a run and frees its slot. Returns false if the run had ended before. */
-  private boolean endRun(RunningItem run) {
+  /**
+   * Ends a run and frees its slot. Returns false if the run had ended before.
+   *
+   * @param mayHaveRun whether the endpoint may have started the item
+   */
+  private boolean endRun(RunningItem run, boolean mayHaveRun) {
     if (!run.segment().running().remove(run)) {
       return false;
     }
@@ -354,7 +368,9 @@
     if (active != null) {
       active.remove(run);
     }
-    run.segment().recordProgress(state.now());
+    if (mayHaveRun) {
+      run.segment().recordProgress(state.now());
+    }
     return true;
   }
 
@@ -382,6 +398,39 @@
     }
   }
 
+  /**
+   * Retries an item whose connection broke at an endpoint that answers a probe. The endpoint may
+   * have restarted before the probe, so that a burst of broken connections counts as one failure.
+   */
+  private void retryAfterBreak(RunningItem run, String reason) {
+    BatchItem item = run.item();
+    if (!item.idempotent()) {
+      addResult(run, ItemResult.ofError(item, ItemState.OUTCOME_UNKNOWN, reason));
+      return;
+    }
+    int breaks = run.segment().countBreak(item, state.now());
+    if (breaks < RunnerDecisions.MAX_ATTEMPTS) {
+      retryAfterInterruption(run);
+    } else {
+      failItem(run, "broke off " + breaks + " times, last: " + reason);
+    }
+  }
+
+  private void retryAfterInterruption(RunningItem run) {
+    int interruptions = run.segment().countInterruption(run.item());
+    double fraction =
+        RendezvousHashing.fraction(
+            run.placement().request().fingerprint(), Integer.toString(interruptions));
+    CrashVerdict verdict =
+        dependencies.crashGuard().detector().itemVerdict(run.placement().request(), state.now());
+    // An item about to be condemned is not sent again, and needs no delay.
+    long delay =
+        verdict == CrashVerdict.AWAITING_REPORTS
+            ? SUSPECT_RETRY_NANOS
+            : RunnerDecisions.interruptionDelayNanos(interruptions, fraction);
+    run.segment().putBackLater(run.item(), state.now() + delay);
+  }
+
   private void failItem(RunningItem run, String reason) {
     dependencies.log().log(
         LogEvent.ITEM_FAILED,
