Log that a job was loaded from the store

The log of an owner did not show that it had learned of a job that it did not accept itself: 5001 is logged by the instance that accepts, 5005 by the one that takes over. A job that no instance runs could not be told from one that waits for a place. Event 5014 names the job, its items and its stored results.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -368,6 +368,12 @@
       // The previous owner, or the previous process of this instance, may still store results.
       job.setLoadedFromStore();
       start(job);
+      context.log().log(
+          LogEvent.JOB_LOADED,
+          EventField.of("job", current.id()),
+          EventField.of("items", job.items().size()),
+          EventField.of("listed", job.storedResults().size()),
+          EventField.of("ended", job.isEnded()));
     } else {
       context.log().log(
           LogEvent.STORE_UNAVAILABLE,
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -65,6 +65,8 @@
   QUARANTINE_NOT_STORED(4006, Level.WARNING, "quarantine not stored"),
   /** An ended job was deleted from the store. */
   JOB_DELETED(5013, Level.INFO, "job deleted"),
+  /** A job was loaded from the store, because this instance owns it, and runs here now. */
+  JOB_LOADED(5014, Level.INFO, "job loaded"),
   /** A job was accepted. */
   JOB_ACCEPTED(5001, Level.INFO, "job accepted"),
   /** All segments of a job are finished. */
