Let an owner learn of a job whose creation was not answered

Cause: an owner may get no answer to the write that makes it the owner, neither to its repetitions nor to the read that follows, for example while it receives nothing from the store. The client is answered 504 and submits the job again elsewhere, where the head is found and the job accepted. Since only the first hub of each failure domain watches the heads, so the owner does not learn of the job; it is live, so nobody takes the job over. If the owner watches, the change arrives while the write is in progress, is noted as known, and the job is not loaded either. The same holds for a write that takes effect after the process that sent it has ended and been started again.

Ruled out: takeovers (the owner is live), the limit of tokens, placement.

Change: an instance that accepts a job again tells its owner to read the head. An instance that is asked for a job that it does not run, by a peer that takes it for the owner, reads the head. An owned job that does not run is loaded each time its head is received, also if this version of the head was known.

Evidence: GatewayJobTest$Accepted.runsAtAnOwnerThatGotNoAnswerToItsCreation and .runsAtAnOwnerThatHasNotCreatedIt failed before ("not fulfilled within 20 seconds") and pass now.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
@@ -141,7 +141,7 @@
         EventField.of("outcome", outcome.getClass().getSimpleName()));
     if (outcome instanceof WriteOutcome.Written written) {
       changeListener.accept(written.object());
-      questions.notifyTakenOver(job.head().owner(), job.head().id());
+      questions.notifyHeadChanged(job.head().owner(), job.head().id());
     } else if (outcome instanceof WriteOutcome.Lost lost && lost.current() != null) {
       changeListener.accept(lost.current());
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -200,7 +200,7 @@
         .job(id)
         .ifPresentOrElse(
             job -> readOwned(job, after, deadlineNanos, result),
-            () -> result.accept(new ReadResult.Unavailable("not run here")));
+            () -> answerNotRunHere(id, result));
   }
 
   /** Answers a peer's body read; {@link ReadResult.Unavailable} if the job is not run here. */
@@ -209,7 +209,18 @@
         .job(id)
         .ifPresentOrElse(
             job -> readBody(id, item, result),
-            () -> result.accept(new ReadResult.Unavailable("not run here")));
+            () -> answerNotRunHere(id, result));
+  }
+
+  /**
+   * Answers a peer that takes this instance for the owner of a job that it does not run. The peer
+   * may be right: the answer to the write that made this instance the owner may have been lost.
+   */
+  private void answerNotRunHere(String id, Consumer<ReadResult> result) {
+    result.accept(new ReadResult.Unavailable("not run here"));
+    if (!loading.contains(id) && !pendingCallbacks.containsKey(id)) {
+      readHeadAgain(id);
+    }
   }
 
   @Override
@@ -285,8 +296,9 @@
       if (accepted.created() && owned && head.owner().equals(context.instance())) {
         long now = context.clock().nanos();
         start(new OwnedJob(head, submission.items(), dueNanos(head, now), now));
-      } else if (owned && runner.job(submission.id()).isEmpty()) {
-        load(head);
+      } else if (!owned) {
+        // The owner may have got no answer when it created the job.
+        questions.notifyHeadChanged(accepted.head().owner(), submission.id());
       }
       context.log().log(
           LogEvent.JOB_ACCEPTED,
@@ -302,25 +314,40 @@
           EventField.of("job", submission.id()),
           EventField.of("outcome", outcome));
     }
-    pendingCallbacks.remove(submission.id()).forEach(waiting -> waiting.accept(outcome));
+    List<Consumer<AcceptResult>> callbacks = pendingCallbacks.remove(submission.id());
+    loadIfOwned(submission.id());
+    callbacks.forEach(waiting -> waiting.accept(outcome));
   }
 
   private void updateHead(JobHead head, long version) {
-    if (!jobHeads.update(head, version, context.clock().nanos())) {
-      return;
+    if (jobHeads.update(head, version, context.clock().nanos())) {
+      headChanged(head);
     }
-    boolean owned = head.owner().equals(context.instance());
-    if (!owned) {
-      if (head.ended() && context.fleetLoad().isLive(head.owner(), context.clock().nanos())) {
-        // The instance that has ended the job may have failed before it could tell the owner.
-        peerJobs.notifyEnded(head.owner(), head.id());
+    loadIfOwned(head.id());
+  }
+
+  private void headChanged(JobHead head) {
+    if (head.owner().equals(context.instance())) {
+      if (head.ended()) {
+        runner.end(head.id());
       }
-      runner.drop(head.id());
-    } else if (head.ended()) {
-      runner.end(head.id());
+      return;
     }
-    if (owned && runner.job(head.id()).isEmpty() && !pendingCallbacks.containsKey(head.id())) {
-      load(head);
+    if (head.ended() && context.fleetLoad().isLive(head.owner(), context.clock().nanos())) {
+      // The instance that has ended the job may have failed before it could tell the owner.
+      peerJobs.notifyEnded(head.owner(), head.id());
+    }
+    runner.drop(head.id());
+  }
+
+  /** Loads a job if this instance owns it and neither runs nor accepts it. */
+  private void loadIfOwned(String id) {
+    if (runner.job(id).isEmpty() && !pendingCallbacks.containsKey(id)) {
+      jobHeads
+          .find(id)
+          .map(JobHeadCache.CachedJob::head)
+          .filter(head -> head.owner().equals(context.instance()))
+          .ifPresent(this::load);
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/PeerJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/PeerJobs.java
@@ -17,8 +17,10 @@
   /** Reads the request body of an item. */
   CompletableFuture<ReadResult> body(String owner, String job, String item);
 
-  /** Notifies the previous owner of a job that another instance has taken the job over. */
-  CompletableFuture<ReadResult> notifyTakenOver(String previousOwner, String job);
+  /**
+   * Notifies an instance that a job has or had it as its owner, so that it reads the head again.
+   */
+  CompletableFuture<ReadResult> notifyHeadChanged(String instance, String job);
 
   /** Notifies the owner that a client has marked a job as ended, so that it stops the items. */
   CompletableFuture<ReadResult> notifyEnded(String owner, String job);
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/PeerQuestions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/PeerQuestions.java
@@ -44,9 +44,11 @@
     notifyUntilAnswered(NOTICE_ATTEMPTS, () -> peerJobs.notifyEnded(owner, job));
   }
 
-  /** Tells the previous owner that its job was taken over, until it answers. */
-  void notifyTakenOver(String previousOwner, String job) {
-    notifyUntilAnswered(NOTICE_ATTEMPTS, () -> peerJobs.notifyTakenOver(previousOwner, job));
+  /**
+   * Tells an instance that it has lost a job, or owns a job that it may not know, until it answers.
+   */
+  void notifyHeadChanged(String instance, String job) {
+    notifyUntilAnswered(NOTICE_ATTEMPTS, () -> peerJobs.notifyHeadChanged(instance, job));
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
@@ -63,8 +63,8 @@
   }
 
   @Override
-  public CompletableFuture<ReadResult> notifyTakenOver(String previousOwner, String job) {
-    return notify(previousOwner, "taken-over", job);
+  public CompletableFuture<ReadResult> notifyHeadChanged(String instance, String job) {
+    return notify(instance, "head-changed", job);
   }
 
   private CompletableFuture<ReadResult> notify(String instance, String event, String job) {
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
@@ -48,7 +48,7 @@
         jobs.stopJobEndedByPeer(job);
         send(exchange, new ReadResult.Ended());
       }
-      case "/taken-over" -> {
+      case "/head-changed" -> {
         jobs.readHeadAgain(job);
         send(exchange, new ReadResult.Ended());
       }
