Accept a job again although the limit of waiting tokens is reached

Cause: the limit was checked before it was known whether the job exists. Since most instances do not know the heads of jobs that others accepted, so that at the limit they refuse an accepted job like a new one.

Change: a job that exceeds the limit is refused only after its head has been read from the store. If the store does not answer, the refusal is 503. An answer that the head does not exist removes a job only if it was known before the read: a job may be accepted here meanwhile, and would not be run any more.

The guard in readHead has no test of its own.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -84,13 +84,7 @@
     long limit = route.batch().maximumWaitingTokens();
     long waiting = waitingTokens(route);
     if (limit > 0 && waiting + submission.tokens() > limit) {
-      context.log().log(
-          LogEvent.JOB_REFUSED,
-          EventField.of("job", id),
-          EventField.of("waiting_tokens", waiting),
-          EventField.of("tokens", submission.tokens()),
-          EventField.of("limit", limit));
-      result.accept(new AcceptResult.OverLimit());
+      answerOverLimit(submission, waiting, limit, result);
       return;
     }
     pendingCallbacks.put(id, new ArrayList<>(List.of(result)));
@@ -115,6 +109,34 @@
             });
   }
 
+  /** Refuses a job that exceeds the limit unless it was accepted before. */
+  private void answerOverLimit(
+      JobSubmission submission, long waiting, long limit, Consumer<AcceptResult> result) {
+    String id = submission.id();
+    readHead(
+        id,
+        failure -> {
+          AcceptResult outcome =
+              failure instanceof ReadResult.Absent
+                  ? new AcceptResult.OverLimit()
+                  : new AcceptResult.NotAccepted("job head not read", STORE_RETRY_MILLIS);
+          context.log().log(
+              LogEvent.JOB_REFUSED,
+              EventField.of("job", id),
+              EventField.of("waiting_tokens", waiting),
+              EventField.of("tokens", submission.tokens()),
+              EventField.of("limit", limit),
+              EventField.of("outcome", outcome));
+          result.accept(outcome);
+        },
+        head -> submitAgain(head, result));
+  }
+
+  private void submitAgain(JobHead head, Consumer<AcceptResult> result) {
+    long version = jobHeads.find(head.id()).map(JobHeadCache.CachedJob::version).orElse(0L);
+    result.accept(new AcceptResult.Accepted(head, version, false));
+  }
+
   /**
    * Reads results of a job, starting at position {@code after}. The owner waits for a result, if it
    * has none at that position, until a deadline in nanoseconds of the monotonic clock.
@@ -497,6 +519,8 @@
 
   /** Runs a task with the head of a job as it is in the store now. */
   private void readHead(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
+    // A job that was not known may be accepted here while its head is read.
+    boolean known = jobHeads.find(id).isPresent();
     context
         .storeWorkers()
         .execute(
@@ -509,7 +533,9 @@
                         if (read instanceof StoreResult.Done<StoredObject> done) {
                           received(done.value(), result, task);
                         } else if (read instanceof StoreResult.Absent) {
-                          remove(id);
+                          if (known) {
+                            remove(id);
+                          }
                           result.accept(new ReadResult.Absent());
                         } else {
                           result.accept(new ReadResult.Unavailable(read.toString()));
