Answer no empty page if the result log could not be read

Callers saw: a result that had been read was not there when it was read again (LOST, "has nothing at a position").

Cause: before an owner that loaded a job answers that nothing follows a position, it reads the chunks that the previous owner may have stored. If the store did not answer, it said that nothing follows, although it could not know. A peer in touch that asked this owner passed the answer on.

Change: without the result log, the owner answers that it can't say. A peer then reads the store itself, a client gets 503.

Evidence: GatewayJobTest$Accepted.isNotAnsweredByANewOwnerThatCanNotReadTheResultLog failed before (200 instead of 503) and passes now.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -454,7 +454,16 @@
       answerOrAwaitChunk(job, after, deadlineNanos, result);
       return;
     }
-    logRefresher.refresh(job, () -> answerOrAwaitChunk(job, after, deadlineNanos, result));
+    logRefresher.refresh(
+        job,
+        read -> {
+          if (read || job.storedResults().size() > after) {
+            answerOrAwaitChunk(job, after, deadlineNanos, result);
+          } else {
+            // A client may have read a result that follows, so it can't be said that there is none.
+            result.accept(new ReadResult.Unavailable("result log not read"));
+          }
+        });
   }
 
   private void answerOrAwaitChunk(
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ResultLogRefresher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ResultLogRefresher.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.batch;
 
 import java.util.List;
+import java.util.function.Consumer;
 import org.sedgeroad.store.StoreResult;
 
 /**
@@ -19,10 +20,12 @@
   }
 
   /**
-   * Reads new chunks of a job, adds them to the job and then runs a task. The task also runs if the
-   * chunks could not be read.
+   * Reads new chunks of a job and adds them to the job.
+   *
+   * @param job the job
+   * @param result receives whether the chunks could be read
    */
-  void refresh(OwnedJob job, Runnable task) {
+  void refresh(OwnedJob job, Consumer<Boolean> result) {
     int chunksBefore = job.chunkCount();
     dependencies
         .storeWorkers()
@@ -35,7 +38,7 @@
                   .execute(
                       () -> {
                         addChunks(job, chunksBefore, read);
-                        task.run();
+                        result.accept(read instanceof StoreResult.Done);
                       });
             });
   }
