Let an owner that had no contact confirm that it still owns its jobs

Callers saw: a result that had been read was not there when it was read at another instance (LOST, "has nothing at a position").

Cause: an instance that was cut off, frozen or short of processor time for 2.5 s is considered failed, and its jobs are taken over. Until the notice of the new owner arrives, it answers questions of peers from its memory, without the results that the new owner has stored. If the new owner has failed meanwhile, no notice comes at all. Before each instance watched the heads, so that peers knew the new owner and the old one learned of it from the store.

Change: an instance that has heard no other one for 1.25 s, half of the time after which others act, does not trust that it owns its jobs: it reads the result log before it answers that nothing follows a position, and reads the heads until the store answers. The same again when it hears others.

Evidence: GatewayJobTest$Accepted.showsResultsOfOthersAtAnOwnerThatHadLostContact failed before ("not fulfilled within 4 seconds") and passes now; ContactRecordTest.

Not covered: a suspension in which the monotonic clock stands still, and a split in which the old owner still hears instances of its own side.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
@@ -21,6 +21,8 @@
   private boolean appending;
   private boolean ended;
   private boolean loadedFromStore;
+  private boolean ownerUncertain;
+  private int contactEpoch;
 
   OwnedJob(JobHead head, List<ItemSpec> specs, long dueNanos, long nowNanos) {
     this.head = head;
@@ -56,17 +58,34 @@
   }
 
   /**
-   * Returns whether the job was loaded from the store, and not created by this process. Its
-   * previous owner may still store results.
+   * Returns whether another instance may store results: a previous owner if the job was loaded from
+   * the store, and not created by this process, or a new owner that this instance does not know.
    */
-  boolean isLoadedFromStore() {
-    return loadedFromStore;
+  boolean mayHaveOtherWriters() {
+    return loadedFromStore || ownerUncertain;
   }
 
   void setLoadedFromStore() {
     loadedFromStore = true;
   }
 
+  /** Sets whether another instance may have taken the job over. */
+  void setOwnerUncertain(boolean uncertain) {
+    ownerUncertain = uncertain;
+  }
+
+  /**
+   * Returns the number that {@link org.sedgeroad.presence.FleetLoad#contactEpoch} had when the
+   * owner of the job was last asked for.
+   */
+  int contactEpoch() {
+    return contactEpoch;
+  }
+
+  void setContactEpoch(int epoch) {
+    contactEpoch = epoch;
+  }
+
   boolean isAppending() {
     return appending;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -77,6 +77,11 @@
     dependencies.dispatcher().refresh();
   }
 
+  /** Returns the jobs that are run here. */
+  List<OwnedJob> jobs() {
+    return List.copyOf(jobs.values());
+  }
+
   Optional<OwnedJob> job(String id) {
     return Optional.ofNullable(jobs.get(id));
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -213,9 +213,61 @@
     if (endedBeforeStart.remove(job.head().id())) {
       job.setEnded();
     }
+    job.setContactEpoch(context.fleetLoad().contactEpoch(context.clock().nanos()));
     runner.add(job);
   }
 
+  /**
+   * Checks who owns the jobs that are run here if this instance had lost contact to the others.
+   * Called several times a second.
+   */
+  public void checkOwnershipAfterLossOfContact() {
+    runner.jobs().forEach(this::checkOwnership);
+  }
+
+  private void checkOwnership(OwnedJob job) {
+    int epoch = context.fleetLoad().contactEpoch(context.clock().nanos());
+    if (job.contactEpoch() != epoch && !job.isComplete()) {
+      job.setContactEpoch(epoch);
+      job.setOwnerUncertain(true);
+      context.log().log(
+          LogEvent.JOB_OWNER_UNCERTAIN,
+          EventField.of("job", job.head().id()),
+          EventField.of("contact_epoch", epoch));
+      confirmOwner(job);
+    }
+  }
+
+  /**
+   * Reads the head of a job until the store answers; the job is dropped if its owner is another.
+   */
+  private void confirmOwner(OwnedJob job) {
+    String id = job.head().id();
+    int epoch = job.contactEpoch();
+    Optional<JobHeadCache.CachedJob> before = jobHeads.find(id);
+    readHead(
+        id,
+        failure -> {
+          context
+              .loop()
+              .scheduleAt(
+                  context.clock().deadlineAfterMillis(STORE_RETRY_MILLIS),
+                  () -> confirmOwnerAgain(job, epoch));
+        },
+        head -> {
+          if (jobHeads.find(id).equals(before) && job.contactEpoch() == epoch) {
+            job.setOwnerUncertain(false);
+          }
+        });
+  }
+
+  private void confirmOwnerAgain(OwnedJob job, int epoch) {
+    boolean runsHere = runner.job(job.head().id()).equals(Optional.of(job));
+    if (runsHere && job.contactEpoch() == epoch) {
+      confirmOwner(job);
+    }
+  }
+
   /** Answers a peer's read; {@link ReadResult.Unavailable} if the job is not run here. */
   public void readForPeer(String id, int after, long deadlineNanos, Consumer<ReadResult> result) {
     runner
@@ -229,9 +281,7 @@
   public void readBodyForPeer(String id, String item, Consumer<ReadResult> result) {
     runner
         .job(id)
-        .ifPresentOrElse(
-            job -> readBody(id, item, result),
-            () -> answerNotRunHere(id, result));
+        .ifPresentOrElse(job -> readBody(id, item, result), () -> answerNotRunHere(id, result));
   }
 
   /**
@@ -449,8 +499,9 @@
   }
 
   private void readOwned(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
+    checkOwnership(job);
     boolean upToDate = job.storedResults().size() > after || job.isComplete() || job.isAppending();
-    if (!job.isLoadedFromStore() || upToDate) {
+    if (!job.mayHaveOtherWriters() || upToDate) {
       answerOrAwaitChunk(job, after, deadlineNanos, result);
       return;
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -474,6 +474,7 @@
     // Drops endpoints that were unregistered long enough ago.
     endpointsUpdater.refresh();
     runner.storeDueResults();
+    jobs.checkOwnershipAfterLossOfContact();
     if (!stopping) {
       List<String> jobWatchers = hubExchange.liveFirstHubs();
       jobs.countOrphanTokens(jobWatchers);
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -67,6 +67,8 @@
   JOB_DELETED(5013, Level.INFO, "job deleted"),
   /** A job was loaded from the store, because this instance owns it, and runs here now. */
   JOB_LOADED(5014, Level.INFO, "job loaded"),
+  /** Others may have taken a job over, because this instance had no contact to them. */
+  JOB_OWNER_UNCERTAIN(5015, Level.WARNING, "job may have another owner"),
   /** A job was accepted. */
   JOB_ACCEPTED(5001, Level.INFO, "job accepted"),
   /** All segments of a job are finished. */
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
@@ -36,4 +36,10 @@
    * others, and none of them is live.
    */
   boolean isIsolated(long nowNanos);
+
+  /**
+   * Returns a number that grows when this instance has heard no other one for so long that they may
+   * have considered it failed and taken its jobs over, and when it hears one again.
+   */
+  int contactEpoch(long nowNanos);
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
@@ -35,6 +35,7 @@
   private final Map<String, DomainHub.Received> summaries = new HashMap<>();
   private final Deque<Sent> sentReports = new ArrayDeque<>();
   private final Map<String, Heard> heard = new HashMap<>();
+  private final ContactRecord contact = new ContactRecord();
   private DomainHub.Received used;
   private LoadTotals others = LoadTotals.NONE;
   private long includedNanos;
@@ -74,6 +75,11 @@
     return !others.equals(before);
   }
 
+  /** Records that a message of another instance has arrived. */
+  void messageReceived(long nowNanos) {
+    contact.heard(nowNanos);
+  }
+
   private void heard(String name, ReporterState state, long nowNanos) {
     long heardNanos = nowNanos - state.ageMillis() * 1_000_000L;
     Heard before = heard.get(name);
@@ -139,6 +145,11 @@
     return heard.keySet().stream().filter(name -> isLive(name, nowNanos)).toList();
   }
 
+  @Override
+  public int contactEpoch(long nowNanos) {
+    return contact.epoch(nowNanos);
+  }
+
   @Override
   public boolean isIsolated(long nowNanos) {
     return heard.size() > 1 && liveInstances(nowNanos).isEmpty();
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -166,11 +166,13 @@
   public void receive(LoadMessage message) {
     long now = clock.nanos();
     if (message instanceof LoadReport report) {
+      view.messageReceived(now);
       // An instance of another domain, or one that is not registered, is not counted here.
       if (members.contains(report.instance()) && hub.receive(report, now)) {
         requestSummaries();
       }
     } else if (message instanceof LoadSummary summary && !summary.hub().equals(instance)) {
+      view.messageReceived(now);
       selector.heard(summary.hub(), now);
       boolean ofOwnDomain = summary.domain().equals(domain);
       if (summary.scope() == LoadSummary.Scope.DOMAIN) {
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
@@ -110,6 +110,12 @@
     return reports.size() > 1 && liveInstances(nowNanos).isEmpty();
   }
 
+  /** Returns 0; this table does not detect a loss of contact. */
+  @Override
+  public int contactEpoch(long nowNanos) {
+    return 0;
+  }
+
   @Override
   public List<String> liveInstances(long nowNanos) {
     return reports.keySet().stream().filter(name -> isLive(name, nowNanos)).toList();
