Tell a previous owner of a takeover from each instance that watches jobs

Callers saw: results differ by the instance that is asked, so that a result that had been read was not there (LOST, "has nothing at a position"), and items run at two instances.

Cause: only the instance that takes a job over tells the previous owner. If it fails before that, or can't reach the owner while the fleet is split into two halves that both reach the store, the previous owner learns of it only when it stores results.

Change: each instance that watches the heads tells the previous owner, if it considers it live.

Evidence: GatewayJobTest$Accepted.stopsAtThePreviousOwnerIfTheNewOwnerDoesNotTellIt failed before ("not fulfilled within 2 seconds") and passes now.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -392,12 +392,24 @@
   }
 
   private void updateHead(JobHead head, long version) {
+    Optional<JobHead> before = jobHeads.find(head.id()).map(JobHeadCache.CachedJob::head);
     if (jobHeads.update(head, version, context.clock().nanos())) {
+      before
+          .map(JobHead::owner)
+          .filter(owner -> !owner.equals(head.owner()))
+          .ifPresent(owner -> notifyPreviousOwner(owner, head.id()));
       headChanged(head);
     }
     loadIfOwned(head.id());
   }
 
+  /** The instance that has taken a job over may have failed before it could tell the owner. */
+  private void notifyPreviousOwner(String owner, String id) {
+    if (context.fleetLoad().isLive(owner, context.clock().nanos())) {
+      questions.notifyHeadChanged(owner, id);
+    }
+  }
+
   private void headChanged(JobHead head) {
     if (head.owner().equals(context.instance())) {
       if (head.ended()) {
