Answer no empty page while a write of results has no answer

Callers saw: a result that had been read was not there when it was read again (LOST, "has nothing at a position").

Cause: a read during an append did not read the result log, because a conflict of the append shows the chunk of another writer. If the store gives no answer for seconds, the read ended before that with an empty page.

Change: at the deadline of such a read, an owner beside which others may write answers that it can't say, as it does if the result log can't be read.

Evidence: GatewayJobTest$Accepted.isNotAnsweredByANewOwnerWhoseAppendGetsNoAnswer failed before (200 instead of 503) and passes now.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -533,19 +533,24 @@
       OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
     boolean answerNow = job.storedResults().size() > after || job.isComplete() || job.isEnded();
     if (answerNow || context.clock().hasPassed(deadlineNanos)) {
-      result.accept(
-          new ReadResult.Page(ResultPage.of(job.items().size(), job.storedResults(), after)));
+      result.accept(page(job, after));
       return;
     }
     FirstValueConsumer<ReadResult> once = new FirstValueConsumer<>(result);
-    Runnable answer =
-        () ->
-            once.accept(
-                new ReadResult.Page(ResultPage.of(job.items().size(), job.storedResults(), after)));
+    Runnable answer = () -> once.accept(page(job, after));
     job.awaitChunk(answer);
     context.loop().scheduleAt(deadlineNanos, answer);
   }
 
+  private static ReadResult page(OwnedJob job, int after) {
+    boolean nothingFollows = job.storedResults().size() <= after;
+    if (nothingFollows && job.isAppending() && job.mayHaveOtherWriters()) {
+      // Another writer's chunk may follow; the result of the append shows it.
+      return new ReadResult.Unavailable("results are being stored");
+    }
+    return new ReadResult.Page(ResultPage.of(job.items().size(), job.storedResults(), after));
+  }
+
   private void awaitLoaded(
       String id, long deadlineNanos, Consumer<ReadResult> result, Runnable task) {
     if (runner.job(id).isPresent()) {
