--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -84,13 +84,7 @@
     long limit = route.batch().maximumWaitingTokens();
     long waiting = waitingTokens(route);
     if (limit > 0 && waiting + submission.tokens() > limit) {
-      context.log().log(
-          LogEvent.JOB_REFUSED,
-          EventField.of("job", id),
-          EventField.of("waiting_tokens", waiting),
-          EventField.of("tokens", submission.tokens()),
-          EventField.of("limit", limit));
-      result.accept(new AcceptResult.OverLimit());
+      answerOverLimit(submission, waiting, limit, result);
       return;
     }
     pendingCallbacks.put(id, new ArrayList<>(List.of(result)));
@@ -115,6 +109,34 @@
             });
   }
 
+  /** Refuses a job that exceeds the limit unless it was accepted before. */
+  private void answerOverLimit(
+      JobSubmission submission, long waiting, long limit, Consumer<AcceptResult> result) {
+    String id = submission.id();
+    readHead(
+        id,
+        failure -> {
+          AcceptResult outcome =
+              failure instanceof ReadResult.Absent
+                  ? new AcceptResult.OverLimit()
+                  : new AcceptResult.NotAccepted("job head not read", STORE_RETRY_MILLIS);
+          context.log().log(
+              LogEvent.JOB_REFUSED,
+              EventField.of("job", id),
+              EventField.of("waiting_tokens", waiting),
+              EventField.of("tokens", submission.tokens()),
+              EventField.of("limit", limit),
+              EventField.of("outcome", outcome));
+          result.accept(outcome);
+        },
+        head -> submitAgain(head, result));
+  }
+
+  private void submitAgain(JobHead head, Consumer<AcceptResult> result) {
+    long version = jobHeads.find(head.id()).map(JobHeadCache.CachedJob::version).orElse(0L);
+    result.accept(new AcceptResult.Accepted(head, version, false));
+  }
+
   /**
    * Reads results of a job, starting at position {@code after}. The owner waits for a result, if it
    * has none at that position, until a deadline in nanoseconds of the monotonic clock.
@@ -191,25 +213,86 @@
     if (endedBeforeStart.remove(job.head().id())) {
       job.setEnded();
     }
+    job.setContactEpoch(context.fleetLoad().contactEpoch(context.clock().nanos()));
     runner.add(job);
   }
 
+  /**
+   * Checks who owns the jobs that are run here if this instance had lost contact to the others.
+   * Called several times a second.
+   */
+  public void checkOwnershipAfterLossOfContact() {
+    runner.jobs().forEach(this::checkOwnership);
+  }
+
+  private void checkOwnership(OwnedJob job) {
+    int epoch = context.fleetLoad().contactEpoch(context.clock().nanos());
+    if (job.contactEpoch() != epoch && !job.isComplete()) {
+      job.setContactEpoch(epoch);
+      job.setOwnerUncertain(true);
+      context.log().log(
+          LogEvent.JOB_OWNER_UNCERTAIN,
+          EventField.of("job", job.head().id()),
+          EventField.of("contact_epoch", epoch));
+      confirmOwner(job);
+    }
+  }
+
+  /**
+   * Reads the head of a job until the store answers; the job is dropped if its owner is another.
+   */
+  private void confirmOwner(OwnedJob job) {
+    String id = job.head().id();
+    int epoch = job.contactEpoch();
+    Optional<JobHeadCache.CachedJob> before = jobHeads.find(id);
+    readHead(
+        id,
+        failure -> {
+          context
+              .loop()
+              .scheduleAt(
+                  context.clock().deadlineAfterMillis(STORE_RETRY_MILLIS),
+                  () -> confirmOwnerAgain(job, epoch));
+        },
+        head -> {
+          if (jobHeads.find(id).equals(before) && job.contactEpoch() == epoch) {
+            job.setOwnerUncertain(false);
+          }
+        });
+  }
+
+  private void confirmOwnerAgain(OwnedJob job, int epoch) {
+    boolean runsHere = runner.job(job.head().id()).equals(Optional.of(job));
+    if (runsHere && job.contactEpoch() == epoch) {
+      confirmOwner(job);
+    }
+  }
+
   /** Answers a peer's read; {@link ReadResult.Unavailable} if the job is not run here. */
   public void readForPeer(String id, int after, long deadlineNanos, Consumer<ReadResult> result) {
     runner
         .job(id)
         .ifPresentOrElse(
             job -> readOwned(job, after, deadlineNanos, result),
-            () -> result.accept(new ReadResult.Unavailable("not run here")));
+            () -> answerNotRunHere(id, result));
   }
 
   /** Answers a peer's body read; {@link ReadResult.Unavailable} if the job is not run here. */
   public void readBodyForPeer(String id, String item, Consumer<ReadResult> result) {
     runner
         .job(id)
-        .ifPresentOrElse(
-            job -> readBody(id, item, result),
-            () -> result.accept(new ReadResult.Unavailable("not run here")));
+        .ifPresentOrElse(job -> readBody(id, item, result), () -> answerNotRunHere(id, result));
+  }
+
+  /**
+   * Answers a peer that takes this instance for the owner of a job that it does not run. The peer
+   * may be right: the answer to the write that made this instance the owner may have been lost.
+   */
+  private void answerNotRunHere(String id, Consumer<ReadResult> result) {
+    result.accept(new ReadResult.Unavailable("not run here"));
+    if (!loading.contains(id) && !pendingCallbacks.containsKey(id)) {
+      readHeadAgain(id);
+    }
   }
 
   @Override
@@ -285,8 +368,9 @@
       if (accepted.created() && owned && head.owner().equals(context.instance())) {
         long now = context.clock().nanos();
         start(new OwnedJob(head, submission.items(), dueNanos(head, now), now));
-      } else if (owned && runner.job(submission.id()).isEmpty()) {
-        load(head);
+      } else if (!owned) {
+        // The owner may have got no answer when it created the job.
+        questions.notifyHeadChanged(accepted.head().owner(), submission.id());
       }
       context.log().log(
           LogEvent.JOB_ACCEPTED,
@@ -302,25 +386,52 @@
           EventField.of("job", submission.id()),
           EventField.of("outcome", outcome));
     }
-    pendingCallbacks.remove(submission.id()).forEach(waiting -> waiting.accept(outcome));
+    List<Consumer<AcceptResult>> callbacks = pendingCallbacks.remove(submission.id());
+    loadIfOwned(submission.id());
+    callbacks.forEach(waiting -> waiting.accept(outcome));
   }
 
   private void updateHead(JobHead head, long version) {
-    if (!jobHeads.update(head, version, context.clock().nanos())) {
-      return;
+    Optional<JobHead> before = jobHeads.find(head.id()).map(JobHeadCache.CachedJob::head);
+    if (jobHeads.update(head, version, context.clock().nanos())) {
+      before
+          .map(JobHead::owner)
+          .filter(owner -> !owner.equals(head.owner()))
+          .ifPresent(owner -> notifyPreviousOwner(owner, head.id()));
+      headChanged(head);
+    }
+    loadIfOwned(head.id());
+  }
+
+  /** The instance that has taken a job over may have failed before it could tell the owner. */
+  private void notifyPreviousOwner(String owner, String id) {
+    if (context.fleetLoad().isLive(owner, context.clock().nanos())) {
+      questions.notifyHeadChanged(owner, id);
     }
-    boolean owned = head.owner().equals(context.instance());
-    if (!owned) {
-      if (head.ended() && context.fleetLoad().isLive(head.owner(), context.clock().nanos())) {
-        // The instance that has ended the job may have failed before it could tell the owner.
-        peerJobs.notifyEnded(head.owner(), head.id());
+  }
+
+  private void headChanged(JobHead head) {
+    if (head.owner().equals(context.instance())) {
+      if (head.ended()) {
+        runner.end(head.id());
       }
-      runner.drop(head.id());
-    } else if (head.ended()) {
-      runner.end(head.id());
+      return;
     }
-    if (owned && runner.job(head.id()).isEmpty() && !pendingCallbacks.containsKey(head.id())) {
-      load(head);
+    if (head.ended() && context.fleetLoad().isLive(head.owner(), context.clock().nanos())) {
+      // The instance that has ended the job may have failed before it could tell the owner.
+      peerJobs.notifyEnded(head.owner(), head.id());
+    }
+    runner.drop(head.id());
+  }
+
+  /** Loads a job if this instance owns it and neither runs nor accepts it. */
+  private void loadIfOwned(String id) {
+    if (runner.job(id).isEmpty() && !pendingCallbacks.containsKey(id)) {
+      jobHeads
+          .find(id)
+          .map(JobHeadCache.CachedJob::head)
+          .filter(head -> head.owner().equals(context.instance()))
+          .ifPresent(this::load);
     }
   }
 
@@ -368,6 +479,12 @@
       // The previous owner, or the previous process of this instance, may still store results.
       job.setLoadedFromStore();
       start(job);
+      context.log().log(
+          LogEvent.JOB_LOADED,
+          EventField.of("job", current.id()),
+          EventField.of("items", job.items().size()),
+          EventField.of("listed", job.storedResults().size()),
+          EventField.of("ended", job.isEnded()));
     } else {
       context.log().log(
           LogEvent.STORE_UNAVAILABLE,
@@ -394,31 +511,46 @@
   }
 
   private void readOwned(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
+    checkOwnership(job);
     boolean upToDate = job.storedResults().size() > after || job.isComplete() || job.isAppending();
-    if (!job.isLoadedFromStore() || upToDate) {
+    if (!job.mayHaveOtherWriters() || upToDate) {
       answerOrAwaitChunk(job, after, deadlineNanos, result);
       return;
     }
-    logRefresher.refresh(job, () -> answerOrAwaitChunk(job, after, deadlineNanos, result));
+    logRefresher.refresh(
+        job,
+        read -> {
+          if (read || job.storedResults().size() > after) {
+            answerOrAwaitChunk(job, after, deadlineNanos, result);
+          } else {
+            // A client may have read a result that follows, so it can't be said that there is none.
+            result.accept(new ReadResult.Unavailable("result log not read"));
+          }
+        });
   }
 
   private void answerOrAwaitChunk(
       OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
     boolean answerNow = job.storedResults().size() > after || job.isComplete() || job.isEnded();
     if (answerNow || context.clock().hasPassed(deadlineNanos)) {
-      result.accept(
-          new ReadResult.Page(ResultPage.of(job.items().size(), job.storedResults(), after)));
+      result.accept(page(job, after));
       return;
     }
     FirstValueConsumer<ReadResult> once = new FirstValueConsumer<>(result);
-    Runnable answer =
-        () ->
-            once.accept(
-                new ReadResult.Page(ResultPage.of(job.items().size(), job.storedResults(), after)));
+    Runnable answer = () -> once.accept(page(job, after));
     job.awaitChunk(answer);
     context.loop().scheduleAt(deadlineNanos, answer);
   }
 
+  private static ReadResult page(OwnedJob job, int after) {
+    boolean nothingFollows = job.storedResults().size() <= after;
+    if (nothingFollows && job.isAppending() && job.mayHaveOtherWriters()) {
+      // Another writer's chunk may follow; the result of the append shows it.
+      return new ReadResult.Unavailable("results are being stored");
+    }
+    return new ReadResult.Page(ResultPage.of(job.items().size(), job.storedResults(), after));
+  }
+
   private void awaitLoaded(
       String id, long deadlineNanos, Consumer<ReadResult> result, Runnable task) {
     if (runner.job(id).isPresent()) {
@@ -464,6 +596,8 @@
 
   /** Runs a task with the head of a job as it is in the store now. */
   private void readHead(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
+    // A job that was not known may be accepted here while its head is read.
+    boolean known = jobHeads.find(id).isPresent();
     context
         .storeWorkers()
         .execute(
@@ -476,7 +610,9 @@
                         if (read instanceof StoreResult.Done<StoredObject> done) {
                           received(done.value(), result, task);
                         } else if (read instanceof StoreResult.Absent) {
-                          remove(id);
+                          if (known) {
+                            remove(id);
+                          }
                           result.accept(new ReadResult.Absent());
                         } else {
                           result.accept(new ReadResult.Unavailable(read.toString()));
