Start new calls in the test of whole answers when all have ended

A run with times printed (load 36) shows why: the first read of the engine's history took 1.6 s, and the answers take 1.5 s; at the second read all answers had ended, so the condition could not become true any more. The test starts the same number of calls again when all have ended. All answers are checked as before, and the kill still needs an answer in progress.

--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/StreamedCall.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/StreamedCall.java
@@ -65,6 +65,11 @@
     return body.indexOf("\"text\":") >= 0;
   }
 
+  /** Returns whether the answer has ended, complete or not. */
+  boolean hasEnded() {
+    return answer.isDone();
+  }
+
   /** Waits for the end of the answer; without a complete answer within 60 s its status is 0. */
   ApiAnswer awaitAnswer() {
     return answer.join();
--- a/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/WholeAnswerTest.java
+++ b/sedgeroad-testing/src/test/java/org/sedgeroad/testing/failure/WholeAnswerTest.java
@@ -55,21 +55,32 @@
 
   private List<ApiAnswer> serveWhileAnEngineCrashes(int count, double temperature) {
     List<StreamedCall> calls = new ArrayList<>();
-    for (int call = 0; call < count; call++) {
-      calls.add(StreamedCall.start(deployment, call % 2, "question " + call, TOKENS, temperature));
-    }
     // The answers take 1.5 s; the engine is killed while it is streaming some of them.
     EndpointProcess crashing = deployment.engines().get(0);
     long start = System.nanoTime();
     Awaitility.await()
         .atMost(Duration.ofSeconds(20))
-        .until(() -> isStreamingToACaller(crashing, calls));
+        .until(
+            () -> {
+              // On a busy machine, all calls may have ended before the history is read.
+              if (calls.stream().allMatch(StreamedCall::hasEnded)) {
+                startCalls(calls, count, temperature);
+              }
+              return isStreamingToACaller(crashing, calls);
+            });
     System.out.printf(
         "an answer was in progress after %d ms%n", (System.nanoTime() - start) / 1_000_000L);
     crashing.process().kill();
     return calls.stream().map(StreamedCall::awaitAnswer).toList();
   }
 
+  private void startCalls(List<StreamedCall> calls, int count, double temperature) {
+    int first = calls.size();
+    for (int call = first; call < first + count; call++) {
+      calls.add(StreamedCall.start(deployment, call % 2, "question " + call, TOKENS, temperature));
+    }
+  }
+
   /**
    * Returns whether a caller has received a part of an answer that the engine is still producing. A
    * first token in the engine's history is not enough: it may still be on its way, and a request
