--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -1,7 +1,6 @@
 package org.sedgeroad.batch;
 
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -43,7 +42,8 @@
   private final PeerJobs peerJobs;
   private final JobHeadCache jobHeads = new JobHeadCache();
   private final StoredResults storedResults;
-  private final ResultLogRefresher logRefresher;
+  private final OwnedJobReads ownedReads;
+  private final OwnershipCheck ownershipCheck;
   private final Map<String, List<Consumer<AcceptResult>>> pendingCallbacks = new HashMap<>();
   private final Map<String, Long> pendingTokens = new HashMap<>();
   private final Set<String> loading = new HashSet<>();
@@ -61,7 +61,8 @@
     this.runner = runner;
     this.peerJobs = peerJobs;
     this.storedResults = new StoredResults(context);
-    this.logRefresher = new ResultLogRefresher(context);
+    this.ownedReads = new OwnedJobReads(context);
+    this.ownershipCheck = new OwnershipCheck(context, runner, jobHeads, this::readHead);
     runner.setConflictListener(this::readHeadAgain);
     this.questions = new PeerQuestions(context, peerJobs, this::readHead);
     this.orphans = new OrphanedJobs(context, jobHeads, storedResults, questions, this::changed);
@@ -169,7 +170,7 @@
     Optional<OwnedJob> owned = runner.job(id);
     if (owned.isPresent()) {
       OwnedItem found = owned.get().item(item);
-      result.accept(found == null ? new ReadResult.Absent() : body(found.spec()));
+      result.accept(found == null ? new ReadResult.Absent() : ReadResult.Body.of(found.spec()));
       return;
     }
     withHead(
@@ -181,7 +182,7 @@
                 owner -> peerJobs.body(owner, id, item),
                 ReadResult.Body.class,
                 result,
-                current -> readStoredBody(current, item, result)));
+                current -> storedResults.readBody(current, item, result)));
   }
 
   /** Marks a job as ended on behalf of a client and stops its items. */
@@ -222,50 +223,7 @@
    * Called several times a second.
    */
   public void checkOwnershipAfterLossOfContact() {
-    runner.jobs().forEach(this::checkOwnership);
-  }
-
-  private void checkOwnership(OwnedJob job) {
-    int epoch = context.fleetLoad().contactEpoch(context.clock().nanos());
-    if (job.contactEpoch() != epoch && !job.isComplete()) {
-      job.setContactEpoch(epoch);
-      job.setOwnerUncertain(true);
-      context.log().log(
-          LogEvent.JOB_OWNER_UNCERTAIN,
-          EventField.of("job", job.head().id()),
-          EventField.of("contact_epoch", epoch));
-      confirmOwner(job);
-    }
-  }
-
-  /**
-   * Reads the head of a job until the store answers; the job is dropped if its owner is another.
-   */
-  private void confirmOwner(OwnedJob job) {
-    String id = job.head().id();
-    int epoch = job.contactEpoch();
-    Optional<JobHeadCache.CachedJob> before = jobHeads.find(id);
-    readHead(
-        id,
-        failure -> {
-          context
-              .loop()
-              .scheduleAt(
-                  context.clock().deadlineAfterMillis(STORE_RETRY_MILLIS),
-                  () -> confirmOwnerAgain(job, epoch));
-        },
-        head -> {
-          if (jobHeads.find(id).equals(before) && job.contactEpoch() == epoch) {
-            job.setOwnerUncertain(false);
-          }
-        });
-  }
-
-  private void confirmOwnerAgain(OwnedJob job, int epoch) {
-    boolean runsHere = runner.job(job.head().id()).equals(Optional.of(job));
-    if (runsHere && job.contactEpoch() == epoch) {
-      confirmOwner(job);
-    }
+    runner.jobs().forEach(ownershipCheck::check);
   }
 
   /** Answers a peer's read; {@link ReadResult.Unavailable} if the job is not run here. */
@@ -511,44 +469,8 @@
   }
 
   private void readOwned(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
-    checkOwnership(job);
-    boolean upToDate = job.storedResults().size() > after || job.isComplete() || job.isAppending();
-    if (!job.mayHaveOtherWriters() || upToDate) {
-      answerOrAwaitChunk(job, after, deadlineNanos, result);
-      return;
-    }
-    logRefresher.refresh(
-        job,
-        read -> {
-          if (read || job.storedResults().size() > after) {
-            answerOrAwaitChunk(job, after, deadlineNanos, result);
-          } else {
-            // A client may have read a result that follows, so it can't be said that there is none.
-            result.accept(new ReadResult.Unavailable("result log not read"));
-          }
-        });
-  }
-
-  private void answerOrAwaitChunk(
-      OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
-    boolean answerNow = job.storedResults().size() > after || job.isComplete() || job.isEnded();
-    if (answerNow || context.clock().hasPassed(deadlineNanos)) {
-      result.accept(page(job, after));
-      return;
-    }
-    FirstValueConsumer<ReadResult> once = new FirstValueConsumer<>(result);
-    Runnable answer = () -> once.accept(page(job, after));
-    job.awaitChunk(answer);
-    context.loop().scheduleAt(deadlineNanos, answer);
-  }
-
-  private static ReadResult page(OwnedJob job, int after) {
-    boolean nothingFollows = job.storedResults().size() <= after;
-    if (nothingFollows && job.isAppending() && job.mayHaveOtherWriters()) {
-      // Another writer's chunk may follow; the result of the append shows it.
-      return new ReadResult.Unavailable("results are being stored");
-    }
-    return new ReadResult.Page(ResultPage.of(job.items().size(), job.storedResults(), after));
+    ownershipCheck.check(job);
+    ownedReads.read(job, after, deadlineNanos, result);
   }
 
   private void awaitLoaded(
@@ -636,30 +558,6 @@
     readHead(id, ignored -> {}, head -> {});
   }
 
-  private void readStoredBody(JobHead head, String item, Consumer<ReadResult> result) {
-    context
-        .storeWorkers()
-        .execute(
-            () -> {
-              StoreResult<List<ItemSpec>> read = context.store().readItems(head);
-              ReadResult answer = new ReadResult.Unavailable(read.getClass().getSimpleName());
-              if (read instanceof StoreResult.Done<List<ItemSpec>> done) {
-                answer =
-                    done.value().stream()
-                        .filter(spec -> spec.id().equals(item))
-                        .findFirst()
-                        .map(OwnedJobService::body)
-                        .orElse(new ReadResult.Absent());
-              }
-              ReadResult found = answer;
-              context.loop().execute(() -> result.accept(found));
-            });
-  }
-
-  private static ReadResult body(ItemSpec spec) {
-    return new ReadResult.Body(Base64.getDecoder().decode(spec.body()));
-  }
-
   private void endStored(String id, WriteOutcome outcome, Consumer<ReadResult> result) {
     if (outcome instanceof WriteOutcome.Written written) {
       JobHead head = JobStore.decode(written.object());
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ReadResult.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ReadResult.java
@@ -1,5 +1,7 @@
 package org.sedgeroad.batch;
 
+import java.util.Base64;
+
 /** Outcome of a call that reads or ends a job. */
 public sealed interface ReadResult {
 
@@ -15,7 +17,12 @@
    *
    * @param body the decoded body; must not be modified
    */
-  record Body(byte[] body) implements ReadResult {}
+  record Body(byte[] body) implements ReadResult {
+    /** Returns the decoded body of an item. */
+    static Body of(ItemSpec item) {
+      return new Body(Base64.getDecoder().decode(item.body()));
+    }
+  }
 
   /** The job has been marked as ended. */
   record Ended() implements ReadResult {}
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/StoredResults.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/StoredResults.java
@@ -38,6 +38,29 @@
             });
   }
 
+  /** Reads the request body of an item. */
+  void readBody(JobHead head, String item, Consumer<ReadResult> result) {
+    dependencies
+        .storeWorkers()
+        .execute(
+            () -> {
+              StoreResult<List<ItemSpec>> read = dependencies.store().readItems(head);
+              ReadResult answer = body(item, read);
+              dependencies.loop().execute(() -> result.accept(answer));
+            });
+  }
+
+  private static ReadResult body(String item, StoreResult<List<ItemSpec>> read) {
+    if (!(read instanceof StoreResult.Done<List<ItemSpec>> done)) {
+      return new ReadResult.Unavailable(read.getClass().getSimpleName());
+    }
+    return done.value().stream()
+        .filter(spec -> spec.id().equals(item))
+        .findFirst()
+        .<ReadResult>map(ReadResult.Body::of)
+        .orElse(new ReadResult.Absent());
+  }
+
   /** Returns whether all results of a job are cached. */
   boolean isComplete(JobHead head) {
     int results = 0;
