--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -470,7 +470,7 @@
             routes.current().version(),
             endpointsWatcher.newestChange(),
             dispatcher.liveWaiting(),
-            runner.readyByService(),
+            runner.readyByQueue(),
             jobs.waitingTokens(),
             dispatcher.occupancy(),
             leaving));
