--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
@@ -12,7 +12,7 @@
  * @param configurationVersion configuration version in force at the instance
  * @param endpointsVersion store version of the newest change of an endpoint that was received
  * @param liveWaiting number of live requests that wait for a slot
- * @param batchReady number of batch items that could start, by service
+ * @param batchReady number of batch items that could start, by the report name of their queue
  * @param waitingTokens tokens of unfinished items of the jobs that the instance runs, by route
  * @param occupancy numbers of live requests and batch items of the instance, by endpoint name
  * @param leaving whether the instance is stopping and has given up its jobs
