End the check of a request with the request

A request whose client had left while it waited for reports could claim the one trial of the fleet and not use it.

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -117,15 +117,10 @@
   }
 
   private void refuseQuarantined(Refusal refusal) {
-    if (!done) {
-      fail(possibleRuns == 0 ? refusal : Refusal.of(Refusal.Reason.UNKNOWN, refusal.text()));
-    }
+    fail(possibleRuns == 0 ? refusal : Refusal.of(Refusal.Reason.UNKNOWN, refusal.text()));
   }
 
   private void submitDemand() {
-    if (done) {
-      return;
-    }
     if (!dependencies.dispatcher().hasEndpoint(service, excluded)) {
       refuseForLackOfEndpoints();
       return;
@@ -223,6 +218,7 @@
   private void finish(String outcome) {
     done = true;
     timeout.close();
+    suspicionCheck.close();
     long took = (dependencies.clock().nanos() - request.arrivedNanos()) / 1_000_000L;
     dependencies.metrics().recordEnd(route.name(), took);
     dependencies
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/SuspicionCheck.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/SuspicionCheck.java
@@ -10,7 +10,7 @@
  * Decides before each attempt of one request whether it may be sent, because endpoints may have
  * crashed under requests like it. Used on the event loop.
  */
-final class SuspicionCheck {
+final class SuspicionCheck implements AutoCloseable {
   /**
    * Time for which a request waits for the decision whether it is sent as a trial, in milliseconds;
    * a store that is not slow answers within tens of milliseconds.
@@ -29,18 +29,25 @@
   /** Whether it is being decided if the request may be sent as a trial. */
   private boolean trialRequested;
 
+  /** Whether the request has ended. */
+  private boolean closed;
+
   SuspicionCheck(GatewayDependencies dependencies, ClientRequest request) {
     this.dependencies = dependencies;
     this.request = request;
   }
 
   /**
-   * Calls one of two receivers, now or after the instance has waited for the others.
+   * Calls one of two receivers, now or after the instance has waited for the others; none if the
+   * request ends meanwhile.
    *
    * @param allowed is called if the request may be sent
    * @param quarantined receives the reason if it must not be sent
    */
   void decide(Runnable allowed, Consumer<Refusal> quarantined) {
+    if (closed) {
+      return;
+    }
     Suspicion suspicion = suspicion();
     switch (suspicion.verdict()) {
       case CLEAR -> allowed.run();
@@ -53,6 +60,12 @@
     }
   }
 
+  /** Ends the check with its request; no receiver is called any more. */
+  @Override
+  public void close() {
+    closed = true;
+  }
+
   /** Returns whether the request may be sent now. */
   boolean maySend() {
     return suspicion().verdict() == Suspicion.Verdict.CLEAR;
@@ -103,7 +116,7 @@
     trialRequested = true;
     Consumer<Boolean> receiver =
         granted -> {
-          if (trialRequested) {
+          if (trialRequested && !closed) {
             trialRequested = false;
             trial = granted;
             if (granted) {
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -15,7 +15,8 @@
 /**
  * Exchange of loads through the hubs of the failure domains: each instance sends its reports to the
  * hubs of its domain, the hubs exchange the sums of their domains, and publish the sums of the
- * fleet to the instances of their domain. Used on the event loop.
+ * fleet to the instances of their domain. Series of crashes take the same way. Used on the event
+ * loop.
  *
  * <p>An instance that is no hub sends and receives as many messages in a fleet of any size; a hub
  * as many as its domain has instances and the fleet has domains.
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
@@ -21,8 +21,8 @@
   static final int QUARANTINE_LENGTH = 3;
 
   /**
-   * Time for which requests wait for reports of answers at other instances, in milliseconds;
-   * reports take about 110 ms between the most distant instances.
+   * Time for which requests wait for reports of answers at other instances, in milliseconds; longer
+   * than the exchange through the hubs takes.
    */
   static final long REPORT_WAIT_MILLIS = 250;
 
