Try quarantined requests again less often

The time before a trial now grows by sixteen instead of four; the first trial still comes after 4 s.

--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
@@ -34,7 +34,7 @@
   static final long FIRST_TRIAL_MILLIS = 4_000;
 
   /** Factor between the times before two trials; each failed one costs an endpoint. */
-  private static final long TRIAL_FACTOR = 4;
+  private static final long TRIAL_FACTOR = 16;
 
   /** Longest time before a trial, in milliseconds. */
   private static final long LONGEST_TRIAL_MILLIS = 3_600_000;
