Remember only stored quarantines for deletion; skip keys while nothing crashed

Found by rereading the change. QuarantineStore kept the key of each series that ended, also of those that were never stored, so that the set grew with every answered suspect for as long as the process ran. It now keeps keys that are stored or may be being stored. Whether a request may be sent, and its answer, no longer need its keys while no crash is known; the keys are still computed once for each attempt.

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/SuspicionCheck.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/SuspicionCheck.java
@@ -88,7 +88,9 @@
 
   /** Records that an endpoint answered the request with success. */
   void recordAnswer() {
-    dependencies.suspicions().recordAnswer(keys());
+    if (!dependencies.suspicions().isEmpty()) {
+      dependencies.suspicions().recordAnswer(keys());
+    }
   }
 
   /**
@@ -102,7 +104,9 @@
   }
 
   private Suspicion suspicion() {
-    return trial ? Suspicion.NONE : dependencies.suspicions().suspicion(keys());
+    return trial || dependencies.suspicions().isEmpty()
+        ? Suspicion.NONE
+        : dependencies.suspicions().suspicion(keys());
   }
 
   private List<String> keys() {
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
@@ -132,8 +132,10 @@
 
   /** Deletes the quarantine of a key whose requests are answered again. */
   void remove(String key) {
-    answered.add(key);
     Stored stored = quarantines.remove(key);
+    if (stored != null || writing) {
+      answered.add(key);
+    }
     if (stored != null) {
       execute(key, () -> writer.store().delete(KIND, key, stored.version()));
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
@@ -33,9 +33,14 @@
     return SuspectKeys.of(request);
   }
 
+  /** Returns whether no crash is known, so that nothing is known against any request. */
+  public boolean isEmpty() {
+    return table.isEmpty();
+  }
+
   /** Returns what is known against a request with the keys. */
   public Suspicion suspicion(List<String> keys) {
-    return table.isEmpty() ? Suspicion.NONE : table.suspicion(keys);
+    return table.suspicion(keys);
   }
 
   /** Returns the series of the keys, to be passed to {@link #recordCrash} if the run breaks. */
@@ -86,9 +91,6 @@
 
   /** Records that an endpoint has answered a request with success, which clears its keys. */
   public void recordAnswer(List<String> keys) {
-    if (table.isEmpty()) {
-      return;
-    }
     Set<String> changed = table.recordAnswer(keys);
     if (!changed.isEmpty()) {
       exchange.changed();
