Doubt the ownership of jobs for as long as contact is lost

Callers saw: "nothing at this position" for a result that had been read at another instance (LOST).

Cause: an instance that had lost contact read the head of each of its jobs once and, if it was still named there, answered from its memory again. But others take its jobs over 1.25 s after that point at the earliest, and at any time while contact stays lost, so that the answer of the store is outdated at once.

Change: the answer of the store is trusted only if there is contact. When contact is regained, heads are read again as before. Until then a read that finds no result reads the result log first, one call to the store each.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnershipCheck.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnershipCheck.java
@@ -72,7 +72,9 @@
                   () -> confirmOwnerAgain(job, epoch));
         },
         head -> {
-          if (jobHeads.find(id).equals(before) && job.contactEpoch() == epoch) {
+          boolean unchanged = jobHeads.find(id).equals(before) && job.contactEpoch() == epoch;
+          // While contact is lost, others may take the job over after the head was read.
+          if (unchanged && !context.fleetLoad().hasLostContact(context.clock().nanos())) {
             job.setOwnerUncertain(false);
           }
         });
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/ContactRecord.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/ContactRecord.java
@@ -27,7 +27,8 @@
     return isLost(nowNanos) ? epoch + 1 : epoch;
   }
 
-  private boolean isLost(long nowNanos) {
+  /** Returns whether contact is lost at a monotonic time in nanoseconds. */
+  boolean isLost(long nowNanos) {
     return heard && nowNanos - lastHeardNanos >= LOSS_MILLIS * 1_000_000L;
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
@@ -42,4 +42,10 @@
    * have considered it failed and taken its jobs over, and when it hears one again.
    */
   int contactEpoch(long nowNanos);
+
+  /**
+   * Returns whether contact is lost in the sense of {@link #contactEpoch}, so that other instances
+   * may take this one's jobs over at any time.
+   */
+  boolean hasLostContact(long nowNanos);
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
@@ -150,6 +150,11 @@
     return contact.epoch(nowNanos);
   }
 
+  @Override
+  public boolean hasLostContact(long nowNanos) {
+    return contact.isLost(nowNanos);
+  }
+
   @Override
   public boolean isIsolated(long nowNanos) {
     return heard.size() > 1 && liveInstances(nowNanos).isEmpty();
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
@@ -116,6 +116,12 @@
     return 0;
   }
 
+  /** Returns false; this table does not detect a loss of contact. */
+  @Override
+  public boolean hasLostContact(long nowNanos) {
+    return false;
+  }
+
   @Override
   public List<String> liveInstances(long nowNanos) {
     return reports.keySet().stream().filter(name -> isLive(name, nowNanos)).toList();
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
@@ -109,6 +109,11 @@
       return List.of("other");
     }
 
+    @Override
+    public boolean hasLostContact(long nowNanos) {
+      return false;
+    }
+
     @Override
     public int contactEpoch(long nowNanos) {
       return 0;
