Count a trial for all quarantined keys of its request

Cause: each key had its own schedule of trials, and a trial moved only that of the key that had decided, although one request with all of the keys was sent.

Change: a trial is due once it is due for each quarantined key of the request. It is claimed in the object of the first key, in an order that all instances use, and then counted in those of the others.

QuarantineStoreTest$Trial .countsForAllKeysOfTheRequest passes, as do GatewayCrashTest and the other tests of the package.

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/SuspicionCheck.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/SuspicionCheck.java
@@ -135,12 +135,14 @@
         .scheduleAt(
             dependencies.clock().deadlineAfterMillis(TRIAL_REQUEST_MILLIS),
             () -> receiver.accept(false));
-    dependencies.suspicions().requestTrial(keys(), key, receiver);
+    dependencies.suspicions().requestTrial(keys(), receiver);
   }
 
   private Refusal refusal(String key) {
     long retryAt =
-        dependencies.clock().deadlineAfterMillis(dependencies.suspicions().millisUntilTrial(key));
+        dependencies
+            .clock()
+            .deadlineAfterMillis(dependencies.suspicions().millisUntilTrial(keys()));
     return new Refusal(
         Refusal.Reason.NOT_RUN, "endpoints crashed under requests with " + key, retryAt);
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
@@ -4,10 +4,13 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -86,12 +89,22 @@
     this.listener = listener;
   }
 
-  /** Returns the time until a key's next trial, in milliseconds, at least 0. */
-  long millisUntilTrial(String key) {
-    Stored stored = quarantines.get(key);
-    return stored == null
-        ? FIRST_TRIAL_MILLIS
-        : Math.max(0, stored.trialAtMillis() - wallMillis.getAsLong());
+  /**
+   * Returns the time until the next trial of a request, in milliseconds, at least 0.
+   *
+   * @param keys the quarantined keys of the request
+   */
+  long millisUntilTrial(Collection<String> keys) {
+    OptionalLong last =
+        storedKeys(keys).stream().mapToLong(key -> quarantines.get(key).trialAtMillis()).max();
+    return last.isPresent()
+        ? Math.max(0, last.getAsLong() - wallMillis.getAsLong())
+        : FIRST_TRIAL_MILLIS;
+  }
+
+  /** Returns those of some keys whose quarantine is stored, in an order that all instances use. */
+  private List<String> storedKeys(Collection<String> keys) {
+    return keys.stream().filter(quarantines::containsKey).sorted().toList();
   }
 
   /** Stores the quarantine of a key unless it is stored or another write is in progress. */
@@ -109,25 +122,49 @@
   }
 
   /**
-   * Asks for a trial of a key.
+   * Asks for a trial of a request. A trial is due once it is due for each of the keys, and counts
+   * as one of each, because any of them may be the cause.
    *
+   * @param keys the quarantined keys of the request
    * @param receiver is called with whether this request may be sent as the trial, at once if no
    *     trial is due
    */
-  void requestTrial(String key, Consumer<Boolean> receiver) {
+  void requestTrial(Collection<String> keys, Consumer<Boolean> receiver) {
+    Iterator<String> stored = storedKeys(keys).iterator();
+    if (stored.hasNext() && millisUntilTrial(keys) == 0) {
+      claimTrial(stored, receiver);
+    } else {
+      receiver.accept(false);
+    }
+  }
+
+  /** Claims a trial of the first of some keys, and if that succeeds of the others. */
+  private void claimTrial(Iterator<String> keys, Consumer<Boolean> receiver) {
+    String key = keys.next();
     Stored stored = quarantines.get(key);
-    long now = wallMillis.getAsLong();
-    if (stored == null || stored.trialAtMillis() > now) {
+    if (stored == null) {
       receiver.accept(false);
       return;
     }
+    write(
+        key,
+        afterTrial(stored),
+        claimed -> {
+          receiver.accept(claimed);
+          if (claimed && keys.hasNext()) {
+            claimTrial(keys, ignored -> {});
+          }
+        });
+  }
+
+  private Stored afterTrial(Stored stored) {
     int trials = stored.trials() + 1;
     long wait = FIRST_TRIAL_MILLIS;
     for (int trial = 0; trial < trials && wait < LONGEST_TRIAL_MILLIS; trial++) {
       wait *= TRIAL_FACTOR;
     }
-    long trialAt = now + Math.min(wait, LONGEST_TRIAL_MILLIS);
-    write(key, new Stored(stored.version(), stored.series(), trials, trialAt), receiver);
+    long trialAt = wallMillis.getAsLong() + Math.min(wait, LONGEST_TRIAL_MILLIS);
+    return new Stored(stored.version(), stored.series(), trials, trialAt);
   }
 
   /** Deletes the quarantine of a key whose requests are answered again. */
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
@@ -48,21 +48,21 @@
     return table.series(keys);
   }
 
-  /** Returns the time until requests with a quarantined key are tried again, in milliseconds. */
-  public long millisUntilTrial(String key) {
-    return store.millisUntilTrial(key);
+  /** Returns the time until a quarantined request with some keys is tried, in milliseconds. */
+  public long millisUntilTrial(List<String> keys) {
+    return store.millisUntilTrial(table.blamedKeys(keys));
   }
 
   /**
    * Asks whether a quarantined request may be sent nevertheless, to find out whether it is sound.
    *
    * @param keys keys of the request, not null
-   * @param key key that decided, not null
    * @param receiver is called once, at once or later, not null
    */
-  public void requestTrial(List<String> keys, String key, Consumer<Boolean> receiver) {
-    table.blamedKeys(keys).forEach(blamed -> store.add(blamed, table.series(blamed)));
-    store.requestTrial(key, receiver);
+  public void requestTrial(List<String> keys, Consumer<Boolean> receiver) {
+    List<String> blamed = table.blamedKeys(keys);
+    blamed.forEach(key -> store.add(key, table.series(key)));
+    store.requestTrial(blamed, receiver);
   }
 
   /**
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
@@ -53,10 +53,10 @@
         ((StoreResult.Done<ObjectList>) objects.list(QuarantineStore.KIND, "")).value().objects());
   }
 
-  private List<Boolean> requestTrials(String key) {
+  private List<Boolean> requestTrials(String... keys) {
     List<Boolean> allowed = new ArrayList<>();
-    first.requestTrial(key, allowed::add);
-    second.requestTrial(key, allowed::add);
+    first.requestTrial(List.of(keys), allowed::add);
+    second.requestTrial(List.of(keys), allowed::add);
     runCalls();
     return allowed;
   }
@@ -75,6 +75,23 @@
       wallMillis += QuarantineStore.FIRST_TRIAL_MILLIS;
       assertEquals(List.of(false, false), requestTrials("part-x"));
     }
+
+    /** A request with several quarantined keys cost an endpoint for each of them. */
+    @Test
+    void countsForAllKeysOfTheRequest() {
+      first.add("part-x", SERIES);
+      runCalls();
+      first.add("part-y", SERIES);
+      runCalls();
+      list(second);
+      wallMillis += QuarantineStore.FIRST_TRIAL_MILLIS;
+      assertEquals(1, requestTrials("part-y", "part-x").stream().filter(one -> one).count());
+      list(first);
+      list(second);
+      assertEquals(List.of(false, false), requestTrials("part-y"));
+      assertEquals(List.of(false, false), requestTrials("part-x"));
+      assertTrue(second.millisUntilTrial(List.of("part-y")) > QuarantineStore.FIRST_TRIAL_MILLIS);
+    }
   }
 
   @Nested
@@ -96,7 +113,7 @@
       list(second);
       runCalls();
       list(first);
-      assertTrue(first.millisUntilTrial("part-x") < QuarantineStore.FIRST_TRIAL_MILLIS);
+      assertTrue(first.millisUntilTrial(List.of("part-x")) < QuarantineStore.FIRST_TRIAL_MILLIS);
     }
 
     @Test
