Ignore the timer of an earlier trial request

Found by reading: the timer that refuses a request if the store does not decide about its trial in time was not ended by the decision, so that it could refuse the same request while a second trial of it was being decided. Each trial request has a number now, and only the result of the latest is used. No test of its own.

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/SuspicionCheck.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/SuspicionCheck.java
@@ -26,8 +26,8 @@
   /** Whether the request may be sent once although requests like it are quarantined. */
   private boolean trial;
 
-  /** Whether it is being decided if the request may be sent as a trial. */
-  private boolean trialRequested;
+  /** Number of the request for a trial whose result is awaited; others' results are ignored. */
+  private int trialRequest;
 
   /** Whether the request has ended. */
   private boolean closed;
@@ -117,11 +117,11 @@
   }
 
   private void requestTrial(String key, Runnable allowed, Consumer<Refusal> quarantined) {
-    trialRequested = true;
+    int number = ++trialRequest;
     Consumer<Boolean> receiver =
         granted -> {
-          if (trialRequested && !closed) {
-            trialRequested = false;
+          if (number == trialRequest && !closed) {
+            trialRequest++;
             trial = granted;
             if (granted) {
               allowed.run();
