Give a silent failure domain more time before its jobs are taken over

Cause: instances learn of other failure domains from the summaries of their hubs. When the path to a domain is choked or cut for 2.5 s, all of its instances become silent together, and each was considered failed. The owners hear their own domain meanwhile and did not doubt that they own their jobs.

Change: while no instance of a domain is heard, its instances are considered failed after 8 s instead of 2.5 s, so that the jobs of a lost domain still continue within 10 s. An instance that is silent while its domain is heard fails after 2.5 s as before.

Evidence: HubExchangeTest$Partition, with a cut of 7 s; $Liveness for one killed instance and a killed domain. The old code has no such decision to test; its rule, "not live", is fulfilled after 2.5 s in the same simulation.

Not covered: a path that is silent in one direction only.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
@@ -103,7 +103,6 @@
    */
   void takeOver(Collection<String> watchers) {
     long now = context.clock().nanos();
-    List<String> liveInstances = context.fleetLoad().liveInstances(now);
     if (now - takeoversAllowedFromNanos < 0 || context.fleetLoad().isIsolated(now)) {
       return;
     }
@@ -111,7 +110,7 @@
       String owner = job.head().owner();
       if (!job.head().ended()
           && !owner.equals(context.instance())
-          && !liveInstances.contains(owner)
+          && context.fleetLoad().isFailed(owner, now)
           && !storedResults.isComplete(job.head())
           && !takingOver.contains(job.head().id())
           && RendezvousHashing.ranksFirst(job.head().id(), context.instance(), watchers)) {
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
@@ -28,6 +28,13 @@
    */
   boolean isLive(String instance, long nowNanos);
 
+  /**
+   * Returns whether an instance is considered failed, so that its jobs are taken over. An instance
+   * that is not live is, unless its whole failure domain has become silent recently: the domain is
+   * then rather cut off.
+   */
+  boolean isFailed(String instance, long nowNanos);
+
   /** Returns the names of the other instances that are live. */
   List<String> liveInstances(long nowNanos);
 
@@ -38,8 +45,9 @@
   boolean isIsolated(long nowNanos);
 
   /**
-   * Returns a number that grows when this instance has heard no other one for so long that they may
-   * have considered it failed and taken its jobs over, and when it hears one again.
+   * Returns a number that grows when this instance has heard no other one, or no one of a failure
+   * domain, for so long that they may have considered it failed and taken its jobs over, and when
+   * it hears one again.
    */
   int contactEpoch(long nowNanos);
 
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
@@ -27,6 +27,13 @@
    */
   private static final long EXCHANGE_MILLIS = 110;
 
+  /**
+   * Time without a report of any instance of another failure domain after which its instances are
+   * considered failed, in milliseconds. A silent domain is more likely cut off than failed, but its
+   * jobs must continue elsewhere within 10 s.
+   */
+  static final long DOMAIN_FAILURE_TIMEOUT_MILLIS = 8_000;
+
   private record Sent(LoadReport report, long sentNanos) {}
 
   private record Heard(long heardNanos, boolean leaving) {}
@@ -35,7 +42,14 @@
   private final Map<String, DomainHub.Received> summaries = new HashMap<>();
   private final Deque<Sent> sentReports = new ArrayDeque<>();
   private final Map<String, Heard> heard = new HashMap<>();
-  private final ContactRecord contact = new ContactRecord();
+  private final ContactRecord contact = new ContactRecord(ContactRecord.LOSS_MILLIS);
+
+  /** Contact with the other failure domains that have registered instances, by domain. */
+  private final Map<String, ContactRecord> domainContacts = new HashMap<>();
+
+  /** Failure domains of the registered instances of other domains. */
+  private Map<String, String> remoteDomains = Map.of();
+
   private DomainHub.Received used;
   private LoadTotals others = LoadTotals.NONE;
   private long includedNanos;
@@ -80,12 +94,32 @@
     contact.heard(nowNanos);
   }
 
+  /**
+   * Sets the failure domains of the registered instances that are in other domains than this one. A
+   * new domain counts as heard now.
+   */
+  void setRemoteDomains(Map<String, String> domainsByInstance, long nowNanos) {
+    remoteDomains = Map.copyOf(domainsByInstance);
+    domainContacts.keySet().retainAll(remoteDomains.values());
+    for (String domain : remoteDomains.values()) {
+      if (!domainContacts.containsKey(domain)) {
+        ContactRecord record = new ContactRecord(ContactRecord.DOMAIN_LOSS_MILLIS);
+        record.heard(nowNanos);
+        domainContacts.put(domain, record);
+      }
+    }
+  }
+
   private void heard(String name, ReporterState state, long nowNanos) {
     long heardNanos = nowNanos - state.ageMillis() * 1_000_000L;
     Heard before = heard.get(name);
     if (!name.equals(instance) && (before == null || heardNanos - before.heardNanos() >= 0)) {
       heard.put(name, new Heard(heardNanos, state.leaving()));
     }
+    ContactRecord domain = domainContacts.get(remoteDomains.get(name));
+    if (domain != null) {
+      domain.heard(heardNanos);
+    }
   }
 
   private void takeOutOwnReport() {
@@ -147,12 +181,24 @@
 
   @Override
   public int contactEpoch(long nowNanos) {
-    return contact.epoch(nowNanos);
+    return contact.epoch(nowNanos)
+        + domainContacts.values().stream().mapToInt(domain -> domain.epoch(nowNanos)).sum();
   }
 
   @Override
   public boolean hasLostContact(long nowNanos) {
-    return contact.isLost(nowNanos);
+    return contact.isLost(nowNanos)
+        || domainContacts.values().stream().anyMatch(domain -> domain.isLost(nowNanos));
+  }
+
+  @Override
+  public boolean isFailed(String name, long nowNanos) {
+    ContactRecord domain = domainContacts.get(remoteDomains.get(name));
+    boolean domainMayBeCutOff =
+        domain != null
+            && domain.isSilent(LoadReportTable.COUNTS_VALID_MILLIS, nowNanos)
+            && !domain.isSilent(DOMAIN_FAILURE_TIMEOUT_MILLIS, nowNanos);
+    return !isLive(name, nowNanos) && (isLeaving(name) || !domainMayBeCutOff);
   }
 
   @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -250,6 +250,9 @@
             candidates.computeIfAbsent(itsDomain, key -> new ArrayList<>()).add(name);
           }
         });
+    Map<String, String> remoteDomains = new HashMap<>(registered);
+    remoteDomains.keySet().removeAll(members);
+    view.setRemoteDomains(remoteDomains, now);
     hubsByDomain.clear();
     candidates.forEach((of, names) -> hubsByDomain.put(of, selector.select(of, names, now)));
     selector.retain(registered.keySet());
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
@@ -105,6 +105,12 @@
         && nowNanos - received.receivedNanos() < FAILURE_TIMEOUT_MILLIS * 1_000_000L;
   }
 
+  /** Returns whether an instance is not live; this table does not know failure domains. */
+  @Override
+  public boolean isFailed(String instance, long nowNanos) {
+    return !isLive(instance, nowNanos);
+  }
+
   @Override
   public boolean isIsolated(long nowNanos) {
     return reports.size() > 1 && liveInstances(nowNanos).isEmpty();
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/ContactRecordTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/ContactRecordTest.java
@@ -10,7 +10,7 @@
 class ContactRecordTest {
   private static final long LOSS_NANOS = ContactRecord.LOSS_MILLIS * 1_000_000L;
 
-  private final ContactRecord contact = new ContactRecord();
+  private final ContactRecord contact = new ContactRecord(ContactRecord.LOSS_MILLIS);
 
   @Nested
   class Kept {
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/HubExchangeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/HubExchangeTest.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -293,6 +295,49 @@
       assertAllKnow(12);
     }
 
+    /** Jobs of live instances were taken over when the path to their domain was choked. */
+    @Test
+    void doesNotMakeTheInstancesOfADomainFailSoon() {
+      start(3, 4);
+      run(1_000);
+      cut = (from, to) -> from.startsWith("d0") != to.startsWith("d0");
+      run(FleetLoadView.DOMAIN_FAILURE_TIMEOUT_MILLIS - 1_000);
+      assertEquals(Set.of(), failedAtAnyInstance());
+      run(2_000);
+      assertEquals(12, failedAtAnyInstance().size());
+      cut = (from, to) -> false;
+      run(1_000);
+      assertEquals(Set.of(), failedAtAnyInstance());
+    }
+
+    /** An owner that does not know that its jobs may be taken over answers from its memory. */
+    @Test
+    void isKnownToAnInstanceBeforeOthersConsiderItFailed() {
+      start(3, 4);
+      run(1_000);
+      cut = (from, to) -> from.startsWith("d0") != to.startsWith("d0");
+      int failures = 0;
+      for (int step = 0; step < 200; step++) {
+        run(50);
+        for (String name : failedAtAnyInstance()) {
+          failures++;
+          assertTrue(members.get(name).exchange.view().hasLostContact(time.nanos()), name);
+        }
+      }
+      assertTrue(failures > 0);
+    }
+
+    private Set<String> failedAtAnyInstance() {
+      Set<String> failed = new HashSet<>();
+      for (String name : members.keySet()) {
+        members.values().stream()
+            .filter(member -> !member.name.equals(name))
+            .filter(member -> member.exchange.view().isFailed(name, time.nanos()))
+            .forEach(member -> failed.add(name));
+      }
+      return failed;
+    }
+
     @Test
     void makesAnInstanceIsolated() {
       start(3, 4);
@@ -319,6 +364,44 @@
                   assertEquals(11, member.exchange.view().liveInstances(time.nanos()).size()));
     }
 
+    @Test
+    void endsSoonIfOneInstanceIsKilled() {
+      start(3, 4);
+      run(1_000);
+      Member killed = plainMember();
+      killed.running = false;
+      run(LoadReportTable.FAILURE_TIMEOUT_MILLIS + 500);
+      assertKnownAsFailed(Set.of(killed.name));
+    }
+
+    /** The jobs of a lost failure domain continue elsewhere within 10 s. */
+    @Test
+    void endsIfAFailureDomainIsKilled() {
+      start(3, 4);
+      run(1_000);
+      Set<String> killed = new HashSet<>();
+      members.values().stream()
+          .filter(member -> member.domain.equals("d0"))
+          .forEach(
+              member -> {
+                member.running = false;
+                killed.add(member.name);
+              });
+      run(9_000);
+      assertKnownAsFailed(killed);
+    }
+
+    private void assertKnownAsFailed(Set<String> killed) {
+      for (Member member : members.values()) {
+        if (member.running) {
+          for (String name : members.keySet()) {
+            boolean failed = member.exchange.view().isFailed(name, time.nanos());
+            assertEquals(killed.contains(name), failed && !name.equals(member.name), name);
+          }
+        }
+      }
+    }
+
     @Test
     void endsAtOnceIfAnInstanceLeaves() {
       start(3, 4);
