Doubt the ownership of a job that is accepted without contact

Callers would see: "nothing at this position" for a result that had been read at another instance (LOST).

Cause: a job that an instance accepts or loads while it has lost contact got the state of a job with a known owner. The others consider the instance failed and may take the job over at once.

Evidence: GatewayJobTest$Accepted .showsResultsOfOthersIfItsOwnerHadNoContactWhenItAcceptedIt failed before ("not fulfilled within 4 seconds") and passes now, with the three other tests of the same name pattern.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -214,7 +214,9 @@
     if (endedBeforeStart.remove(job.head().id())) {
       job.setEnded();
     }
-    job.setContactEpoch(context.fleetLoad().contactEpoch(context.clock().nanos()));
+    long now = context.clock().nanos();
+    job.setContactEpoch(context.fleetLoad().contactEpoch(now));
+    job.setOwnerUncertain(context.fleetLoad().hasLostContact(now));
     runner.add(job);
   }
 
