Do not wait for one silent connection after the other

The store had dropped its history, and in such a phase open connections may become silent without a reset.

Cause: the list that follows a watch took an idle pooled connection, waited for the timeout of the store (1.5 s), and its repetition took the next one. Any call on a pooled connection had this fault.

Change: if the deadline of a call passes and its pooled connection has delivered no byte since the call was sent, the idle connections to the address are closed, except those that were put back into the pool since. Exchanges in progress are left alone. A watcher also closes the idle connections to the store before it lists, so that the list waits for no silent connection: even one timeout is too long for a change that an instance learns of from its peers. A new connection to the store has no price; to an endpoint, the first rule alone applies, and only if a deadline passes, not if an exchange is cancelled.

Evidence: SilentConnectionTest and SilentStoreTest, written first. On the old code five of six tests fail (leavesExchangesInProgress guards the fix itself); in SilentStoreTest, version 2 is not received within 2.5 s, neither after a dropped history nor by a restarted watch. With the change all six pass, as do KindWatcherTest, GatewayStreamTest, StorageInstanceTest, both AnswerEndTest and EndlessAnswerTest.

Not covered: a new watch whose own connection becomes silent later is noticed after its wait or by a peer's report, as before.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -61,6 +61,9 @@
   /** Whether a write on the present connection failed; used on its I/O thread only. */
   private boolean writeFailed;
 
+  /** Time at which the request was sent; used on the I/O thread only. */
+  private long sentNanos;
+
   /** Bytes that had been read from the connection when the request was sent. */
   private volatile long connectionBytesBefore;
 
@@ -130,15 +133,14 @@
           opened
               .getIoThread()
               .executeAfter(
-                  () -> fail(new HttpFailure.Broken("deadline passed")),
-                  remainingMillis(),
-                  TimeUnit.MILLISECONDS);
+                  () -> failLate(opened, pooled), remainingMillis(), TimeUnit.MILLISECONDS);
     } catch (RejectedExecutionException rejected) {
       fail(HttpFailure.CLIENT_CLOSING);
       return;
     }
     sendStarted = true;
     writeFailed = false;
+    sentNanos = clock.nanos();
     connectionBytesBefore = opened.getStatistics().getRead();
     client.guard(this);
     opened.sendRequest(
@@ -181,6 +183,14 @@
     }
   }
 
+  private void failLate(ClientConnection open, boolean pooled) {
+    boolean silent = open.getStatistics().getRead() == connectionBytesBefore;
+    if (pooled && silent && !ended.get()) {
+      client.closeIdle(call.uri(), sentNanos);
+    }
+    fail(new HttpFailure.Broken("deadline passed"));
+  }
+
   private void failWithoutEnd() {
     fail(new HttpFailure.Broken("the answer has no end"));
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/PooledHttpClient.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/PooledHttpClient.java
@@ -33,6 +33,11 @@
  * <p>A connection carries one exchange at a time, so that a late answer is never mistaken for the
  * answer to another request. Cancelling an exchange closes its connection, which tells the server
  * to cancel the work.
+ *
+ * <p>Connections to a server often stop delivering data together and without a reset. If the
+ * deadline of a call passes and its pooled connection has not delivered a byte, the idle
+ * connections to the address are therefore closed, except those that have delivered an answer since
+ * the call was sent.
  */
 public final class PooledHttpClient implements AutoCloseable {
   private static final int BUFFER_BYTES = 16 * 1024;
@@ -68,7 +73,8 @@
   private final Thread guard = new Thread(this::checkSizes, "answer-guard");
   private volatile boolean closed;
 
-  private record IdleConnection(ClientConnection connection, long reusableUntilNanos) {}
+  private record IdleConnection(
+      ClientConnection connection, long releasedNanos, long reusableUntilNanos) {}
 
   private PooledHttpClient(
       XnioWorker worker, MonotonicClock clock, long connectTimeoutMillis, boolean ownsWorker) {
@@ -265,12 +271,42 @@
     if (connection.isOpen()
         && reusableMillis > 0
         && connections.size() < MAX_IDLE_CONNECTIONS_PER_ADDRESS) {
-      connections.push(new IdleConnection(connection, clock.deadlineAfterMillis(reusableMillis)));
+      connections.push(
+          new IdleConnection(connection, clock.nanos(), clock.deadlineAfterMillis(reusableMillis)));
     } else {
       IoUtils.safeClose(connection);
     }
   }
 
+  /**
+   * Closes the idle connections to the server of an address, so that the next calls use new ones.
+   * Exchanges in progress continue.
+   *
+   * @param uri any address on the server
+   */
+  public void closeIdle(URI uri) {
+    closeIdle(uri, clock.nanos());
+  }
+
+  /**
+   * Closes the idle connections that were put into the pool at a time or before.
+   *
+   * @param uri any address on the server of the connections
+   * @param untilNanos time of the monotonic clock, in nanoseconds
+   */
+  void closeIdle(URI uri, long untilNanos) {
+    Deque<IdleConnection> connections = idleByAddress.get(uri.getAuthority());
+    if (connections == null) {
+      return;
+    }
+    for (IdleConnection entry : connections) {
+      // Another thread may take the connection at the same time.
+      if (entry.releasedNanos() - untilNanos <= 0 && connections.remove(entry)) {
+        IoUtils.safeClose(entry.connection());
+      }
+    }
+  }
+
   ByteBufferPool buffers() {
     return buffers;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/MeasuredStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/MeasuredStore.java
@@ -67,6 +67,11 @@
     return store.watch(kind, afterVersion, listener);
   }
 
+  @Override
+  public void renewConnections() {
+    store.renewConnections();
+  }
+
   @Override
   public void close() {
     store.close();
--- a/sedgeroad/src/main/java/org/sedgeroad/store/HttpObjectStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/HttpObjectStore.java
@@ -26,12 +26,14 @@
   private final ObjectMapper mapper = new ObjectMapper();
   private final PooledHttpClient httpClient;
   private final MonotonicClock clock;
+  private final URI base;
   private final JsonObjectCalls calls;
 
   private HttpObjectStore(
       URI base, PooledHttpClient httpClient, MonotonicClock clock, long timeoutMillis) {
     this.httpClient = httpClient;
     this.clock = clock;
+    this.base = base;
     this.calls =
         new JsonObjectCalls(
             new JsonStoreCalls(httpClient, clock, timeoutMillis, DEFAULT_RETRY_MILLIS),
@@ -92,6 +94,11 @@
     return httpClient.start(call, new WatchReader(kind, mapper, listener));
   }
 
+  @Override
+  public void renewConnections() {
+    httpClient.closeIdle(base);
+  }
+
   @Override
   public void close() {
     // The HTTP client is closed by the code that passed it to of().
--- a/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
@@ -13,6 +13,9 @@
  * Keeps a listener informed of all objects of one kind: lists them, watches for changes from the
  * version of the list, and starts over with a list when a watch ends. The listener is called on the
  * event loop.
+ *
+ * <p>A list uses no connection that was idle before, because what has ended a watch may have made
+ * other connections silent.
  */
 public final class KindWatcher implements AutoCloseable {
 
@@ -110,6 +113,7 @@
     int startedGeneration = ++generation;
     workers.execute(
         () -> {
+          store.renewConnections();
           StoreResult<ObjectList> result = store.list(kind, "");
           loop.execute(() -> listed(startedGeneration, result));
         });
--- a/sedgeroad/src/main/java/org/sedgeroad/store/ObjectStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/ObjectStore.java
@@ -42,6 +42,12 @@
    */
   AutoCloseable watch(String kind, long afterVersion, WatchListener listener);
 
+  /**
+   * Closes idle connections, which may have stopped delivering data, so that the next calls use new
+   * ones.
+   */
+  default void renewConnections() {}
+
   @Override
   void close();
 }
