Test quarantines and trials while the store is away

QuarantineStoreTest had no store that refuses calls or loses answers.

- a quarantine whose creation is refused, throttled, lost, or not answered is stored with a later request once the store answers, and the verdict holds meanwhile;
- a claim whose answer is lost 1, 2 or 5 times allows one trial in the fleet, and none if the object can't be read back either;
- a claim that the store refuses ends no quarantine.

All pass on the existing code; no fault was found here.

--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
@@ -10,11 +10,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.EnumSource.Mode;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.placement.VirtualTime;
 import org.sedgeroad.store.FakeStore;
+import org.sedgeroad.store.FakeStore.Fault;
 import org.sedgeroad.store.ObjectList;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoreWriter;
@@ -33,7 +39,7 @@
 
   private QuarantineStore create(String name) {
     return new QuarantineStore(
-        StoreWriter.of(objects, name),
+        StoreWriter.of(objects, name, () -> {}),
         calls::add,
         time,
         () -> wallMillis,
@@ -137,4 +143,92 @@
       assertFalse(received.containsKey("part-x") && !received.get("part-x").answered());
     }
   }
+
+  @Nested
+  class StoreThatIsAway {
+    private static final List<String> KEYS = List.of("part-x");
+
+    private final SuspicionTable table = new SuspicionTable(time);
+    private final SuspicionGuard guard =
+        new SuspicionGuard(
+            table,
+            new SuspicionExchange(table, series -> {}, () -> false, time, time),
+            first,
+            EventLog.of("first"));
+
+    @BeforeEach
+    void quarantine() {
+      SERIES.crashes().forEach(endpoint -> guard.recordCrash(endpoint, guard.series(KEYS)));
+      time.runUntil(SuspicionTable.REPORT_WAIT_MILLIS);
+    }
+
+    private boolean requestTrial() {
+      List<Boolean> allowed = new ArrayList<>();
+      guard.requestTrial(KEYS, allowed::add);
+      runCalls();
+      assertEquals(1, allowed.size());
+      return allowed.get(0);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+        value = Fault.class,
+        names = {"NONE", "CONFLICT"},
+        mode = Mode.EXCLUDE)
+    void receivesTheQuarantineWithALaterRequest(Fault fault) {
+      objects.faults = (operation, kind) -> fault;
+      for (int request = 0; request < 3; request++) {
+        assertFalse(requestTrial());
+        assertEquals(Suspicion.Verdict.QUARANTINED, guard.suspicion(KEYS).verdict());
+      }
+      objects.faults = (operation, kind) -> Fault.NONE;
+      assertFalse(requestTrial());
+      assertEquals(1, objects.objects(QuarantineStore.KIND).size());
+      list(second);
+      assertEquals(SERIES, received.get("part-x"));
+      wallMillis += QuarantineStore.FIRST_TRIAL_MILLIS;
+      assertTrue(requestTrial());
+    }
+
+    @Test
+    void endsNoQuarantine() {
+      requestTrial();
+      objects.faults = (operation, kind) -> Fault.OUTAGE;
+      wallMillis += QuarantineStore.FIRST_TRIAL_MILLIS;
+      assertFalse(requestTrial());
+      assertEquals(Suspicion.Verdict.QUARANTINED, guard.suspicion(KEYS).verdict());
+      objects.faults = (operation, kind) -> Fault.NONE;
+      assertTrue(requestTrial());
+    }
+  }
+
+  @Nested
+  class ClaimWhoseAnswerIsLost {
+    @BeforeEach
+    void store() {
+      first.add("part-x", SERIES);
+      runCalls();
+      list(second);
+      wallMillis += QuarantineStore.FIRST_TRIAL_MILLIS;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5})
+    void allowsOneTrialInTheFleet(int lostAnswers) {
+      objects.failNext("update", QuarantineStore.KIND, Fault.LOST_ANSWER, lostAnswers);
+      assertEquals(1, requestTrials("part-x").stream().filter(one -> one).count());
+      assertEquals(List.of(false, false), requestTrials("part-x"));
+    }
+
+    /** Whether the claim took effect isn't known before the store answers again. */
+    @Test
+    void allowsNoSecondTrialOnceTheStoreIsBack() {
+      objects.faults =
+          (operation, kind) -> operation.equals("get") ? Fault.OUTAGE : Fault.LOST_ANSWER;
+      assertEquals(List.of(false, false), requestTrials("part-x"));
+      objects.faults = (operation, kind) -> Fault.NONE;
+      assertEquals(List.of(false, false), requestTrials("part-x"));
+      assertTrue(first.millisUntilTrial(List.of("part-x")) > QuarantineStore.FIRST_TRIAL_MILLIS);
+    }
+  }
 }
