Repeat the deletion of a quarantine that the store did not answer

Callers would see: requests with a part of a prompt that is sound again are refused with 503 at each instance that starts later, until the next trial, up to an hour after failed trials.

Cause: QuarantineStore.remove ignored the result of the deletion. After an outage, a refusal by rate, or a lost request the object stayed in the store, and only a further change of it led to another deletion.

Test: QuarantineStoreTest$Deletion.isRepeatedUntilTheStoreAnswers failed for outage, throttling and lost request before this change and passes now; a successful deletion is one call in a minute.

Not covered: an instance that stops while the store is away leaves the object.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -250,7 +250,13 @@
     hubExchange.setCrashListener(exchange::receive);
     QuarantineStore quarantines =
         new QuarantineStore(
-            writer, storeWorkers, eventLoop, System::currentTimeMillis, log, exchange::receive);
+            writer,
+            storeWorkers,
+            eventLoop,
+            clock,
+            System::currentTimeMillis,
+            log,
+            exchange::receive);
     watch(store, QuarantineStore.KIND, () -> RARE_CHANGES_QUIET_MILLIS, quarantines);
     return new SuspicionGuard(table, exchange, quarantines, log);
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
@@ -17,10 +17,12 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.sedgeroad.EventLoop;
+import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.store.KindWatcher;
+import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoreWriter;
 import org.sedgeroad.store.StoredObject;
 import org.sedgeroad.store.WriteOutcome;
@@ -48,11 +50,15 @@
    */
   private static final long UNUSED_MILLIS = 86_400_000;
 
+  /** Delay before a deletion that the store did not answer is repeated, in milliseconds. */
+  private static final long DELETION_RETRY_MILLIS = 2_000;
+
   private record Stored(long version, CrashSeries series, int trials, long trialAtMillis) {}
 
   private final StoreWriter writer;
   private final Executor workers;
   private final EventLoop loop;
+  private final MonotonicClock clock;
   private final LongSupplier wallMillis;
   private final EventLog log;
   private final Consumer<Map<String, CrashSeries>> listener;
@@ -70,6 +76,7 @@
    * @param writer writes objects, not null
    * @param workers executor for blocking store calls, not null
    * @param loop event loop, not null
+   * @param clock monotonic clock of the loop, not null
    * @param wallMillis source of wall-clock time in milliseconds, not null
    * @param log the log, not null
    * @param listener receives the series of stored quarantines, not null
@@ -78,12 +85,14 @@
       StoreWriter writer,
       Executor workers,
       EventLoop loop,
+      MonotonicClock clock,
       LongSupplier wallMillis,
       EventLog log,
       Consumer<Map<String, CrashSeries>> listener) {
     this.writer = writer;
     this.workers = workers;
     this.loop = loop;
+    this.clock = clock;
     this.wallMillis = wallMillis;
     this.log = log;
     this.listener = listener;
@@ -174,8 +183,33 @@
       answered.add(key);
     }
     if (stored != null) {
-      execute(key, () -> writer.store().delete(KIND, key, stored.version()));
+      delete(key, stored.version());
+    }
+  }
+
+  private void delete(String key, long version) {
+    execute(
+        key,
+        () -> {
+          StoreResult<StoredObject> result = writer.store().delete(KIND, key, version);
+          loop.execute(() -> deleted(key, version, result));
+        });
+  }
+
+  private void deleted(String key, long version, StoreResult<StoredObject> result) {
+    boolean superseded = result instanceof StoreResult.Conflict;
+    if (result instanceof StoreResult.Done || result instanceof StoreResult.Absent || superseded) {
+      // The watch delivers a changed object, which is then deleted in its new version.
+      return;
     }
+    logNotStored(key, result);
+    loop.scheduleAt(
+        clock.deadlineAfterMillis(DELETION_RETRY_MILLIS),
+        () -> {
+          if (answered.contains(key)) {
+            delete(key, version);
+          }
+        });
   }
 
   @Override
@@ -240,13 +274,15 @@
     try {
       workers.execute(call);
     } catch (RejectedExecutionException stopping) {
-      log.log(
-          LogEvent.QUARANTINE_NOT_STORED,
-          EventField.of("key", key),
-          EventField.of("reason", "the instance is stopping"));
+      logNotStored(key, "the instance is stopping");
     }
   }
 
+  private void logNotStored(String key, Object reason) {
+    log.log(
+        LogEvent.QUARANTINE_NOT_STORED, EventField.of("key", key), EventField.of("reason", reason));
+  }
+
   private void written(String key, WriteOutcome outcome, Consumer<Boolean> receiver) {
     writing = false;
     if (outcome instanceof WriteOutcome.Written done) {
@@ -256,10 +292,7 @@
         changed(lost.current());
       }
     } else {
-      log.log(
-          LogEvent.QUARANTINE_NOT_STORED,
-          EventField.of("key", key),
-          EventField.of("reason", outcome));
+      logNotStored(key, outcome);
     }
     receiver.accept(outcome instanceof WriteOutcome.Written);
   }
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
@@ -42,6 +42,7 @@
         StoreWriter.of(objects, name, () -> {}),
         calls::add,
         time,
+        time,
         () -> wallMillis,
         EventLog.of(name),
         received::putAll);
@@ -231,4 +232,49 @@
       assertTrue(first.millisUntilTrial(List.of("part-x")) > QuarantineStore.FIRST_TRIAL_MILLIS);
     }
   }
+
+  @Nested
+  class Deletion {
+    private static final double MINUTE_MILLIS = 60_000;
+
+    @BeforeEach
+    void store() {
+      first.add("part-x", SERIES);
+      runCalls();
+      list(second);
+    }
+
+    private void runAMinute() {
+      double end = time.nanos() / 1e6 + MINUTE_MILLIS;
+      for (double millis = time.nanos() / 1e6; millis < end; millis += 100) {
+        time.runUntil(millis);
+        runCalls();
+      }
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+        value = Fault.class,
+        names = {"NONE", "CONFLICT"},
+        mode = Mode.EXCLUDE)
+    void isRepeatedUntilTheStoreAnswers(Fault fault) {
+      objects.failNext("delete", QuarantineStore.KIND, fault, 3);
+      first.remove("part-x");
+      runAMinute();
+      assertEquals(List.of(), objects.objects(QuarantineStore.KIND));
+    }
+
+    @Test
+    void isNotRepeatedWithoutEnd() {
+      int[] deletions = {0};
+      objects.faults =
+          (operation, kind) -> {
+            deletions[0] += operation.equals("delete") ? 1 : 0;
+            return Fault.NONE;
+          };
+      first.remove("part-x");
+      runAMinute();
+      assertEquals(1, deletions[0]);
+    }
+  }
 }
