Spare a quarantine that is later than the one to be deleted

Callers would see: a part that crashes endpoints again, after it was sound for a time, is quarantined by one instance and the quarantine is deleted from the store by another, so that a restart of all instances forgets it.

Cause: QuarantineStore remembered the answered keys only, until the watch delivered the deletion. A watch that restarts lists the objects and delivers no deletion, so that the next quarantine of the key counted as the one that was to be deleted.

Change: the number of the series that was answered is remembered with the key; an object with a later series is kept.

--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/QuarantineStore.java
@@ -64,8 +64,11 @@
   private final Consumer<Map<String, CrashSeries>> listener;
   private final Map<String, Stored> quarantines = new HashMap<>();
 
-  /** Keys whose requests are answered again and whose objects are to be deleted. */
-  private final Set<String> answered = new HashSet<>();
+  /**
+   * Numbers of series that ended with an answer, by key; objects with these or earlier series are
+   * to be deleted.
+   */
+  private final Map<String, Long> answered = new HashMap<>();
 
   /** Whether a write is in progress; there is one at a time, because other calls matter more. */
   private boolean writing;
@@ -176,11 +179,16 @@
     return new Stored(stored.version(), stored.series(), trials, trialAt);
   }
 
-  /** Deletes the quarantine of a key whose requests are answered again. */
-  void remove(String key) {
+  /**
+   * Deletes the quarantine of a key whose requests are answered again.
+   *
+   * @param key the key
+   * @param ended the series that the answer ended
+   */
+  void remove(String key, CrashSeries ended) {
     Stored stored = quarantines.remove(key);
     if (stored != null || writing) {
-      answered.add(key);
+      answered.put(key, ended.number());
     }
     if (stored != null) {
       delete(key, stored.version());
@@ -206,7 +214,7 @@
     loop.scheduleAt(
         clock.deadlineAfterMillis(DELETION_RETRY_MILLIS),
         () -> {
-          if (answered.contains(key)) {
+          if (answered.containsKey(key)) {
             delete(key, version);
           }
         });
@@ -243,12 +251,14 @@
       return;
     }
     quarantines.put(object.name(), stored);
-    if (answered.contains(object.name())) {
-      // The object was changed while it was being deleted.
-      remove(object.name());
-    } else if (stored.trialAtMillis() + UNUSED_MILLIS < wallMillis.getAsLong()) {
-      remove(object.name());
+    boolean hasEnded =
+        stored.series().number() <= answered.getOrDefault(object.name(), Long.MIN_VALUE);
+    boolean unused = stored.trialAtMillis() + UNUSED_MILLIS < wallMillis.getAsLong();
+    if (hasEnded || unused) {
+      // An object that has ended was changed while it was being deleted.
+      remove(object.name(), stored.series());
     } else {
+      answered.remove(object.name());
       listener.accept(Map.of(object.name(), stored.series()));
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
@@ -94,7 +94,7 @@
     Set<String> changed = table.recordAnswer(keys);
     if (!changed.isEmpty()) {
       exchange.changed();
-      changed.forEach(store::remove);
+      changed.forEach(key -> store.remove(key, table.series(key)));
     }
   }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
@@ -128,7 +128,7 @@
       first.add("part-x", SERIES);
       runCalls();
       list(second);
-      first.remove("part-x");
+      first.remove("part-x", SERIES.afterAnswer());
       runCalls();
       list(second);
       assertTrue(received.get("part-x").answered());
@@ -138,7 +138,7 @@
     @Test
     void isNotLeftInTheStoreIfItEndsWhileItIsStored() {
       first.add("part-x", SERIES);
-      first.remove("part-x");
+      first.remove("part-x", SERIES.afterAnswer());
       runCalls();
       list(second);
       assertFalse(received.containsKey("part-x") && !received.get("part-x").answered());
@@ -237,6 +237,8 @@
   class Deletion {
     private static final double MINUTE_MILLIS = 60_000;
 
+    private final CrashSeries later = new CrashSeries(2, List.of("d", "e", "f"), false);
+
     @BeforeEach
     void store() {
       first.add("part-x", SERIES);
@@ -259,7 +261,7 @@
         mode = Mode.EXCLUDE)
     void isRepeatedUntilTheStoreAnswers(Fault fault) {
       objects.failNext("delete", QuarantineStore.KIND, fault, 3);
-      first.remove("part-x");
+      first.remove("part-x", SERIES.afterAnswer());
       runAMinute();
       assertEquals(List.of(), objects.objects(QuarantineStore.KIND));
     }
@@ -272,9 +274,24 @@
             deletions[0] += operation.equals("delete") ? 1 : 0;
             return Fault.NONE;
           };
-      first.remove("part-x");
+      first.remove("part-x", SERIES.afterAnswer());
       runAMinute();
       assertEquals(1, deletions[0]);
     }
+
+    /** A deletion may not have been delivered when the part is quarantined again. */
+    @Test
+    void sparesALaterQuarantine() {
+      objects.failNext("delete", QuarantineStore.KIND, Fault.LOST_ANSWER, 1);
+      first.remove("part-x", SERIES.afterAnswer());
+      runCalls();
+      list(second);
+      second.add("part-x", later);
+      runCalls();
+      list(first);
+      runAMinute();
+      assertEquals(1, objects.objects(QuarantineStore.KIND).size());
+      assertEquals(later, received.get("part-x"));
+    }
   }
 }
