Log a quarantine once it is in force

Operators saw: event 4005 for each key of the request at its third crash and at each later one, also for sound parts that an answer cleared within the 250 ms wait.

Cause: SuspicionGuard logged when a crash was recorded, not when the verdict was due.

Change: the instance that records the third crash of a series looks at its keys when the wait is over, and logs those that are still quarantined. Keys with the same crashes share a line, because only requests with all of them are refused. Later crashes of the series, such as a trial's, add no line.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -258,7 +258,7 @@
             log,
             exchange::receive);
     watch(store, QuarantineStore.KIND, () -> RARE_CHANGES_QUIET_MILLIS, quarantines);
-    return new SuspicionGuard(table, exchange, quarantines, log);
+    return new SuspicionGuard(table, exchange, quarantines, eventLoop, log);
   }
 
   private KindWatcher watch(
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
@@ -1,9 +1,13 @@
 package org.sedgeroad.suspicion;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.sedgeroad.EventLoop;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
@@ -17,14 +21,20 @@
   private final SuspicionTable table;
   private final SuspicionExchange exchange;
   private final QuarantineStore store;
+  private final EventLoop loop;
   private final EventLog log;
 
   /** Creates a guard; no argument may be null. */
   public SuspicionGuard(
-      SuspicionTable table, SuspicionExchange exchange, QuarantineStore store, EventLog log) {
+      SuspicionTable table,
+      SuspicionExchange exchange,
+      QuarantineStore store,
+      EventLoop loop,
+      EventLog log) {
     this.table = table;
     this.exchange = exchange;
     this.store = store;
+    this.loop = loop;
     this.log = log;
   }
 
@@ -72,23 +82,44 @@
    * @param atStart series of the request's keys when it was sent
    */
   public void recordCrash(String endpoint, Map<String, CrashSeries> atStart) {
-    Set<String> changed = table.recordCrash(endpoint, atStart);
-    if (changed.isEmpty()) {
+    Set<String> suspected = new HashSet<>(atStart.keySet());
+    suspected.removeIf(key -> table.series(key).length() >= SuspicionTable.QUARANTINE_LENGTH);
+    if (table.recordCrash(endpoint, atStart).isEmpty()) {
       return;
     }
     exchange.changed();
-    for (String key : changed) {
-      CrashSeries series = table.series(key);
-      if (series.length() >= SuspicionTable.QUARANTINE_LENGTH) {
-        log.log(
-            LogEvent.REQUEST_QUARANTINED,
-            EventField.of("key", key),
-            EventField.of("series", series.number()),
-            EventField.of("crashes", String.join(",", series.crashes())));
-      }
+    suspected.removeIf(key -> table.series(key).length() < SuspicionTable.QUARANTINE_LENGTH);
+    if (!suspected.isEmpty()) {
+      Map<String, Long> numbers = new HashMap<>();
+      suspected.forEach(key -> numbers.put(key, table.series(key).number()));
+      loop.scheduleAt(table.decisionNanos(suspected), () -> logQuarantines(numbers));
     }
   }
 
+  /**
+   * Logs the quarantines that came into force; reports of answers may have prevented them. Keys
+   * with the same crashes share a line.
+   *
+   * @param numbers numbers of the series by key
+   */
+  private void logQuarantines(Map<String, Long> numbers) {
+    Map<CrashSeries, Set<String>> keys = new HashMap<>();
+    numbers.forEach(
+        (key, number) -> {
+          CrashSeries series = table.series(key);
+          if (series.number() == number && !series.answered()) {
+            keys.computeIfAbsent(series, unused -> new TreeSet<>()).add(key);
+          }
+        });
+    keys.forEach(
+        (series, common) ->
+            log.log(
+                LogEvent.REQUEST_QUARANTINED,
+                EventField.of("key", String.join(",", common)),
+                EventField.of("series", series.number()),
+                EventField.of("crashes", String.join(",", series.crashes()))));
+  }
+
   /** Records that an endpoint has answered a request with success, which clears its keys. */
   public void recordAnswer(List<String> keys) {
     Set<String> changed = table.recordAnswer(keys);
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
@@ -158,6 +158,19 @@
     return strongest;
   }
 
+  /**
+   * Returns the monotonic time from which all of some keys are quarantined unless a report clears
+   * them, in nanoseconds.
+   *
+   * @param keys keys whose series are long enough for a quarantine, at least one
+   */
+  long decisionNanos(Set<String> keys) {
+    return keys.stream()
+        .map(key -> entries.get(key).decidedAtNanos())
+        .max((first, second) -> Long.signum(first - second))
+        .orElseThrow();
+  }
+
   /** Returns those of a request's keys that are quarantined or await reports. */
   List<String> blamedKeys(List<String> keys) {
     return keys.stream()
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
@@ -155,6 +155,7 @@
             table,
             new SuspicionExchange(table, series -> {}, () -> false, time, time),
             first,
+            time,
             EventLog.of("first"));
 
     @BeforeEach
