Count refusals by quarantine apart from others

Operators saw: refusals by quarantine and refusals for lack of free endpoints under one label, NOT_RUN, so that the metrics suggested a full fleet.

Change: sedgeroad_gateway_quarantine_refusals_total, with the labels of sedgeroad_gateway_refusals_total, counts those of its refusals that are due to a quarantine.

GatewayMetricsTest compares the page with the code.

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -117,7 +117,10 @@
   }
 
   private void refuseQuarantined(Refusal refusal) {
-    fail(possibleRuns == 0 ? refusal : Refusal.of(Refusal.Reason.UNKNOWN, refusal.text()));
+    Refusal reported =
+        possibleRuns == 0 ? refusal : Refusal.of(Refusal.Reason.UNKNOWN, refusal.text());
+    dependencies.metrics().recordQuarantineRefusal(route.name(), reported.reason());
+    fail(reported);
   }
 
   private void submitDemand() {
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
@@ -47,6 +47,12 @@
           .help("Requests that got no answer of an endpoint.")
           .labelNames("route", "reason")
           .register(registry);
+  private final Counter quarantineRefusals =
+      Counter.builder()
+          .name("sedgeroad_gateway_quarantine_refusals_total")
+          .help("Refusals of requests like those under which endpoints crashed.")
+          .labelNames("route", "reason")
+          .register(registry);
   private final Counter items =
       Counter.builder()
           .name("sedgeroad_gateway_batch_items_total")
@@ -85,6 +91,14 @@
     refusals.labelValues(route, reason.name()).inc();
   }
 
+  /**
+   * Records that a refusal of a route's request, which is recorded by {@link #recordRefusal} too,
+   * was due to a quarantine.
+   */
+  public void recordQuarantineRefusal(String route, Refusal.Reason reason) {
+    quarantineRefusals.labelValues(route, reason.name()).inc();
+  }
+
   /**
    * Records the end of a run of a batch item.
    *
--- a/sedgeroad/src/test/java/org/sedgeroad/metric/GatewayMetricsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/metric/GatewayMetricsTest.java
@@ -17,6 +17,7 @@
     metrics.recordPlacement("r", 1);
     metrics.recordEnd("r", 1);
     metrics.recordRefusal("r", Refusal.Reason.NOT_RUN);
+    metrics.recordQuarantineRefusal("r", Refusal.Reason.NOT_RUN);
     metrics.recordItemRun("completed");
     metrics
         .measure(MetricsPages.emptyStore())
