--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -250,9 +250,15 @@
     hubExchange.setCrashListener(exchange::receive);
     QuarantineStore quarantines =
         new QuarantineStore(
-            writer, storeWorkers, eventLoop, System::currentTimeMillis, log, exchange::receive);
+            writer,
+            storeWorkers,
+            eventLoop,
+            clock,
+            System::currentTimeMillis,
+            log,
+            exchange::receive);
     watch(store, QuarantineStore.KIND, () -> RARE_CHANGES_QUIET_MILLIS, quarantines);
-    return new SuspicionGuard(table, exchange, quarantines, log);
+    return new SuspicionGuard(table, exchange, quarantines, eventLoop, log);
   }
 
   private KindWatcher watch(
