Leave a job with its new owner for some seconds after a takeover

Callers saw: with instances that do not hear each other but all reach the store, an accepted job made no progress for as long as that lasted (SHORT; LOST if it lasts to the end).

Cause: each side considers the owner on the other side failed, and took the job back about once a second. An item loses its progress each time.

Change: a job that has been taken over stays with its new owner for 8 s unless that one announces that it is leaving. A job that has not moved is taken over as before.

Evidence: GatewaySplitTest, with items of 3 s, failed on (not complete within 20 s) and passes now, with HubExchangeTest and GatewayJobTest$Accepted. A new owner that is lost within 8 s of the takeover is noticed later than before.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobHeadCache.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobHeadCache.java
@@ -19,8 +19,16 @@
    * @param version store version of the head
    * @param firstSeenNanos monotonic time at which this instance first received the job, in
    *     nanoseconds
+   * @param ownerSeenNanos monotonic time at which this instance first received the job with its
+   *     present owner, in nanoseconds
    */
-  record CachedJob(JobHead head, long version, long firstSeenNanos) {}
+  record CachedJob(JobHead head, long version, long firstSeenNanos, long ownerSeenNanos) {
+
+    /** Returns whether the job had another owner when it was first received. */
+    boolean hasMoved() {
+      return ownerSeenNanos != firstSeenNanos;
+    }
+  }
 
   private final Map<String, CachedJob> jobs = new HashMap<>();
 
@@ -31,7 +39,9 @@
       return false;
     }
     long firstSeenNanos = before == null ? nowNanos : before.firstSeenNanos();
-    jobs.put(head.id(), new CachedJob(head, version, firstSeenNanos));
+    boolean sameOwner = before != null && before.head().owner().equals(head.owner());
+    long ownerSeenNanos = sameOwner ? before.ownerSeenNanos() : nowNanos;
+    jobs.put(head.id(), new CachedJob(head, version, firstSeenNanos, ownerSeenNanos));
     return true;
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
@@ -28,6 +28,13 @@
   /** Delay between two takeover attempts of a job, in milliseconds. Store outages last seconds. */
   private static final long TAKEOVER_RETRY_MILLIS = 1_000;
 
+  /**
+   * Time for which a job stays with an instance that has taken it over, in milliseconds; longer
+   * than most items run. Instances that do not hear each other would otherwise take a job from each
+   * other before any of its items is done.
+   */
+  private static final long OWNERSHIP_MILLIS = 8_000;
+
   private final BatchDependencies context;
   private final JobHeadCache jobHeads;
   private final StoredResults storedResults;
@@ -111,6 +118,7 @@
       if (!job.head().ended()
           && !owner.equals(context.instance())
           && context.fleetLoad().isFailed(owner, now)
+          && (context.fleetLoad().isLeaving(owner) || !wasTakenOverRecently(job, now))
           && !storedResults.isComplete(job.head())
           && !takingOver.contains(job.head().id())
           && RendezvousHashing.ranksFirst(job.head().id(), context.instance(), watchers)) {
@@ -119,6 +127,10 @@
     }
   }
 
+  private static boolean wasTakenOverRecently(JobHeadCache.CachedJob job, long nowNanos) {
+    return job.hasMoved() && nowNanos - job.ownerSeenNanos() < OWNERSHIP_MILLIS * 1_000_000L;
+  }
+
   private void write(JobHeadCache.CachedJob job) {
     takingOver.add(job.head().id());
     context
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
@@ -28,6 +28,9 @@
    */
   boolean isLive(String instance, long nowNanos);
 
+  /** Returns whether an instance has announced that it is leaving. */
+  boolean isLeaving(String instance);
+
   /**
    * Returns whether an instance is considered failed, so that its jobs are taken over. An instance
    * that is not live is, unless its whole failure domain has become silent recently: the domain is
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
@@ -140,8 +140,8 @@
     }
   }
 
-  /** Returns whether an instance has announced that it is leaving. */
-  boolean isLeaving(String name) {
+  @Override
+  public boolean isLeaving(String name) {
     Heard last = heard.get(name);
     return last != null && last.leaving();
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
@@ -105,6 +105,12 @@
         && nowNanos - received.receivedNanos() < FAILURE_TIMEOUT_MILLIS * 1_000_000L;
   }
 
+  @Override
+  public boolean isLeaving(String instance) {
+    Received received = reports.get(instance);
+    return received != null && received.report().leaving();
+  }
+
   /** Returns whether an instance is not live; this table does not know failure domains. */
   @Override
   public boolean isFailed(String instance, long nowNanos) {
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
@@ -109,6 +109,11 @@
       return List.of("other");
     }
 
+    @Override
+    public boolean isLeaving(String name) {
+      return false;
+    }
+
     @Override
     public boolean isFailed(String name, long nowNanos) {
       return false;
