--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
@@ -114,11 +114,8 @@
       return;
     }
     for (JobHeadCache.CachedJob job : jobHeads.all()) {
-      String owner = job.head().owner();
       if (!job.head().ended()
-          && !owner.equals(context.instance())
-          && context.fleetLoad().isFailed(owner, now)
-          && (context.fleetLoad().isLeaving(owner) || !wasTakenOverRecently(job, now))
+          && hasLostOwner(job, now)
           && !storedResults.isComplete(job.head())
           && !takingOver.contains(job.head().id())
           && RendezvousHashing.ranksFirst(job.head().id(), context.instance(), watchers)) {
@@ -127,8 +124,15 @@
     }
   }
 
-  private static boolean wasTakenOverRecently(JobHeadCache.CachedJob job, long nowNanos) {
-    return job.hasMoved() && nowNanos - job.ownerSeenNanos() < OWNERSHIP_MILLIS * 1_000_000L;
+  private boolean hasLostOwner(JobHeadCache.CachedJob job, long nowNanos) {
+    String owner = job.head().owner();
+    if (owner.equals(context.instance())) {
+      return false;
+    }
+    boolean takenOverRecently =
+        job.hasMoved() && nowNanos - job.ownerSeenNanos() < OWNERSHIP_MILLIS * 1_000_000L;
+    return context.fleetLoad().isLeaving(owner)
+        || (context.fleetLoad().isFailed(owner, nowNanos) && !takenOverRecently);
   }
 
   private void write(JobHeadCache.CachedJob job) {
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -133,7 +133,7 @@
           opened
               .getIoThread()
               .executeAfter(
-                  () -> failLate(opened, pooled), remainingMillis(), TimeUnit.MILLISECONDS);
+                  () -> failAtDeadline(opened, pooled), remainingMillis(), TimeUnit.MILLISECONDS);
     } catch (RejectedExecutionException rejected) {
       fail(HttpFailure.CLIENT_CLOSING);
       return;
@@ -183,7 +183,7 @@
     }
   }
 
-  private void failLate(ClientConnection open, boolean pooled) {
+  private void failAtDeadline(ClientConnection open, boolean pooled) {
     boolean silent = open.getStatistics().getRead() == connectionBytesBefore;
     if (pooled && silent && !ended.get()) {
       client.closeIdle(call.uri(), sentNanos);
