Let the exchange of crash series serve other tables

SuspicionExchange becomes ChangeExchange, which tells other instances about the changes of any ChangeTable.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -23,6 +23,7 @@
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.exchange.ChangeExchange;
 import org.sedgeroad.gateway.Gateway;
 import org.sedgeroad.gateway.GatewayDependencies;
 import org.sedgeroad.gateway.RouteTableHolder;
@@ -39,8 +40,8 @@
 import org.sedgeroad.store.KindWatcher;
 import org.sedgeroad.store.ObjectStore;
 import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.suspicion.CrashSeries;
 import org.sedgeroad.suspicion.QuarantineStore;
-import org.sedgeroad.suspicion.SuspicionExchange;
 import org.sedgeroad.suspicion.SuspicionGuard;
 import org.sedgeroad.suspicion.SuspicionTable;
 import org.xnio.OptionMap;
@@ -245,8 +246,14 @@
 
   private SuspicionGuard createSuspicionGuard(ObjectStore store) {
     SuspicionTable table = new SuspicionTable(clock);
-    SuspicionExchange exchange =
-        new SuspicionExchange(table, hubExchange::spread, hubExchange::isHub, eventLoop, clock);
+    ChangeExchange<CrashSeries> exchange =
+        new ChangeExchange<>(
+            table,
+            hubExchange::spread,
+            SuspicionTable.SERIES_IN_MESSAGE,
+            hubExchange::isHub,
+            eventLoop,
+            clock);
     hubExchange.setCrashListener(exchange::receive);
     QuarantineStore quarantines =
         new QuarantineStore(
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/exchange/ChangeExchange.java
@@ -1,4 +1,4 @@
-package org.sedgeroad.suspicion;
+package org.sedgeroad.exchange;
 
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -7,16 +7,18 @@
 import org.sedgeroad.MonotonicClock;
 
 /**
- * Tells the other instances about changes of a {@link SuspicionTable}. Used on the event loop.
+ * Tells the other instances about changes of a {@link ChangeTable}. Used on the event loop.
  *
- * <p>A change is sent several times, because messages may be lost. Nothing is sent while no series
+ * <p>A change is sent several times, because messages may be lost. Nothing is sent while nothing
  * changes.
+ *
+ * @param <V> type of the values in the table
  */
-public final class SuspicionExchange {
+public final class ChangeExchange<V> {
   /** Delay before a change is sent, in milliseconds. */
   private static final long COLLECTION_MILLIS = 5;
 
-  /** Time between two messages while series change, in milliseconds. */
+  /** Time between two messages while values change, in milliseconds. */
   private static final long INTERVAL_MILLIS = 50;
 
   /** Time between two messages with the same content, in milliseconds. */
@@ -25,11 +27,9 @@
   /** Time for which a change is sent, in milliseconds. */
   private static final long SPREAD_MILLIS = 1_500;
 
-  /** Maximum number of series in a message. */
-  private static final int SERIES_IN_MESSAGE = 16;
-
-  private final SuspicionTable table;
-  private final Consumer<Map<String, CrashSeries>> sender;
+  private final ChangeTable<V> table;
+  private final Consumer<Map<String, V>> sender;
+  private final int valuesInMessage;
   private final BooleanSupplier passesOn;
   private final EventLoop loop;
   private final MonotonicClock clock;
@@ -41,19 +41,22 @@
    * Creates an exchange.
    *
    * @param table the table, not null
-   * @param sender sends series to other instances, not null
+   * @param sender sends values to other instances, not null
+   * @param valuesInMessage maximum number of values in a message, positive
    * @param passesOn returns whether this instance passes on what it receives, not null
    * @param loop event loop, not null
    * @param clock monotonic clock of the loop, not null
    */
-  public SuspicionExchange(
-      SuspicionTable table,
-      Consumer<Map<String, CrashSeries>> sender,
+  public ChangeExchange(
+      ChangeTable<V> table,
+      Consumer<Map<String, V>> sender,
+      int valuesInMessage,
       BooleanSupplier passesOn,
       EventLoop loop,
       MonotonicClock clock) {
     this.table = table;
     this.sender = sender;
+    this.valuesInMessage = valuesInMessage;
     this.passesOn = passesOn;
     this.loop = loop;
     this.clock = clock;
@@ -61,19 +64,19 @@
   }
 
   /**
-   * Receives series of another instance. An instance that passes series on also answers with newer
-   * ones, so that an instance that missed them learns of them with its next crash.
+   * Receives values of another instance. An instance that passes values on also answers with newer
+   * ones, so that an instance that missed them learns of them with its next change.
    */
-  public void receive(Map<String, CrashSeries> series) {
-    boolean news = !table.merge(series).isEmpty();
-    boolean newer = table.refresh(series);
+  public void receive(Map<String, V> received) {
+    boolean news = !table.merge(received).isEmpty();
+    boolean newer = table.refresh(received);
     if ((news || newer) && passesOn.getAsBoolean()) {
       changed();
     }
   }
 
   /** Sends the newest changes soon. To be called after each change of the table. */
-  void changed() {
+  public void changed() {
     long paced = lastSentNanos + INTERVAL_MILLIS * 1_000_000L;
     long soon = clock.deadlineAfterMillis(COLLECTION_MILLIS);
     schedule(paced - soon > 0 ? paced : soon);
@@ -94,7 +97,7 @@
       return;
     }
     scheduled = false;
-    Map<String, CrashSeries> recent = table.recentSeries(SPREAD_MILLIS, SERIES_IN_MESSAGE);
+    Map<String, V> recent = table.recent(SPREAD_MILLIS, valuesInMessage);
     if (!recent.isEmpty()) {
       lastSentNanos = clock.nanos();
       sender.accept(recent);
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionGuard.java
@@ -11,6 +11,7 @@
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
+import org.sedgeroad.exchange.ChangeExchange;
 import org.sedgeroad.gateway.ClientRequest;
 
 /**
@@ -19,7 +20,7 @@
  */
 public final class SuspicionGuard {
   private final SuspicionTable table;
-  private final SuspicionExchange exchange;
+  private final ChangeExchange<CrashSeries> exchange;
   private final QuarantineStore store;
   private final EventLoop loop;
   private final EventLog log;
@@ -27,7 +28,7 @@
   /** Creates a guard; no argument may be null. */
   public SuspicionGuard(
       SuspicionTable table,
-      SuspicionExchange exchange,
+      ChangeExchange<CrashSeries> exchange,
       QuarantineStore store,
       EventLoop loop,
       EventLog log) {
--- a/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/suspicion/SuspicionTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.exchange.ChangeTable;
 
 /**
  * Series of crashes by what the requests have in common, and the verdicts that follow. Used on the
@@ -16,7 +17,10 @@
  * other under requests with it while none was answered. If several keys were present at all these
  * crashes, only requests with all of them are quarantined: any of them may be the cause.
  */
-public final class SuspicionTable {
+public final class SuspicionTable implements ChangeTable<CrashSeries> {
+  /** Maximum number of series in a message to other instances. */
+  public static final int SERIES_IN_MESSAGE = 16;
+
   /** Number of crashes in a row from which on requests are no longer sent. */
   static final int QUARANTINE_LENGTH = 3;
 
@@ -107,11 +111,8 @@
     return changed;
   }
 
-  /**
-   * Marks the series that are newer here than at another instance, so that they are sent again;
-   * returns whether there are any.
-   */
-  boolean refresh(Map<String, CrashSeries> received) {
+  @Override
+  public boolean refresh(Map<String, CrashSeries> received) {
     boolean any = false;
     for (Map.Entry<String, CrashSeries> other : received.entrySet()) {
       Entry own = entries.get(other.getKey());
@@ -127,8 +128,8 @@
     return any;
   }
 
-  /** Merges series of other instances or of the store; returns the keys whose series changed. */
-  Set<String> merge(Map<String, CrashSeries> received) {
+  @Override
+  public Set<String> merge(Map<String, CrashSeries> received) {
     Set<String> changed = new HashSet<>();
     received.forEach(
         (key, series) -> {
@@ -189,11 +190,9 @@
   /**
    * Returns the series that have changed within a time. The longest ones come first, also if they
    * have been answered, and then the newest.
-   *
-   * @param millis the time, in milliseconds
-   * @param limit maximum number of series
    */
-  Map<String, CrashSeries> recentSeries(long millis, int limit) {
+  @Override
+  public Map<String, CrashSeries> recent(long millis, int limit) {
     long now = clock.nanos();
     Map<String, CrashSeries> recent = new HashMap<>();
     entries.entrySet().stream()
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/QuarantineStoreTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.provider.EnumSource.Mode;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sedgeroad.event.EventLog;
+import org.sedgeroad.exchange.ChangeExchange;
 import org.sedgeroad.placement.VirtualTime;
 import org.sedgeroad.store.FakeStore;
 import org.sedgeroad.store.FakeStore.Fault;
@@ -153,7 +154,7 @@
     private final SuspicionGuard guard =
         new SuspicionGuard(
             table,
-            new SuspicionExchange(table, series -> {}, () -> false, time, time),
+            new ChangeExchange<>(table, series -> {}, 16, () -> false, time, time),
             first,
             time,
             EventLog.of("first"));
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionExchangeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionExchangeTest.java
@@ -11,6 +11,7 @@
 import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.sedgeroad.exchange.ChangeExchange;
 import org.sedgeroad.placement.VirtualTime;
 import org.sedgeroad.presence.CrashNews;
 import org.sedgeroad.presence.HubExchange;
@@ -41,7 +42,7 @@
     private final String domain;
     private final HubExchange hubs;
     private final SuspicionTable table;
-    private final SuspicionExchange exchange;
+    private final ChangeExchange<CrashSeries> exchange;
 
     Member(String name, String domain) {
       this.name = name;
@@ -57,14 +58,17 @@
               time,
               () -> {});
       this.table = new SuspicionTable(time);
-      this.exchange = new SuspicionExchange(table, hubs::spread, hubs::isHub, time, time);
+      this.exchange =
+          new ChangeExchange<>(
+              table, hubs::spread, SuspicionTable.SERIES_IN_MESSAGE, hubs::isHub, time, time);
       hubs.setCrashListener(exchange::receive);
       tick();
     }
 
     private void tick() {
       hubs.tick();
-      hubs.report(new LoadReport(name, 1, 0, 0, 0, 0, Map.of(), Map.of(), Map.of(), false));
+      hubs.report(
+          new LoadReport(name, 1, 0, 0, 0, 0, Map.of(), Map.of(), Map.of(), false));
       time.after(HubExchange.TICK_MILLIS, this::tick);
     }
 
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionGuardTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionGuardTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sedgeroad.event.EventLog;
+import org.sedgeroad.exchange.ChangeExchange;
 import org.sedgeroad.placement.VirtualTime;
 import org.sedgeroad.store.FakeStore;
 import org.sedgeroad.store.StoreWriter;
@@ -49,7 +50,7 @@
   private final SuspicionGuard guard =
       new SuspicionGuard(
           table,
-          new SuspicionExchange(table, series -> {}, () -> false, time, time),
+          new ChangeExchange<>(table, series -> {}, 16, () -> false, time, time),
           new QuarantineStore(
               StoreWriter.of(new FakeStore(), "first", () -> {}),
               Runnable::run,
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionTableTest.java
@@ -158,11 +158,11 @@
     @Test
     void reportsChangesOnly() {
       crash("e0", DEADLY);
-      Map<String, CrashSeries> news = table.recentSeries(1_000, 16);
+      Map<String, CrashSeries> news = table.recent(1_000, 16);
       assertEquals(3, news.size());
       assertTrue(table.merge(news).isEmpty());
       nowMillis += 1_000;
-      assertTrue(table.recentSeries(1_000, 16).isEmpty());
+      assertTrue(table.recent(1_000, 16).isEmpty());
     }
   }
 
