Decode and log what endpoints announce about themselves

Endpoints may state in an answer the rate of requests that they accept (Server-Limit) and that they are leaving (Server-Leaving). Nothing read either, so that neither logs nor metrics could tell whether a rate was known when it was exceeded.

A table keeps what each incarnation of an endpoint announced last. Event 4008 names each change, event 4009 and a counter what is ignored. Nothing acts on it yet.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -16,6 +16,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.announcement.AnnouncementTable;
+import org.sedgeroad.announcement.EndpointAnnouncements;
+import org.sedgeroad.announcement.VersionedAnnouncement;
 import org.sedgeroad.batch.BatchDependencies;
 import org.sedgeroad.batch.JobStore;
 import org.sedgeroad.batch.OwnedJobRunner;
@@ -24,6 +27,7 @@
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.exchange.ChangeExchange;
+import org.sedgeroad.gateway.AnnouncementReceiver;
 import org.sedgeroad.gateway.Gateway;
 import org.sedgeroad.gateway.GatewayDependencies;
 import org.sedgeroad.gateway.RouteTableHolder;
@@ -117,6 +121,8 @@
   private final HubExchange hubExchange;
   private final InstanceDirectory instances;
   private final Dispatcher dispatcher;
+  private final AnnouncementTable announcements;
+  private final EndpointAnnouncements endpointAnnouncements;
   private final EndpointsUpdater endpointsUpdater;
   private final Gateway gateway;
   private final OwnedJobRunner runner;
@@ -175,6 +181,8 @@
             hubExchange.view(),
             clock,
             () -> ThreadLocalRandom.current().nextDouble());
+    this.announcements = new AnnouncementTable(clock);
+    this.endpointAnnouncements = createEndpointAnnouncements();
     this.endpointsUpdater = new EndpointsUpdater(platform, routes, dispatcher, clock, log);
     BatchDependencies batch = createBatchDependencies();
     this.runner = new OwnedJobRunner(batch);
@@ -235,7 +243,7 @@
         storeWorkers,
         routes,
         dispatcher,
-        platform.endpointClient(httpClient),
+        new AnnouncementReceiver(platform.endpointClient(httpClient), endpointAnnouncements),
         hubExchange.view(),
         eventLoop,
         clock,
@@ -268,6 +276,18 @@
     return new SuspicionGuard(table, exchange, quarantines, eventLoop, log);
   }
 
+  private EndpointAnnouncements createEndpointAnnouncements() {
+    ChangeExchange<VersionedAnnouncement> exchange =
+        new ChangeExchange<>(
+            announcements,
+            changes -> {},
+            AnnouncementTable.ANNOUNCEMENTS_IN_MESSAGE,
+            hubExchange::isHub,
+            eventLoop,
+            clock);
+    return new EndpointAnnouncements(announcements, exchange, metrics, clock, log);
+  }
+
   private KindWatcher watch(
       ObjectStore store, String kind, LongSupplier quietMillis, KindWatcher.Listener listener) {
     KindWatcher watcher = createWatcher(store, kind, quietMillis, listener);
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -53,6 +53,10 @@
   ANSWER_BROKEN(3008, Level.INFO, "answer broken"),
   /** An endpoint was registered, or its registration changed or was removed. */
   ENDPOINT_CHANGED(4007, Level.INFO, "endpoint changed"),
+  /** An endpoint announced in an answer that it is leaving, or the rate that it accepts. */
+  ENDPOINT_ANNOUNCED(4008, Level.INFO, "endpoint announced a change"),
+  /** An endpoint's announcement about itself is not valid and is ignored. */
+  ANNOUNCEMENT_INVALID(4009, Level.WARNING, "announcement of an endpoint is not valid"),
   /** An endpoint refuses new work and receives no more requests. */
   ENDPOINT_DRAINING(4001, Level.INFO, "endpoint draining"),
   /** An endpoint refused a request or a connection, or a connection to it broke. */
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/ServiceEndpoint.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/ServiceEndpoint.java
@@ -12,9 +12,22 @@
  * @param domain failure domain
  * @param slots number of requests that it processes at once
  * @param draining whether it must not get new work
+ * @param startedMillis time of its start in milliseconds since the epoch, 0 if it does not state it
  */
 public record ServiceEndpoint(
-    String name, String service, String address, String domain, int slots, boolean draining) {
+    String name,
+    String service,
+    String address,
+    String domain,
+    int slots,
+    boolean draining,
+    long startedMillis) {
+
+  /** Creates an endpoint that does not state the time of its start. */
+  public ServiceEndpoint(
+      String name, String service, String address, String domain, int slots, boolean draining) {
+    this(name, service, address, domain, slots, draining, 0);
+  }
 
   /**
    * Checks the components.
@@ -30,6 +43,11 @@
 
   /** Returns a copy of this endpoint with another number of slots. */
   public ServiceEndpoint withSlots(int next) {
-    return new ServiceEndpoint(name, service, address, domain, next, draining);
+    return new ServiceEndpoint(name, service, address, domain, next, draining, startedMillis);
+  }
+
+  /** Returns a name that a process which starts again under the same name does not share. */
+  public String incarnation() {
+    return startedMillis == 0 ? name : name + "#" + startedMillis;
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -12,8 +12,10 @@
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -342,10 +344,15 @@
     headReceived = true;
     ClientResponse answer = exchange.getResponse();
     Map<String, String> headers = new LinkedHashMap<>();
+    Set<String> repeated = new HashSet<>();
     for (HeaderValues values : answer.getResponseHeaders()) {
-      headers.put(values.getHeaderName().toString(), values.getFirst());
+      String name = values.getHeaderName().toString();
+      headers.put(name, values.getFirst());
+      if (values.size() > 1) {
+        repeated.add(name);
+      }
     }
-    listener.onHead(new HttpHead(answer.getResponseCode(), headers));
+    listener.onHead(new HttpHead(answer.getResponseCode(), headers, repeated));
     StreamSourceChannel source = exchange.getResponseChannel();
     source.getReadSetter().set(channel -> readAvailable((StreamSourceChannel) channel, exchange));
     if (readAvailable(source, exchange)) {
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
@@ -53,6 +53,11 @@
           .help("Refusals of requests like those under which endpoints crashed.")
           .labelNames("route", "reason")
           .register(registry);
+  private final Counter invalidAnnouncements =
+      Counter.builder()
+          .name("sedgeroad_gateway_invalid_announcements_total")
+          .help("Headers about the endpoint itself that are ignored because they are not valid.")
+          .register(registry);
   private final Counter items =
       Counter.builder()
           .name("sedgeroad_gateway_batch_items_total")
@@ -99,6 +104,11 @@
     quarantineRefusals.labelValues(route, reason.name()).inc();
   }
 
+  /** Records headers of an answer about the endpoint itself that are not valid. */
+  public void recordInvalidAnnouncements(int headers) {
+    invalidAnnouncements.inc(headers);
+  }
+
   /**
    * Records the end of a run of a batch item.
    *
