Keep to the rates that endpoints announce, over all instances together

Cause: nothing read the rate. Placement knew slots only, and an endpoint in need has free slots, so that it even got more than others.

Change: announcements go through the hubs like series of crashes. Only some instances use a limited endpoint, its senders, those of its region first, chosen by rendezvous hashing; all others see it as one without room. Senders report what they sent in a window of about 4 s, the hubs add it up with the loads, and a sender sends while the sum is below the limit, at most its even share of the rest until the others know of it. So the shares follow the demand, and the senders exceed the limit by less than their number. A sender that is not heard keeps its even share for 15 s; one that hears nobody uses its own. Live requests use limited endpoints once no other has a free slot, items use them first, because a rate is used best by long work. A request that no limited endpoint accepts in time is refused at once.

--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ExchangeExperiment.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ExchangeExperiment.java
@@ -104,7 +104,8 @@
         }
       }
       LoadReport report =
-          new LoadReport("i" + sender, 1, number + 1, 1, 1, 0, Map.of(), Map.of(), work, false);
+          new LoadReport(
+              "i" + sender, 1, number + 1, 1, 1, 0, Map.of(), Map.of(), work, Map.of(), false);
       table.receive(report, MonotonicClock.SYSTEM.nanos());
       dispatcher.refresh();
       if (number == size.instances()) {
@@ -143,7 +144,7 @@
               "d0",
               1,
               number + 1,
-              new LoadTotals(size.instances(), 1, 1, 0, Map.of(), Map.of(), endpoints),
+              new LoadTotals(size.instances(), 1, 1, 0, Map.of(), Map.of(), endpoints, Map.of()),
               reporters));
       if (number == size.instances()) {
         submitWaiting(dispatcher[0]);
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -34,6 +34,7 @@
 import org.sedgeroad.http.IoEventLoop;
 import org.sedgeroad.http.PooledHttpClient;
 import org.sedgeroad.metric.GatewayMetrics;
+import org.sedgeroad.placement.AnnouncedRestrictions;
 import org.sedgeroad.placement.Dispatcher;
 import org.sedgeroad.presence.HubExchange;
 import org.sedgeroad.presence.LoadExchange;
@@ -86,6 +87,12 @@
    */
   private static final int STORE_THREADS = 6;
 
+  /**
+   * Time after which the hubs repeat the announcements of endpoints to instances that may have
+   * missed them, such as those that have started since, in milliseconds.
+   */
+  private static final long REPEAT_ANNOUNCEMENTS_MILLIS = 5_000;
+
   /**
    * Time between two checks for idle client connections, in milliseconds; the idle limits are
    * several seconds.
@@ -183,6 +190,15 @@
             () -> ThreadLocalRandom.current().nextDouble());
     this.announcements = new AnnouncementTable(clock);
     this.endpointAnnouncements = createEndpointAnnouncements();
+    dispatcher.setRestrictions(
+        new AnnouncedRestrictions(
+            settings.instance(),
+            settings.domain(),
+            name -> this.settings.region(name),
+            instances::domainsByInstance,
+            announcements,
+            hubExchange.view(),
+            clock));
     this.endpointsUpdater = new EndpointsUpdater(platform, routes, dispatcher, clock, log);
     BatchDependencies batch = createBatchDependencies();
     this.runner = new OwnedJobRunner(batch);
@@ -280,11 +296,12 @@
     ChangeExchange<VersionedAnnouncement> exchange =
         new ChangeExchange<>(
             announcements,
-            changes -> {},
+            hubExchange::spreadAnnouncements,
             AnnouncementTable.ANNOUNCEMENTS_IN_MESSAGE,
             hubExchange::isHub,
             eventLoop,
             clock);
+    hubExchange.setAnnouncementListener(exchange::receive);
     return new EndpointAnnouncements(announcements, exchange, metrics, clock, log);
   }
 
@@ -345,6 +362,7 @@
           jobWatch.start();
           scheduleRepeatedly(HubExchange.TICK_MILLIS, this::exchangeLoads);
           scheduleRepeatedly(JOB_CHECK_MILLIS, this::runPeriodicChecks);
+          scheduleRepeatedly(REPEAT_ANNOUNCEMENTS_MILLIS, this::repeatAnnouncements);
           scheduleRepeatedly(IDLE_CHECK_MILLIS, this::closeIdleConnections);
         });
     log.log(
@@ -506,6 +524,7 @@
             runner.readyByQueue(),
             jobs.waitingTokens(),
             dispatcher.occupancy(),
+            dispatcher.sentToLimited(),
             leaving));
   }
 
@@ -516,6 +535,12 @@
     endpointsLag.check(others.endpointsVersion() > endpointsWatcher.version());
   }
 
+  private void repeatAnnouncements() {
+    if (hubExchange.isFirstHub()) {
+      endpointAnnouncements.repeat();
+    }
+  }
+
   private void closeIdleConnections() {
     long idleNanos = routes.current().limits().idleTimeoutMillis() * 1_000_000L;
     connections.closeIdleSince(clock.nanos() - idleNanos);
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -48,6 +48,12 @@
    */
   private static final long STALL_MILLIS = 1_000;
 
+  /**
+   * Longest time after which the client of a request that no endpoint accepts in time may retry, in
+   * milliseconds; another instance may accept it, or an endpoint may accept more by then.
+   */
+  private static final long MAXIMUM_RETRY_MILLIS = 1_000;
+
   /** Largest part of an answer that is kept for a client, in bytes. */
   private static final long MAXIMUM_KEPT_BYTES = 8 * 1024 * 1024;
 
@@ -128,6 +134,11 @@
       refuseForLackOfEndpoints();
       return;
     }
+    long rateWaitNanos = dependencies.dispatcher().nanosUntilRateAllows(service, excluded);
+    if (rateWaitNanos >= deadlineNanos - dependencies.clock().nanos()) {
+      refuseForRate(rateWaitNanos);
+      return;
+    }
     demand =
         LiveDemand.of(
             service, route.priority(), objectiveNanos, deadlineNanos, excluded, this::send);
@@ -143,6 +154,18 @@
     }
   }
 
+  private void refuseForRate(long waitNanos) {
+    String text = "all endpoints of " + service + " accept a limited rate only";
+    long retryAt =
+        Math.min(
+            dependencies.clock().nanos() + waitNanos,
+            dependencies.clock().deadlineAfterMillis(MAXIMUM_RETRY_MILLIS));
+    fail(
+        possibleRuns > 0
+            ? Refusal.of(Refusal.Reason.UNKNOWN, text)
+            : new Refusal(Refusal.Reason.NOT_RUN, text, retryAt));
+  }
+
   private void send(ServiceEndpoint endpoint) {
     demand = null;
     if (!suspicionCheck.maySend()) {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/BatchPlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/BatchPlacement.java
@@ -40,7 +40,7 @@
    */
   public static int allowance(
       EndpointLoad load, double fraction, int ownReady, int allReady, double rounding) {
-    int free = load.free() - RESERVED_SLOTS;
+    int free = load.startable() - RESERVED_SLOTS;
     if (load.suspect() || free <= 0 || ownReady <= 0) {
       return 0;
     }
@@ -67,7 +67,7 @@
     int free = 0;
     int live = 0;
     for (EndpointLoad load : loads) {
-      free += load.suspect() ? 0 : Math.max(0, load.free());
+      free += load.suspect() ? 0 : Math.max(0, load.startable());
       live += load.live();
     }
     return free == 0 ? 0 : Math.max(0, free - VARIATION * Math.sqrt(live) - before) / free;
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/DeferredPlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/DeferredPlacement.java
@@ -32,7 +32,8 @@
   }
 
   /**
-   * Returns how many deferrable requests this instance places in a round.
+   * Returns how many deferrable requests this instance places in a round: its share of the free
+   * slots, and what it may send to endpoints with a limited rate, which is its share already.
    *
    * @param loads loads of the endpoints of the service
    * @param own number of deferrable requests of this instance, positive
@@ -45,11 +46,17 @@
    */
   public static int share(
       List<EndpointLoad> loads, int own, int others, int notReporting, double rounding) {
-    double free =
-        LivePlacement.healthy(loads).stream()
-            .mapToInt(load -> Math.max(0, load.endpoint().slots() - load.live()))
-            .sum();
+    double free = 0;
+    double allowed = 0;
+    for (EndpointLoad load : LivePlacement.healthy(loads)) {
+      int room = Math.max(0, load.endpoint().slots() - load.live());
+      if (load.isLimited()) {
+        allowed += Math.min(room, load.allowance());
+      } else {
+        free += room;
+      }
+    }
     double ownShare = (double) own / (own * (1.0 + notReporting) + others);
-    return Math.min(own, (int) Math.floor(free * ownShare + rounding));
+    return Math.min(own, (int) Math.floor(free * ownShare + allowed + rounding));
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.UnaryOperator;
@@ -41,6 +43,7 @@
 
   private Map<String, ServiceEndpoint> endpointsByName = new LinkedHashMap<>();
   private Set<String> unregisteredNames = Set.of();
+  private EndpointRestrictions restrictions = EndpointRestrictions.NONE;
   private BatchSource batchSource = BatchSource.NONE;
   private Runnable changeListener = () -> {};
   private long lastDeferralRoundNanos;
@@ -72,6 +75,13 @@
         clock.nanos() - DeferredPlacement.ROUND_TIMEOUT_MILLIS * 1_000_000L;
   }
 
+  /**
+   * Sets what restricts the requests to endpoints; {@link EndpointRestrictions#NONE} until then.
+   */
+  public void setRestrictions(EndpointRestrictions next) {
+    restrictions = next;
+  }
+
   /** Sets the source of the batch items; {@link BatchSource#NONE} until then. */
   public void setBatchSource(BatchSource source) {
     batchSource = source;
@@ -108,6 +118,7 @@
     ownOccupancy
         .keySet()
         .removeIf(name -> !next.containsKey(name) && ownOccupancy.get(name).isEmpty());
+    restrictions.retain(endpointsByName.values());
     placeWaiting(Map.of(), Optional.empty());
   }
 
@@ -118,12 +129,41 @@
    * @param excluded names of endpoints that don't count
    */
   public boolean hasEndpoint(String service, Set<String> excluded) {
+    return !usable(service, excluded).isEmpty();
+  }
+
+  /**
+   * Returns the time until a live request that arrives now can be sent if each endpoint of its
+   * service accepts only a limited rate, in nanoseconds; 0 if one states no limit.
+   *
+   * @param service name of the service
+   * @param excluded names of endpoints that the request must not use
+   */
+  public long nanosUntilRateAllows(String service, Set<String> excluded) {
+    double rate = 0;
+    for (ServiceEndpoint endpoint : usable(service, excluded)) {
+      OptionalDouble limit = restrictions.rate(endpoint);
+      if (limit.isEmpty() || restrictions.allowance(endpoint) > 0) {
+        return 0;
+      }
+      rate += limit.getAsDouble();
+    }
+    int before = waiting.size() + fleetLoad.others(clock.nanos()).liveWaiting();
+    return (long) Math.min(Long.MAX_VALUE / 4, (before + 1) / rate * 1e9);
+  }
+
+  private List<ServiceEndpoint> usable(String service, Set<String> excluded) {
     return endpointsByName.values().stream()
-        .anyMatch(
+        .filter(
             endpoint ->
                 endpoint.service().equals(service)
-                    && !endpoint.draining()
-                    && !excluded.contains(endpoint.name()));
+                    && acceptsWork(endpoint)
+                    && !excluded.contains(endpoint.name()))
+        .toList();
+  }
+
+  private boolean acceptsWork(ServiceEndpoint endpoint) {
+    return !endpoint.draining() && !restrictions.isLeaving(endpoint);
   }
 
   /**
@@ -175,6 +215,7 @@
    */
   public void tick(int peersExpected) {
     distances.clear();
+    restrictions.update(peersExpected);
     placeWaiting(deferredShares(peersExpected), Optional.empty());
     preemptItems();
     startItems(List.copyOf(endpointsByName.values()), false);
@@ -192,6 +233,14 @@
     return current;
   }
 
+  /**
+   * Returns the number of requests that this instance has sent lately to endpoints with a limited
+   * rate, by the names of their incarnations.
+   */
+  public Map<String, Integer> sentToLimited() {
+    return restrictions.sentToLimited();
+  }
+
   /**
    * Returns the load of each endpoint of a service that accepts new work.
    *
@@ -201,12 +250,8 @@
   public List<EndpointLoad> loads(String service, Set<String> excluded) {
     LoadTotals others = fleetLoad.others(clock.nanos());
     List<EndpointLoad> loads = new ArrayList<>();
-    for (ServiceEndpoint endpoint : endpointsByName.values()) {
-      if (endpoint.service().equals(service)
-          && !endpoint.draining()
-          && !excluded.contains(endpoint.name())) {
-        loads.add(load(endpoint, others));
-      }
+    for (ServiceEndpoint endpoint : usable(service, excluded)) {
+      loads.add(load(endpoint, others));
     }
     return loads;
   }
@@ -219,6 +264,7 @@
           if (chosen.preemptBatch()) {
             preemptItem(chosen.endpoint().name());
           }
+          restrictions.sent(chosen.endpoint());
           addOccupancy(chosen.endpoint().name(), WorkClass.LIVE, 1);
           demand.place(chosen.endpoint());
         });
@@ -375,12 +421,14 @@
       List<EndpointLoad> loads = loads(queue.service(), Set.of());
       fractions.put(queue, BatchPlacement.startableFraction(loads, before));
     }
-    for (ServiceEndpoint endpoint : endpoints) {
+    List<ServiceEndpoint> limitedFirst = new ArrayList<>(endpoints);
+    limitedFirst.sort(Comparator.comparing(endpoint -> restrictions.rate(endpoint).isEmpty()));
+    for (ServiceEndpoint endpoint : limitedFirst) {
       BatchQueue onTime = BatchQueue.onTime(endpoint.service());
       BatchQueue queue =
           ownReady.getOrDefault(onTime, 0) > 0 ? onTime : BatchQueue.late(endpoint.service());
       double fraction = fractions.getOrDefault(queue, 0.0);
-      if (!endpoint.draining() && fraction > 0) {
+      if (acceptsWork(endpoint) && fraction > 0) {
         int allReady = readyOfAll(queue, ownReady, others);
         int started =
             startItemsAt(
@@ -401,11 +449,12 @@
       EndpointLoad load, double fraction, int ownReady, int allReady, boolean reusesOwnSlot) {
     int allowed =
         BatchPlacement.allowance(load, fraction, ownReady, allReady, random.getAsDouble());
-    if (reusesOwnSlot && load.free() > BatchPlacement.RESERVED_SLOTS) {
+    if (reusesOwnSlot && load.startable() > BatchPlacement.RESERVED_SLOTS) {
       allowed = Math.max(allowed, 1);
     }
     int started = 0;
     while (started < allowed && batchSource.startNext(load.endpoint())) {
+      restrictions.sent(load.endpoint());
       addOccupancy(load.endpoint().name(), WorkClass.BATCH, 1);
       started++;
     }
@@ -430,7 +479,8 @@
         ours.batch() + theirs.batch(),
         ours.batch(),
         unregisteredNames.contains(endpoint.name())
-            || health.isSuspect(endpoint.name(), clock.nanos()));
+            || health.isSuspect(endpoint.name(), clock.nanos()),
+        restrictions.allowance(endpoint));
   }
 
   private EndpointLoad.Distance distance(String other) {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointLoad.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointLoad.java
@@ -12,6 +12,8 @@
  * @param batch number of batch items of all instances at the endpoint
  * @param ownBatch number of batch items of this instance at the endpoint
  * @param suspect whether the endpoint failed recently or has no registration
+ * @param allowance number of requests that this instance may send to the endpoint now, because the
+ *     endpoint accepts a limited rate only; {@link Integer#MAX_VALUE} without a limit
  */
 public record EndpointLoad(
     ServiceEndpoint endpoint,
@@ -19,7 +21,8 @@
     int live,
     int batch,
     int ownBatch,
-    boolean suspect) {
+    boolean suspect,
+    int allowance) {
 
   /** Location of an endpoint relative to this instance. */
   public enum Distance {
@@ -31,6 +34,17 @@
     OTHER_REGION
   }
 
+  /** Creates the load of an endpoint that states no limit. */
+  public EndpointLoad(
+      ServiceEndpoint endpoint,
+      Distance distance,
+      int live,
+      int batch,
+      int ownBatch,
+      boolean suspect) {
+    this(endpoint, distance, live, batch, ownBatch, suspect, Integer.MAX_VALUE);
+  }
+
   /**
    * Checks the components.
    *
@@ -50,4 +64,17 @@
   public int free() {
     return endpoint.slots() - occupied();
   }
+
+  /** Returns whether the endpoint accepts a limited rate only. */
+  public boolean isLimited() {
+    return allowance < Integer.MAX_VALUE;
+  }
+
+  /**
+   * Returns the number of free slots that this instance may use now; negative if work is queued
+   * inside the endpoint.
+   */
+  public int startable() {
+    return Math.min(free(), allowance);
+  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
@@ -9,7 +9,9 @@
  * Chooses the endpoint for a live request.
  *
  * <p>A free slot is preferred, then the slot of a batch item of this instance, then a short queue
- * inside an endpoint. If none of these is available, the request waits in the instance.
+ * inside an endpoint. If none of these is available, the request waits in the instance. Free slots
+ * of endpoints that accept a limited rate come after those of others: a rate is used best by items,
+ * which are longer, and by the requests that find no other slot.
  */
 public final class LivePlacement {
   /**
@@ -44,7 +46,8 @@
   public static Optional<LiveChoice> choose(
       List<EndpointLoad> loads, boolean deferrable, DoubleSupplier random) {
     List<EndpointLoad> candidates = healthy(loads);
-    return weighted(candidates, EndpointLoad::free, random)
+    return weighted(candidates, LivePlacement::unlimitedFree, random)
+        .or(() -> weighted(candidates, EndpointLoad::startable, random))
         .map(load -> new LiveChoice(load.endpoint(), false))
         .or(
             () ->
@@ -52,14 +55,24 @@
                     .map(load -> new LiveChoice(load.endpoint(), true)))
         .or(
             () ->
-                weighted(candidates, load -> load.endpoint().slots() - load.live(), random)
+                weighted(candidates, LivePlacement::preemptible, random)
                     .or(() -> weighted(candidates, load -> queueRoom(load, deferrable), random))
                     .map(load -> new LiveChoice(load.endpoint(), false)));
   }
 
+  /** Returns the number of free slots of an endpoint, 0 if it accepts a limited rate only. */
+  private static int unlimitedFree(EndpointLoad load) {
+    return load.isLimited() ? 0 : load.free();
+  }
+
   /** Returns the number of own items at an endpoint that may give way to live requests. */
   private static int ownPreemptible(EndpointLoad load) {
-    return Math.min(load.ownBatch(), load.endpoint().slots() - load.live());
+    return Math.min(load.ownBatch(), preemptible(load));
+  }
+
+  /** Returns the number of slots that live requests may still take from items of any instance. */
+  private static int preemptible(EndpointLoad load) {
+    return Math.min(load.endpoint().slots() - load.live(), load.allowance());
   }
 
   /**
@@ -68,7 +81,8 @@
    * could not overtake it.
    */
   private static int queueRoom(EndpointLoad load, boolean deferrable) {
-    return deferrable ? 0 : load.endpoint().slots() + MAXIMUM_QUEUE_IN_ENDPOINT - load.live();
+    int room = load.endpoint().slots() + MAXIMUM_QUEUE_IN_ENDPOINT - load.live();
+    return deferrable ? 0 : Math.min(room, load.allowance());
   }
 
   /** Returns the endpoints that are not suspect, or all of them if each one is. */
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoad.java
@@ -28,6 +28,9 @@
    */
   boolean isLive(String instance, long nowNanos);
 
+  /** Returns whether the work of an instance is part of the sums of the loads. */
+  boolean isCounted(String instance, long nowNanos);
+
   /** Returns whether an instance has announced that it is leaving. */
   boolean isLeaving(String instance);
 
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
@@ -34,6 +34,14 @@
    */
   static final long DOMAIN_FAILURE_TIMEOUT_MILLIS = 8_000;
 
+  /**
+   * Age of the last news of an instance up to which its work is part of the sums, in milliseconds:
+   * the age of a report that a hub still counts, and the time between two summaries that contain
+   * the states of all instances.
+   */
+  private static final long COUNTED_MILLIS =
+      LoadReportTable.COUNTS_VALID_MILLIS + HubExchange.COMPLETE_MILLIS;
+
   private record Sent(LoadReport report, long sentNanos) {}
 
   private record Heard(long heardNanos, boolean leaving) {}
@@ -140,6 +148,12 @@
     }
   }
 
+  @Override
+  public boolean isCounted(String name, long nowNanos) {
+    Heard last = heard.get(name);
+    return last != null && nowNanos - last.heardNanos() < COUNTED_MILLIS * 1_000_000L;
+  }
+
   @Override
   public boolean isLeaving(String name) {
     Heard last = heard.get(name);
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -10,13 +10,14 @@
 import java.util.function.Supplier;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.announcement.VersionedAnnouncement;
 import org.sedgeroad.suspicion.CrashSeries;
 
 /**
  * Exchange of loads through the hubs of the failure domains: each instance sends its reports to the
  * hubs of its domain, the hubs exchange the sums of their domains, and publish the sums of the
- * fleet to the instances of their domain. Series of crashes take the same way. Used on the event
- * loop.
+ * fleet to the instances of their domain. Series of crashes and announcements of endpoints take the
+ * same way. Used on the event loop.
  *
  * <p>An instance that is no hub sends and receives as many messages in a fleet of any size; a hub
  * as many as its domain has instances and the fleet has domains.
@@ -50,7 +51,7 @@
   private static final long SELECTION_MILLIS = 100;
 
   /** Time between two summaries that contain the states of all instances, in milliseconds. */
-  private static final long COMPLETE_MILLIS = 250;
+  static final long COMPLETE_MILLIS = 250;
 
   /** Time between two reports to a hub that is not heard, in milliseconds. */
   private static final long PROBE_MILLIS = 1_000;
@@ -67,6 +68,7 @@
   private final PacedTask fleetPublisher;
   private final PacedTask domainPublisher;
   private Consumer<Map<String, CrashSeries>> crashListener = series -> {};
+  private Consumer<Map<String, VersionedAnnouncement>> announcementListener = news -> {};
   private LoadReport lastReport;
   private long sequence;
   private final Interval unchangedReport = new Interval();
@@ -176,13 +178,22 @@
    * domain and to the hubs of the others.
    */
   public void spread(Map<String, CrashSeries> series) {
+    sendNews(new CrashNews(instance, series));
+  }
+
+  /** Sends announcements of endpoints in the same way as {@link #spread} sends series. */
+  public void spreadAnnouncements(Map<String, VersionedAnnouncement> announcements) {
+    sendNews(new AnnouncementNews(instance, announcements));
+  }
+
+  private void sendNews(LoadMessage news) {
     Set<String> receivers = new HashSet<>(hubsByDomain.get(domain));
     if (hubRole) {
       receivers.addAll(members);
       hubsByDomain.values().forEach(receivers::addAll);
     }
     receivers.remove(instance);
-    sender.send(new CrashNews(instance, series), receivers);
+    sender.send(news, receivers);
   }
 
   /** Sets the receiver of the series of crashes that other instances send. */
@@ -190,11 +201,18 @@
     crashListener = listener;
   }
 
+  /** Sets the receiver of the announcements of endpoints that other instances send. */
+  public void setAnnouncementListener(Consumer<Map<String, VersionedAnnouncement>> listener) {
+    announcementListener = listener;
+  }
+
   /** Receives a message of another instance. */
   public void receive(LoadMessage message) {
     long now = clock.nanos();
     if (message instanceof CrashNews news) {
       crashListener.accept(news.series());
+    } else if (message instanceof AnnouncementNews news) {
+      announcementListener.accept(news.announcements());
     } else if (message instanceof LoadReport report) {
       view.messageReceived(now);
       // An instance of another domain, or one that is not registered, is not counted here.
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
@@ -9,6 +9,8 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.sedgeroad.announcement.Announcement;
+import org.sedgeroad.announcement.VersionedAnnouncement;
 import org.sedgeroad.suspicion.CrashSeries;
 
 /** Encodes and decodes load messages as sequences of MessagePack values. */
@@ -16,12 +18,13 @@
   /**
    * Version of the layout, first value of each datagram; each change of the layout increases it.
    */
-  private static final int LAYOUT = 2;
+  private static final int LAYOUT = 3;
 
   private static final int REPORT = 0;
   private static final int DOMAIN_SUMMARY = 1;
   private static final int FLEET_SUMMARY = 2;
   private static final int CRASH_NEWS = 3;
+  private static final int ANNOUNCEMENT_NEWS = 4;
 
   private LoadMessageCodec() {}
 
@@ -38,6 +41,9 @@
       } else if (message instanceof CrashNews news) {
         packer.packInt(CRASH_NEWS);
         pack(packer, news);
+      } else if (message instanceof AnnouncementNews news) {
+        packer.packInt(ANNOUNCEMENT_NEWS);
+        pack(packer, news);
       }
       return packer.toByteArray();
     }
@@ -55,6 +61,7 @@
         case DOMAIN_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.DOMAIN);
         case FLEET_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.FLEET);
         case CRASH_NEWS -> unpackNews(unpacker);
+        case ANNOUNCEMENT_NEWS -> unpackAnnouncements(unpacker);
         default -> throw new IOException("unknown kind " + kind);
       };
     } catch (RuntimeException malformed) {
@@ -78,6 +85,7 @@
       packer.packInt(entry.getValue().live());
       packer.packInt(entry.getValue().batch());
     }
+    packCounts(packer, report.sentToLimited());
     packer.packBoolean(report.leaving());
   }
 
@@ -95,6 +103,7 @@
       occupancy.put(
           unpacker.unpackString(), new Occupancy(unpacker.unpackInt(), unpacker.unpackInt()));
     }
+    Map<String, Integer> sent = unpackCounts(unpacker);
     boolean leaving = unpacker.unpackBoolean();
     return new LoadReport(
         instance,
@@ -106,6 +115,7 @@
         ready,
         tokens,
         occupancy,
+        sent,
         leaving);
   }
 
@@ -128,6 +138,7 @@
       packer.packInt(entry.getValue().batch());
       packer.packString(entry.getValue().firstHolder());
     }
+    packCounts(packer, totals.sentToLimited());
     packer.packMapHeader(summary.reporters().size());
     for (Map.Entry<String, ReporterState> entry : summary.reporters().entrySet()) {
       packer.packString(entry.getKey());
@@ -156,6 +167,7 @@
           unpacker.unpackString(),
           new EndpointTotal(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackString()));
     }
+    Map<String, Integer> sent = unpackCounts(unpacker);
     Map<String, ReporterState> reporters = new HashMap<>();
     for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
       reporters.put(
@@ -173,7 +185,7 @@
         incarnation,
         sequence,
         new LoadTotals(
-            reporterCount, version, endpointsVersion, liveWaiting, ready, tokens, endpoints),
+            reporterCount, version, endpointsVersion, liveWaiting, ready, tokens, endpoints, sent),
         reporters);
   }
 
@@ -207,6 +219,32 @@
     return new CrashNews(instance, series);
   }
 
+  private static void pack(MessagePacker packer, AnnouncementNews news) throws IOException {
+    packer.packString(news.instance());
+    packer.packMapHeader(news.announcements().size());
+    for (Map.Entry<String, VersionedAnnouncement> entry : news.announcements().entrySet()) {
+      Announcement announcement = entry.getValue().announcement();
+      packer.packString(entry.getKey());
+      packer.packLong(entry.getValue().number());
+      packer.packDouble(announcement.requestsPerSecond());
+      packer.packBoolean(announcement.leaving());
+    }
+  }
+
+  private static AnnouncementNews unpackAnnouncements(MessageUnpacker unpacker) throws IOException {
+    String instance = unpacker.unpackString();
+    Map<String, VersionedAnnouncement> announcements = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      String endpoint = unpacker.unpackString();
+      long number = unpacker.unpackLong();
+      double rate = unpacker.unpackDouble();
+      announcements.put(
+          endpoint,
+          new VersionedAnnouncement(number, new Announcement(rate, unpacker.unpackBoolean())));
+    }
+    return new AnnouncementNews(instance, announcements);
+  }
+
   private static void packCounts(MessagePacker packer, Map<String, ? extends Number> counts)
       throws IOException {
     packer.packMapHeader(counts.size());
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
@@ -15,6 +15,8 @@
  * @param batchReady number of batch items that could start, by the report name of their queue
  * @param waitingTokens tokens of unfinished items of the jobs that the instance runs, by route
  * @param occupancy numbers of live requests and batch items of the instance, by endpoint name
+ * @param sentToLimited number of requests that the instance has sent lately to endpoints with a
+ *     limited rate, by the names of their incarnations, without those that got none
  * @param leaving whether the instance is stopping and has given up its jobs
  */
 public record LoadReport(
@@ -27,6 +29,7 @@
     Map<String, Integer> batchReady,
     Map<String, Long> waitingTokens,
     Map<String, Occupancy> occupancy,
+    Map<String, Integer> sentToLimited,
     boolean leaving)
     implements LoadMessage {
 
@@ -40,6 +43,7 @@
     batchReady = Map.copyOf(batchReady);
     waitingTokens = Map.copyOf(waitingTokens);
     occupancy = Map.copyOf(occupancy);
+    sentToLimited = Map.copyOf(sentToLimited);
   }
 
   /** Returns a copy of this report with another sequence number. */
@@ -54,6 +58,7 @@
         batchReady,
         waitingTokens,
         occupancy,
+        sentToLimited,
         leaving);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
@@ -105,6 +105,13 @@
         && nowNanos - received.receivedNanos() < FAILURE_TIMEOUT_MILLIS * 1_000_000L;
   }
 
+  @Override
+  public boolean isCounted(String instance, long nowNanos) {
+    Received received = reports.get(instance);
+    return received != null
+        && nowNanos - received.receivedNanos() < COUNTS_VALID_MILLIS * 1_000_000L;
+  }
+
   @Override
   public boolean isLeaving(String instance) {
     Received received = reports.get(instance);
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
@@ -16,6 +16,7 @@
  * @param batchReady number of batch items that could start, by the report name of their queue
  * @param waitingTokens tokens of unfinished items, by route
  * @param endpoints work at the endpoints by name, without endpoints that have none
+ * @param sentToLimited number of requests sent lately to endpoints with a limited rate
  */
 public record LoadTotals(
     int reporters,
@@ -24,9 +25,11 @@
     int liveWaiting,
     Map<String, Integer> batchReady,
     Map<String, Long> waitingTokens,
-    Map<String, EndpointTotal> endpoints) {
+    Map<String, EndpointTotal> endpoints,
+    Map<String, Integer> sentToLimited) {
   /** The sums of no instance. */
-  public static final LoadTotals NONE = new LoadTotals(0, 0, 0, 0, Map.of(), Map.of(), Map.of());
+  public static final LoadTotals NONE =
+      new LoadTotals(0, 0, 0, 0, Map.of(), Map.of(), Map.of(), Map.of());
 
   /**
    * Copies the maps.
@@ -37,6 +40,7 @@
     batchReady = Map.copyOf(batchReady);
     waitingTokens = Map.copyOf(waitingTokens);
     endpoints = Map.copyOf(endpoints);
+    sentToLimited = Map.copyOf(sentToLimited);
   }
 
   /** Returns the sums of reports of different instances. */
@@ -56,6 +60,7 @@
     Map<String, Integer> ready = new HashMap<>();
     Map<String, Long> tokens = new HashMap<>();
     Map<String, EndpointTotal> endpoints = new HashMap<>();
+    Map<String, Integer> sent = new HashMap<>();
     for (LoadTotals part : parts) {
       reporters += part.reporters;
       version = Math.max(version, part.configurationVersion);
@@ -66,9 +71,10 @@
       part.endpoints.forEach(
           (name, total) ->
               endpoints.merge(name, total, (before, other) -> before.plus(name, other)));
+      part.sentToLimited.forEach((name, count) -> sent.merge(name, count, Integer::sum));
     }
     return new LoadTotals(
-        reporters, version, endpointsVersion, liveWaiting, ready, tokens, endpoints);
+        reporters, version, endpointsVersion, liveWaiting, ready, tokens, endpoints, sent);
   }
 
   /** Returns these sums without the report of one of the instances. */
@@ -81,6 +87,10 @@
     report
         .occupancy()
         .forEach((name, work) -> left.computeIfPresent(name, (key, total) -> total.minus(work)));
+    Map<String, Integer> sent = new HashMap<>(sentToLimited);
+    report
+        .sentToLimited()
+        .forEach((name, count) -> sent.computeIfPresent(name, (key, total) -> total - count));
     return new LoadTotals(
         Math.max(0, reporters - 1),
         configurationVersion,
@@ -88,7 +98,8 @@
         Math.max(0, liveWaiting - report.liveWaiting()),
         ready,
         tokens,
-        left);
+        left,
+        sent);
   }
 
   private static LoadTotals of(LoadReport report) {
@@ -103,6 +114,7 @@
         report.liveWaiting(),
         report.batchReady(),
         report.waitingTokens(),
-        endpoints);
+        endpoints,
+        report.sentToLimited());
   }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Nested;
@@ -91,7 +90,7 @@
   private record ReadyItemsOfOthers(Map<String, Integer> ready) implements FleetLoad {
     @Override
     public LoadTotals others(long nowNanos) {
-      return new LoadTotals(1, 0, 0, 0, ready, new HashMap<>(), new HashMap<>());
+      return new LoadTotals(1, 0, 0, 0, ready, Map.of(), Map.of(), Map.of());
     }
 
     @Override
@@ -99,6 +98,11 @@
       return true;
     }
 
+    @Override
+    public boolean isCounted(String name, long nowNanos) {
+      return true;
+    }
+
     @Override
     public boolean isLive(String name, long nowNanos) {
       return true;
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -413,6 +413,7 @@
               readyByReportName(),
               Map.of(),
               dispatcher.occupancy(),
+              dispatcher.sentToLimited(),
               false);
       if (load.exchange() == Exchange.HUBS) {
         hubExchange.report(report);
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/HubExchangeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/HubExchangeTest.java
@@ -91,6 +91,7 @@
           Map.of(),
           Map.of(),
           live == 0 ? Map.of() : Map.of("e", new Occupancy(live, 0)),
+          Map.of(),
           leaving);
     }
 
@@ -477,6 +478,7 @@
               Map.of(),
               Map.of(),
               Map.of("e", new Occupancy(9, 0)),
+              Map.of(),
               false);
       members.values().forEach(member -> member.exchange.receive(report));
       run(500);
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
@@ -24,6 +24,7 @@
           Map.of("engine", 3),
           Map.of("route", 5_000_000_000L),
           Map.of("e1", new Occupancy(4, 5)),
+          Map.of("e2", 6),
           true);
 
   @Nested
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/LoadReportTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadReportTableTest.java
@@ -19,7 +19,7 @@
 
   private static LoadReport report(String instance, long incarnation, long sequence) {
     return new LoadReport(
-        instance, incarnation, sequence, 1, 1, 0, Map.of(), Map.of(), Map.of(), false);
+        instance, incarnation, sequence, 1, 1, 0, Map.of(), Map.of(), Map.of(), Map.of(), false);
   }
 
   @Nested
--- a/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionExchangeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/suspicion/SuspicionExchangeTest.java
@@ -67,7 +67,8 @@
 
     private void tick() {
       hubs.tick();
-      hubs.report(new LoadReport(name, 1, 0, 0, 0, 0, Map.of(), Map.of(), Map.of(), false));
+      hubs.report(
+          new LoadReport(name, 1, 0, 0, 0, 0, Map.of(), Map.of(), Map.of(), Map.of(), false));
       time.after(HubExchange.TICK_MILLIS, this::tick);
     }
 
