Test heads of answers that break off

It does not happen here: Undertow's client fails an exchange whose head has no end, closed or reset, on a new or a kept connection, whatever headers it had by then.

--- a/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
@@ -12,8 +12,10 @@
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -233,4 +235,66 @@
       }
     }
   }
+
+  /** A server that stops in the middle of the head of its answer. */
+  @Nested
+  class InsideTheHead {
+    private static final String STATUS = "HTTP/1.1 200 OK";
+
+    private static final List<String> HEADS =
+        List.of(
+            "HTTP",
+            STATUS,
+            STATUS + "\r",
+            STATUS + "\r\n",
+            STATUS + "\n",
+            STATUS + "\r\nConnection: close",
+            STATUS + "\r\nConnection: close\r\n",
+            STATUS + "\r\nContent-Length: 0\r\n",
+            STATUS + "\r\nContent-Length: 0\r\n\r",
+            STATUS + "\r\nContent-Le",
+            STATUS + "\r\nContent-Type: text/event-stream\r\nX-Resp",
+            STATUS + "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n",
+            STATUS + "\r\nTransfer-Encoding: chunked\r\n",
+            "HTTP/1.0 200 OK\r\n",
+            "HTTP/1.0 200 OK");
+
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void failsTheCall(End end) {
+      AtomicReference<String> head = new AtomicReference<>();
+      serve(
+          socket -> {
+            readHead(socket);
+            socket.getOutputStream().write(head.get().getBytes(StandardCharsets.US_ASCII));
+            if (end == End.RESET_LATER) {
+              Thread.sleep(5);
+            }
+            if (end != End.CLOSED) {
+              socket.setSoLinger(true, 0);
+            }
+          });
+      for (String next : HEADS) {
+        head.set(next);
+        assertInstanceOf(HttpResult.Failed.class, call("POST", new byte[0]), next);
+        assertInstanceOf(HttpResult.Failed.class, get(), next);
+      }
+    }
+
+    /** The head of a second answer on a connection that was kept after a first one. */
+    @ParameterizedTest
+    @ValueSource(strings = {STATUS, STATUS + "\r\n", STATUS + "\r\nConnection: close\r\n"})
+    void failsTheCallOnAReusedConnection(String head) {
+      serve(
+          socket -> {
+            readHead(socket);
+            socket.getOutputStream().write((STATUS + "\r\nContent-Length: 0\r\n\r\n").getBytes());
+            readHead(socket);
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+          });
+      assertInstanceOf(HttpResult.Answered.class, get());
+      assertInstanceOf(HttpResult.Failed.class, call("POST", new byte[0]));
+      assertEquals(1, connections.get());
+    }
+  }
 }
