--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -501,7 +501,6 @@
     }
 
     private void onRejection(int status) {
-      // The rest of the answer is read and discarded, so that the connection can be reused.
       ended = true;
       dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
       attempt = null;
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -405,7 +405,9 @@
       cancelDeadlineTimer();
       String connectionOption =
           exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION);
-      if (call.newConnection() || "close".equalsIgnoreCase(connectionOption)) {
+      if (call.newConnection()
+          || !listener.allowsReuse()
+          || "close".equalsIgnoreCase(connectionOption)) {
         IoUtils.safeClose(connection);
       } else {
         String keepAlive = exchange.getResponse().getResponseHeaders().getFirst(Headers.KEEP_ALIVE);
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpListener.java
@@ -19,6 +19,14 @@
     return Long.MAX_VALUE;
   }
 
+  /**
+   * Returns whether the connection may serve another request after this answer. Called at the end
+   * of the answer.
+   */
+  default boolean allowsReuse() {
+    return true;
+  }
+
   /** Receives a part of the body. The buffer is valid only during the call. */
   void onBytes(ByteBuffer bytes);
 
