Continue a stream only with later events of the same media type

Errors, refusals, unsigned answers, those of other requests and bytes that are no answer never became part of a stream here. Two things could: a success of another media type, and a resumed run that begins with events that are there already, because the worker ignores Last-Event-Id. The first ended streams and items as complete, the second repeated events in both. Six cases of ForeignAnswerTest.AfterTheBeginningOfAStream failed before.

A resumed answer must have the media type of the one that began the stream or output, and the ids of events must increase; otherwise the run is broken and continues elsewhere, if it may. An empty answer that is complete by its framing still ends a stream: it is what a worker sends after the last event.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemProgress.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemProgress.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.sedgeroad.gateway.EndpointAnswer;
 import org.sedgeroad.gateway.EventStreamParser;
 
 /** Received part of an item's output. Must be used on the event loop. */
 final class ItemProgress {
   private final List<String> output = new ArrayList<>();
   private String lastEventId = "";
+  private EndpointAnswer begun;
 
   /** Adds an event to the output. Events without an id are ignored. */
   void add(EventStreamParser.Event event) {
@@ -17,6 +19,17 @@
     }
   }
 
+  /**
+   * Returns whether an answer can continue the output: it is of the same media type as the one that
+   * began it. The first answer begins it.
+   */
+  boolean canContinue(EndpointAnswer answer) {
+    if (output.isEmpty()) {
+      begun = answer;
+    }
+    return answer.canContinue(begun);
+  }
+
   String lastEventId() {
     return lastEventId;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -150,6 +150,8 @@
       end(Outcome.FAILED, "answered " + answer.status());
     } else if (!answer.isSuccess()) {
       end(Outcome.BROKEN, "answered " + answer.status());
+    } else if (!item.progress().canContinue(answer)) {
+      abort("the answer has another type than the one before");
     }
   }
 
@@ -160,7 +162,13 @@
       if (!events.isEmpty()) {
         progressDeadlineNanos = dependencies.clock().deadlineAfterMillis(NEXT_EVENT_MILLIS);
       }
-      events.forEach(item.progress()::add);
+      for (EventStreamParser.Event event : events) {
+        if (!event.mayFollow(item.progress().lastEventId())) {
+          abort("an event is repeated");
+          return;
+        }
+        item.progress().add(event);
+      }
       if (eventParser.isTooLong()) {
         abort("an event has no end");
       }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointAnswer.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointAnswer.java
@@ -1,5 +1,6 @@
 package org.sedgeroad.gateway;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import org.sedgeroad.announcement.ReceivedAnnouncement;
@@ -30,6 +31,23 @@
     Objects.requireNonNull(announcement);
   }
 
+  /**
+   * Returns whether this answer can continue a stream that another answer has begun: a success of
+   * the same media type.
+   */
+  public boolean canContinue(EndpointAnswer begun) {
+    return isSuccess() && mediaType().equals(begun.mediaType());
+  }
+
+  /** Returns the media type in lower case and without parameters, empty if it is not stated. */
+  private String mediaType() {
+    return headers.entrySet().stream()
+        .filter(header -> header.getKey().equalsIgnoreCase("Content-Type"))
+        .map(header -> header.getValue().split(";")[0].strip().toLowerCase(Locale.ROOT))
+        .findFirst()
+        .orElse("");
+  }
+
   /** Returns whether the status is in the range from 200 to 299. */
   public boolean isSuccess() {
     return status >= 200 && status < 300;
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /** Splits a {@code text/event-stream} into complete events. Not thread-safe. */
 public final class EventStreamParser {
@@ -16,7 +17,25 @@
    * @param data its data lines, joined by line feeds
    * @param bytes the event as received, with the blank line that ends it
    */
-  public record Event(String id, String data, byte[] bytes) {}
+  public record Event(String id, String data, byte[] bytes) {
+
+    /**
+     * Returns whether the event may come after another one: its id is higher if both ids are
+     * numbers, and different otherwise. An event without an id may come after any.
+     *
+     * @param lastId id of the other event, empty if there is none
+     */
+    public boolean mayFollow(String lastId) {
+      if (id.isEmpty() || lastId.isEmpty()) {
+        return true;
+      }
+      return NUMBER.matcher(id).matches() && NUMBER.matcher(lastId).matches()
+          ? Long.parseLong(id) > Long.parseLong(lastId)
+          : !id.equals(lastId);
+    }
+  }
+
+  private static final Pattern NUMBER = Pattern.compile("\\d{1,18}");
 
   /** Largest event that is accepted, in bytes. */
   public static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -357,10 +357,10 @@
         ended = true;
         exchange.close();
         onBrokenAnswer("the answer is not signed or belongs to another request");
-      } else if (startedAnswer != null && !received.isSuccess()) {
+      } else if (startedAnswer != null && !received.canContinue(startedAnswer)) {
         ended = true;
         exchange.close();
-        onBrokenAnswer("resumption was answered " + received.status());
+        onBrokenAnswer("resumption was answered " + received.status() + " or in another type");
       } else {
         head = received;
         if (isStream() && startedAnswer == null) {
@@ -407,6 +407,10 @@
       } else if (route.isResumableStream()) {
         // Only complete events are forwarded, so that another endpoint can continue after the last.
         for (EventStreamParser.Event event : eventParser.accept(bytes)) {
+          if (!event.mayFollow(lastEventId)) {
+            onRepeatedEvent();
+            return;
+          }
           countEvents(1);
           lastEventNanos = dependencies.clock().nanos();
           lastEventId = event.id().isEmpty() ? lastEventId : event.id();
@@ -419,6 +423,16 @@
       }
     }
 
+    private void onRepeatedEvent() {
+      ended = true;
+      exchange.close();
+      dependencies
+          .dispatcher()
+          .health()
+          .recordBrokenAnswer(endpoint.name(), dependencies.clock().nanos());
+      onBrokenAnswer("an event is repeated");
+    }
+
     private void countEvents(int events) {
       if (eventCount == 0 && events > 0) {
         suspicionCheck.recordAnswer();
