--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -48,12 +48,6 @@
    */
   private static final long STALL_MILLIS = 1_000;
 
-  /**
-   * Longest time after which the client of a request that no endpoint accepts in time may retry, in
-   * milliseconds; another instance may accept it, or an endpoint may accept more by then.
-   */
-  private static final long MAXIMUM_RETRY_MILLIS = 1_000;
-
   /** Largest part of an answer that is kept for a client, in bytes. */
   private static final long MAXIMUM_KEPT_BYTES = 8 * 1024 * 1024;
 
@@ -156,10 +150,11 @@
 
   private void refuseForRate(long waitNanos) {
     String text = "all endpoints of " + service + " accept a limited rate only";
+    // Another instance may be a sender of these endpoints.
     long retryAt =
-        Math.min(
-            dependencies.clock().nanos() + waitNanos,
-            dependencies.clock().deadlineAfterMillis(MAXIMUM_RETRY_MILLIS));
+        waitNanos == Long.MAX_VALUE
+            ? dependencies.clock().deadlineAfterMillis(FULL_RETRY_MILLIS)
+            : dependencies.clock().nanos() + waitNanos;
     fail(
         possibleRuns > 0
             ? Refusal.of(Refusal.Reason.UNKNOWN, text)
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -28,6 +28,9 @@
  * account the slots that the other instances report as taken. Used on the event loop.
  */
 public final class Dispatcher {
+  /** Longest time until a limited rate allows a request that is told apart, in nanoseconds. */
+  private static final double LONGEST_WAIT_NANOS = 3.6e12;
+
   private final String instance;
   private final String domain;
   private final UnaryOperator<String> regionOfDomain;
@@ -134,7 +137,8 @@
 
   /**
    * Returns the time until a live request that arrives now can be sent if each endpoint of its
-   * service accepts only a limited rate, in nanoseconds; 0 if one states no limit.
+   * service accepts only a limited rate, in nanoseconds; 0 if one states no limit, {@link
+   * Long#MAX_VALUE} if only other instances may send to them.
    *
    * @param service name of the service
    * @param excluded names of endpoints that the request must not use
@@ -149,7 +153,9 @@
       rate += limit.getAsDouble();
     }
     int before = waiting.size() + fleetLoad.others(clock.nanos()).liveWaiting();
-    return (long) Math.min(Long.MAX_VALUE / 4, (before + 1) / rate * 1e9);
+    return rate == 0
+        ? Long.MAX_VALUE
+        : (long) Math.min(LONGEST_WAIT_NANOS, (before + 1) / rate * 1e9);
   }
 
   private List<ServiceEndpoint> usable(String service, Set<String> excluded) {
