Repeat only announcements that are in force

The hubs repeated an endpoint's announcement every 5 s as long as the endpoint was listed, even if it had stated nothing since; AnnouncementTableTest.Exchange.repeatsOnlyWhatIsInForce covers it.

--- a/sedgeroad/src/main/java/org/sedgeroad/announcement/AnnouncementTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/announcement/AnnouncementTable.java
@@ -96,10 +96,21 @@
             });
   }
 
-  /** Marks all announcements as changed, so that they are sent to other instances again. */
-  public void touch() {
+  /**
+   * Marks the announcements that are in force as changed, so that they are sent to other instances
+   * again; returns whether there are any.
+   */
+  public boolean touch() {
     long now = clock.nanos();
-    entries.replaceAll((name, entry) -> new Entry(entry.announcement(), now));
+    boolean any = false;
+    for (Map.Entry<String, Entry> entry : entries.entrySet()) {
+      VersionedAnnouncement announcement = entry.getValue().announcement();
+      if (!announcement.announcement().equals(Announcement.NONE)) {
+        entry.setValue(new Entry(announcement, now));
+        any = true;
+      }
+    }
+    return any;
   }
 
   @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/announcement/EndpointAnnouncements.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/announcement/EndpointAnnouncements.java
@@ -56,8 +56,7 @@
 
   /** Sends all announcements to the other instances again, some of which may have missed them. */
   public void repeat() {
-    if (!table.isEmpty()) {
-      table.touch();
+    if (table.touch()) {
       exchange.changed();
     }
   }
--- a/sedgeroad/src/test/java/org/sedgeroad/announcement/AnnouncementTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/announcement/AnnouncementTableTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sedgeroad.placement.VirtualTime;
@@ -99,6 +100,18 @@
       }
     }
 
+    @Test
+    void repeatsOnlyWhatIsInForce() {
+      table.record(ENDPOINT, rate(3));
+      table.record("e2", rate(3));
+      table.record("e2", NOTHING);
+      time.runUntil(5_000);
+      assertTrue(table.touch());
+      assertEquals(Set.of(ENDPOINT), table.recent(1_000, 10).keySet());
+      table.record(ENDPOINT, NOTHING);
+      assertFalse(table.touch());
+    }
+
     @Test
     void sendsAgainWhatAnotherInstanceKnowsLess() {
       table.record(ENDPOINT, rate(3));
