--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -386,13 +386,7 @@
       }
       bodyBytes += bytes.remaining();
       if (isTooLong()) {
-        ended = true;
-        exchange.close();
-        dependencies
-            .dispatcher()
-            .health()
-            .recordBrokenAnswer(endpoint.name(), dependencies.clock().nanos());
-        onBrokenAnswer("the answer has no end");
+        abandon("the answer has no end");
         return;
       }
       if (!isStream()) {
@@ -403,7 +397,7 @@
         // Only complete events are forwarded, so that another endpoint can continue after the last.
         for (EventStreamParser.Event event : eventParser.accept(bytes)) {
           if (!event.mayFollow(lastEventId)) {
-            onRepeatedEvent();
+            abandon("an event is repeated");
             return;
           }
           countEvents(1);
@@ -418,14 +412,15 @@
       }
     }
 
-    private void onRepeatedEvent() {
+    /** Closes the connection of an answer that is not valid. */
+    private void abandon(String cause) {
       ended = true;
       exchange.close();
       dependencies
           .dispatcher()
           .health()
           .recordBrokenAnswer(endpoint.name(), dependencies.clock().nanos());
-      onBrokenAnswer("an event is repeated");
+      onBrokenAnswer(cause);
     }
 
     private void countEvents(int events) {
