Count only requests of the same service as waiting for a rate

A request whose service has limited endpoints only was refused at once if requests of other services waited, here or at other instances, although nothing waited for its own. Found in a review by reading; DispatcherTest .RequestsForALimitedRate covers it.

Besides, the instances that can be selected as senders are not looked up while no endpoint has announced anything.

--- a/sedgeroad/src/main/java/org/sedgeroad/placement/AnnouncedRestrictions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/AnnouncedRestrictions.java
@@ -29,6 +29,11 @@
   private final SendHistory history = new SendHistory();
   private int peersExpected;
 
+  /**
+   * Whether the instances that can be selected are known; they are not kept while none is needed.
+   */
+  private boolean selectionCurrent;
+
   /**
    * Creates restrictions.
    *
@@ -88,6 +93,9 @@
   }
 
   private List<String> senders(ServiceEndpoint endpoint, double rate) {
+    if (!selectionCurrent) {
+      updateSelection();
+    }
     return selection.senders(endpoint, RateBudget.senders(rate, selection.candidates()));
   }
 
@@ -137,8 +145,16 @@
   @Override
   public void update(int expected) {
     peersExpected = expected;
+    selectionCurrent = false;
+    if (!table.isEmpty()) {
+      updateSelection();
+    }
+  }
+
+  private void updateSelection() {
     long now = clock.nanos();
     selection.update(name -> fleetLoad.isLive(name, now), fleetLoad::isLeaving, now);
+    selectionCurrent = true;
   }
 
   @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -152,12 +152,23 @@
       }
       rate += limit.getAsDouble();
     }
-    int before = waiting.size() + fleetLoad.others(clock.nanos()).liveWaiting();
+    double before = waitingEverywhere(service);
     return rate == 0
         ? Long.MAX_VALUE
         : (long) Math.min(LONGEST_WAIT_NANOS, (before + 1) / rate * 1e9);
   }
 
+  /**
+   * Returns how many live requests wait for a service, if those of the other instances are for the
+   * same services as those of this one.
+   */
+  private double waitingEverywhere(String service) {
+    long own = waiting.stream().filter(demand -> demand.service().equals(service)).count();
+    return own == 0
+        ? 0
+        : own + (double) own / waiting.size() * fleetLoad.others(clock.nanos()).liveWaiting();
+  }
+
   private List<ServiceEndpoint> usable(String service, Set<String> excluded) {
     return endpointsByName.values().stream()
         .filter(
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
@@ -2,8 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sedgeroad.gateway.ServiceEndpoint;
@@ -42,8 +46,52 @@
     }
   }
 
+  @Nested
+  class RequestsForALimitedRate {
+    private final Dispatcher dispatcher = dispatcher(Map.of());
+
+    @BeforeEach
+    void limit() {
+      dispatcher.setRestrictions(new NoRoom(2));
+    }
+
+    private void submit(String service) {
+      long later = 60_000_000_000L;
+      dispatcher.submit(LiveDemand.of(service, 0, later, later, Set.of(), endpoint -> {}));
+    }
+
+    private double secondsUntilAllowed() {
+      return dispatcher.nanosUntilRateAllows(SERVICE, Set.of()) / 1e9;
+    }
+
+    @Test
+    void waitForThoseOfTheSameServiceOnly() {
+      assertEquals(0.5, secondsUntilAllowed());
+      submit("other");
+      submit("other");
+      assertEquals(0.5, secondsUntilAllowed());
+      submit(SERVICE);
+      assertEquals(1, secondsUntilAllowed());
+    }
+
+    @Test
+    void areToldIfOnlyOtherInstancesMaySend() {
+      dispatcher.setRestrictions(new NoRoom(0));
+      assertEquals(Long.MAX_VALUE, dispatcher.nanosUntilRateAllows(SERVICE, Set.of()));
+    }
+  }
+
   /** Returns how many items an instance starts that has more ready items than there are slots. */
   private static int startedOf(BatchQueue queue, Map<String, Integer> readyOfOthers) {
+    Dispatcher dispatcher = dispatcher(readyOfOthers);
+    Items items = new Items(queue);
+    dispatcher.setBatchSource(items);
+    dispatcher.refresh();
+    return items.started;
+  }
+
+  /** Returns a dispatcher with one endpoint. */
+  private static Dispatcher dispatcher(Map<String, Integer> readyOfOthers) {
     Dispatcher dispatcher =
         new Dispatcher(
             "instance",
@@ -52,13 +100,48 @@
             new ReadyItemsOfOthers(readyOfOthers),
             new VirtualTime(),
             () -> 0);
-    Items items = new Items(queue);
-    dispatcher.setBatchSource(items);
     dispatcher.setEndpoints(
         List.of(new ServiceEndpoint("endpoint", SERVICE, "10.0.0.1:80", "domain", SLOTS, false)),
         List.of());
-    dispatcher.refresh();
-    return items.started;
+    return dispatcher;
+  }
+
+  /** All endpoints accept a rate that is used up. */
+  private record NoRoom(double requestsPerSecond) implements EndpointRestrictions {
+    @Override
+    public boolean isLeaving(ServiceEndpoint endpoint) {
+      return false;
+    }
+
+    @Override
+    public int allowance(ServiceEndpoint endpoint) {
+      return 0;
+    }
+
+    @Override
+    public OptionalDouble rate(ServiceEndpoint endpoint) {
+      return OptionalDouble.of(requestsPerSecond);
+    }
+
+    @Override
+    public void sent(ServiceEndpoint endpoint) {
+      throw new IllegalStateException("nothing may be sent");
+    }
+
+    @Override
+    public Map<String, Integer> sentToLimited() {
+      return Map.of();
+    }
+
+    @Override
+    public void update(int peersExpected) {
+      // The rate does not depend on other instances.
+    }
+
+    @Override
+    public void retain(Collection<ServiceEndpoint> endpoints) {
+      // Nothing is kept.
+    }
   }
 
   private static final class Items implements BatchSource {
