--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -355,7 +355,7 @@
       } else if (startedAnswer != null && !received.canContinue(startedAnswer)) {
         ended = true;
         exchange.close();
-        onBrokenAnswer("resumption was answered " + received.status() + " or in another type");
+        onBrokenAnswer("an answer " + received.status() + " does not continue the stream");
       } else {
         head = received;
         if (isStream() && startedAnswer == null) {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/AnnouncedRestrictions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/AnnouncedRestrictions.java
@@ -109,6 +109,9 @@
 
   @Override
   public OptionalDouble rate(ServiceEndpoint endpoint) {
+    if (table.isEmpty()) {
+      return OptionalDouble.empty();
+    }
     Announcement announcement = table.announcement(endpoint.incarnation());
     if (!announcement.isLimited()) {
       return OptionalDouble.empty();
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -28,7 +27,7 @@
  * account the slots that the other instances report as taken. Used on the event loop.
  */
 public final class Dispatcher {
-  /** Longest time until a limited rate allows a request that is told apart, in nanoseconds. */
+  /** Upper bound of the estimated time until a limited rate allows a request, in nanoseconds. */
   private static final double LONGEST_WAIT_NANOS = 3.6e12;
 
   private final String instance;
@@ -438,9 +437,7 @@
       List<EndpointLoad> loads = loads(queue.service(), Set.of());
       fractions.put(queue, BatchPlacement.startableFraction(loads, before));
     }
-    List<ServiceEndpoint> limitedFirst = new ArrayList<>(endpoints);
-    limitedFirst.sort(Comparator.comparing(endpoint -> restrictions.rate(endpoint).isEmpty()));
-    for (ServiceEndpoint endpoint : limitedFirst) {
+    for (ServiceEndpoint endpoint : limitedFirst(endpoints)) {
       BatchQueue onTime = BatchQueue.onTime(endpoint.service());
       BatchQueue queue =
           ownReady.getOrDefault(onTime, 0) > 0 ? onTime : BatchQueue.late(endpoint.service());
@@ -455,6 +452,16 @@
     }
   }
 
+  private List<ServiceEndpoint> limitedFirst(List<ServiceEndpoint> endpoints) {
+    List<ServiceEndpoint> ordered = new ArrayList<>(endpoints.size());
+    List<ServiceEndpoint> unlimited = new ArrayList<>(endpoints.size());
+    for (ServiceEndpoint endpoint : endpoints) {
+      (restrictions.rate(endpoint).isPresent() ? ordered : unlimited).add(endpoint);
+    }
+    ordered.addAll(unlimited);
+    return ordered;
+  }
+
   private static int readyOfAll(
       BatchQueue queue, Map<BatchQueue, Integer> ownReady, LoadTotals others) {
     int reported = others.batchReady().getOrDefault(queue.reportName(), 0);
