--- a/review/standin/EntryProcess.java
+++ b/review/standin/EntryProcess.java
@@ -118,6 +118,12 @@
     return false;
   }
 
+  /** Sends SIGTERM; returns whether the process has ended within a time. */
+  boolean terminate(long waitMillis) throws InterruptedException {
+    process.destroy();
+    return process.waitFor(waitMillis, TimeUnit.MILLISECONDS);
+  }
+
   @Override
   public void close() {
     process.destroyForcibly();
