Review case 5: waiting items of a dropped route are never listed

Seen: 28 of 60 accepted items are listed neither as completed nor as dead after the operator drops the route of their job. Code at fault: OwnedJobRunner.readyItems skips jobs without a route, and nothing gives their items up.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.." || exit 2
+[ -f review/target/classes/org/sedgeroad/review/DroppedRoute.class ] || exit 2
+exec timeout 110 java -Xmx256m -Dsun.net.httpserver.nodelay=true \
+  -cp "review/target/classes:platform/target/lib/*" \
+  org.sedgeroad.review.DroppedRoute "$here/record.txt"
