--- a/review/1/MixedBodies.java
+++ b/review/1/MixedBodies.java
@@ -1,7 +1,6 @@
 package org.sedgeroad.review;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -63,14 +62,8 @@
         && inTrouble.incrementAndGet() % LOST_ONE_IN == 0;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status;
-    try (CaseRecord record = new CaseRecord(Path.of(arguments[0]));
-        Deployment deployment = new Deployment(record)) {
-      status = run(deployment, record, trouble);
-    }
-    System.exit(status);
+  public static void main(String[] arguments) {
+    CaseRunner.run(arguments, MixedBodies::run);
   }
 
   private static int run(Deployment deployment, CaseRecord record, boolean trouble)
@@ -82,7 +75,7 @@
     deployment.addWorker("w-1", "pages", 6, failing);
     deployment.addWorker("w-2", "pages", 6, new MixedBodies(false));
     if (!deployment.startEntries(3)) {
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     failing.startNanos = System.nanoTime();
     List<String> wrong = new ArrayList<>();
@@ -91,10 +84,10 @@
     record.report("answers 200 whose body is not the worker's: " + wrong);
     if (answers.getOrDefault(200, 0) < REQUESTS_A_SECOND * SECONDS / 2) {
       record.report("not run: under half of the requests were served");
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     record.report(wrong.isEmpty() ? "MIXED holds" : "MIXED is broken");
-    return wrong.isEmpty() ? 0 : 1;
+    return wrong.isEmpty() ? CaseRunner.HELD : CaseRunner.BROKEN;
   }
 
   private static Map<Integer, Integer> sendAll(
--- a/review/2/ResultsAfterOutage.java
+++ b/review/2/ResultsAfterOutage.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.Base64;
 import java.util.Collections;
 import java.util.HashMap;
@@ -25,7 +24,7 @@
   private static final int EVENTS = 261;
 
   private static final int EVENT_CHARACTERS = 20;
-  private static final long OUTAGE_AT_MILLIS = 2_000;
+  private static final long OUTAGE_AT_MILLIS = 1_800;
   private static final long OUTAGE_MILLIS = 4_500;
   private static final long TRAFFIC_MILLIS = 12_000;
   private static final long FINISH_MILLIS = 18_000;
@@ -52,17 +51,11 @@
 
   @Override
   public long stepMillis(WorkerServer.Request request) {
-    return 6;
+    return 4;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status;
-    try (CaseRecord record = new CaseRecord(Path.of(arguments[0]));
-        Deployment deployment = new Deployment(record)) {
-      status = new ResultsAfterOutage().run(deployment, record, trouble);
-    }
-    System.exit(status);
+  public static void main(String[] arguments) {
+    CaseRunner.run(arguments, new ResultsAfterOutage()::run);
   }
 
   private int run(Deployment deployment, CaseRecord record, boolean trouble) throws Exception {
@@ -79,13 +72,13 @@
       deployment.addWorker("w-" + index, "engine", 8, this);
     }
     if (!deployment.startEntries(3)) {
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     long start = System.nanoTime();
     int status = submit(deployment);
     record.report("submission of " + ITEMS + " items: " + status);
     if (status != 202) {
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     int next = 0;
     Map<String, String> outputs = new HashMap<>();
@@ -128,11 +121,11 @@
             + run + " items ran at workers, the last run began " + quietMillis + " ms ago");
     if (outputs.size() < ITEMS && quietMillis < CALM_MILLIS) {
       record.report("not run: workers still had items");
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     boolean held = outputs.size() == ITEMS && wrong == 0;
     record.report(held ? "LOST holds" : "LOST is broken");
-    return held ? 0 : 1;
+    return held ? CaseRunner.HELD : CaseRunner.BROKEN;
   }
 
   private int submit(Deployment deployment) throws Exception {
--- a/review/3/LostAnswers.java
+++ b/review/3/LostAnswers.java
@@ -1,7 +1,6 @@
 package org.sedgeroad.review;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -58,14 +57,8 @@
         && inTrouble.incrementAndGet() % LOST_ONE_IN == 0;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status;
-    try (CaseRecord record = new CaseRecord(Path.of(arguments[0]));
-        Deployment deployment = new Deployment(record)) {
-      status = run(deployment, record, trouble);
-    }
-    System.exit(status);
+  public static void main(String[] arguments) {
+    CaseRunner.run(arguments, LostAnswers::run);
   }
 
   private static int run(Deployment deployment, CaseRecord record, boolean trouble)
@@ -80,7 +73,7 @@
     deployment.addWorker("w-1", "pages", 8, failing);
     deployment.addWorker("w-2", "pages", 8, new LostAnswers(false));
     if (!deployment.startEntries(3)) {
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     failing.startNanos = System.nanoTime();
     Map<Integer, Integer> answers = sendAll(deployment, record);
@@ -97,10 +90,10 @@
     record.report(runs.size() + " requests ran; more than once: " + twice);
     if (answers.getOrDefault(200, 0) < REQUESTS_A_SECOND * SECONDS / 2) {
       record.report("not run: under half of the requests were served");
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     record.report(twice.isEmpty() ? "TWICE holds" : "TWICE is broken");
-    return twice.isEmpty() ? 0 : 1;
+    return twice.isEmpty() ? CaseRunner.HELD : CaseRunner.BROKEN;
   }
 
   private static Map<Integer, Integer> sendAll(Deployment deployment, CaseRecord record)
--- a/review/4/LastMachine.java
+++ b/review/4/LastMachine.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.Base64;
 import java.util.Collections;
 import java.util.HashSet;
@@ -42,14 +41,8 @@
     return 6;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status;
-    try (CaseRecord record = new CaseRecord(Path.of(arguments[0]));
-        Deployment deployment = new Deployment(record)) {
-      status = new LastMachine().run(deployment, record, trouble);
-    }
-    System.exit(status);
+  public static void main(String[] arguments) {
+    CaseRunner.run(arguments, new LastMachine()::run);
   }
 
   private int run(Deployment deployment, CaseRecord record, boolean trouble) throws Exception {
@@ -66,7 +59,7 @@
       deployment.addWorker("w-" + index, "engine", 8, this);
     }
     if (!deployment.startEntries(3)) {
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     EntryProcess leaving = deployment.entries.get(0);
     EntryProcess accepting = deployment.entries.get(1);
@@ -74,7 +67,7 @@
     record.add("SIGTERM to " + leaving.name() + ", which leaves for good");
     if (!leaving.terminate(9_000)) {
       record.report("not run: " + leaving.name() + " has not ended in time");
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     Thread.sleep(PAUSE_MILLIS);
     int status = submit(accepting);
@@ -84,7 +77,7 @@
     }
     record.report("submission of " + ITEMS + " items: " + status);
     if (status != 202) {
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     long start = System.nanoTime();
     Set<String> listed = new HashSet<>();
@@ -110,10 +103,10 @@
             + (remaining.isAlive() ? " is alive" : " has ended"));
     if (listed.size() < ITEMS && quietMillis < CALM_MILLIS) {
       record.report("not run: workers still had items");
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     record.report(listed.size() == ITEMS ? "LOST holds" : "LOST is broken");
-    return listed.size() == ITEMS ? 0 : 1;
+    return listed.size() == ITEMS ? CaseRunner.HELD : CaseRunner.BROKEN;
   }
 
   private int submit(EntryProcess entry) throws Exception {
--- a/review/5/DroppedRoute.java
+++ b/review/5/DroppedRoute.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.Base64;
 import java.util.Collections;
 import java.util.HashSet;
@@ -42,14 +41,8 @@
     return 6;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status;
-    try (CaseRecord record = new CaseRecord(Path.of(arguments[0]));
-        Deployment deployment = new Deployment(record)) {
-      status = new DroppedRoute().run(deployment, record, trouble);
-    }
-    System.exit(status);
+  public static void main(String[] arguments) {
+    CaseRunner.run(arguments, new DroppedRoute()::run);
   }
 
   private int run(Deployment deployment, CaseRecord record, boolean trouble) throws Exception {
@@ -58,12 +51,12 @@
       deployment.addWorker("w-" + index, "engine", 8, this);
     }
     if (!deployment.startEntries(3)) {
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     int status = submit(deployment.entries.get(0));
     record.report("submission of " + ITEMS + " items: " + status);
     if (status != 202) {
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     long start = System.nanoTime();
     Set<String> listed = new HashSet<>();
@@ -113,10 +106,10 @@
             + " ms ago");
     if (listed.size() < ITEMS && quietMillis < CALM_MILLIS) {
       record.report("not run: workers still had items");
-      return 2;
+      return CaseRunner.NOT_RUN;
     }
     record.report(listed.size() == ITEMS ? "LOST holds" : "LOST is broken");
-    return listed.size() == ITEMS ? 0 : 1;
+    return listed.size() == ITEMS ? CaseRunner.HELD : CaseRunner.BROKEN;
   }
 
   private int submit(EntryProcess entry) throws Exception {
--- a/review/standin/EntryProcess.java
+++ b/review/standin/EntryProcess.java
@@ -58,7 +58,10 @@
     ProcessBuilder builder = new ProcessBuilder(command());
     builder.environment().put("SEDGEROAD_BOOT", file.toString());
     builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
-    return new EntryProcess(name, ports[0], ports[1], builder.start());
+    Process process = builder.start();
+    // The case itself may be ended from outside.
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+    return new EntryProcess(name, ports[0], ports[1], process);
   }
 
   /** Returns the command of the role {@code entry} in the deploy file. */
