--- a/review/2/ResultsAfterOutage.java
+++ b/review/2/ResultsAfterOutage.java
@@ -111,14 +111,10 @@
     long wrong = outputs.values().stream().filter(output -> !output.equals(whole)).count();
     List<WorkerServer.Run> runs = deployment.runs();
     long run = runs.stream().map(WorkerServer.Run::id).distinct().count();
-    long quietMillis =
-        runs.stream()
-            .mapToLong(last -> (System.nanoTime() - last.atNanos()) / 1_000_000L)
-            .min()
-            .orElse(0);
+    long quietMillis = deployment.quietMillis();
     record.report(
         outputs.size() + " of " + ITEMS + " items are listed, " + wrong + " with a wrong output; "
-            + run + " items ran at workers, the last run began " + quietMillis + " ms ago");
+            + run + " items ran at workers, no worker had one for " + quietMillis + " ms");
     if (outputs.size() < ITEMS && quietMillis < CALM_MILLIS) {
       record.report("not run: workers still had items");
       return CaseRunner.NOT_RUN;
--- a/review/4/LastMachine.java
+++ b/review/4/LastMachine.java
@@ -92,11 +92,7 @@
   private static int judge(
       Deployment deployment, EntryProcess remaining, CaseRecord record, Set<String> listed) {
     List<WorkerServer.Run> runs = deployment.runs();
-    long quietMillis =
-        runs.stream()
-            .mapToLong(last -> (System.nanoTime() - last.atNanos()) / 1_000_000L)
-            .min()
-            .orElse(Long.MAX_VALUE);
+    long quietMillis = deployment.quietMillis();
     record.report(
         listed.size() + " of " + ITEMS + " items are listed; " + runs.size()
             + " runs began at workers; " + remaining.name()
--- a/review/5/DroppedRoute.java
+++ b/review/5/DroppedRoute.java
@@ -95,15 +95,9 @@
 
   private static int judge(
       Deployment deployment, CaseRecord record, Set<String> listed) {
-    List<WorkerServer.Run> runs = deployment.runs();
-    long quietMillis =
-        runs.stream()
-            .mapToLong(last -> (System.nanoTime() - last.atNanos()) / 1_000_000L)
-            .min()
-            .orElse(Long.MAX_VALUE);
+    long quietMillis = deployment.quietMillis();
     record.report(
-        listed.size() + " of " + ITEMS + " items are listed; the last run began " + quietMillis
-            + " ms ago");
+        listed.size() + " of " + ITEMS + " items are listed; no worker had one for " + quietMillis + " ms");
     if (listed.size() < ITEMS && quietMillis < CALM_MILLIS) {
       record.report("not run: workers still had items");
       return CaseRunner.NOT_RUN;
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -90,6 +90,11 @@
     return workers.stream().flatMap(worker -> worker.runs().stream()).toList();
   }
 
+  /** Returns for how long no worker has had a request, in milliseconds. */
+  long quietMillis() {
+    return workers.stream().mapToLong(WorkerServer::quietMillis).min().orElse(0);
+  }
+
   @Override
   public void close() throws IOException {
     entries.forEach(EntryProcess::close);
--- a/review/standin/WorkerServer.java
+++ b/review/standin/WorkerServer.java
@@ -65,6 +65,8 @@
   private final Semaphore running;
   private final Semaphore admitted;
   private final List<Run> runs = new ArrayList<>();
+  private int active;
+  private long lastActiveNanos = System.nanoTime();
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
   WorkerServer(String name, int slots, Behaviour behaviour, CaseRecord record) throws IOException {
@@ -101,6 +103,16 @@
     return List.copyOf(runs);
   }
 
+  /** Returns for how long no request has run or waited here, in milliseconds. */
+  synchronized long quietMillis() {
+    return active > 0 ? 0 : (System.nanoTime() - lastActiveNanos) / 1_000_000L;
+  }
+
+  private synchronized void addActive(int change) {
+    active += change;
+    lastActiveNanos = System.nanoTime();
+  }
+
   @Override
   public void close() throws IOException {
     server.close();
@@ -160,6 +172,7 @@
               + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       return true;
     }
+    addActive(1);
     try {
       running.acquireUninterruptibly();
       try {
@@ -168,6 +181,7 @@
         running.release();
       }
     } finally {
+      addActive(-1);
       admitted.release();
     }
   }
