Give up the waiting items of a dropped route

Cause: whatever needs the route of a job asks the current configuration, and "no route" meant "nothing to do now". The items were rightly not started, but nothing ended them. Ruled out: a missed configuration, a lost owner, results that were not stored.

Change: a job head holds the version of the configuration and the name of the route under which it was accepted. A configuration without the route that is newer has dropped it; an older one, or none, does not know it yet. The owner gives up the waiting items 7 s after the drop, unless the route is back or another instance has a newer configuration. Items that run may be completed. Instances record drops, so that a new owner does not wait anew. The tokens of such items stay counted against the limit of their route.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobCodec.java
@@ -27,6 +27,8 @@
         .put("item_objects", head.itemObjects())
         .put("tokens", head.tokens())
         .put("owner", head.owner())
+        .put("route", head.route())
+        .put("configuration_version", head.configurationVersion())
         .put("ended", head.ended());
   }
 
@@ -40,6 +42,8 @@
         spec.path("item_objects").asInt(),
         spec.path("tokens").asLong(),
         spec.path("owner").asText(),
+        spec.path("route").asText(),
+        spec.path("configuration_version").asLong(),
         spec.path("ended").asBoolean());
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobHead.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobHead.java
@@ -14,6 +14,9 @@
  * @param itemObjects number of store objects that contain the items
  * @param tokens sum of the tokens of all items
  * @param owner name of the instance that runs the items, not null
+ * @param route name of the route that accepted the job, empty if unknown; not null
+ * @param configurationVersion version of the configuration under which the job was accepted, 0 if
+ *     unknown
  * @param ended whether the job was ended by a client, or marked as ended before its deletion
  */
 public record JobHead(
@@ -25,6 +28,8 @@
     int itemObjects,
     long tokens,
     String owner,
+    String route,
+    long configurationVersion,
     boolean ended) {
 
   /** Checks that no component is null. */
@@ -33,17 +38,36 @@
     Objects.requireNonNull(host);
     Objects.requireNonNull(path);
     Objects.requireNonNull(owner);
+    Objects.requireNonNull(route);
   }
 
   /** Returns a copy with another owner. */
   public JobHead withOwner(String newOwner) {
-    return new JobHead(
-        id, host, path, submittedMillis, itemCount, itemObjects, tokens, newOwner, ended);
+    return copy(itemObjects, newOwner, ended);
   }
 
   /** Returns a copy that is marked as ended. */
   public JobHead withEnded() {
+    return copy(itemObjects, owner, true);
+  }
+
+  /** Returns a copy with another number of item objects. */
+  public JobHead withItemObjects(int count) {
+    return copy(count, owner, ended);
+  }
+
+  private JobHead copy(int newItemObjects, String newOwner, boolean newEnded) {
     return new JobHead(
-        id, host, path, submittedMillis, itemCount, itemObjects, tokens, owner, true);
+        id,
+        host,
+        path,
+        submittedMillis,
+        itemCount,
+        newItemObjects,
+        tokens,
+        newOwner,
+        route,
+        configurationVersion,
+        newEnded);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
@@ -70,8 +70,8 @@
    * Stores a job, the items first. The job is accepted once its head exists.
    *
    * @param submission job to store
-   * @param draft head to store; its number of item objects is replaced by the actual number, and it
-   *     is stored as not ended
+   * @param draft head to store, not ended; its number of item objects is replaced by the actual
+   *     number
    */
   public AcceptResult accept(JobSubmission submission, JobHead draft) {
     for (ItemSpec item : submission.items()) {
@@ -94,17 +94,7 @@
         return new AcceptResult.NotAccepted("items not stored: " + written, retryMillis(written));
       }
     }
-    JobHead head =
-        new JobHead(
-            draft.id(),
-            draft.host(),
-            draft.path(),
-            draft.submittedMillis(),
-            draft.itemCount(),
-            groups.size(),
-            draft.tokens(),
-            draft.owner(),
-            false);
+    JobHead head = draft.withItemObjects(groups.size());
     WriteOutcome written = writer.create(JOBS, submission.id(), JobCodec.encode(head));
     if (written instanceof WriteOutcome.Written done) {
       return new AcceptResult.Accepted(head, done.object().version(), true);
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OrphanedJobs.java
@@ -36,6 +36,7 @@
   private static final long OWNERSHIP_MILLIS = 8_000;
 
   private final BatchDependencies context;
+  private final JobRoutes routes;
   private final JobHeadCache jobHeads;
   private final StoredResults storedResults;
   private final PeerQuestions questions;
@@ -49,6 +50,7 @@
    * Creates the set of orphaned jobs.
    *
    * @param context dependencies
+   * @param routes routes of jobs
    * @param jobHeads known job heads
    * @param storedResults cached results of jobs of other instances
    * @param questions sends questions and notifications to other instances
@@ -56,11 +58,13 @@
    */
   OrphanedJobs(
       BatchDependencies context,
+      JobRoutes routes,
       JobHeadCache jobHeads,
       StoredResults storedResults,
       PeerQuestions questions,
       Consumer<StoredObject> changeListener) {
     this.context = context;
+    this.routes = routes;
     this.jobHeads = jobHeads;
     this.storedResults = storedResults;
     this.questions = questions;
@@ -93,11 +97,7 @@
           && !head.ended()
           && !storedResults.isComplete(head)
           && RendezvousHashing.ranksFirst(head.id(), context.instance(), watchers)) {
-        context
-            .routes()
-            .current()
-            .match(head.host(), head.path())
-            .ifPresent(route -> tokens.merge(route.name(), head.tokens(), Long::sum));
+        tokens.merge(routes.limitName(head), head.tokens(), Long::sum);
       }
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedItem.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedItem.java
@@ -53,8 +53,13 @@
     done = true;
   }
 
+  /** Returns whether the item is neither done nor running. */
+  boolean isWaiting() {
+    return !done && run == null;
+  }
+
   boolean isReady(long nowNanos) {
-    return !done && run == null && nowNanos - notBeforeNanos >= 0;
+    return isWaiting() && nowNanos - notBeforeNanos >= 0;
   }
 
   /** Records a run that the endpoint answered with a failure; returns the number of such runs. */
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -14,7 +14,6 @@
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.gateway.EndpointCall;
 import org.sedgeroad.gateway.Route;
-import org.sedgeroad.gateway.RouteKind;
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.placement.BatchQueue;
 import org.sedgeroad.placement.BatchSource;
@@ -52,9 +51,13 @@
    */
   private static final long STORE_RETRY_MILLIS = 300;
 
+  /** Reason that a client reads with an item whose route was dropped. */
+  private static final String ROUTE_DROPPED = "the route was removed";
+
   private final BatchDependencies dependencies;
   private final ItemDurationEstimator durationEstimator = new ItemDurationEstimator();
   private final ResultAppender appender;
+  private final JobRoutes routes;
   private Consumer<String> conflictListener = id -> {};
   private final Map<String, OwnedJob> jobs = new HashMap<>();
   private final Map<String, List<ItemRun>> runsByEndpoint = new HashMap<>();
@@ -65,6 +68,15 @@
     this.appender =
         new ResultAppender(
             dependencies, this::scheduleAppend, job -> conflictListener.accept(job.head().id()));
+    this.routes =
+        new JobRoutes(
+            dependencies.routes(),
+            now -> dependencies.fleetLoad().others(now).configurationVersion());
+  }
+
+  /** Returns the routes of jobs. */
+  JobRoutes routes() {
+    return routes;
   }
 
   /** Sets the receiver of the ids of jobs of which another instance has stored results. */
@@ -115,12 +127,12 @@
     return job != null;
   }
 
-  /** Returns the tokens of unfinished items by the name of the job's current route. */
+  /** Returns the tokens of unfinished items by the name of the job's route. */
   public Map<String, Long> waitingTokens() {
     Map<String, Long> tokens = new HashMap<>();
     for (OwnedJob job : jobs.values()) {
       if (!job.isComplete() && !job.isEnded()) {
-        route(job).ifPresent(route -> tokens.merge(route.name(), job.waitingTokens(), Long::sum));
+        tokens.merge(routes.limitName(job.head()), job.waitingTokens(), Long::sum);
       }
     }
     return tokens;
@@ -140,6 +152,42 @@
     }
   }
 
+  /**
+   * Gives up the waiting items of jobs whose route was dropped and did not return in time; they can
+   * no longer run. Called several times a second.
+   */
+  public void giveUpItemsOfDroppedRoutes() {
+    long now = dependencies.clock().nanos();
+    routes.observe(now);
+    for (OwnedJob job : jobs.values()) {
+      if (!job.isComplete() && !job.isEnded() && routes.isGivenUp(job.head(), now)) {
+        giveUpWaitingItems(job, now);
+      }
+    }
+  }
+
+  /** Gives up the items that do not run; those that run may still be completed. */
+  private void giveUpWaitingItems(OwnedJob job, long nowNanos) {
+    List<OwnedItem> waiting = job.items().stream().filter(OwnedItem::isWaiting).toList();
+    if (waiting.isEmpty()) {
+      return;
+    }
+    waiting.forEach(
+        item ->
+            job.addUnstoredResult(
+                item, new JobResult(item.spec().id(), false, ROUTE_DROPPED), nowNanos));
+    dependencies.metrics().recordItemsGivenUp(waiting.size());
+    dependencies.log().log(
+        LogEvent.ITEMS_GIVEN_UP,
+        EventField.of("job", job.head().id()),
+        EventField.of("items", waiting.size()),
+        EventField.of("cause", ROUTE_DROPPED),
+        EventField.of("route", job.head().route()),
+        EventField.of("accepted_under", job.head().configurationVersion()),
+        EventField.of("configuration", dependencies.routes().current().version()));
+    storeIfDue(job);
+  }
+
   /** Stops all runs for a planned stop; other instances take over the jobs. */
   public void stopAll() {
     // Jobs are marked as ended first, because releasing a slot would otherwise start the next item.
@@ -217,11 +265,7 @@
   }
 
   private Optional<Route> route(OwnedJob job) {
-    return dependencies
-        .routes()
-        .current()
-        .match(job.head().host(), job.head().path())
-        .filter(route -> route.kind() == RouteKind.BATCH);
+    return routes.find(job.head());
   }
 
   private void start(OwnedItem item, ServiceEndpoint endpoint) {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -65,7 +65,9 @@
     this.ownershipCheck = new OwnershipCheck(context, runner, jobHeads, this::readHead);
     runner.setConflictListener(this::readHeadAgain);
     this.questions = new PeerQuestions(context, peerJobs, this::readHead);
-    this.orphans = new OrphanedJobs(context, jobHeads, storedResults, questions, this::changed);
+    this.orphans =
+        new OrphanedJobs(
+            context, runner.routes(), jobHeads, storedResults, questions, this::changed);
     this.deleter = new ExpiredJobDeleter(context, runner, jobHeads, storedResults, this::remove);
   }
 
@@ -100,6 +102,8 @@
             0,
             submission.tokens(),
             context.instance(),
+            route.name(),
+            context.routes().current().version(),
             false);
     context
         .storeWorkers()
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -568,6 +568,7 @@
   private void runPeriodicChecks() {
     // Drops endpoints that were unregistered long enough ago.
     endpointsUpdater.refresh();
+    runner.giveUpItemsOfDroppedRoutes();
     runner.storeDueResults();
     jobs.checkOwnershipAfterLossOfContact();
     if (!stopping) {
--- a/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/event/LogEvent.java
@@ -77,6 +77,8 @@
   JOB_OWNER_UNCERTAIN(5015, Level.WARNING, "job may have another owner"),
   /** This instance takes over no jobs while it may be cut off from the others, or does so again. */
   TAKEOVERS_SUSPENDED(5016, Level.WARNING, "takeovers suspended or resumed"),
+  /** The waiting items of a job were given up. */
+  ITEMS_GIVEN_UP(5017, Level.WARNING, "items given up"),
   /** A job was accepted. */
   JOB_ACCEPTED(5001, Level.INFO, "job accepted"),
   /** All segments of a job are finished. */
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RouteTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RouteTable.java
@@ -18,6 +18,7 @@
       new RouteTable(0, List.of(), Map.of(), new RequestLimits(1 << 20, 16 << 20, 60_000));
 
   private final long version;
+  private final List<Route> routes;
   private final Map<String, HostRoutes> routesByHost = new HashMap<>();
   private final Map<String, ServiceOptions> services;
   private final RequestLimits limits;
@@ -28,6 +29,7 @@
       Map<String, ServiceOptions> services,
       RequestLimits limits) {
     this.version = version;
+    this.routes = List.copyOf(routes);
     this.services = Map.copyOf(services);
     this.limits = limits;
     for (Route route : routes) {
@@ -73,6 +75,11 @@
     return version;
   }
 
+  /** Returns all routes. */
+  public List<Route> routes() {
+    return routes;
+  }
+
   /** Returns the limits on the requests of clients. */
   public RequestLimits limits() {
     return limits;
@@ -98,9 +105,17 @@
    * @param path path without query
    */
   public Optional<Route> match(String host, String path) {
+    HostRoutes hostRoutes = routesByHost.get(hostName(host));
+    return hostRoutes == null ? Optional.empty() : hostRoutes.match(path);
+  }
+
+  /**
+   * Returns the host of a {@code Host} header as routes name it.
+   *
+   * @param host value of the header, with or without port, not null
+   */
+  public static String hostName(String host) {
     int colon = host.indexOf(':');
-    String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
-    HostRoutes routes = routesByHost.get(name);
-    return routes == null ? Optional.empty() : routes.match(path);
+    return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
@@ -64,6 +64,11 @@
           .help("Batch items by what became of a run: completed, withdrawn, broken, dead.")
           .labelNames("outcome")
           .register(registry);
+  private final Counter itemsGivenUp =
+      Counter.builder()
+          .name("sedgeroad_gateway_batch_items_given_up_total")
+          .help("Batch items that were given up because their route was dropped.")
+          .register(registry);
   private final Counter storeCalls =
       Counter.builder()
           .name("sedgeroad_gateway_store_calls_total")
@@ -118,6 +123,11 @@
     items.labelValues(outcome).inc();
   }
 
+  /** Records batch items that were given up because their route was dropped. */
+  public void recordItemsGivenUp(int count) {
+    itemsGivenUp.inc(count);
+  }
+
   /** Returns a view of a store that counts the calls to it. */
   public ObjectStore measure(ObjectStore store) {
     return new MeasuredStore(
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
@@ -0,0 +1,184 @@
+package org.sedgeroad.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sedgeroad.gateway.BatchOptions;
+import org.sedgeroad.gateway.Route;
+import org.sedgeroad.gateway.RouteKind;
+import org.sedgeroad.gateway.RouteTable;
+import org.sedgeroad.gateway.RouteTableHolder;
+import org.sedgeroad.gateway.WeightedService;
+
+/** Guards against items that wait without end, or end too soon, because their job has no route. */
+class JobRoutesTest {
+  private static final String HOST = "desk.example";
+  private static final long RETURN_NANOS = JobRoutes.RETURN_MILLIS * 1_000_000L;
+
+  private final RouteTableHolder holder = new RouteTableHolder();
+  private long peerVersion;
+  private final JobRoutes routes = new JobRoutes(holder, now -> peerVersion);
+  private final JobHead job = acceptedUnder(5);
+
+  private static JobHead acceptedUnder(long configurationVersion) {
+    return new JobHead(
+        "j1",
+        HOST + ":80",
+        "/batch/j1",
+        0,
+        1,
+        1,
+        10,
+        "edge-0",
+        "notices",
+        configurationVersion,
+        false);
+  }
+
+  private static Route route(String name, String prefix, RouteKind kind) {
+    return new Route(
+        name,
+        HOST,
+        prefix,
+        kind,
+        List.of(new WeightedService("engine", 1)),
+        0,
+        3,
+        5_000,
+        300,
+        true,
+        new BatchOptions(10_000, 1_000));
+  }
+
+  /** Applies a configuration at a time in nanoseconds. */
+  private void apply(long version, long nowNanos, Route... configured) {
+    holder.apply(RouteTable.of(version, List.of(configured), Map.of(), RouteTable.EMPTY.limits()));
+    routes.observe(nowNanos);
+  }
+
+  private static Route batch() {
+    return route("notices", "/batch/", RouteKind.BATCH);
+  }
+
+  @Nested
+  class Dropped {
+    @Test
+    void givesItemsUpAfterTheReturnTime() {
+      apply(5, 0, batch());
+      apply(6, 100);
+      assertFalse(routes.isGivenUp(job, 99 + RETURN_NANOS));
+      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+    }
+
+    /** A new owner would otherwise begin to wait anew at each takeover. */
+    @Test
+    void countsFromTheDropAlsoIfLaterVersionsFollow() {
+      apply(5, 0, batch());
+      apply(6, 100);
+      apply(7, RETURN_NANOS / 2);
+      apply(9, RETURN_NANOS);
+      assertFalse(routes.isGivenUp(job, 99 + RETURN_NANOS));
+      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+    }
+
+    /** The record of a drop is removed when it is older than the return time. */
+    @Test
+    void staysGivenUpAfterMuchLaterVersions() {
+      apply(5, 0, batch());
+      apply(6, 100);
+      apply(7, 5 * RETURN_NANOS);
+      assertTrue(routes.isGivenUp(job, 5 * RETURN_NANOS));
+    }
+
+    @Test
+    void countsAnewIfTheRouteWasBackMeanwhile() {
+      apply(5, 0, batch());
+      apply(6, 100);
+      apply(7, 200, batch());
+      assertFalse(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      apply(8, RETURN_NANOS);
+      assertFalse(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      assertTrue(routes.isGivenUp(job, 2 * RETURN_NANOS));
+    }
+
+    @Test
+    void countsFromTheFirstConfigurationIfItWasDroppedBefore() {
+      apply(6, 100);
+      assertFalse(routes.isGivenUp(job, 99 + RETURN_NANOS));
+      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+    }
+
+    @Test
+    void isNotDecidedWhileAnotherInstanceHasANewerConfiguration() {
+      apply(5, 0, batch());
+      apply(6, 100);
+      peerVersion = 7;
+      assertFalse(routes.isGivenUp(job, 2 * RETURN_NANOS));
+      apply(7, 2 * RETURN_NANOS);
+      assertTrue(routes.isGivenUp(job, 2 * RETURN_NANOS));
+    }
+
+    @Test
+    void isARouteWhosePrefixAnotherKindServes() {
+      apply(5, 0, batch());
+      apply(6, 100, route("chat", "/", RouteKind.STREAMING));
+      assertEquals(Optional.empty(), routes.find(job));
+      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+    }
+
+    @Test
+    void isARouteWhoseKindChanged() {
+      apply(5, 0, batch());
+      apply(6, 100, route("notices", "/batch/", RouteKind.IDEMPOTENT));
+      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+    }
+
+    @Test
+    void isNoRouteThatAShorterBatchRouteReplaces() {
+      apply(5, 0, batch());
+      apply(6, 100, route("all", "/", RouteKind.BATCH));
+      assertEquals("all", routes.find(job).map(Route::name).orElse(""));
+      assertFalse(routes.isGivenUp(job, 2 * RETURN_NANOS));
+    }
+  }
+
+  @Nested
+  class NotKnownYet {
+    /** Giving up would list an item as dead before the end of its route. */
+    @Test
+    void keepsItemsOfAJobThatWasAcceptedUnderANewerConfiguration() {
+      apply(5, 0, batch());
+      apply(6, 100);
+      assertFalse(routes.isGivenUp(acceptedUnder(7), 5 * RETURN_NANOS));
+      assertFalse(routes.isGivenUp(acceptedUnder(6), 5 * RETURN_NANOS));
+    }
+
+    @Test
+    void keepsItemsWithoutAConfiguration() {
+      assertFalse(routes.isGivenUp(job, 5 * RETURN_NANOS));
+      assertFalse(routes.isGivenUp(acceptedUnder(0), 5 * RETURN_NANOS));
+    }
+  }
+
+  @Nested
+  class LimitName {
+    @Test
+    void isTheCurrentNameOfTheRoute() {
+      apply(6, 0, route("renamed", "/batch/", RouteKind.BATCH));
+      assertEquals("renamed", routes.limitName(job));
+    }
+
+    /** A route that comes back would otherwise accept more than its limit. */
+    @Test
+    void staysTheNameOfADroppedRoute() {
+      apply(6, 0);
+      assertEquals("notices", routes.limitName(job));
+    }
+  }
+}
