Keep an item that fails once while its route is dropped

An item whose endpoint answered 500 while its route was dropped was listed as dead at once, although the route allowed three attempts and came back a moment later.

Cause: the allowed number of failures was read from the current route, and a missing route counted as one attempt.

Change: without a route the failure is counted and the item waits, for the route or for the end of its wait.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -318,8 +318,9 @@
       }
       case IMPOSSIBLE -> job.addUnstoredResult(item, new JobResult(id, false, ""), now);
       case FAILED, TOO_LARGE -> {
-        int maximumFailures = route(job).map(Route::maximumEndpoints).orElse(1);
-        if (item.addFailedRun(now) >= maximumFailures) {
+        int failures = item.addFailedRun(now);
+        // Without a route the allowed number is unknown; the item waits for the route or its end.
+        if (route(job).map(route -> failures >= route.maximumEndpoints()).orElse(false)) {
           String reason = outcome == ItemRun.Outcome.TOO_LARGE ? cause : "";
           job.addUnstoredResult(item, new JobResult(id, false, reason), now);
         }
