Accept an accepted job again after its route was dropped

A job that was accepted and came again after its route had been dropped was answered 404, also if the client had got no answer the first time. The protocol promises 202 to each repeat.

Cause: a submission was matched with the current configuration before it was looked up.

Change: a request without a route that has the form of a submission is looked up by its id, host and path, in memory and then in the store. 404 is answered only if the store confirms that there is no such job. The answers to repeated submissions move to a class of their own, with the interface that PeerQuestions and OwnershipCheck each declared.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/AcceptResult.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/AcceptResult.java
@@ -27,6 +27,9 @@
    */
   record Rejected(String reason) implements AcceptResult {}
 
+  /** No route accepts the job, and it was not accepted before. */
+  record NoRoute() implements AcceptResult {}
+
   /** The job would exceed the route's limit of waiting tokens. */
   record OverLimit() implements AcceptResult {}
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobHead.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobHead.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.batch;
 
 import java.util.Objects;
+import org.sedgeroad.gateway.RouteTable;
 
 /**
  * Metadata of an accepted job, without its items and results. Every instance caches it.
@@ -41,6 +42,12 @@
     Objects.requireNonNull(route);
   }
 
+  /** Returns whether the job was submitted to the host and path of a submission. */
+  boolean isOf(JobSubmission submission) {
+    return RouteTable.hostName(host).equals(RouteTable.hostName(submission.host()))
+        && path.equals(submission.path());
+  }
+
   /** Returns a copy with another owner. */
   public JobHead withOwner(String newOwner) {
     return copy(itemObjects, newOwner, ended);
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -52,6 +52,7 @@
   private final Set<String> endedBeforeStart = new HashSet<>();
 
   private final PeerQuestions questions;
+  private final RepeatedSubmissions repeated;
   private final OrphanedJobs orphans;
   private final ExpiredJobDeleter deleter;
 
@@ -64,6 +65,7 @@
     this.ownedReads = new OwnedJobReads(context);
     this.ownershipCheck = new OwnershipCheck(context, runner, jobHeads, this::readHead);
     runner.setConflictListener(this::readHeadAgain);
+    this.repeated = new RepeatedSubmissions(context, jobHeads, this::readHead);
     this.questions = new PeerQuestions(context, peerJobs, this::readHead);
     this.orphans =
         new OrphanedJobs(
@@ -87,7 +89,7 @@
     long limit = route.batch().maximumWaitingTokens();
     long waiting = waitingTokens(route);
     if (limit > 0 && waiting + submission.tokens() > limit) {
-      answerOverLimit(submission, waiting, limit, result);
+      repeated.answerOverLimit(submission, waiting, limit, result);
       return;
     }
     pendingCallbacks.put(id, new ArrayList<>(List.of(result)));
@@ -114,32 +116,14 @@
             });
   }
 
-  /** Refuses a job that exceeds the limit unless it was accepted before. */
-  private void answerOverLimit(
-      JobSubmission submission, long waiting, long limit, Consumer<AcceptResult> result) {
-    String id = submission.id();
-    readHead(
-        id,
-        failure -> {
-          AcceptResult outcome =
-              failure instanceof ReadResult.Absent
-                  ? new AcceptResult.OverLimit()
-                  : new AcceptResult.NotAccepted("job head not read", STORE_RETRY_MILLIS);
-          context.log().log(
-              LogEvent.JOB_REFUSED,
-              EventField.of("job", id),
-              EventField.of("waiting_tokens", waiting),
-              EventField.of("tokens", submission.tokens()),
-              EventField.of("limit", limit),
-              EventField.of("outcome", outcome));
-          result.accept(outcome);
-        },
-        head -> submitAgain(head, result));
-  }
-
-  private void submitAgain(JobHead head, Consumer<AcceptResult> result) {
-    long version = jobHeads.find(head.id()).map(JobHeadCache.CachedJob::version).orElse(0L);
-    result.accept(new AcceptResult.Accepted(head, version, false));
+  /** Answers the submission of a job that no route accepts; it may have been accepted before. */
+  public void submitWithoutRoute(JobSubmission submission, Consumer<AcceptResult> result) {
+    List<Consumer<AcceptResult>> waitingCallbacks = pendingCallbacks.get(submission.id());
+    if (waitingCallbacks != null) {
+      waitingCallbacks.add(result);
+      return;
+    }
+    repeated.answerWithoutRoute(submission, result);
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnershipCheck.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnershipCheck.java
@@ -1,7 +1,6 @@
 package org.sedgeroad.batch;
 
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
 
@@ -13,18 +12,6 @@
   /** Delay before a head that could not be read is read again, in milliseconds. */
   private static final long STORE_RETRY_MILLIS = 500;
 
-  /** Reads the head of a job as it is in the store now. */
-  interface HeadReader {
-    /**
-     * Reads a head.
-     *
-     * @param id id of the job
-     * @param failure receives the result if there is no head or it could not be read
-     * @param task receives the head
-     */
-    void read(String id, Consumer<ReadResult> failure, Consumer<JobHead> task);
-  }
-
   private final BatchDependencies context;
   private final OwnedJobRunner runner;
   private final JobHeadCache jobHeads;
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/PeerQuestions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/PeerQuestions.java
@@ -20,19 +20,6 @@
   private final PeerJobs peerJobs;
   private final HeadReader headReader;
 
-  /** Reads the head of a job as it is in the store now. */
-  @FunctionalInterface
-  interface HeadReader {
-    /**
-     * Reads a head.
-     *
-     * @param job id of the job
-     * @param failure receives the result if the job does not exist or can't be read
-     * @param task receives the head
-     */
-    void read(String job, Consumer<ReadResult> failure, Consumer<JobHead> task);
-  }
-
   PeerQuestions(BatchDependencies context, PeerJobs peerJobs, HeadReader headReader) {
     this.context = context;
     this.peerJobs = peerJobs;
