Compute the due time of a job once its route is known

If a job was loaded by an instance that had no route for it (dropped for a moment, or not read yet), its items gave way to those of jobs that were submitted later, also after the route was known.

Cause: the due time was computed from the current route when the job was loaded. Without a route the job was due at once, so that its items counted as late for good.

Change: the due time is computed when the route is known for the first time.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** Job that this instance owns and runs. Must be used on the event loop. */
@@ -16,11 +17,11 @@
   private static final int MAXIMUM_DOUBLINGS = 10;
 
   private final JobHead head;
-  private final long dueNanos;
   private final Map<String, OwnedItem> items = new LinkedHashMap<>();
   private final List<JobResult> storedResults = new ArrayList<>();
   private final List<JobResult> unstoredResults = new ArrayList<>();
   private final List<Runnable> chunkWaiters = new ArrayList<>();
+  private OptionalLong dueNanos = OptionalLong.empty();
   private int chunkCount;
   private long oldestUnstoredNanos;
   private boolean appending;
@@ -32,9 +33,8 @@
   private boolean ownerUncertain;
   private int contactEpoch;
 
-  OwnedJob(JobHead head, List<ItemSpec> specs, long dueNanos, long nowNanos) {
+  OwnedJob(JobHead head, List<ItemSpec> specs, long nowNanos) {
     this.head = head;
-    this.dueNanos = dueNanos;
     this.ended = head.ended();
     for (ItemSpec spec : specs) {
       items.put(spec.id(), new OwnedItem(this, spec, nowNanos));
@@ -46,10 +46,18 @@
     return head;
   }
 
-  long dueNanos() {
+  /**
+   * Returns the monotonic time by which the results are due, in nanoseconds, empty until the route
+   * of the job is known.
+   */
+  OptionalLong dueNanos() {
     return dueNanos;
   }
 
+  void setDueNanos(long nanos) {
+    dueNanos = OptionalLong.of(nanos);
+  }
+
   Collection<OwnedItem> items() {
     return items.values();
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -232,10 +232,29 @@
     return leastUrgent.isPresent();
   }
 
+  /**
+   * Returns when the results of a job are due. It is computed when the route is known for the first
+   * time, which may be after the job was loaded; until then they are due now.
+   */
+  private long dueNanos(OwnedJob job) {
+    long now = dependencies.clock().nanos();
+    if (job.dueNanos().isEmpty()) {
+      route(job).ifPresent(route -> job.setDueNanos(dueNanos(job.head(), route, now)));
+    }
+    return job.dueNanos().orElse(now);
+  }
+
+  private static long dueNanos(JobHead head, Route route, long nowNanos) {
+    long runTargetMillis = route.batch().runTargetMillis();
+    // Bounded, because a clock may have been set. The value affects only the order of items.
+    long remainingMillis = head.submittedMillis() + runTargetMillis - System.currentTimeMillis();
+    return nowNanos + Math.max(0, Math.min(runTargetMillis, remainingMillis)) * 1_000_000L;
+  }
+
   private ItemUrgency urgency(OwnedItem item) {
     long remainingNanos = durationEstimator.remainingNanos(item.progress().eventCount());
     return new ItemUrgency(
-        item.job().dueNanos() + READ_GRACE_MILLIS * 1_000_000L,
+        dueNanos(item.job()) + READ_GRACE_MILLIS * 1_000_000L,
         dependencies.clock().nanos(),
         remainingNanos);
   }
@@ -359,7 +378,7 @@
       return;
     }
     boolean last = job.storedResults().size() + unstored.size() >= job.items().size();
-    boolean urgent = job.dueNanos() - now < URGENT_MILLIS * 1_000_000L;
+    boolean urgent = dueNanos(job) - now < URGENT_MILLIS * 1_000_000L;
     boolean delayed = now - job.oldestUnstoredNanos() >= MAXIMUM_STORE_DELAY_MILLIS * 1_000_000L;
     if (last || urgent || delayed) {
       appender.append(job);
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -315,7 +315,7 @@
           jobHeads.find(submission.id()).map(JobHeadCache.CachedJob::head).orElse(accepted.head());
       if (accepted.created() && owned && head.owner().equals(context.instance())) {
         long now = context.clock().nanos();
-        start(new OwnedJob(head, submission.items(), dueNanos(head, now), now));
+        start(new OwnedJob(head, submission.items(), now));
       } else if (!owned) {
         // The owner may have got no answer when it created the job.
         questions.notifyHeadChanged(accepted.head().owner(), submission.id());
@@ -422,7 +422,7 @@
     if (items instanceof StoreResult.Done<List<ItemSpec>> specs
         && chunks instanceof StoreResult.Done<List<List<JobResult>>> results) {
       long now = context.clock().nanos();
-      OwnedJob job = new OwnedJob(current, specs.value(), dueNanos(current, now), now);
+      OwnedJob job = new OwnedJob(current, specs.value(), now);
       results.value().forEach(job::addChunk);
       // The previous owner, or the previous process of this instance, may still store results.
       job.setLoadedFromStore();
@@ -445,19 +445,6 @@
     }
   }
 
-  private long dueNanos(JobHead head, long nowNanos) {
-    long runTargetMillis =
-        context
-            .routes()
-            .current()
-            .match(head.host(), head.path())
-            .map(route -> route.batch().runTargetMillis())
-            .orElse(0L);
-    // Bounded, because a clock may have been set. The value affects only the order of items.
-    long remainingMillis = head.submittedMillis() + runTargetMillis - System.currentTimeMillis();
-    return nowNanos + Math.max(0, Math.min(runTargetMillis, remainingMillis)) * 1_000_000L;
-  }
-
   private void readOwned(OwnedJob job, int after, long deadlineNanos, Consumer<ReadResult> result) {
     ownershipCheck.check(job);
     ownedReads.read(job, after, deadlineNanos, result);
