Fail the items of a model that does not exist

Items whose model was dropped while they waited, or was never known, waited without end, and so did their job.

Cause: ItemSender asks the configuration for the service of an item's model; without one no endpoint matches, and nothing ended the item.

Change: if the model has been missing for 60 s, the holder of the segment asks the store for it and fails the waiting items if it is absent. An instance that has not received the model applies what the store answers instead.

--- a/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/HeldSegment.java
@@ -111,6 +111,14 @@
     return all;
   }
 
+  /** Removes and returns the items that wait to be sent or for their next attempt and match. */
+  List<BatchItem> removeWaiting(Predicate<BatchItem> test) {
+    List<BatchItem> removed = waitingAndDelayed().stream().filter(test).toList();
+    waiting.removeIf(test);
+    delayed.removeIf(each -> test.test(each.item()));
+    return removed;
+  }
+
   /** Returns waiting non-idempotent items that must be marked as started before they are sent. */
   List<BatchItem> itemsToMarkStarted(Predicate<BatchItem> test, int limit) {
     return waiting.stream()
--- a/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/ItemSender.java
@@ -46,6 +46,7 @@
   private final Map<String, String> serviceByModel = new HashMap<>();
   private final Set<String> servicesWithFreeSlots = new HashSet<>();
   private final RefusingEndpoints refusing;
+  private final MissingModels missingModels;
   private long checkedExpiryCount;
 
   ItemSender(RunnerState state, BackgroundCalls calls, Consumer<Runnable> inbox) {
@@ -54,6 +55,7 @@
     this.calls = calls;
     this.inbox = inbox;
     this.refusing = new RefusingEndpoints(state, calls);
+    this.missingModels = new MissingModels(state, calls);
   }
 
   /**
@@ -74,6 +76,7 @@
                 Comparator.comparing((HeldSegment segment) -> segment.job().deadline())
                     .thenComparing(segment -> !segment.isTakenOver()))
             .toList();
+    missingModels.failItems(segments);
     refusing.probeDue();
     List<EndpointView> owned = reachableEndpoints();
     for (EndpointView view : owned) {
--- a/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/JobRunnerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.store.FakeStore.Fault;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoredObject;
 
 /** Guards against items that are lost, end twice, or are sent when they must not be. */
 class JobRunnerTest {
@@ -237,6 +240,88 @@
     }
   }
 
+  @Nested
+  class DroppedModels {
+    private SimulatedInstance startJob(int items) {
+      runners.createJob("w".repeat(items));
+      SimulatedInstance instance = runners.add("entry-1");
+      runners.runUntil(() -> instance.engine.openCallCount() > 0);
+      return instance;
+    }
+
+    private void dropModel() {
+      StoreResult<StoredObject> found = runners.store.get(Kinds.MODELS, "lenga-7b");
+      long version = ((StoreResult.Done<StoredObject>) found).value().version();
+      runners.store.delete(Kinds.MODELS, "lenga-7b", version);
+    }
+
+    private void createModel() {
+      runners.store.create(
+          Kinds.MODELS,
+          "lenga-7b",
+          JsonNodeFactory.instance.objectNode().put("service", "tallador-lm"));
+    }
+
+    /** The items waited without end, and so did their job. */
+    @Test
+    void endTheirWaitingItems() throws Exception {
+      startJob(40);
+      dropModel();
+      runners.runToEnd();
+      runners.assertEachItemEndedOnce();
+      assertTrue(runners.job().counts().failed() > 0);
+      assertEquals(40, runners.job().counts().done() + runners.job().counts().failed());
+    }
+
+    @Test
+    void endTheItemsOfAHolderThatWasLost() throws Exception {
+      SimulatedInstance first = startJob(40);
+      runners.add("entry-2");
+      dropModel();
+      runners.runFor(30_000);
+      first.alive = false;
+      runners.runToEnd();
+      runners.assertEachItemEndedOnce();
+    }
+
+    @Test
+    void keepTheirItemsIfTheyAreCreatedAgain() throws Exception {
+      startJob(40);
+      dropModel();
+      runners.runFor(50_000);
+      createModel();
+      runners.runToEnd();
+      assertEquals(40, runners.job().counts().done());
+    }
+
+    /** The holder has not received the model; giving up would fail items that can run. */
+    @Test
+    void areConfirmedByTheStore() throws Exception {
+      SimulatedInstance instance = startJob(40);
+      dropModel();
+      runners.runFor(100);
+      instance.missesModelChanges = true;
+      createModel();
+      runners.runToEnd();
+      assertEquals(40, runners.job().counts().done());
+    }
+
+    @Test
+    void areNotConfirmedWhileTheStoreIsAway() throws Exception {
+      startJob(40);
+      dropModel();
+      runners.runFor(1_000);
+      runners.store.faults =
+          (operation, kind) -> kind.equals(Kinds.MODELS) ? Fault.OUTAGE : Fault.NONE;
+      runners.runFor(90_000);
+      assertEquals(0, runners.job().counts().failed());
+      runners.store.faults = (operation, kind) -> Fault.NONE;
+      createModel();
+      runners.runToEnd();
+      assertEquals(40, runners.job().counts().done());
+    }
+  }
+
   @Nested
   class Cancel {
     @Test
--- a/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/job/SimulatedInstance.java
@@ -43,6 +43,9 @@
   /** Whether the endpoint is found to refuse connections after a connection broke. */
   boolean endpointCrashed;
 
+  /** Whether changes of models do not reach the replica. */
+  boolean missesModelChanges;
+
   long pausedUntilNanos;
 
   private final Deque<StoredObject> changes = new ArrayDeque<>();
@@ -119,6 +122,9 @@
 
   /** Applies changed objects to the replica, as a watch of the store does. */
   void deliverChanges() {
+    if (missesModelChanges) {
+      changes.removeIf(change -> change.kind().equals(Kinds.MODELS));
+    }
     List<StoredObject> batch = new ArrayList<>(changes);
     changes.clear();
     batch.forEach(replica::apply);
