Give items up also if another instance always has a newer configuration

Callers would see: with a change every few seconds, some instance is often newer than the owner. The owner decided only in a moment in which none was, so that it could put off the end of the items without bound.

Change: the newest version that others report is sampled. The items are given up once this instance has the version that others had at the end of the wait.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
@@ -34,6 +34,17 @@
   private RouteTable observed = RouteTable.EMPTY;
   private long firstKnownNanos;
 
+  /** Newest version of another instance at the time of the sample. */
+  private long sampledVersion;
+
+  private long sampledNanos;
+
+  /**
+   * Last time at which no other instance had a newer configuration than this one has now. With
+   * frequent changes another instance may always be newer.
+   */
+  private long upToDateNanos;
+
   /**
    * Creates the routes of jobs.
    *
@@ -59,12 +70,26 @@
     return find(job).map(Route::name).orElse(job.route());
   }
 
-  /** Records the routes that the current configuration has dropped since the last call. */
+  /**
+   * Records the routes that the current configuration has dropped since the last call, and up to
+   * when it is as new as those of the other instances. Called several times a second.
+   */
   void observe(long nowNanos) {
     RouteTable current = holder.current();
-    if (current == observed) {
-      return;
+    if (current != observed) {
+      recordDroppedRoutes(current, nowNanos);
+    }
+    if (observed.version() >= sampledVersion) {
+      upToDateNanos = sampledNanos;
+      sampledVersion = newestPeerVersion.applyAsLong(nowNanos);
+      sampledNanos = nowNanos;
+    }
+    if (observed.version() >= sampledVersion) {
+      upToDateNanos = nowNanos;
     }
+  }
+
+  private void recordDroppedRoutes(RouteTable current, long nowNanos) {
     if (observed.version() == 0) {
       firstKnownNanos = nowNanos;
     }
@@ -85,9 +110,7 @@
   boolean isGivenUp(JobHead job, long nowNanos) {
     observe(nowNanos);
     boolean dropped = observed.version() > job.configurationVersion() && find(job).isEmpty();
-    return dropped
-        && hasWaited(droppedSinceNanos(job), nowNanos)
-        && newestPeerVersion.applyAsLong(nowNanos) <= observed.version();
+    return dropped && hasWaited(droppedSinceNanos(job), upToDateNanos);
   }
 
   /**
--- a/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
@@ -120,8 +120,22 @@
       apply(6, 100);
       peerVersion = 7;
       assertFalse(routes.isGivenUp(job, 2 * RETURN_NANOS));
-      apply(7, 2 * RETURN_NANOS);
-      assertTrue(routes.isGivenUp(job, 2 * RETURN_NANOS));
+      assertFalse(routes.isGivenUp(job, 3 * RETURN_NANOS));
+      apply(7, 4 * RETURN_NANOS);
+      assertTrue(routes.isGivenUp(job, 4 * RETURN_NANOS));
+    }
+
+    /** With frequent changes, some instance is always newer than this one. */
+    @Test
+    void isDecidedOnceThisInstanceHasTheVersionThatOthersHadAtTheEndOfTheWait() {
+      apply(5, 0, batch());
+      apply(6, 100);
+      peerVersion = 7;
+      assertFalse(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      peerVersion = 9;
+      assertFalse(routes.isGivenUp(job, 200 + RETURN_NANOS));
+      apply(7, 300 + RETURN_NANOS);
+      assertTrue(routes.isGivenUp(job, 300 + RETURN_NANOS));
     }
 
     @Test
