Remember a dropped route until the end of its items is decided

Cause: the record of a drop was removed 7 s after it, also while another instance had a newer configuration and nothing could be decided. Then the wait counted from the first configuration of the process, and items were given up by an instance that was behind.

Change: a record is removed once this instance was up to date 7 s after it.

Measured on arm64: the new case of JobRoutesTest failed before and passes now.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
@@ -93,7 +93,7 @@
     if (observed.version() == 0) {
       firstKnownNanos = nowNanos;
     }
-    droppedNanos.values().removeIf(dropped -> hasWaited(dropped, nowNanos));
+    droppedNanos.values().removeIf(dropped -> hasWaited(dropped, upToDateNanos));
     for (Route route : observed.routes()) {
       if (route.kind() == RouteKind.BATCH
           && batchRoute(current, route.host(), route.pathPrefix()).isEmpty()) {
--- a/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
@@ -125,6 +125,19 @@
       assertTrue(routes.isGivenUp(job, 4 * RETURN_NANOS));
     }
 
+    /** The record of the drop was removed by age, although the wait had not been decided. */
+    @Test
+    void isRememberedWhileAnotherInstanceHasANewerConfiguration() {
+      apply(5, 0, batch());
+      apply(6, 2 * RETURN_NANOS);
+      peerVersion = 9;
+      routes.observe(2 * RETURN_NANOS + 1);
+      apply(7, 4 * RETURN_NANOS);
+      assertFalse(routes.isGivenUp(job, 4 * RETURN_NANOS));
+      apply(9, 5 * RETURN_NANOS);
+      assertTrue(routes.isGivenUp(job, 5 * RETURN_NANOS));
+    }
+
     /** With frequent changes, some instance is always newer than this one. */
     @Test
     void isDecidedOnceThisInstanceHasTheVersionThatOthersHadAtTheEndOfTheWait() {
