Count the wait for a dropped route from the first configuration

Cause: the time at which an instance was last up to date began at zero, which is no reading of the monotonic clock. With a clock below zero, an instance that was behind the others gave items up at once. Found by reading the change again.

Change: it begins with the first configuration. hasEnded names the decision.

Measured on arm64: the new case of JobRoutesTest failed before and passes now.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
@@ -92,6 +92,7 @@
   private void recordDroppedRoutes(RouteTable current, long nowNanos) {
     if (observed.version() == 0) {
       firstKnownNanos = nowNanos;
+      sampledNanos = nowNanos;
     }
     droppedNanos.values().removeIf(dropped -> hasWaited(dropped, upToDateNanos));
     for (Route route : observed.routes()) {
@@ -104,10 +105,10 @@
   }
 
   /**
-   * Returns whether the unfinished items of a job are to be given up, because its route was dropped
-   * and did not return in time.
+   * Returns whether the route of a job has ended: it was dropped and did not return in time. The
+   * items that are not finished are to be given up.
    */
-  boolean isGivenUp(JobHead job, long nowNanos) {
+  boolean hasEnded(JobHead job, long nowNanos) {
     observe(nowNanos);
     boolean dropped = observed.version() > job.configurationVersion() && find(job).isEmpty();
     return dropped && hasWaited(droppedSinceNanos(job), upToDateNanos);
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -160,7 +160,7 @@
     long now = dependencies.clock().nanos();
     routes.observe(now);
     for (OwnedJob job : jobs.values()) {
-      if (!job.isComplete() && !job.isEnded() && routes.isGivenUp(job.head(), now)) {
+      if (!job.isComplete() && !job.isEnded() && routes.hasEnded(job.head(), now)) {
         giveUpWaitingItems(job, now);
       }
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -73,7 +73,13 @@
     this.deleter = new ExpiredJobDeleter(context, runner, jobHeads, storedResults, this::remove);
   }
 
-  /** Accepts a job on a batch route. An id that was accepted before creates no second job. */
+  /**
+   * Accepts a job. An id that was accepted before creates no second job.
+   *
+   * @param route batch route of the job in the current configuration, not null
+   * @param submission the job, not null
+   * @param result receives the outcome
+   */
   public void submit(Route route, JobSubmission submission, Consumer<AcceptResult> result) {
     String id = submission.id();
     Optional<JobHeadCache.CachedJob> cached = jobHeads.find(id);
--- a/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
@@ -72,8 +72,8 @@
     void givesItemsUpAfterTheReturnTime() {
       apply(5, 0, batch());
       apply(6, 100);
-      assertFalse(routes.isGivenUp(job, 99 + RETURN_NANOS));
-      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 99 + RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 100 + RETURN_NANOS));
     }
 
     /** A new owner would otherwise begin to wait anew at each takeover. */
@@ -83,8 +83,8 @@
       apply(6, 100);
       apply(7, RETURN_NANOS / 2);
       apply(9, RETURN_NANOS);
-      assertFalse(routes.isGivenUp(job, 99 + RETURN_NANOS));
-      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 99 + RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 100 + RETURN_NANOS));
     }
 
     /** The record of a drop is removed when it is older than the return time. */
@@ -93,7 +93,7 @@
       apply(5, 0, batch());
       apply(6, 100);
       apply(7, 5 * RETURN_NANOS);
-      assertTrue(routes.isGivenUp(job, 5 * RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 5 * RETURN_NANOS));
     }
 
     @Test
@@ -101,17 +101,17 @@
       apply(5, 0, batch());
       apply(6, 100);
       apply(7, 200, batch());
-      assertFalse(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 100 + RETURN_NANOS));
       apply(8, RETURN_NANOS);
-      assertFalse(routes.isGivenUp(job, 100 + RETURN_NANOS));
-      assertTrue(routes.isGivenUp(job, 2 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 100 + RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 2 * RETURN_NANOS));
     }
 
     @Test
     void countsFromTheFirstConfigurationIfItWasDroppedBefore() {
       apply(6, 100);
-      assertFalse(routes.isGivenUp(job, 99 + RETURN_NANOS));
-      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 99 + RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 100 + RETURN_NANOS));
     }
 
     @Test
@@ -119,10 +119,10 @@
       apply(5, 0, batch());
       apply(6, 100);
       peerVersion = 7;
-      assertFalse(routes.isGivenUp(job, 2 * RETURN_NANOS));
-      assertFalse(routes.isGivenUp(job, 3 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 2 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 3 * RETURN_NANOS));
       apply(7, 4 * RETURN_NANOS);
-      assertTrue(routes.isGivenUp(job, 4 * RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 4 * RETURN_NANOS));
     }
 
     /** The record of the drop was removed by age, although the wait had not been decided. */
@@ -133,9 +133,17 @@
       peerVersion = 9;
       routes.observe(2 * RETURN_NANOS + 1);
       apply(7, 4 * RETURN_NANOS);
-      assertFalse(routes.isGivenUp(job, 4 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 4 * RETURN_NANOS));
       apply(9, 5 * RETURN_NANOS);
-      assertTrue(routes.isGivenUp(job, 5 * RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 5 * RETURN_NANOS));
+    }
+
+    /** The origin of the monotonic clock is arbitrary. */
+    @Test
+    void isNotDecidedTooSoonIfTheClockIsNegative() {
+      peerVersion = 7;
+      apply(6, -5 * RETURN_NANOS);
+      assertFalse(routes.hasEnded(job, -5 * RETURN_NANOS + 1));
     }
 
     /** With frequent changes, some instance is always newer than this one. */
@@ -144,11 +152,11 @@
       apply(5, 0, batch());
       apply(6, 100);
       peerVersion = 7;
-      assertFalse(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 100 + RETURN_NANOS));
       peerVersion = 9;
-      assertFalse(routes.isGivenUp(job, 200 + RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 200 + RETURN_NANOS));
       apply(7, 300 + RETURN_NANOS);
-      assertTrue(routes.isGivenUp(job, 300 + RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 300 + RETURN_NANOS));
     }
 
     @Test
@@ -156,14 +164,14 @@
       apply(5, 0, batch());
       apply(6, 100, route("chat", "/", RouteKind.STREAMING));
       assertEquals(Optional.empty(), routes.find(job));
-      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 100 + RETURN_NANOS));
     }
 
     @Test
     void isARouteWhoseKindChanged() {
       apply(5, 0, batch());
       apply(6, 100, route("notices", "/batch/", RouteKind.IDEMPOTENT));
-      assertTrue(routes.isGivenUp(job, 100 + RETURN_NANOS));
+      assertTrue(routes.hasEnded(job, 100 + RETURN_NANOS));
     }
 
     @Test
@@ -171,7 +179,7 @@
       apply(5, 0, batch());
       apply(6, 100, route("all", "/", RouteKind.BATCH));
       assertEquals("all", routes.find(job).map(Route::name).orElse(""));
-      assertFalse(routes.isGivenUp(job, 2 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 2 * RETURN_NANOS));
     }
   }
 
@@ -182,14 +190,14 @@
     void keepsItemsOfAJobThatWasAcceptedUnderANewerConfiguration() {
       apply(5, 0, batch());
       apply(6, 100);
-      assertFalse(routes.isGivenUp(acceptedUnder(7), 5 * RETURN_NANOS));
-      assertFalse(routes.isGivenUp(acceptedUnder(6), 5 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(acceptedUnder(7), 5 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(acceptedUnder(6), 5 * RETURN_NANOS));
     }
 
     @Test
     void keepsItemsWithoutAConfiguration() {
-      assertFalse(routes.isGivenUp(job, 5 * RETURN_NANOS));
-      assertFalse(routes.isGivenUp(acceptedUnder(0), 5 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(job, 5 * RETURN_NANOS));
+      assertFalse(routes.hasEnded(acceptedUnder(0), 5 * RETURN_NANOS));
     }
   }
 
