--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemSpec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemSpec.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A submitted item of a batch job. No component may be null.
@@ -22,4 +23,9 @@
     headers = Map.copyOf(headers);
     Objects.requireNonNull(body);
   }
+
+  /** Returns why the item can't be sent to an endpoint, with its field, empty if it can. */
+  public Optional<String> fault() {
+    return ItemFaults.find(this);
+  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJob.java
@@ -82,6 +82,11 @@
     return loadedFromStore || ownerUncertain;
   }
 
+  /** Returns whether the job was loaded from the store, and not created by this process. */
+  boolean isLoadedFromStore() {
+    return loadedFromStore;
+  }
+
   void setLoadedFromStore() {
     loadedFromStore = true;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -87,9 +87,21 @@
   /** Starts running a job whose stored results have been loaded. */
   void add(OwnedJob job) {
     jobs.put(job.head().id(), job);
+    if (job.isLoadedFromStore() && !job.isEnded()) {
+      giveUpItemsWithFaults(job);
+    }
     dependencies.dispatcher().refresh();
   }
 
+  /** Gives up items that an earlier version of this program accepted and that can't be sent. */
+  private void giveUpItemsWithFaults(OwnedJob job) {
+    for (OwnedItem item : job.items()) {
+      Optional<String> fault = item.isDone() ? Optional.empty() : item.spec().fault();
+      fault.ifPresent(reason -> giveUp(job, List.of(item), reason));
+    }
+    storeIfDue(job);
+  }
+
   /** Returns the jobs that are run here. */
   List<OwnedJob> jobs() {
     return List.copyOf(jobs.values());
@@ -161,31 +173,34 @@
     routes.observe(now);
     for (OwnedJob job : jobs.values()) {
       if (!job.isComplete() && !job.isEnded() && routes.hasEnded(job.head(), now)) {
-        giveUpWaitingItems(job, now);
+        giveUpWaitingItems(job);
       }
     }
   }
 
   /** Gives up the items that do not run; those that run may still be completed. */
-  private void giveUpWaitingItems(OwnedJob job, long nowNanos) {
+  private void giveUpWaitingItems(OwnedJob job) {
     List<OwnedItem> waiting = job.items().stream().filter(OwnedItem::isWaiting).toList();
     if (waiting.isEmpty()) {
       return;
     }
-    waiting.forEach(
-        item ->
-            job.addUnstoredResult(
-                item, new JobResult(item.spec().id(), false, ROUTE_DROPPED), nowNanos));
-    dependencies.metrics().recordItemsGivenUp(waiting.size());
+    giveUp(job, waiting, ROUTE_DROPPED);
+    storeIfDue(job);
+  }
+
+  private void giveUp(OwnedJob job, List<OwnedItem> items, String cause) {
+    long now = dependencies.clock().nanos();
+    items.forEach(
+        item -> job.addUnstoredResult(item, new JobResult(item.spec().id(), false, cause), now));
+    dependencies.metrics().recordItemsGivenUp(items.size());
     dependencies.log().log(
         LogEvent.ITEMS_GIVEN_UP,
         EventField.of("job", job.head().id()),
-        EventField.of("items", waiting.size()),
-        EventField.of("cause", ROUTE_DROPPED),
+        EventField.of("items", items.size()),
+        EventField.of("cause", cause),
         EventField.of("route", job.head().route()),
         EventField.of("accepted_under", job.head().configurationVersion()),
         EventField.of("configuration", dependencies.routes().current().version()));
-    storeIfDue(job);
   }
 
   /** Stops all runs for a planned stop; other instances take over the jobs. */
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
@@ -67,7 +67,7 @@
   private final Counter itemsGivenUp =
       Counter.builder()
           .name("sedgeroad_gateway_batch_items_given_up_total")
-          .help("Batch items that were given up because their route was dropped.")
+          .help("Batch items that were given up because they can no longer run.")
           .register(registry);
   private final Counter storeCalls =
       Counter.builder()
@@ -123,7 +123,7 @@
     items.labelValues(outcome).inc();
   }
 
-  /** Records batch items that were given up because their route was dropped. */
+  /** Records batch items that were given up because they can no longer run. */
   public void recordItemsGivenUp(int count) {
     itemsGivenUp.inc(count);
   }
