Refuse a live request with an odd path before it takes a slot

A request whose path or query has characters that a URI does not allow was answered 500 and kept its slot for good, so that an instance served nobody after as many of them as it has slots.

Cause: URI.create threw after the slot was taken.

Change: such a request is answered 400 before it asks for a slot. Items use the same check.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemFaults.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemFaults.java
@@ -1,16 +1,12 @@
 package org.sedgeroad.batch;
 
-import java.net.URI;
-import java.net.URISyntaxException;
 import java.util.Base64;
 import java.util.Map;
 import java.util.Optional;
+import org.sedgeroad.http.RequestTarget;
 
 /** Finds out why an item can't be sent to an endpoint. */
 final class ItemFaults {
-  /** Authority that completes a target to a URI; no call is made to it. */
-  private static final String ANY_AUTHORITY = "http://localhost";
-
   private ItemFaults() {}
 
   /** Returns the field and the reason, empty if the item can be sent. */
@@ -33,14 +29,7 @@
   }
 
   private static boolean isTarget(String target) {
-    if (!target.startsWith("/") || !target.chars().allMatch(each -> each > ' ' && each < 0x7f)) {
-      return false;
-    }
-    try {
-      return new URI(ANY_AUTHORITY + target).getRawFragment() == null;
-    } catch (URISyntaxException malformed) {
-      return false;
-    }
+    return RequestTarget.isValid(target) && target.chars().allMatch(each -> each < 0x7f);
   }
 
   private static boolean isBase64(String text) {
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Refusal.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Refusal.java
@@ -15,6 +15,8 @@
   public enum Reason {
     /** No route matches. */
     NO_ROUTE,
+    /** The request can't be sent to an endpoint as it is. */
+    MALFORMED,
     /** The request has not run and will not run. */
     NOT_RUN,
     /** The request may have run. */
