--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
@@ -19,10 +19,8 @@
  */
 final class JobRoutes {
   /**
-   * Time after which the items of a dropped route are given up, in milliseconds. A route that one
-   * configuration drops and the next adds again keeps them. Together with the takeover of a job
-   * from a failure domain that became silent, it is shorter than the time that jobs have to finish
-   * after their traffic.
+   * Time after which the items of a dropped route are given up, in milliseconds. A route that
+   * returns sooner keeps them.
    */
   static final long RETURN_MILLIS = 7_000;
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/RepeatedSubmissions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/RepeatedSubmissions.java
@@ -12,7 +12,6 @@
 final class RepeatedSubmissions {
   /**
    * Time after which a client may submit a job again whose head could not be read, in milliseconds.
-   * It is similar to the retry delay of list calls to the store.
    */
   private static final long STORE_RETRY_MILLIS = 500;
 
--- a/sedgeroad/src/main/java/org/sedgeroad/job/MissingModels.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/job/MissingModels.java
@@ -15,16 +15,10 @@
  * model is created in time, because no endpoint can run them. Used by the runner's thread only.
  */
 final class MissingModels {
-  /**
-   * Time for which items wait for a model to be created, in nanoseconds. Operators replace models
-   * by hand, and jobs are due hours after their submission.
-   */
+  /** Time for which items wait for a model to be created, in nanoseconds. */
   private static final long CREATION_NANOS = 60_000_000_000L;
 
-  /**
-   * Time after which a model that no held segment names is forgotten, in nanoseconds; longer than
-   * the time within which a released segment is claimed again.
-   */
+  /** Time after which a model that no held segment names is forgotten, in nanoseconds. */
   private static final long FORGET_NANOS = 10 * CREATION_NANOS;
 
   /** Time between two checks, in nanoseconds. */
