Divide the dispatcher, and add what instances will report of workspaces

Change: EndpointDirectory, WaitingRequests and ItemPlacement are parts of their own; RequestLog holds the log lines of RequestRun. Load reports carry FleetDetails (confirmation of the configuration, loads of workspaces, speeds), which are empty so far. A RequestPermit is asked before each send.

--- a/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ExchangeExperiment.java
+++ b/sedgeroad-testing/src/main/java/org/sedgeroad/testing/experiment/ExchangeExperiment.java
@@ -171,7 +171,8 @@
   private static void submitWaiting(Dispatcher dispatcher) {
     long deadline = MonotonicClock.SYSTEM.deadlineAfterMillis(1_000_000);
     for (int number = 0; number < WAITING; number++) {
-      dispatcher.submit(LiveDemand.of(SERVICE, 0, deadline, deadline, Set.of(), endpoint -> {}));
+      dispatcher.submit(
+          LiveDemand.of(SERVICE, "", 0, deadline, deadline, Set.of(), endpoint -> {}));
     }
   }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/package-info.java
@@ -0,0 +1,2 @@
+/** Decides who may send requests: keys, workspaces, quotas, and the age of the configuration. */
+package org.sedgeroad.access;
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
@@ -126,17 +126,20 @@
    *
    * @param route the matching route, of any kind but batch
    * @param request the request
+   * @param permit permission to send the request
    * @param answer sends the answer to the client
    * @return the run, whose {@link RequestRun#clientDisconnected} is to be called if the client
    *     disconnects
    */
-  public RequestRun forward(Route route, ClientRequest request, ClientAnswer answer) {
+  public RequestRun forward(
+      Route route, ClientRequest request, RequestPermit permit, ClientAnswer answer) {
     String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
     long waitedNanos =
         priorWaitEstimator.waitedNanos(
             route.name(), request.deadlineNanos() - request.arrivedNanos());
     RequestRun run =
-        new RequestRun(dependencies, route, service, request, answer, waitedNanos, runs::remove);
+        new RequestRun(
+            dependencies, route, service, request, permit, answer, waitedNanos, runs::remove);
     runs.add(run);
     run.start();
     return run;
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Refusal.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Refusal.java
@@ -15,6 +15,10 @@
   public enum Reason {
     /** No route matches. */
     NO_ROUTE,
+    /** The request has no valid key of a workspace; it has not run. */
+    UNAUTHORIZED,
+    /** The request exceeds the quota of its workspace; it has not run and will not run. */
+    OVER_QUOTA,
     /** The request can't be sent to an endpoint as it is. */
     MALFORMED,
     /** The request has not run and will not run. */
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestPermit.java
@@ -0,0 +1,43 @@
+package org.sedgeroad.gateway;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * Permission of one client request to be sent to endpoints. It may end while the request waits.
+ * Used on the event loop.
+ */
+public interface RequestPermit {
+  /** Permission of a request without a workspace, which never ends. */
+  RequestPermit UNRESTRICTED =
+      new RequestPermit() {
+        @Override
+        public String workspace() {
+          return "";
+        }
+
+        @Override
+        public OptionalInt priority() {
+          return OptionalInt.empty();
+        }
+
+        @Override
+        public Optional<Refusal> beforeSend() {
+          return Optional.empty();
+        }
+      };
+
+  /** Returns the name of the workspace that sent the request, empty without one. */
+  String workspace();
+
+  /** Returns the priority that replaces that of the route, empty to keep it. */
+  OptionalInt priority();
+
+  /**
+   * Checks the permission again; to be called immediately before each send to an endpoint. The
+   * first call that returns no refusal counts the request against the quota of its workspace.
+   *
+   * @return the refusal of a request that has not run, empty if it may be sent
+   */
+  Optional<Refusal> beforeSend();
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -7,8 +7,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.sedgeroad.EventLoop;
-import org.sedgeroad.event.EventField;
-import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.http.HttpFailure;
 import org.sedgeroad.placement.LiveDemand;
 import org.sedgeroad.placement.WorkClass;
@@ -53,8 +51,10 @@
   private final Route route;
   private final String service;
   private final ClientRequest request;
+  private final RequestPermit permit;
   private final ClientAnswer answer;
   private final Consumer<RequestRun> endListener;
+  private final RequestLog log;
 
   /**
    * Monotonic time until which the answer, or a stream's first event, meets the latency objective.
@@ -81,6 +81,7 @@
       Route route,
       String service,
       ClientRequest request,
+      RequestPermit permit,
       ClientAnswer answer,
       long priorWaitNanos,
       Consumer<RequestRun> endListener) {
@@ -88,8 +89,10 @@
     this.route = route;
     this.service = service;
     this.request = request;
+    this.permit = permit;
     this.answer = answer;
     this.endListener = endListener;
+    this.log = new RequestLog(dependencies, route, request, permit.workspace());
     this.suspicionCheck = new SuspicionCheck(dependencies, request);
     this.lastEventId = request.lastEventId();
     this.objectiveNanos =
@@ -156,7 +159,13 @@
     }
     demand =
         LiveDemand.of(
-            service, route.priority(), objectiveNanos, deadlineNanos, excluded, this::send);
+            service,
+            permit.workspace(),
+            permit.priority().orElse(route.priority()),
+            objectiveNanos,
+            deadlineNanos,
+            excluded,
+            this::send);
     dependencies.dispatcher().submit(demand);
   }
 
@@ -186,27 +195,17 @@
     demand = null;
     if (!suspicionCheck.maySend()) {
       // The suspicion arose while the request waited for a slot.
-      dependencies.loop().execute(() -> giveSlotBack(endpoint));
+      dependencies.loop().execute(() -> giveSlotBack(endpoint, this::requestSlot));
       return;
     }
-    long waited = (dependencies.clock().nanos() - request.arrivedNanos()) / 1_000_000L;
-    dependencies.metrics().recordPlacement(route.name(), waited);
-    dependencies
-        .log()
-        .logRoutine(
-            request.id(),
-            LogEvent.REQUEST_PLACED,
-            EventField.of("request", request.id()),
-            EventField.of("route", route.name()),
-            EventField.of("endpoint", endpoint.name()),
-            EventField.of("configuration", dependencies.routes().current().version()),
-            EventField.of("waited_ms", waited),
-            EventField.of(
-                "objective_in_ms", (objectiveNanos - dependencies.clock().nanos()) / 1_000_000L),
-            EventField.of(
-                "client_ms", (request.deadlineNanos() - request.arrivedNanos()) / 1_000_000L),
-            EventField.of("after_event", lastEventId),
-            EventField.of("run", possibleRuns + 1));
+    Optional<Refusal> refusal = permit.beforeSend();
+    if (refusal.isPresent()) {
+      dependencies
+          .loop()
+          .execute(() -> giveSlotBack(endpoint, () -> failUnpermitted(refusal.get())));
+      return;
+    }
+    log.placed(endpoint, objectiveNanos, lastEventId, possibleRuns + 1);
     attempt = new EndpointAttempt(endpoint);
     attempt.start(
         new EndpointCall(
@@ -220,9 +219,16 @@
             deadlineNanos));
   }
 
-  private void giveSlotBack(ServiceEndpoint endpoint) {
+  private void giveSlotBack(ServiceEndpoint endpoint, Runnable next) {
     dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
-    requestSlot();
+    next.run();
+  }
+
+  /** Ends a request whose permission has ended since its arrival. */
+  private void failUnpermitted(Refusal refusal) {
+    if (!done) {
+      fail(possibleRuns == 0 ? refusal : Refusal.of(Refusal.Reason.UNKNOWN, refusal.text()));
+    }
   }
 
   private void onDeadline() {
@@ -239,16 +245,7 @@
   private void fail(Refusal refusal) {
     finish(refusal.text());
     stopWork();
-    dependencies.log().log(
-        LogEvent.REQUEST_REFUSED,
-        EventField.of("request", request.id()),
-        EventField.of("route", route.name()),
-        EventField.of("reason", refusal.reason()),
-        EventField.of("cause", refusal.text()),
-        EventField.of("runs", possibleRuns),
-        EventField.of("rejections", rejections),
-        EventField.of("begun", startedAnswer != null));
-    dependencies.metrics().recordRefusal(route.name(), refusal.reason());
+    log.refused(refusal, possibleRuns, rejections, startedAnswer != null);
     if (startedAnswer == null) {
       answer.refuse(refusal);
     } else {
@@ -261,17 +258,7 @@
     endListener.accept(this);
     timeout.close();
     suspicionCheck.close();
-    long took = (dependencies.clock().nanos() - request.arrivedNanos()) / 1_000_000L;
-    dependencies.metrics().recordEnd(route.name(), took);
-    dependencies
-        .log()
-        .logRoutine(
-            request.id(),
-            LogEvent.REQUEST_ENDED,
-            EventField.of("request", request.id()),
-            EventField.of("route", route.name()),
-            EventField.of("outcome", outcome),
-            EventField.of("took_ms", took));
+    log.ended(outcome);
   }
 
   private void stopWork() {
@@ -544,14 +531,14 @@
                 possibleRuns == 0 ? Refusal.Reason.NOT_RUN : Refusal.Reason.TIMED_OUT,
                 "no time is left; last " + cause));
       } else {
-        logMove(cause);
+        log.moved(endpoint, cause, possibleRuns, rejections);
         requestSlot();
       }
     }
 
     /** Handles a broken answer. The request may have run at this endpoint. */
     private void onBrokenAnswer(String cause) {
-      logBrokenAnswer(cause);
+      log.broken(endpoint, cause, head != null, eventCount);
       dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
       attempt = null;
       if (done) {
@@ -572,29 +559,8 @@
     private void runElsewhere(String cause) {
       possibleRuns++;
       excluded.add(endpoint.name());
-      logMove(cause);
+      log.moved(endpoint, cause, possibleRuns, rejections);
       requestSlot();
     }
-
-    private void logBrokenAnswer(String cause) {
-      dependencies.log().log(
-          LogEvent.ANSWER_BROKEN,
-          EventField.of("request", request.id()),
-          EventField.of("endpoint", endpoint.name()),
-          EventField.of("cause", cause),
-          EventField.of("begun", head != null),
-          EventField.of("events", eventCount),
-          EventField.of("prompt", String.join(",", request.promptParts())));
-    }
-
-    private void logMove(String cause) {
-      dependencies.log().log(
-          LogEvent.REQUEST_MOVED,
-          EventField.of("request", request.id()),
-          EventField.of("endpoint", endpoint.name()),
-          EventField.of("cause", cause),
-          EventField.of("runs", possibleRuns),
-          EventField.of("rejections", rejections));
-    }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -1,11 +1,8 @@
 package org.sedgeroad.placement;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,11 +10,8 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.UnaryOperator;
-import java.util.stream.Collectors;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.gateway.ServiceEndpoint;
-import org.sedgeroad.peer.RendezvousHashing;
-import org.sedgeroad.presence.EndpointTotal;
 import org.sedgeroad.presence.FleetLoad;
 import org.sedgeroad.presence.LoadTotals;
 import org.sedgeroad.presence.Occupancy;
@@ -30,23 +24,12 @@
   /** Upper bound of the estimated time until a limited rate allows a request, in nanoseconds. */
   private static final double LONGEST_WAIT_NANOS = 3.6e12;
 
-  private final String instance;
-  private final String domain;
-  private final UnaryOperator<String> regionOfDomain;
+  private final EndpointDirectory directory;
+  private final ItemPlacement items;
   private final FleetLoad fleetLoad;
   private final MonotonicClock clock;
   private final DoubleSupplier random;
-  private final EndpointHealth health = new EndpointHealth();
-  private final Map<String, Occupancy> ownOccupancy = new HashMap<>();
-  private final Set<LiveDemand> waiting = new LinkedHashSet<>();
-
-  /** Distances of failure domains, computed again at each tick because settings may be reloaded. */
-  private final Map<String, EndpointLoad.Distance> distances = new HashMap<>();
-
-  private Map<String, ServiceEndpoint> endpointsByName = new LinkedHashMap<>();
-  private Set<String> unregisteredNames = Set.of();
-  private EndpointRestrictions restrictions = EndpointRestrictions.NONE;
-  private BatchSource batchSource = BatchSource.NONE;
+  private final WaitingRequests waiting = new WaitingRequests();
   private Runnable changeListener = () -> {};
   private long lastDeferralRoundNanos;
 
@@ -67,9 +50,8 @@
       FleetLoad fleetLoad,
       MonotonicClock clock,
       DoubleSupplier random) {
-    this.instance = instance;
-    this.domain = domain;
-    this.regionOfDomain = regionOfDomain;
+    this.directory = new EndpointDirectory(domain, regionOfDomain, fleetLoad, clock);
+    this.items = new ItemPlacement(instance, directory, random);
     this.fleetLoad = fleetLoad;
     this.clock = clock;
     this.random = random;
@@ -81,12 +63,12 @@
    * Sets what restricts the requests to endpoints; {@link EndpointRestrictions#NONE} until then.
    */
   public void setRestrictions(EndpointRestrictions next) {
-    restrictions = next;
+    directory.setRestrictions(next);
   }
 
   /** Sets the source of the batch items; {@link BatchSource#NONE} until then. */
   public void setBatchSource(BatchSource source) {
-    batchSource = source;
+    items.setBatchSource(source);
   }
 
   /**
@@ -96,11 +78,12 @@
    */
   public void setChangeListener(Runnable listener) {
     changeListener = listener;
+    directory.setChangeListener(listener);
   }
 
   /** Returns the health of the endpoints, to which recent failures and successes are reported. */
   public EndpointHealth health() {
-    return health;
+    return directory.health();
   }
 
   /**
@@ -111,16 +94,7 @@
    */
   public void setEndpoints(
       Collection<ServiceEndpoint> endpoints, Collection<ServiceEndpoint> unregistered) {
-    Map<String, ServiceEndpoint> next = new LinkedHashMap<>();
-    endpoints.forEach(endpoint -> next.put(endpoint.name(), endpoint));
-    unregistered.forEach(endpoint -> next.put(endpoint.name(), endpoint));
-    endpointsByName = next;
-    unregisteredNames =
-        unregistered.stream().map(ServiceEndpoint::name).collect(Collectors.toUnmodifiableSet());
-    ownOccupancy
-        .keySet()
-        .removeIf(name -> !next.containsKey(name) && ownOccupancy.get(name).isEmpty());
-    restrictions.retain(endpointsByName.values());
+    directory.setEndpoints(endpoints, unregistered);
     placeWaiting(Map.of(), Optional.empty());
   }
 
@@ -131,7 +105,7 @@
    * @param excluded names of endpoints that don't count
    */
   public boolean hasEndpoint(String service, Set<String> excluded) {
-    return !usable(service, excluded).isEmpty();
+    return !directory.usable(service, excluded).isEmpty();
   }
 
   /**
@@ -144,9 +118,9 @@
    */
   public long nanosUntilRateAllows(String service, Set<String> excluded) {
     double rate = 0;
-    for (ServiceEndpoint endpoint : usable(service, excluded)) {
-      OptionalDouble limit = restrictions.rate(endpoint);
-      if (limit.isEmpty() || restrictions.allowance(endpoint) > 0) {
+    for (ServiceEndpoint endpoint : directory.usable(service, excluded)) {
+      OptionalDouble limit = directory.restrictions().rate(endpoint);
+      if (limit.isEmpty() || directory.restrictions().allowance(endpoint) > 0) {
         return 0;
       }
       rate += limit.getAsDouble();
@@ -162,24 +136,8 @@
    * same services as those of this one.
    */
   private double waitingEverywhere(String service) {
-    long own = waiting.stream().filter(demand -> demand.service().equals(service)).count();
-    return own == 0
-        ? 0
-        : own + (double) own / waiting.size() * fleetLoad.others(clock.nanos()).liveWaiting();
-  }
-
-  private List<ServiceEndpoint> usable(String service, Set<String> excluded) {
-    return endpointsByName.values().stream()
-        .filter(
-            endpoint ->
-                endpoint.service().equals(service)
-                    && acceptsWork(endpoint)
-                    && !excluded.contains(endpoint.name()))
-        .toList();
-  }
-
-  private boolean acceptsWork(ServiceEndpoint endpoint) {
-    return !endpoint.draining() && !restrictions.isLeaving(endpoint);
+    long own = waiting.count(service);
+    return own == 0 ? 0 : own + (double) own / waiting.size() * directory.others().liveWaiting();
   }
 
   /**
@@ -203,13 +161,12 @@
 
   /** Releases a slot at an endpoint and uses it for waiting work. */
   public void release(String endpoint, WorkClass workClass) {
-    addOccupancy(endpoint, workClass, -1);
+    directory.addOccupancy(endpoint, workClass, -1);
     placeWaiting(Map.of(), Optional.of(endpoint));
     if (waiting.isEmpty()) {
-      ServiceEndpoint freed = endpointsByName.get(endpoint);
-      if (freed != null) {
-        startItems(List.of(freed), workClass == WorkClass.BATCH);
-      }
+      directory
+          .find(endpoint)
+          .ifPresent(freed -> items.startItems(List.of(freed), 0, workClass == WorkClass.BATCH));
     }
   }
 
@@ -219,8 +176,8 @@
    */
   public void refresh() {
     placeWaiting(Map.of(), Optional.empty());
-    preemptItems();
-    startItems(List.copyOf(endpointsByName.values()), false);
+    items.preemptItems();
+    items.startItems(directory.all(), waiting.size(), false);
   }
 
   /**
@@ -230,11 +187,10 @@
    * @param peersExpected number of other instances, whether or not they have reported
    */
   public void tick(int peersExpected) {
-    distances.clear();
-    restrictions.update(peersExpected);
+    directory.update(peersExpected);
     placeWaiting(deferredShares(peersExpected), Optional.empty());
-    preemptItems();
-    startItems(List.copyOf(endpointsByName.values()), false);
+    items.preemptItems();
+    items.startItems(directory.all(), waiting.size(), false);
   }
 
   /** Returns the number of live requests that wait for a slot. */
@@ -242,11 +198,14 @@
     return waiting.size();
   }
 
+  /** Returns the numbers of waiting live requests by workspace, without requests that have none. */
+  public Map<String, Integer> liveWaitingByWorkspace() {
+    return waiting.byWorkspace();
+  }
+
   /** Returns the work of this instance by endpoint name, without endpoints that have none. */
   public Map<String, Occupancy> occupancy() {
-    Map<String, Occupancy> current = new HashMap<>(ownOccupancy);
-    current.values().removeIf(Occupancy::isEmpty);
-    return current;
+    return directory.occupancy();
   }
 
   /**
@@ -254,7 +213,7 @@
    * rate, by the names of their incarnations.
    */
   public Map<String, Integer> sentToLimited() {
-    return restrictions.sentToLimited();
+    return directory.restrictions().sentToLimited();
   }
 
   /**
@@ -264,12 +223,7 @@
    * @param excluded names of endpoints to leave out
    */
   public List<EndpointLoad> loads(String service, Set<String> excluded) {
-    LoadTotals others = fleetLoad.others(clock.nanos());
-    List<EndpointLoad> loads = new ArrayList<>();
-    for (ServiceEndpoint endpoint : usable(service, excluded)) {
-      loads.add(load(endpoint, others));
-    }
-    return loads;
+    return directory.loads(service, excluded);
   }
 
   private boolean place(LiveDemand demand, List<EndpointLoad> loads) {
@@ -278,10 +232,10 @@
     choice.ifPresent(
         chosen -> {
           if (chosen.preemptBatch()) {
-            preemptItem(chosen.endpoint().name());
+            items.preemptItem(chosen.endpoint().name());
           }
-          restrictions.sent(chosen.endpoint());
-          addOccupancy(chosen.endpoint().name(), WorkClass.LIVE, 1);
+          directory.restrictions().sent(chosen.endpoint());
+          directory.addOccupancy(chosen.endpoint().name(), WorkClass.LIVE, 1);
           demand.place(chosen.endpoint());
         });
     return choice.isPresent();
@@ -293,12 +247,7 @@
    */
   private Map<String, Integer> deferredShares(int peersExpected) {
     long now = clock.nanos();
-    Map<String, Integer> deferred = new HashMap<>();
-    for (LiveDemand demand : waiting) {
-      if (demand.isDeferrable(now)) {
-        deferred.merge(demand.service(), 1, Integer::sum);
-      }
-    }
+    Map<String, Integer> deferred = waiting.deferrable(now);
     boolean exchanged = fleetLoad.hasExchangedSince(lastDeferralRoundNanos, peersExpected, now);
     if (deferred.isEmpty()
         || !DeferredPlacement.mayBegin(exchanged, now - lastDeferralRoundNanos)) {
@@ -334,11 +283,10 @@
       return;
     }
     long now = clock.nanos();
-    List<LiveDemand> ordered = new ArrayList<>(waiting);
-    ordered.sort(LiveOrder.at(now));
+    List<LiveDemand> ordered = waiting.inOrder(now);
     Map<String, Integer> shares = new HashMap<>(deferredShares);
     Set<String> fullServices = new HashSet<>();
-    Optional<ServiceEndpoint> freedEndpoint = freed.map(endpointsByName::get);
+    Optional<ServiceEndpoint> freedEndpoint = freed.flatMap(directory::find);
     for (LiveDemand demand : ordered) {
       String service = demand.service();
       if (!demand.isDeferrable(now)) {
@@ -384,135 +332,4 @@
         .filter(load -> load.endpoint().name().equals(endpoint))
         .toList();
   }
-
-  private void preemptItems() {
-    LoadTotals others = fleetLoad.others(clock.nanos());
-    for (ServiceEndpoint endpoint : List.copyOf(endpointsByName.values())) {
-      Occupancy ours = ownOccupancy.getOrDefault(endpoint.name(), Occupancy.NONE);
-      if (ours.batch() > 0) {
-        int preemptions =
-            BatchPlacement.itemsToPreempt(
-                load(endpoint, others),
-                isFirstToPreempt(endpoint, others),
-                RendezvousHashing.fraction(endpoint.name(), instance));
-        for (int index = 0; index < preemptions; index++) {
-          preemptItem(endpoint.name());
-        }
-      }
-    }
-  }
-
-  private void preemptItem(String endpoint) {
-    if (batchSource.preempt(endpoint)) {
-      addOccupancy(endpoint, WorkClass.BATCH, -1);
-    }
-  }
-
-  /**
-   * Returns whether this instance is the first to preempt items among those that have items at the
-   * endpoint.
-   */
-  private boolean isFirstToPreempt(ServiceEndpoint endpoint, LoadTotals others) {
-    String name = endpoint.name();
-    String other = others.endpoints().getOrDefault(name, EndpointTotal.NONE).firstHolder();
-    return RendezvousHashing.first(name, instance, other).equals(instance);
-  }
-
-  /**
-   * Starts batch items unless live requests wait at any instance.
-   *
-   * @param reusesOwnSlot whether an item of this instance has just released a slot, which the other
-   *     instances still count as taken
-   */
-  private void startItems(List<ServiceEndpoint> endpoints, boolean reusesOwnSlot) {
-    LoadTotals others = fleetLoad.others(clock.nanos());
-    if (waiting.size() + others.liveWaiting() > 0) {
-      return;
-    }
-    Map<BatchQueue, Integer> ownReady = new HashMap<>(batchSource.ready());
-    Map<BatchQueue, Double> fractions = new HashMap<>();
-    for (BatchQueue queue : ownReady.keySet()) {
-      BatchQueue onTime = BatchQueue.onTime(queue.service());
-      int before = queue.late() ? readyOfAll(onTime, ownReady, others) : 0;
-      List<EndpointLoad> loads = loads(queue.service(), Set.of());
-      fractions.put(queue, BatchPlacement.startableFraction(loads, before));
-    }
-    for (ServiceEndpoint endpoint : limitedFirst(endpoints)) {
-      BatchQueue onTime = BatchQueue.onTime(endpoint.service());
-      BatchQueue queue =
-          ownReady.getOrDefault(onTime, 0) > 0 ? onTime : BatchQueue.late(endpoint.service());
-      double fraction = fractions.getOrDefault(queue, 0.0);
-      if (acceptsWork(endpoint) && fraction > 0) {
-        int allReady = readyOfAll(queue, ownReady, others);
-        int started =
-            startItemsAt(
-                load(endpoint, others), fraction, ownReady.get(queue), allReady, reusesOwnSlot);
-        ownReady.merge(queue, -started, Integer::sum);
-      }
-    }
-  }
-
-  private List<ServiceEndpoint> limitedFirst(List<ServiceEndpoint> endpoints) {
-    List<ServiceEndpoint> ordered = new ArrayList<>(endpoints.size());
-    List<ServiceEndpoint> unlimited = new ArrayList<>(endpoints.size());
-    for (ServiceEndpoint endpoint : endpoints) {
-      (restrictions.rate(endpoint).isPresent() ? ordered : unlimited).add(endpoint);
-    }
-    ordered.addAll(unlimited);
-    return ordered;
-  }
-
-  private static int readyOfAll(
-      BatchQueue queue, Map<BatchQueue, Integer> ownReady, LoadTotals others) {
-    int reported = others.batchReady().getOrDefault(queue.reportName(), 0);
-    return ownReady.getOrDefault(queue, 0) + Math.max(0, reported);
-  }
-
-  /** Starts items at an endpoint; returns their number. */
-  private int startItemsAt(
-      EndpointLoad load, double fraction, int ownReady, int allReady, boolean reusesOwnSlot) {
-    int allowed =
-        BatchPlacement.allowance(load, fraction, ownReady, allReady, random.getAsDouble());
-    if (reusesOwnSlot && load.startable() > BatchPlacement.RESERVED_SLOTS) {
-      allowed = Math.max(allowed, 1);
-    }
-    int started = 0;
-    while (started < allowed && batchSource.startNext(load.endpoint())) {
-      restrictions.sent(load.endpoint());
-      addOccupancy(load.endpoint().name(), WorkClass.BATCH, 1);
-      started++;
-    }
-    return started;
-  }
-
-  private void addOccupancy(String endpoint, WorkClass workClass, int change) {
-    ownOccupancy.merge(
-        endpoint,
-        workClass == WorkClass.LIVE ? new Occupancy(change, 0) : new Occupancy(0, change),
-        (before, delta) -> before.plus(delta.live(), delta.batch()));
-    changeListener.run();
-  }
-
-  private EndpointLoad load(ServiceEndpoint endpoint, LoadTotals others) {
-    Occupancy ours = ownOccupancy.getOrDefault(endpoint.name(), Occupancy.NONE);
-    EndpointTotal theirs = others.endpoints().getOrDefault(endpoint.name(), EndpointTotal.NONE);
-    return new EndpointLoad(
-        endpoint,
-        distances.computeIfAbsent(endpoint.domain(), this::distance),
-        ours.live() + theirs.live(),
-        ours.batch() + theirs.batch(),
-        ours.batch(),
-        unregisteredNames.contains(endpoint.name())
-            || health.isSuspect(endpoint.name(), clock.nanos()),
-        restrictions.allowance(endpoint));
-  }
-
-  private EndpointLoad.Distance distance(String other) {
-    if (other.equals(domain)) {
-      return EndpointLoad.Distance.SAME_DOMAIN;
-    }
-    return regionOfDomain.apply(other).equals(regionOfDomain.apply(domain))
-        ? EndpointLoad.Distance.SAME_REGION
-        : EndpointLoad.Distance.OTHER_REGION;
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LiveDemand.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LiveDemand.java
@@ -17,6 +17,7 @@
   static final long MINIMUM_REMAINING_MILLIS = 1_500;
 
   private final String service;
+  private final String workspace;
   private final int priority;
   private final long objectiveNanos;
   private final long deadlineNanos;
@@ -25,12 +26,14 @@
 
   private LiveDemand(
       String service,
+      String workspace,
       int priority,
       long objectiveNanos,
       long deadlineNanos,
       Set<String> excluded,
       Consumer<ServiceEndpoint> onPlace) {
     this.service = Objects.requireNonNull(service);
+    this.workspace = Objects.requireNonNull(workspace);
     this.priority = priority;
     this.objectiveNanos = objectiveNanos;
     this.deadlineNanos = deadlineNanos;
@@ -42,6 +45,7 @@
    * Returns a demand.
    *
    * @param service name of the service that must run the request, not null
+   * @param workspace name of the workspace that sent the request, empty without one; not null
    * @param priority priority, 0 is the highest
    * @param objectiveNanos monotonic time by which the answer should begin, in nanoseconds
    * @param deadlineNanos monotonic time until which the client waits, in nanoseconds
@@ -51,12 +55,14 @@
    */
   public static LiveDemand of(
       String service,
+      String workspace,
       int priority,
       long objectiveNanos,
       long deadlineNanos,
       Set<String> excluded,
       Consumer<ServiceEndpoint> onPlace) {
-    return new LiveDemand(service, priority, objectiveNanos, deadlineNanos, excluded, onPlace);
+    return new LiveDemand(
+        service, workspace, priority, objectiveNanos, deadlineNanos, excluded, onPlace);
   }
 
   /** Returns the name of the service that must run the request. */
@@ -64,6 +70,11 @@
     return service;
   }
 
+  /** Returns the name of the workspace that sent the request, empty without one. */
+  public String workspace() {
+    return workspace;
+  }
+
   /** Returns the priority, 0 is the highest. */
   public int priority() {
     return priority;
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -153,7 +153,7 @@
    */
   public void report(LoadReport load) {
     long now = clock.nanos();
-    boolean changed = !load.withSequence(sequence).equals(lastReport);
+    boolean changed = lastReport == null || load.differsFrom(lastReport);
     if (!changed && !unchangedReport.isDue(UNCHANGED_MILLIS)) {
       return;
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
@@ -18,7 +18,7 @@
   /**
    * Version of the layout, first value of each datagram; each change of the layout increases it.
    */
-  private static final int LAYOUT = 3;
+  private static final int LAYOUT = 4;
 
   private static final int REPORT = 0;
   private static final int DOMAIN_SUMMARY = 1;
@@ -87,6 +87,45 @@
     }
     packCounts(packer, report.sentToLimited());
     packer.packBoolean(report.leaving());
+    pack(packer, report.details());
+  }
+
+  private static void pack(MessagePacker packer, FleetDetails details) throws IOException {
+    packer.packLong(details.confirmation().version());
+    packer.packInt(details.confirmation().ageMillis());
+    packer.packLong(details.historyMillis());
+    packer.packInt(details.completeHistories());
+    packer.packMapHeader(details.workspaces().size());
+    for (Map.Entry<String, WorkspaceLoad> entry : details.workspaces().entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packInt(entry.getValue().sent());
+      packer.packInt(entry.getValue().running());
+      packer.packInt(entry.getValue().waiting());
+    }
+    packer.packMapHeader(details.speeds().size());
+    for (Map.Entry<String, SpeedSample> entry : details.speeds().entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packInt(entry.getValue().count());
+      packer.packLong(entry.getValue().thousandths());
+    }
+  }
+
+  private static FleetDetails unpackDetails(MessageUnpacker unpacker) throws IOException {
+    Confirmation confirmation = new Confirmation(unpacker.unpackLong(), unpacker.unpackInt());
+    long historyMillis = unpacker.unpackLong();
+    int completeHistories = unpacker.unpackInt();
+    Map<String, WorkspaceLoad> workspaces = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      workspaces.put(
+          unpacker.unpackString(),
+          new WorkspaceLoad(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt()));
+    }
+    Map<String, SpeedSample> speeds = new HashMap<>();
+    for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+      speeds.put(
+          unpacker.unpackString(), new SpeedSample(unpacker.unpackInt(), unpacker.unpackLong()));
+    }
+    return new FleetDetails(confirmation, historyMillis, completeHistories, workspaces, speeds);
   }
 
   private static LoadReport unpackReport(MessageUnpacker unpacker) throws IOException {
@@ -105,6 +144,7 @@
     }
     Map<String, Integer> sent = unpackCounts(unpacker);
     boolean leaving = unpacker.unpackBoolean();
+    FleetDetails details = unpackDetails(unpacker);
     return new LoadReport(
         instance,
         incarnation,
@@ -116,7 +156,8 @@
         tokens,
         occupancy,
         sent,
-        leaving);
+        leaving,
+        details);
   }
 
   private static void pack(MessagePacker packer, LoadSummary summary) throws IOException {
@@ -139,6 +180,7 @@
       packer.packString(entry.getValue().firstHolder());
     }
     packCounts(packer, totals.sentToLimited());
+    pack(packer, totals.details());
     packer.packMapHeader(summary.reporters().size());
     for (Map.Entry<String, ReporterState> entry : summary.reporters().entrySet()) {
       packer.packString(entry.getKey());
@@ -168,6 +210,7 @@
           new EndpointTotal(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackString()));
     }
     Map<String, Integer> sent = unpackCounts(unpacker);
+    FleetDetails details = unpackDetails(unpacker);
     Map<String, ReporterState> reporters = new HashMap<>();
     for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
       reporters.put(
@@ -185,7 +228,15 @@
         incarnation,
         sequence,
         new LoadTotals(
-            reporterCount, version, endpointsVersion, liveWaiting, ready, tokens, endpoints, sent),
+            reporterCount,
+            version,
+            endpointsVersion,
+            liveWaiting,
+            ready,
+            tokens,
+            endpoints,
+            sent,
+            details),
         reporters);
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReport.java
@@ -18,6 +18,7 @@
  * @param sentToLimited number of requests that the instance has sent lately to endpoints with a
  *     limited rate, by the names of their incarnations, without those that got none
  * @param leaving whether the instance is stopping and has given up its jobs
+ * @param details what the instance reports beside its work
  */
 public record LoadReport(
     String instance,
@@ -30,7 +31,8 @@
     Map<String, Long> waitingTokens,
     Map<String, Occupancy> occupancy,
     Map<String, Integer> sentToLimited,
-    boolean leaving)
+    boolean leaving,
+    FleetDetails details)
     implements LoadMessage {
 
   /**
@@ -44,14 +46,61 @@
     waitingTokens = Map.copyOf(waitingTokens);
     occupancy = Map.copyOf(occupancy);
     sentToLimited = Map.copyOf(sentToLimited);
+    Objects.requireNonNull(details);
+  }
+
+  /** Creates a report of an instance that reports nothing beside its work. */
+  public LoadReport(
+      String instance,
+      long incarnation,
+      long sequence,
+      long configurationVersion,
+      long endpointsVersion,
+      int liveWaiting,
+      Map<String, Integer> batchReady,
+      Map<String, Long> waitingTokens,
+      Map<String, Occupancy> occupancy,
+      Map<String, Integer> sentToLimited,
+      boolean leaving) {
+    this(
+        instance,
+        incarnation,
+        sequence,
+        configurationVersion,
+        endpointsVersion,
+        liveWaiting,
+        batchReady,
+        waitingTokens,
+        occupancy,
+        sentToLimited,
+        leaving,
+        FleetDetails.NONE);
   }
 
   /** Returns a copy of this report with another sequence number. */
   public LoadReport withSequence(long next) {
+    return copy(next, details);
+  }
+
+  /** Returns a copy of this report with other details. */
+  public LoadReport withDetails(FleetDetails next) {
+    return copy(sequence, next);
+  }
+
+  /**
+   * Returns whether another report differs from this one in more than its sequence number and the
+   * confirmation of the configuration, whose age changes all the time.
+   */
+  boolean differsFrom(LoadReport other) {
+    return !copy(0, details.withConfirmation(Confirmation.NONE))
+        .equals(other.copy(0, other.details.withConfirmation(Confirmation.NONE)));
+  }
+
+  private LoadReport copy(long nextSequence, FleetDetails nextDetails) {
     return new LoadReport(
         instance,
         incarnation,
-        next,
+        nextSequence,
         configurationVersion,
         endpointsVersion,
         liveWaiting,
@@ -59,6 +108,7 @@
         waitingTokens,
         occupancy,
         sentToLimited,
-        leaving);
+        leaving,
+        nextDetails);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * Sums of the loads of several instances. No component may be null.
@@ -17,6 +18,7 @@
  * @param waitingTokens tokens of unfinished items, by route
  * @param endpoints work at the endpoints by name, without endpoints that have none
  * @param sentToLimited number of requests sent lately to endpoints with a limited rate
+ * @param details what the instances report beside their work
  */
 public record LoadTotals(
     int reporters,
@@ -26,7 +28,8 @@
     Map<String, Integer> batchReady,
     Map<String, Long> waitingTokens,
     Map<String, EndpointTotal> endpoints,
-    Map<String, Integer> sentToLimited) {
+    Map<String, Integer> sentToLimited,
+    FleetDetails details) {
   /** The sums of no instance. */
   public static final LoadTotals NONE =
       new LoadTotals(0, 0, 0, 0, Map.of(), Map.of(), Map.of(), Map.of());
@@ -41,6 +44,29 @@
     waitingTokens = Map.copyOf(waitingTokens);
     endpoints = Map.copyOf(endpoints);
     sentToLimited = Map.copyOf(sentToLimited);
+    Objects.requireNonNull(details);
+  }
+
+  /** Creates sums of instances that report nothing beside their work. */
+  public LoadTotals(
+      int reporters,
+      long configurationVersion,
+      long endpointsVersion,
+      int liveWaiting,
+      Map<String, Integer> batchReady,
+      Map<String, Long> waitingTokens,
+      Map<String, EndpointTotal> endpoints,
+      Map<String, Integer> sentToLimited) {
+    this(
+        reporters,
+        configurationVersion,
+        endpointsVersion,
+        liveWaiting,
+        batchReady,
+        waitingTokens,
+        endpoints,
+        sentToLimited,
+        FleetDetails.NONE);
   }
 
   /** Returns the sums of reports of different instances. */
@@ -61,6 +87,7 @@
     Map<String, Long> tokens = new HashMap<>();
     Map<String, EndpointTotal> endpoints = new HashMap<>();
     Map<String, Integer> sent = new HashMap<>();
+    FleetDetails details = FleetDetails.NONE;
     for (LoadTotals part : parts) {
       reporters += part.reporters;
       version = Math.max(version, part.configurationVersion);
@@ -72,9 +99,10 @@
           (name, total) ->
               endpoints.merge(name, total, (before, other) -> before.plus(name, other)));
       part.sentToLimited.forEach((name, count) -> sent.merge(name, count, Integer::sum));
+      details = details.plus(part.details);
     }
     return new LoadTotals(
-        reporters, version, endpointsVersion, liveWaiting, ready, tokens, endpoints, sent);
+        reporters, version, endpointsVersion, liveWaiting, ready, tokens, endpoints, sent, details);
   }
 
   /** Returns these sums without the report of one of the instances. */
@@ -99,7 +127,8 @@
         ready,
         tokens,
         left,
-        sent);
+        sent,
+        details.minus(report.details()));
   }
 
   private static LoadTotals of(LoadReport report) {
@@ -115,6 +144,7 @@
         report.batchReady(),
         report.waitingTokens(),
         endpoints,
-        report.sentToLimited());
+        report.sentToLimited(),
+        report.details());
   }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
@@ -57,7 +57,7 @@
 
     private void submit(String service) {
       long later = 60_000_000_000L;
-      dispatcher.submit(LiveDemand.of(service, 0, later, later, Set.of(), endpoint -> {}));
+      dispatcher.submit(LiveDemand.of(service, "", 0, later, later, Set.of(), endpoint -> {}));
     }
 
     private double secondsUntilAllowed() {
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -444,6 +444,7 @@
       LiveDemand demand =
           LiveDemand.of(
               SERVICE,
+              "",
               0,
               time.nanos() + (long) ((300 - waitedMillis) * 1e6),
               time.nanos() + (long) ((CLIENT_TIMEOUT_MILLIS - waitedMillis) * 1e6),
