Serve workspaces by their keys, for as long as the configuration is known to be new

Change: package access decides on each request at its arrival and again before each send. WorkspaceDirectory keeps digests of keys; a job belongs to the workspace that submitted it, and the limit on waiting tokens is one of each workspace. ConfigurationAge bounds the age of the configuration where the settings ask for it; instances pass confirmations on with the load exchange, and ConfigurationProbe asks the store about once a second for the fleet. Heads of jobs are read by JobHeadLookup now.

--- a/sedgeroad/src/main/java/org/sedgeroad/api/Authenticator.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/api/Authenticator.java
@@ -2,15 +2,12 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.sedgeroad.access.KeyDigest;
 import org.sedgeroad.configuration.ConfigurationReplica;
 import org.sedgeroad.configuration.Kinds;
 import org.sedgeroad.store.StoredObject;
@@ -43,13 +40,7 @@
    * @return SHA-256 digest of the UTF-8 bytes of the key, in lower-case hexadecimal
    */
   public static String hashKey(String key) {
-    try {
-      byte[] digest =
-          MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-      return HexFormat.of().formatHex(digest);
-    } catch (NoSuchAlgorithmException impossible) {
-      throw new IllegalStateException("SHA-256 is part of every Java platform", impossible);
-    }
+    return KeyDigest.of(key);
   }
 
   /** Returns the name of the caller's member, empty if the key is missing or unknown. */
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobCodec.java
@@ -29,6 +29,7 @@
         .put("owner", head.owner())
         .put("route", head.route())
         .put("configuration_version", head.configurationVersion())
+        .put("workspace", head.workspace())
         .put("ended", head.ended());
   }
 
@@ -44,6 +45,7 @@
         spec.path("owner").asText(),
         spec.path("route").asText(),
         spec.path("configuration_version").asLong(),
+        spec.path("workspace").asText(),
         spec.path("ended").asBoolean());
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobHead.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobHead.java
@@ -18,6 +18,7 @@
  * @param route name of the route that accepted the job, empty if unknown; not null
  * @param configurationVersion version of the configuration under which the job was accepted, 0 if
  *     unknown
+ * @param workspace name of the workspace that the job belongs to, empty without one; not null
  * @param ended whether the job was ended by a client, or marked as ended before its deletion
  */
 public record JobHead(
@@ -31,6 +32,7 @@
     String owner,
     String route,
     long configurationVersion,
+    String workspace,
     boolean ended) {
 
   /** Checks that no component is null. */
@@ -40,12 +42,19 @@
     Objects.requireNonNull(path);
     Objects.requireNonNull(owner);
     Objects.requireNonNull(route);
+    Objects.requireNonNull(workspace);
   }
 
   /** Returns whether the job was submitted to the host and path of a submission. */
   boolean isOf(JobSubmission submission) {
     return RouteTable.hostName(host).equals(RouteTable.hostName(submission.host()))
-        && path.equals(submission.path());
+        && path.equals(submission.path())
+        && isVisibleTo(submission.workspace());
+  }
+
+  /** Returns whether callers of a workspace may see the job, all of them if it belongs to none. */
+  boolean isVisibleTo(String caller) {
+    return workspace.isEmpty() || caller.isEmpty() || workspace.equals(caller);
   }
 
   /** Returns a copy with another owner. */
@@ -75,6 +84,7 @@
         newOwner,
         route,
         configurationVersion,
+        workspace,
         newEnded);
   }
 }
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobHeadLookup.java
@@ -0,0 +1,119 @@
+package org.sedgeroad.batch;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.sedgeroad.access.JobAccess;
+import org.sedgeroad.store.StoreResult;
+import org.sedgeroad.store.StoredObject;
+
+/** Finds the heads of jobs, in the cache or in the store. Must be used on the event loop. */
+final class JobHeadLookup implements HeadReader {
+  private final BatchDependencies context;
+  private final JobHeadCache jobHeads;
+  private final Consumer<StoredObject> onRead;
+  private final Consumer<String> onAbsent;
+
+  /**
+   * Creates a lookup.
+   *
+   * @param context dependencies
+   * @param jobHeads known heads
+   * @param onRead receives each head that was read, and adds it to the cache
+   * @param onAbsent receives the id of a known job that no longer exists
+   */
+  JobHeadLookup(
+      BatchDependencies context,
+      JobHeadCache jobHeads,
+      Consumer<StoredObject> onRead,
+      Consumer<String> onAbsent) {
+    this.context = context;
+    this.jobHeads = jobHeads;
+    this.onRead = onRead;
+    this.onAbsent = onAbsent;
+  }
+
+  /** Runs a task with the head of a job if the caller may see it. */
+  static void ifVisible(
+      JobHead head, JobAccess access, Consumer<ReadResult> result, Consumer<JobHead> task) {
+    Optional<JobAccess.Denial> denial = access.denial(head.workspace());
+    if (denial.isEmpty()) {
+      task.accept(head);
+    } else if (denial.get() == JobAccess.Denial.HIDDEN) {
+      result.accept(new ReadResult.Absent());
+    } else {
+      result.accept(new ReadResult.Unavailable("the workspace of the caller is not known yet"));
+    }
+  }
+
+  /** Runs a task with the head of a job, read as recently as needed, if the caller may see it. */
+  void withVisibleHead(
+      String id, JobAccess access, Consumer<ReadResult> result, Consumer<JobHead> task) {
+    withHead(id, result, head -> ifVisible(head, access, result, task));
+  }
+
+  /**
+   * Runs a task with the head of a job. If it is not cached, it is read from the store: first as it
+   * was some seconds ago, because its owner is then known in most cases.
+   */
+  private void withHead(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
+    Optional<JobHeadCache.CachedJob> cached = jobHeads.find(id);
+    if (cached.isPresent()) {
+      task.accept(cached.get().head());
+      return;
+    }
+    context
+        .storeWorkers()
+        .execute(
+            () -> {
+              StoreResult<StoredObject> read = context.store().readStale(id);
+              context
+                  .loop()
+                  .execute(
+                      () -> {
+                        if (read instanceof StoreResult.Done<StoredObject> done) {
+                          received(done.value(), result, task);
+                        } else {
+                          read(id, result, task);
+                        }
+                      });
+            });
+  }
+
+  /** Runs a task with the head of a job as it is in the store now. */
+  @Override
+  public void read(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
+    // A job that was not known may be accepted here while its head is read.
+    boolean known = jobHeads.find(id).isPresent();
+    context
+        .storeWorkers()
+        .execute(
+            () -> {
+              StoreResult<StoredObject> read = context.store().read(id);
+              context
+                  .loop()
+                  .execute(
+                      () -> {
+                        if (read instanceof StoreResult.Done<StoredObject> done) {
+                          received(done.value(), result, task);
+                        } else if (read instanceof StoreResult.Absent) {
+                          if (known) {
+                            onAbsent.accept(id);
+                          }
+                          result.accept(new ReadResult.Absent());
+                        } else {
+                          result.accept(new ReadResult.Unavailable(read.toString()));
+                        }
+                      });
+            });
+  }
+
+  private void received(StoredObject object, Consumer<ReadResult> result, Consumer<JobHead> task) {
+    onRead.accept(object);
+    Optional<JobHeadCache.CachedJob> newest = jobHeads.find(object.name());
+    if (newest.isPresent()) {
+      task.accept(newest.get().head());
+    } else {
+      result.accept(new ReadResult.Absent());
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobRoutes.java
@@ -62,10 +62,15 @@
 
   /**
    * Returns the name under which the tokens of a job count against a limit: that of its route, or
-   * of the route that it was accepted on while it has none.
+   * of the route that it was accepted on while it has none, with the job's workspace.
    */
   String limitName(JobHead job) {
-    return find(job).map(Route::name).orElse(job.route());
+    return limitName(find(job).map(Route::name).orElse(job.route()), job.workspace());
+  }
+
+  /** Returns the name of the limit on the waiting tokens of a workspace on a route. */
+  static String limitName(String route, String workspace) {
+    return workspace.isEmpty() ? route : route + "/" + workspace;
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -316,6 +316,9 @@
             spec.target(),
             headers(item),
             Base64.getDecoder().decode(spec.body()),
+            dependencies.routes().current().workspaces().isRequired()
+                || !item.job().head().workspace().isEmpty(),
+            item.job().head().workspace(),
             item.progress().lastEventId(),
             dependencies.clock().deadlineAfterMillis(RUN_TIMEOUT_MILLIS)));
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.sedgeroad.access.JobAccess;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
 import org.sedgeroad.gateway.Route;
@@ -37,15 +38,19 @@
    */
   private static final long STORE_RETRY_MILLIS = 500;
 
+  /** Tokens of a job that is being accepted here, and the limit that they count against. */
+  private record PendingTokens(String limitName, long tokens) {}
+
   private final BatchDependencies context;
   private final OwnedJobRunner runner;
   private final PeerJobs peerJobs;
   private final JobHeadCache jobHeads = new JobHeadCache();
+  private final JobHeadLookup heads;
   private final StoredResults storedResults;
   private final OwnedJobReads ownedReads;
   private final OwnershipCheck ownershipCheck;
   private final Map<String, List<Consumer<AcceptResult>>> pendingCallbacks = new HashMap<>();
-  private final Map<String, Long> pendingTokens = new HashMap<>();
+  private final Map<String, PendingTokens> pendingTokens = new HashMap<>();
   private final Set<String> loading = new HashSet<>();
 
   /** Ids of jobs that have ended while they were being loaded or accepted here. */
@@ -61,12 +66,13 @@
     this.context = context;
     this.runner = runner;
     this.peerJobs = peerJobs;
+    this.heads = new JobHeadLookup(context, jobHeads, this::changed, this::remove);
     this.storedResults = new StoredResults(context);
     this.ownedReads = new OwnedJobReads(context);
-    this.ownershipCheck = new OwnershipCheck(context, runner, jobHeads, this::readHead);
+    this.ownershipCheck = new OwnershipCheck(context, runner, jobHeads, heads);
     runner.setConflictListener(this::readHeadAgain);
-    this.repeated = new RepeatedSubmissions(context, jobHeads, this::readHead);
-    this.questions = new PeerQuestions(context, peerJobs, this::readHead);
+    this.repeated = new RepeatedSubmissions(context, jobHeads, heads);
+    this.questions = new PeerQuestions(context, peerJobs, heads);
     this.orphans =
         new OrphanedJobs(
             context, runner.routes(), jobHeads, storedResults, questions, this::changed);
@@ -84,7 +90,9 @@
     String id = submission.id();
     Optional<JobHeadCache.CachedJob> cached = jobHeads.find(id);
     if (cached.isPresent()) {
-      result.accept(new AcceptResult.Accepted(cached.get().head(), cached.get().version(), false));
+      JobHead head = cached.get().head();
+      result.accept(
+          visibleTo(submission, new AcceptResult.Accepted(head, cached.get().version(), false)));
       return;
     }
     List<Consumer<AcceptResult>> waitingCallbacks = pendingCallbacks.get(id);
@@ -93,13 +101,14 @@
       return;
     }
     long limit = route.batch().maximumWaitingTokens();
-    long waiting = waitingTokens(route);
+    String limitName = JobRoutes.limitName(route.name(), submission.workspace());
+    long waiting = waitingTokens(limitName);
     if (limit > 0 && waiting + submission.tokens() > limit) {
       repeated.answerOverLimit(submission, waiting, limit, result);
       return;
     }
     pendingCallbacks.put(id, new ArrayList<>(List.of(result)));
-    pendingTokens.put(id, submission.tokens());
+    pendingTokens.put(id, new PendingTokens(limitName, submission.tokens()));
     JobHead draft =
         new JobHead(
             id,
@@ -112,6 +121,7 @@
             context.instance(),
             route.name(),
             context.routes().current().version(),
+            submission.workspace(),
             false);
     context
         .storeWorkers()
@@ -136,18 +146,25 @@
    * Reads results of a job, starting at position {@code after}. The owner waits for a result, if it
    * has none at that position, until a deadline in nanoseconds of the monotonic clock.
    */
-  public void read(String id, int after, long deadlineNanos, Consumer<ReadResult> result) {
+  public void read(
+      String id, int after, long deadlineNanos, JobAccess access, Consumer<ReadResult> result) {
     Optional<OwnedJob> owned = runner.job(id);
     if (owned.isPresent()) {
-      readOwned(owned.get(), after, deadlineNanos, result);
+      JobHeadLookup.ifVisible(
+          owned.get().head(),
+          access,
+          result,
+          head -> readOwned(owned.get(), after, deadlineNanos, result));
       return;
     }
-    withHead(
+    heads.withVisibleHead(
         id,
+        access,
         result,
         head -> {
           if (head.owner().equals(context.instance())) {
-            awaitLoaded(id, deadlineNanos, result, () -> read(id, after, deadlineNanos, result));
+            awaitLoaded(
+                id, deadlineNanos, result, () -> read(id, after, deadlineNanos, access, result));
             return;
           }
           questions.answerFromOwnerOrStore(
@@ -160,15 +177,16 @@
   }
 
   /** Reads the request body of an item. */
-  public void readBody(String id, String item, Consumer<ReadResult> result) {
+  public void readBody(String id, String item, JobAccess access, Consumer<ReadResult> result) {
     Optional<OwnedJob> owned = runner.job(id);
     if (owned.isPresent()) {
-      OwnedItem found = owned.get().item(item);
-      result.accept(found == null ? new ReadResult.Absent() : ReadResult.Body.of(found.spec()));
+      JobHeadLookup.ifVisible(
+          owned.get().head(), access, result, head -> readOwnedBody(owned.get(), item, result));
       return;
     }
-    withHead(
+    heads.withVisibleHead(
         id,
+        access,
         result,
         head ->
             questions.answerFromOwnerOrStore(
@@ -179,8 +197,21 @@
                 current -> storedResults.readBody(current, item, result)));
   }
 
+  private static void readOwnedBody(OwnedJob job, String item, Consumer<ReadResult> result) {
+    OwnedItem found = job.item(item);
+    result.accept(found == null ? new ReadResult.Absent() : ReadResult.Body.of(found.spec()));
+  }
+
   /** Marks a job as ended on behalf of a client and stops its items. */
-  public void end(String id, Consumer<ReadResult> result) {
+  public void end(String id, JobAccess access, Consumer<ReadResult> result) {
+    if (access == JobAccess.ALL) {
+      end(id, result);
+    } else {
+      heads.withVisibleHead(id, access, result, head -> end(id, result));
+    }
+  }
+
+  private void end(String id, Consumer<ReadResult> result) {
     context
         .storeWorkers()
         .execute(
@@ -235,7 +266,8 @@
   public void readBodyForPeer(String id, String item, Consumer<ReadResult> result) {
     runner
         .job(id)
-        .ifPresentOrElse(job -> readBody(id, item, result), () -> answerNotRunHere(id, result));
+        .ifPresentOrElse(
+            job -> readOwnedBody(job, item, result), () -> answerNotRunHere(id, result));
   }
 
   /**
@@ -292,19 +324,19 @@
     runner.remove(id);
   }
 
-  private long waitingTokens(Route route) {
+  private long waitingTokens(String limitName) {
     long now = context.clock().nanos();
-    long tokens = runner.waitingTokens().getOrDefault(route.name(), 0L);
-    for (long pending : pendingTokens.values()) {
-      tokens += pending;
+    long tokens = runner.waitingTokens().getOrDefault(limitName, 0L);
+    for (PendingTokens pending : pendingTokens.values()) {
+      tokens += pending.limitName().equals(limitName) ? pending.tokens() : 0;
     }
-    tokens += context.fleetLoad().others(now).waitingTokens().getOrDefault(route.name(), 0L);
-    return tokens + orphans.tokens().getOrDefault(route.name(), 0L);
+    tokens += context.fleetLoad().others(now).waitingTokens().getOrDefault(limitName, 0L);
+    return tokens + orphans.tokens().getOrDefault(limitName, 0L);
   }
 
   /**
-   * Returns the tokens of unfinished items by route: those of the jobs that this instance runs, and
-   * of the orphaned jobs that it is responsible for.
+   * Returns the tokens of unfinished items by the name of their limit: those of the jobs that this
+   * instance runs, and of the orphaned jobs that it is responsible for.
    */
   public Map<String, Long> waitingTokens() {
     Map<String, Long> tokens = new HashMap<>(runner.waitingTokens());
@@ -312,6 +344,14 @@
     return tokens;
   }
 
+  /** Returns the answer to a submission; a job of another workspace is hidden. */
+  private static AcceptResult visibleTo(JobSubmission submission, AcceptResult outcome) {
+    boolean hidden =
+        outcome instanceof AcceptResult.Accepted accepted
+            && !accepted.head().isVisibleTo(submission.workspace());
+    return hidden ? new AcceptResult.NoRoute() : outcome;
+  }
+
   private void accepted(Route route, JobSubmission submission, AcceptResult outcome) {
     pendingTokens.remove(submission.id());
     if (outcome instanceof AcceptResult.Accepted accepted) {
@@ -342,7 +382,8 @@
     }
     List<Consumer<AcceptResult>> callbacks = pendingCallbacks.remove(submission.id());
     loadIfOwned(submission.id());
-    callbacks.forEach(waiting -> waiting.accept(outcome));
+    AcceptResult answer = visibleTo(submission, outcome);
+    callbacks.forEach(waiting -> waiting.accept(answer));
   }
 
   private void updateHead(JobHead head, long version) {
@@ -471,74 +512,9 @@
     }
   }
 
-  /**
-   * Runs a task with the head of a job. If it is not cached, it is read from the store: first as it
-   * was some seconds ago, because its owner is then known in most cases.
-   */
-  private void withHead(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
-    Optional<JobHeadCache.CachedJob> cached = jobHeads.find(id);
-    if (cached.isPresent()) {
-      task.accept(cached.get().head());
-      return;
-    }
-    context
-        .storeWorkers()
-        .execute(
-            () -> {
-              StoreResult<StoredObject> read = context.store().readStale(id);
-              context
-                  .loop()
-                  .execute(
-                      () -> {
-                        if (read instanceof StoreResult.Done<StoredObject> done) {
-                          received(done.value(), result, task);
-                        } else {
-                          readHead(id, result, task);
-                        }
-                      });
-            });
-  }
-
-  /** Runs a task with the head of a job as it is in the store now. */
-  private void readHead(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
-    // A job that was not known may be accepted here while its head is read.
-    boolean known = jobHeads.find(id).isPresent();
-    context
-        .storeWorkers()
-        .execute(
-            () -> {
-              StoreResult<StoredObject> read = context.store().read(id);
-              context
-                  .loop()
-                  .execute(
-                      () -> {
-                        if (read instanceof StoreResult.Done<StoredObject> done) {
-                          received(done.value(), result, task);
-                        } else if (read instanceof StoreResult.Absent) {
-                          if (known) {
-                            remove(id);
-                          }
-                          result.accept(new ReadResult.Absent());
-                        } else {
-                          result.accept(new ReadResult.Unavailable(read.toString()));
-                        }
-                      });
-            });
-  }
-
-  private void received(StoredObject object, Consumer<ReadResult> result, Consumer<JobHead> task) {
-    changed(object);
-    Optional<JobHeadCache.CachedJob> newest = jobHeads.find(object.name());
-    if (newest.isPresent()) {
-      task.accept(newest.get().head());
-    } else {
-      result.accept(new ReadResult.Absent());
-    }
-  }
-
   /** Reads the head of a job again, whose owner may have changed. */
   public void readHeadAgain(String id) {
-    readHead(id, ignored -> {}, head -> {});
+    heads.read(id, ignored -> {}, head -> {});
   }
 
   private void endStored(String id, WriteOutcome outcome, Consumer<ReadResult> result) {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/RepeatedSubmissions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/RepeatedSubmissions.java
@@ -41,7 +41,13 @@
               EventField.of("outcome", outcome));
           result.accept(outcome);
         },
-        head -> acceptAgain(head, result));
+        head -> {
+          if (head.isVisibleTo(submission.workspace())) {
+            acceptAgain(head, result);
+          } else {
+            result.accept(new AcceptResult.NoRoute());
+          }
+        });
   }
 
   /** Refuses a job that no route accepts unless it was accepted before, at the same path. */
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
@@ -0,0 +1,96 @@
+package org.sedgeroad.entry;
+
+import java.util.concurrent.ThreadLocalRandom;
+import org.sedgeroad.EventLoop;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.access.AccessControl;
+import org.sedgeroad.access.ConfigurationAge;
+import org.sedgeroad.access.QuotaGate;
+import org.sedgeroad.event.EventLog;
+import org.sedgeroad.gateway.RouteTableHolder;
+import org.sedgeroad.presence.HubExchange;
+import org.sedgeroad.settings.AccessSettings;
+import org.sedgeroad.store.KindWatcher;
+import org.sedgeroad.store.ObjectStore;
+
+/** The parts of an instance that decide who may send requests. Used on the event loop. */
+final class GatewayAccess {
+  private final HubExchange hubExchange;
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final EventLog log;
+  private final ConfigurationAge age;
+  private final AccessControl control;
+  private ConfigurationProbe probe;
+  private volatile boolean ready;
+
+  /** Creates the access control of an instance, and connects it to the exchange of loads. */
+  GatewayAccess(
+      AccessSettings settings,
+      RouteTableHolder routes,
+      HubExchange hubExchange,
+      EventLoop loop,
+      MonotonicClock clock,
+      EventLog log) {
+    this.hubExchange = hubExchange;
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.age =
+        new ConfigurationAge(
+            settings.revokeMillis(),
+            clock,
+            System::currentTimeMillis,
+            () -> routes.current().version());
+    hubExchange.setConfirmations(age::confirmation, age::receive);
+    this.control =
+        new AccessControl(
+            routes,
+            age,
+            () -> hubExchange.view().others(clock.nanos()).configurationVersion(),
+            QuotaGate.NONE,
+            clock);
+    this.ready = !age.isBounded();
+  }
+
+  AccessControl control() {
+    return control;
+  }
+
+  /**
+   * Starts confirming the configuration.
+   *
+   * @param store the store
+   * @param kind kind of the configuration objects
+   * @param watcher watch of that kind
+   * @param listener receives changes of the configuration
+   */
+  void probe(ObjectStore store, String kind, KindWatcher watcher, KindWatcher.Listener listener) {
+    probe =
+        new ConfigurationProbe(
+            store,
+            kind,
+            watcher,
+            listener,
+            age,
+            hubExchange::isFirstHub,
+            () -> ThreadLocalRandom.current().nextDouble(),
+            loop,
+            clock,
+            log);
+  }
+
+  /** Confirms the configuration if it is time. To be called several times a second. */
+  void tick() {
+    probe.tick();
+    ready = control.isReady() && !control.isExpired();
+  }
+
+  /**
+   * Returns whether requests with keys can be served, as of the last tick. May be called on any
+   * thread.
+   */
+  boolean isReady() {
+    return ready;
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -137,6 +137,7 @@
   private final AnnouncementTable announcements;
   private final EndpointAnnouncements endpointAnnouncements;
   private final EndpointsUpdater endpointsUpdater;
+  private final GatewayAccess access;
   private final Gateway gateway;
   private final OwnedJobRunner runner;
   private final OwnedJobService jobs;
@@ -211,10 +212,12 @@
     dispatcher.setBatchSource(runner);
     dispatcher.setChangeListener(this::scheduleReport);
     this.jobs = new OwnedJobService(batch, runner, new HttpPeerJobs(instances, httpClient, clock));
+    this.access = new GatewayAccess(settings.access(), routes, hubExchange, eventLoop, clock, log);
     GatewayDependencies dependencies =
         new GatewayDependencies(
             routes,
-            this::hasConfiguration,
+            () -> hasConfiguration() && access.control().isReady(),
+            access.control(),
             dispatcher,
             createSuspicionGuard(store),
             batch.endpointClient(),
@@ -226,12 +229,9 @@
     this.gateway = new Gateway(dependencies);
     this.connections =
         new ClientConnections(platform.clientHandler(dependencies, gateway, jobs), clock);
-    this.routesWatcher =
-        watch(
-            store,
-            platform.routesKind(),
-            this::quietMillis,
-            new RoutesUpdater(platform, routes, endpointsUpdater, log));
+    RoutesUpdater routesUpdater = new RoutesUpdater(platform, routes, endpointsUpdater, log);
+    this.routesWatcher = watch(store, platform.routesKind(), this::quietMillis, routesUpdater);
+    access.probe(store, platform.routesKind(), routesWatcher, routesUpdater);
     this.endpointsWatcher =
         watch(store, platform.endpointsKind(), this::quietMillis, endpointsUpdater);
     this.routesLag = new LagDetector(clock, () -> routesWatcher.restart("a peer has newer routes"));
@@ -385,7 +385,7 @@
    * the instance is not stopping. Connections are also accepted while it is not ready.
    */
   public boolean isReady() {
-    return !stopping && hasConfiguration();
+    return !stopping && hasConfiguration() && access.isReady();
   }
 
   private boolean hasConfiguration() {
@@ -524,6 +524,7 @@
 
   private void exchangeLoads() {
     hubExchange.tick();
+    access.tick();
     // Places and preempts work that has become due, so that the report contains the result.
     dispatcher.tick(instances.count());
     sendReport();
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/RoutesUpdater.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/RoutesUpdater.java
@@ -48,6 +48,16 @@
                   EventField.of("version", table.version()),
                   EventField.of("before", before.version()),
                   EventField.of("store_version", object.version()));
+              table
+                  .workspaces()
+                  .warnings()
+                  .forEach(
+                      warning ->
+                          log.log(
+                              LogEvent.OBJECT_INVALID,
+                              EventField.of("kind", object.kind()),
+                              EventField.of("name", object.name()),
+                              EventField.of("cause", warning)));
               endpointsUpdater.applyRoutes();
             });
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointCall.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointCall.java
@@ -11,6 +11,8 @@
  * @param target path with query
  * @param headers headers to forward
  * @param body complete body; must not be modified
+ * @param hidesCredentials whether the key and the workspace in the headers must not be forwarded
+ * @param workspace name of the workspace on whose behalf the request is sent, empty if none
  * @param lastEventId id of the event after which the stream is to resume, empty to get it from the
  *     start
  * @param deadlineNanos monotonic time at which the endpoint is to stop, in nanoseconds
@@ -22,5 +24,7 @@
     String target,
     Map<String, String> headers,
     byte[] body,
+    boolean hidesCredentials,
+    String workspace,
     String lastEventId,
     long deadlineNanos) {}
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/GatewayDependencies.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/GatewayDependencies.java
@@ -3,6 +3,7 @@
 import java.util.function.BooleanSupplier;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.access.AccessControl;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.http.MemoryBudget;
 import org.sedgeroad.metric.GatewayMetrics;
@@ -14,6 +15,7 @@
  *
  * @param routes holds the routes in force
  * @param ready returns whether routes and endpoints are known
+ * @param access decides who may send requests
  * @param dispatcher assigns slots at endpoints
  * @param suspicions keeps requests that crash endpoints from being sent
  * @param endpointClient sends requests to endpoints
@@ -26,6 +28,7 @@
 public record GatewayDependencies(
     RouteTableHolder routes,
     BooleanSupplier ready,
+    AccessControl access,
     Dispatcher dispatcher,
     SuspicionGuard suspicions,
     EndpointClient endpointClient,
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestPermit.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestPermit.java
@@ -21,18 +21,29 @@
           return OptionalInt.empty();
         }
 
+        @Override
+        public boolean hidesCredentials() {
+          return false;
+        }
+
         @Override
         public Optional<Refusal> beforeSend() {
           return Optional.empty();
         }
       };
 
-  /** Returns the name of the workspace that sent the request, empty without one. */
+  /**
+   * Returns the name of the workspace that sent the request, empty without one. It may change with
+   * a check, because keys may be moved to another workspace.
+   */
   String workspace();
 
   /** Returns the priority that replaces that of the route, empty to keep it. */
   OptionalInt priority();
 
+  /** Returns whether endpoints must not receive the key and the workspace that the client sent. */
+  boolean hidesCredentials();
+
   /**
    * Checks the permission again; to be called immediately before each send to an endpoint. The
    * first call that returns no refusal counts the request against the quota of its workspace.
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -215,6 +215,8 @@
             request.target(),
             request.headers(),
             request.body(),
+            permit.hidesCredentials(),
+            permit.workspace(),
             lastEventId,
             deadlineNanos));
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Route.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Route.java
@@ -19,6 +19,7 @@
  *     to count as on time, in milliseconds
  * @param resumable whether a stream may be resumed at another endpoint
  * @param batch options of a batch route
+ * @param isPublic whether requests need no key
  */
 public record Route(
     String name,
@@ -31,7 +32,8 @@
     long timeoutMillis,
     long objectiveMillis,
     boolean resumable,
-    BatchOptions batch) {
+    BatchOptions batch,
+    boolean isPublic) {
 
   /**
    * Copies the list and checks the components.
@@ -51,6 +53,34 @@
     }
   }
 
+  /** Creates a route whose requests need a key if the configuration has workspaces. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RouteKind kind,
+      List<WeightedService> services,
+      int priority,
+      int maximumEndpoints,
+      long timeoutMillis,
+      long objectiveMillis,
+      boolean resumable,
+      BatchOptions batch) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        services,
+        priority,
+        maximumEndpoints,
+        timeoutMillis,
+        objectiveMillis,
+        resumable,
+        batch,
+        false);
+  }
+
   /** Returns whether a request that may have run can be sent to another endpoint. */
   public boolean isRepeatable() {
     return kind == RouteKind.IDEMPOTENT || kind == RouteKind.BATCH || isResumableStream();
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RouteTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RouteTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import org.sedgeroad.access.WorkspaceDirectory;
 
 /** One version of the configuration of routes and services. Immutable. */
 public final class RouteTable {
@@ -15,23 +16,31 @@
    * they must not reject requests that a configuration may allow.
    */
   public static final RouteTable EMPTY =
-      new RouteTable(0, List.of(), Map.of(), new RequestLimits(1 << 20, 16 << 20, 60_000));
+      new RouteTable(
+          0,
+          List.of(),
+          Map.of(),
+          new RequestLimits(1 << 20, 16 << 20, 60_000),
+          WorkspaceDirectory.NONE);
 
   private final long version;
   private final List<Route> routes;
   private final Map<String, HostRoutes> routesByHost = new HashMap<>();
   private final Map<String, ServiceOptions> services;
   private final RequestLimits limits;
+  private final WorkspaceDirectory workspaces;
 
   private RouteTable(
       long version,
       List<Route> routes,
       Map<String, ServiceOptions> services,
-      RequestLimits limits) {
+      RequestLimits limits,
+      WorkspaceDirectory workspaces) {
     this.version = version;
     this.routes = List.copyOf(routes);
     this.services = Map.copyOf(services);
     this.limits = limits;
+    this.workspaces = workspaces;
     for (Route route : routes) {
       routesByHost.computeIfAbsent(route.host(), host -> new HostRoutes()).add(route);
     }
@@ -61,13 +70,23 @@
     }
   }
 
-  /** Returns a table; no argument may be null. */
+  /** Returns a table without workspaces; no argument may be null. */
   public static RouteTable of(
       long version,
       List<Route> routes,
       Map<String, ServiceOptions> services,
       RequestLimits limits) {
-    return new RouteTable(version, routes, services, limits);
+    return of(version, routes, services, limits, WorkspaceDirectory.NONE);
+  }
+
+  /** Returns a table; no argument may be null. */
+  public static RouteTable of(
+      long version,
+      List<Route> routes,
+      Map<String, ServiceOptions> services,
+      RequestLimits limits,
+      WorkspaceDirectory workspaces) {
+    return new RouteTable(version, routes, services, limits, workspaces);
   }
 
   /** Returns the version of the configuration, 0 for {@link #EMPTY}. */
@@ -85,6 +104,11 @@
     return limits;
   }
 
+  /** Returns the workspaces, {@link WorkspaceDirectory#NONE} if the configuration has none. */
+  public WorkspaceDirectory workspaces() {
+    return workspaces;
+  }
+
   /**
    * Returns the number of slots of an endpoint: the configured number for an engine service, the
    * registered number otherwise.
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -69,6 +69,8 @@
   private final PacedTask domainPublisher;
   private Consumer<Map<String, CrashSeries>> crashListener = series -> {};
   private Consumer<Map<String, VersionedAnnouncement>> announcementListener = news -> {};
+  private Supplier<Confirmation> ownConfirmation = () -> Confirmation.NONE;
+  private Consumer<Confirmation> confirmationListener = confirmation -> {};
   private LoadReport lastReport;
   private long sequence;
   private final Interval unchangedReport = new Interval();
@@ -158,7 +160,8 @@
       return;
     }
     unchangedReport.mark();
-    lastReport = load.withSequence(++sequence);
+    FleetDetails details = load.details().withConfirmation(ownConfirmation.get());
+    lastReport = load.withSequence(++sequence).withDetails(details);
     view.sent(lastReport, now);
     hub.receive(lastReport, now);
     Set<String> receivers = new HashSet<>(hubsByDomain.get(domain));
@@ -206,6 +209,18 @@
     announcementListener = listener;
   }
 
+  /**
+   * Sets what is told to other instances about the age of the configuration, and the receiver of
+   * what they tell.
+   *
+   * @param own returns the youngest confirmation that is known, at the time of the call
+   * @param listener receives the confirmations of other instances
+   */
+  public void setConfirmations(Supplier<Confirmation> own, Consumer<Confirmation> listener) {
+    ownConfirmation = own;
+    confirmationListener = listener;
+  }
+
   /** Receives a message of another instance. */
   public void receive(LoadMessage message) {
     long now = clock.nanos();
@@ -215,6 +230,7 @@
       announcementListener.accept(news.announcements());
     } else if (message instanceof LoadReport report) {
       view.messageReceived(now);
+      confirmationListener.accept(report.details().confirmation());
       // An instance of another domain, or one that is not registered, is not counted here.
       if (members.contains(report.instance()) && hub.receive(report, now)) {
         requestSummaries();
@@ -222,6 +238,7 @@
     } else if (message instanceof LoadSummary summary && !summary.hub().equals(instance)) {
       view.messageReceived(now);
       selector.heard(summary.hub(), now);
+      confirmationListener.accept(summary.totals().details().confirmation());
       boolean ofOwnDomain = summary.domain().equals(domain);
       if (summary.scope() == LoadSummary.Scope.DOMAIN) {
         if (!ofOwnDomain && hub.receive(summary, now) && hubRole) {
@@ -293,13 +310,18 @@
     if (complete) {
       completeSummary.mark();
     }
-    LoadSummary summary = hub.fleetSummary(complete, now);
+    LoadSummary summary = confirmed(hub.fleetSummary(complete, now));
     sender.send(summary, members);
     if (view.receive(summary, now)) {
       changeListener.run();
     }
   }
 
+  /** Returns a summary with the youngest confirmation that is known now. */
+  private LoadSummary confirmed(LoadSummary summary) {
+    return summary.withConfirmation(ownConfirmation.get());
+  }
+
   private void publishDomain() {
     Set<String> receivers = new HashSet<>();
     hubsByDomain.forEach(
@@ -313,7 +335,7 @@
       selector.silent().stream().filter(name -> !members.contains(name)).forEach(receivers::add);
     }
     if (!receivers.isEmpty()) {
-      sender.send(hub.domainSummary(clock.nanos()), receivers);
+      sender.send(confirmed(hub.domainSummary(clock.nanos())), receivers);
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadSummary.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadSummary.java
@@ -46,4 +46,11 @@
     Objects.requireNonNull(totals);
     reporters = Map.copyOf(reporters);
   }
+
+  /** Returns a copy with another confirmation of the configuration. */
+  LoadSummary withConfirmation(Confirmation next) {
+    FleetDetails details = totals.details().withConfirmation(next);
+    return new LoadSummary(
+        scope, hub, domain, incarnation, sequence, totals.withDetails(details), reporters);
+  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
@@ -131,6 +131,20 @@
         details.minus(report.details()));
   }
 
+  /** Returns a copy with other details. */
+  public LoadTotals withDetails(FleetDetails next) {
+    return new LoadTotals(
+        reporters,
+        configurationVersion,
+        endpointsVersion,
+        liveWaiting,
+        batchReady,
+        waitingTokens,
+        endpoints,
+        sentToLimited,
+        next);
+  }
+
   private static LoadTotals of(LoadReport report) {
     Map<String, EndpointTotal> endpoints = new HashMap<>();
     report
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettings.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettings.java
@@ -25,6 +25,7 @@
  *     milliseconds
  * @param stopTimeoutMillis maximum duration of a planned stop before connections are closed, in
  *     milliseconds
+ * @param access settings of the access control
  */
 public record GatewaySettings(
     String instance,
@@ -41,7 +42,8 @@
     long connectTimeoutMillis,
     long keepJobMillis,
     long stopNoticeMillis,
-    long stopTimeoutMillis) {
+    long stopTimeoutMillis,
+    AccessSettings access) {
 
   /** Copies the list of failure domains. */
   public GatewaySettings {
@@ -68,7 +70,8 @@
         connectTimeoutMillis,
         keepJobMillis,
         next.stopNoticeMillis,
-        next.stopTimeoutMillis);
+        next.stopTimeoutMillis,
+        access);
   }
 
   /** Returns the region of a failure domain, or the name of the domain if it is not configured. */
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
@@ -20,7 +20,8 @@
               "store", Set.of("address", "timeout-millis", "object-bytes"),
               "endpoints", Set.of("connect-timeout-millis"),
               "jobs", Set.of("keep-seconds"),
-              "stop", Set.of("notice-millis", "timeout-seconds")));
+              "stop", Set.of("notice-millis", "timeout-seconds"),
+              "access", Set.of("revoke-millis", "quota-window-seconds")));
 
   /**
    * Time that is reserved at the end of a planned stop for closing connections, in milliseconds. It
@@ -80,7 +81,10 @@
         ini.number("endpoints", "connect-timeout-millis", 250, 10, 60_000),
         ini.number("jobs", "keep-seconds", 86_400, 1, 31_536_000) * 1_000,
         ini.number("stop", "notice-millis", 2_500, 0, 600_000),
-        ini.number("stop", "timeout-seconds", 8, 1, 3_600) * 1_000 - CLOSE_MARGIN_MILLIS);
+        ini.number("stop", "timeout-seconds", 8, 1, 3_600) * 1_000 - CLOSE_MARGIN_MILLIS,
+        new AccessSettings(
+            ini.number("access", "revoke-millis", 0, 0, 3_600_000),
+            ini.millisOfSeconds("access", "quota-window-seconds", 5_000, 100, 3_600_000)));
   }
 
   private static List<DomainSetting> domains(IniText ini) {
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
@@ -170,6 +170,41 @@
     return fallback;
   }
 
+  /**
+   * Returns a time in milliseconds that is given in seconds, with a fraction or without. Adds a
+   * fault if it is not valid or out of range.
+   *
+   * @param section section of the value
+   * @param key key of the value
+   * @param fallbackMillis result if the value is missing or not valid
+   * @param minimumMillis shortest valid time
+   * @param maximumMillis longest valid time
+   */
+  long millisOfSeconds(
+      String section, String key, long fallbackMillis, long minimumMillis, long maximumMillis) {
+    String value = value(section, key);
+    if (value == null) {
+      return fallbackMillis;
+    }
+    if (value.matches("[0-9]{1,9}(\\.[0-9]{1,9})?")) {
+      long millis = Math.round(Double.parseDouble(value) * 1_000);
+      if (millis >= minimumMillis && millis <= maximumMillis) {
+        return millis;
+      }
+    }
+    addFault(
+        section,
+        key,
+        "expected seconds from "
+            + minimumMillis / 1e3
+            + " to "
+            + maximumMillis / 1e3
+            + ", found '"
+            + value
+            + "'");
+    return fallbackMillis;
+  }
+
   /** Adds a fault of a key, or of the whole section if the key is empty. */
   void addFault(String section, String key, String message) {
     faults.add(new SettingsFault(section, key, lineOf(section, key), message));
--- a/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/batch/JobRoutesTest.java
@@ -38,6 +38,7 @@
         "edge-0",
         "notices",
         configurationVersion,
+        "",
         false);
   }
 
