Count and free the memory of incomplete events as it is

The budget for answers counted the bytes of an incomplete event, not the array that holds them, which doubles, and was given back while an abandoned attempt still held the array. Change: the parser states the memory that it holds, and an abandoned attempt discards it first.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -197,7 +197,7 @@
       }
       if (eventParser.isTooLong()) {
         abort("an event has no end");
-      } else if (!memory.resize(eventParser.incompleteBytes() + item.progress().outputBytes())) {
+      } else if (!memory.resize(eventParser.heldBytes() + item.progress().outputBytes())) {
         abort("the answers in progress take too much memory");
       }
     }
@@ -233,6 +233,8 @@
   private void abort(String cause) {
     // Set first, because closing the exchange reports a failure.
     finished = true;
+    // What refers to this run may live longer than the reservation of its memory.
+    eventParser.discard();
     exchange.close();
     end(Outcome.BROKEN, cause);
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/AnswerBuffer.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/AnswerBuffer.java
@@ -44,7 +44,7 @@
   Optional<String> keepStream(EventStreamParser events, long unsentBytes) {
     return events.isTooLong()
         ? Optional.of("the answer has no end")
-        : keep(events.incompleteBytes() + unsentBytes);
+        : keep(events.heldBytes() + unsentBytes);
   }
 
   private Optional<String> keep(long bytes) {
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
@@ -40,7 +40,7 @@
   /** Largest event that is accepted, in bytes. */
   public static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
-  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private Pending pending = new Pending();
   private boolean lineEmpty = true;
   private boolean eventSeen;
 
@@ -73,9 +73,15 @@
     return pending.size() > MAXIMUM_EVENT_BYTES;
   }
 
-  /** Returns the size of the incomplete event, in bytes. */
-  public int incompleteBytes() {
-    return pending.size();
+  /** Returns the memory that the incomplete event takes, in bytes. */
+  public int heldBytes() {
+    return pending.capacity();
+  }
+
+  /** Discards the incomplete event and its memory, because the stream is given up. */
+  public void discard() {
+    pending = new Pending();
+    lineEmpty = true;
   }
 
   /** Returns whether the stream has had a complete event with an id or data. */
@@ -86,11 +92,17 @@
   /** Removes and returns the bytes of an incomplete event; empty if there are none. */
   public byte[] takeIncompleteEvent() {
     byte[] rest = pending.toByteArray();
-    pending.reset();
-    lineEmpty = true;
+    discard();
     return rest;
   }
 
+  /** Bytes of an incomplete event, in an array that is larger than they are. */
+  private static final class Pending extends ByteArrayOutputStream {
+    int capacity() {
+      return buf.length;
+    }
+  }
+
   private static Event parse(byte[] bytes) {
     String id = "";
     StringBuilder data = null;
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -420,6 +420,8 @@
 
     /** Closes the connection of an answer that is not valid. */
     private void abandon(String cause) {
+      // What refers to this attempt may live longer than the reservation of its memory.
+      eventParser.discard();
       end();
       exchange.close();
       dependencies
