Ask the store once for each confirmation, and again if an answer is lost

Cause: the watch of a probe asked the store a second time before it was closed, and a call on a connection that had stopped delivering took a second to fail, so that the configuration could expire beside a store that answers. Change: the watch is closed as soon as it has answered; a call without an answer for 0.5 s is repeated on a new connection. The probe takes its calls as an interface, so that its test needs no store.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationProbe.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/ConfigurationProbe.java
@@ -8,8 +8,6 @@
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.event.LogEvent;
-import org.sedgeroad.store.KindWatcher;
-import org.sedgeroad.store.ObjectStore;
 import org.sedgeroad.store.StoredObject;
 import org.sedgeroad.store.WatchListener;
 
@@ -35,35 +33,54 @@
    */
   private static final long SPREAD_MILLIS = 400;
 
+  /**
+   * Time after which a call counts as lost, in milliseconds; a store that is 60 times slower than
+   * usual still answers within it, and two calls fit before the age reaches its bound.
+   */
+  private static final long ANSWER_MILLIS = 500;
+
   /** Time until the next call after one that failed, in milliseconds; outages last for seconds. */
   private static final long RETRY_MILLIS = 700;
 
   /** Time that the store may hold a call, in milliseconds: it answers at once. */
   private static final long WAIT_MILLIS = 1;
 
-  private final ObjectStore store;
-  private final String kind;
-  private final KindWatcher watcher;
-  private final KindWatcher.Listener listener;
+  /** The calls of a probe to the store and to the watch of the configuration. */
+  interface Source {
+    /** Watches the configuration for changes after a version of the store. */
+    AutoCloseable watch(long afterVersion, WatchListener listener);
+
+    /** Closes idle connections, which may have stopped delivering data. */
+    void renewConnections();
+
+    /** Returns the version of the store that this instance has reached, 0 before the first list. */
+    long reachedVersion();
+
+    /** Receives a change that a probe has found. */
+    void changed(StoredObject object);
+
+    /** Lists the configuration again, because the store has dropped the history. */
+    void relist(String reason);
+  }
+
+  private final Source source;
   private final ConfigurationAge age;
   private final BooleanSupplier isHub;
   private final DoubleSupplier random;
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final EventLog log;
-  private AutoCloseable call = () -> {};
+  private volatile AutoCloseable call = () -> {};
   private long reached;
   private boolean pending;
+  private long answerDeadlineNanos;
   private long notBeforeNanos;
   private double spread;
 
   /**
    * Creates a probe.
    *
-   * @param store the store
-   * @param kind kind of the configuration objects
-   * @param watcher watch of that kind, from whose version the probe asks for changes
-   * @param listener receives the changes that a probe finds
+   * @param source the store and the watch of the configuration
    * @param age receives the confirmations
    * @param isHub returns whether this instance is the first hub of its failure domain
    * @param random source of random numbers from 0 (inclusive) to 1 (exclusive)
@@ -72,20 +89,14 @@
    * @param log event log
    */
   ConfigurationProbe(
-      ObjectStore store,
-      String kind,
-      KindWatcher watcher,
-      KindWatcher.Listener listener,
+      Source source,
       ConfigurationAge age,
       BooleanSupplier isHub,
       DoubleSupplier random,
       EventLoop loop,
       MonotonicClock clock,
       EventLog log) {
-    this.store = store;
-    this.kind = kind;
-    this.watcher = watcher;
-    this.listener = listener;
+    this.source = source;
     this.age = age;
     this.isHub = isHub;
     this.random = random;
@@ -99,13 +110,20 @@
   /** Asks the store if a confirmation is due. To be called several times a second. */
   void tick() {
     long began = age.observe();
-    if (!age.isBounded() || watcher.version() == 0 || !isDue()) {
+    if (pending && clock.hasPassed(answerDeadlineNanos)) {
+      // The connection may have stopped delivering anything, and others with it.
+      source.renewConnections();
+      failed(false);
+      notBeforeNanos = clock.nanos();
+    }
+    if (!age.isBounded() || source.reachedVersion() == 0 || !isDue()) {
       return;
     }
     pending = true;
+    answerDeadlineNanos = clock.deadlineAfterMillis(ANSWER_MILLIS);
     spread = random.getAsDouble();
-    reached = Math.max(reached, watcher.version());
-    call = store.watch(kind, reached, new Answer(began));
+    reached = Math.max(reached, source.reachedVersion());
+    call = source.watch(reached, new Answer(began));
   }
 
   private boolean isDue() {
@@ -116,8 +134,7 @@
     return !pending && clock.hasPassed(notBeforeNanos) && old;
   }
 
-  private void finish() {
-    pending = false;
+  private void closeCall() {
     try {
       call.close();
     } catch (Exception failure) {
@@ -125,14 +142,23 @@
     }
   }
 
+  private void confirmed(long began, long version) {
+    if (pending) {
+      pending = false;
+      reached = Math.max(reached, version);
+      age.confirm(began);
+    }
+  }
+
   private void failed(boolean expired) {
     if (!pending) {
       return;
     }
-    finish();
+    pending = false;
+    closeCall();
     notBeforeNanos = clock.deadlineAfterMillis(RETRY_MILLIS + (long) (spread * RETRY_MILLIS));
     if (expired) {
-      watcher.restart("the store has dropped the history that a confirmation needs");
+      source.relist("the store has dropped the history that a confirmation needs");
     }
   }
 
@@ -151,19 +177,14 @@
 
     @Override
     public void onChange(StoredObject object) {
-      loop.execute(() -> listener.changed(object));
+      loop.execute(() -> source.changed(object));
     }
 
     @Override
     public void onProgress(long version) {
-      loop.execute(
-          () -> {
-            if (pending) {
-              reached = Math.max(reached, version);
-              finish();
-              age.confirm(began);
-            }
-          });
+      // Before the watch asks again.
+      closeCall();
+      loop.execute(() -> confirmed(began, version));
     }
 
     @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
@@ -12,6 +12,8 @@
 import org.sedgeroad.settings.AccessSettings;
 import org.sedgeroad.store.KindWatcher;
 import org.sedgeroad.store.ObjectStore;
+import org.sedgeroad.store.StoredObject;
+import org.sedgeroad.store.WatchListener;
 
 /** The parts of an instance that decide who may send requests. Used on the event loop. */
 final class GatewayAccess {
@@ -68,10 +70,32 @@
   void probe(ObjectStore store, String kind, KindWatcher watcher, KindWatcher.Listener listener) {
     probe =
         new ConfigurationProbe(
-            store,
-            kind,
-            watcher,
-            listener,
+            new ConfigurationProbe.Source() {
+              @Override
+              public AutoCloseable watch(long afterVersion, WatchListener receiver) {
+                return store.watch(kind, afterVersion, receiver);
+              }
+
+              @Override
+              public void renewConnections() {
+                store.renewConnections();
+              }
+
+              @Override
+              public long reachedVersion() {
+                return watcher.version();
+              }
+
+              @Override
+              public void changed(StoredObject object) {
+                listener.changed(object);
+              }
+
+              @Override
+              public void relist(String reason) {
+                watcher.restart(reason);
+              }
+            },
             age,
             hubExchange::isFirstHub,
             () -> ThreadLocalRandom.current().nextDouble(),
