Count sends and refusals by workspace, bounded in number

Cause: an operator could not see which workspace is served or refused. Change: one counter with at most 100 names; a request that is refused at its arrival is logged with its workspace.

--- a/sedgeroad/src/main/java/org/sedgeroad/access/AccessControl.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/AccessControl.java
@@ -38,9 +38,10 @@
     /**
      * The request is refused; it has not run.
      *
+     * @param workspace name of the workspace that sent it, empty if unknown
      * @param refusal the refusal
      */
-    record Refused(Refusal refusal) implements Admission {}
+    record Refused(String workspace, Refusal refusal) implements Admission {}
   }
 
   /** Result of the check of a call about jobs. */
@@ -103,7 +104,7 @@
     return permit
         .check()
         .or(permit::quotaRefusal)
-        .<Admission>map(Admission.Refused::new)
+        .<Admission>map(refusal -> new Admission.Refused(permit.workspace(), refusal))
         .orElseGet(() -> new Admission.Admitted(permit));
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
@@ -106,18 +106,22 @@
    *
    * @param id id of the client's attempt, empty if it has none
    * @param path path of the request
+   * @param workspace name of the workspace that sent it, empty if unknown
    * @param refusal the refusal
    * @param answer sends the refusal to the client
    */
-  public void refuse(String id, String path, Refusal refusal, ClientAnswer answer) {
+  public void refuse(
+      String id, String path, String workspace, Refusal refusal, ClientAnswer answer) {
     dependencies.log().log(
         LogEvent.REQUEST_REFUSED,
         EventField.of("request", id),
         EventField.of("path", path),
+        EventField.of("workspace", workspace),
         EventField.of("reason", refusal.reason()),
         EventField.of("cause", refusal.text()),
         EventField.of("configuration", dependencies.routes().current().version()));
     dependencies.metrics().recordRefusal("", refusal.reason());
+    dependencies.metrics().recordWorkspace(workspace, refusal.reason().name());
     answer.refuse(refusal);
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestLog.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestLog.java
@@ -24,6 +24,7 @@
   void placed(ServiceEndpoint endpoint, long objectiveNanos, String lastEventId, int run) {
     long waited = millisSince(request.arrivedNanos());
     dependencies.metrics().recordPlacement(route.name(), waited);
+    dependencies.metrics().recordWorkspace(workspace, "sent");
     dependencies
         .log()
         .logRoutine(
@@ -51,6 +52,7 @@
             EventField.of("rejections", rejections),
             EventField.of("begun", begun)));
     dependencies.metrics().recordRefusal(route.name(), refusal.reason());
+    dependencies.metrics().recordWorkspace(workspace, refusal.reason().name());
   }
 
   /** Records that the request has ended. */
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
@@ -24,6 +24,9 @@
    */
   private static final double[] TIME_BOUNDS = {0.001, 0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5};
 
+  /** Largest number of workspaces with time series of their own; a deployment has 2,000. */
+  private static final int MAXIMUM_WORKSPACES = 100;
+
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Histogram wait =
       Histogram.builder()
@@ -53,6 +56,13 @@
           .help("Refusals of requests like those under which endpoints crashed.")
           .labelNames("route", "reason")
           .register(registry);
+  private final Counter workspaceRequests =
+      Counter.builder()
+          .name("sedgeroad_gateway_workspace_requests_total")
+          .help("Sends of requests to endpoints, and refusals, by workspace.")
+          .labelNames("workspace", "outcome")
+          .register(registry);
+  private final BoundedLabels workspaces = new BoundedLabels(MAXIMUM_WORKSPACES);
   private final Counter invalidAnnouncements =
       Counter.builder()
           .name("sedgeroad_gateway_invalid_announcements_total")
@@ -101,6 +111,18 @@
     refusals.labelValues(route, reason.name()).inc();
   }
 
+  /**
+   * Records that a request of a workspace was sent to an endpoint or refused.
+   *
+   * @param workspace name of the workspace, empty without one
+   * @param outcome value of the label: sent, or the reason of the refusal
+   */
+  public void recordWorkspace(String workspace, String outcome) {
+    if (!workspace.isEmpty()) {
+      workspaceRequests.labelValues(workspaces.of(workspace), outcome).inc();
+    }
+  }
+
   /**
    * Records that a refusal of a route's request, which is recorded by {@link #recordRefusal} too,
    * was due to a quarantine.
--- a/sedgeroad/src/test/java/org/sedgeroad/metric/GatewayMetricsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/metric/GatewayMetricsTest.java
@@ -19,6 +19,7 @@
     metrics.recordRefusal("r", Refusal.Reason.NOT_RUN);
     metrics.recordQuarantineRefusal("r", Refusal.Reason.NOT_RUN);
     metrics.recordItemRun("completed");
+    metrics.recordWorkspace("w", "sent");
     metrics
         .measure(MetricsPages.emptyStore())
         .create("k", "n", JsonNodeFactory.instance.objectNode());
