Count store calls by kind of object, and each answer to a watch

Watches were not counted, and other calls only by method, so the metrics did not show what most calls are for. Each answer ends one call of a watch; lists are starts and restarts, and the outcome of a watch is the cause of the next call (changed, quiet, failed, expired).

--- a/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
@@ -72,8 +72,8 @@
   private final Counter storeCalls =
       Counter.builder()
           .name("sedgeroad_gateway_store_calls_total")
-          .help("Calls to the store by kind of call and outcome.")
-          .labelNames("call", "outcome")
+          .help("Calls to the store by kind of object, kind of call and outcome.")
+          .labelNames("kind", "call", "outcome")
           .register(registry);
 
   /**
@@ -131,7 +131,18 @@
   /** Returns a view of a store that counts the calls to it. */
   public ObjectStore measure(ObjectStore store) {
     return new MeasuredStore(
-        store, (call, outcome, nanos) -> storeCalls.labelValues(call, outcome).inc());
+        store,
+        new MeasuredStore.Recorder() {
+          @Override
+          public void record(String kind, String call, String outcome, long nanos) {
+            storeCalls.labelValues(kind, call, outcome).inc();
+          }
+
+          @Override
+          public void recordWatch(String kind, String outcome) {
+            storeCalls.labelValues(kind, "watch", outcome).inc();
+          }
+        });
   }
 
   /** Returns all metrics in the Prometheus text format. */
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/Metrics.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/Metrics.java
@@ -126,7 +126,7 @@
   public ObjectStore measure(ObjectStore store) {
     return new MeasuredStore(
         store,
-        (call, outcome, nanos) -> {
+        (kind, call, outcome, nanos) -> {
           storeCalls.labelValues(call, outcome).inc();
           storeDuration.labelValues(call).observe(nanos / NANOS_PER_SECOND);
         });
