Group results and changes of job heads before they cost a store call

Results of a job were stored 0.7 s after the first of a group, although clients need them at the due time only, and the watch of job heads was answered for nearly every job. Results now wait for 3 s while their job is not nearly due (an owner that fails loses what it has not stored, less than the run of an item), at once in the last 2 s, and 0.25 s if they are late. The watch of heads pauses for 2 s after an answer; the owner of an orphaned job is considered failed after 2.5 s.

In ResultStoreRuleTest, ten items that finish a second apart need 3 calls.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -25,17 +25,6 @@
  * appends their results to the store. Must be used on the event loop.
  */
 public final class OwnedJobRunner implements BatchSource {
-  /**
-   * Maximum time that a finished result waits to be stored together with others, in milliseconds.
-   * Items of a job finish within about a second of each other, and each store call has a cost.
-   */
-  private static final long MAXIMUM_STORE_DELAY_MILLIS = 700;
-
-  /**
-   * Time before a job's due time from which its results are stored immediately, in milliseconds.
-   */
-  private static final long URGENT_MILLIS = 2_000;
-
   /** Timeout of one run of an item, in milliseconds. It is six times the usual duration of 5 s. */
   private static final long RUN_TIMEOUT_MILLIS = 30_000;
 
@@ -396,9 +385,9 @@
       return;
     }
     boolean last = job.storedResults().size() + unstored.size() >= job.items().size();
-    boolean urgent = dueNanos(job) - now < URGENT_MILLIS * 1_000_000L;
-    boolean delayed = now - job.oldestUnstoredNanos() >= MAXIMUM_STORE_DELAY_MILLIS * 1_000_000L;
-    if (last || urgent || delayed) {
+    long untilDueMillis = (dueNanos(job) - now) / 1_000_000L + READ_GRACE_MILLIS;
+    long waitedMillis = (now - job.oldestUnstoredNanos()) / 1_000_000L;
+    if (ResultStoreRule.isDue(last, untilDueMillis, waitedMillis)) {
       appender.append(job);
     }
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.LongSupplier;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.announcement.AnnouncementTable;
 import org.sedgeroad.announcement.EndpointAnnouncements;
@@ -45,6 +44,7 @@
 import org.sedgeroad.store.KindWatcher;
 import org.sedgeroad.store.ObjectStore;
 import org.sedgeroad.store.StoreWriter;
+import org.sedgeroad.store.WatchPace;
 import org.sedgeroad.suspicion.CrashSeries;
 import org.sedgeroad.suspicion.QuarantineStore;
 import org.sedgeroad.suspicion.SuspicionGuard;
@@ -81,6 +81,13 @@
    */
   private static final long RARE_CHANGES_QUIET_MILLIS = 25_000;
 
+  /**
+   * Pause of the watch of job heads after an answer, in milliseconds. Several heads change in a
+   * second. An orphaned job is taken over after 2.5 s of silence of its owner, so that a head that
+   * is known 2 s after its creation delays no takeover.
+   */
+  private static final long HEADS_COLLECTION_MILLIS = 2_000;
+
   /**
    * Threads that wait for the store: one for each of the five kinds that are listed at startup
    * (routes, endpoints, instances, jobs and quarantines), and one for the registration.
@@ -238,8 +245,8 @@
     this.endpointsLag =
         new LagDetector(clock, () -> endpointsWatcher.restart("a peer has newer endpoints"));
     watch(store, InstanceDirectory.KIND, () -> RARE_CHANGES_QUIET_MILLIS, instances);
-    this.jobWatch =
-        new JobWatch(() -> createWatcher(store, JobStore.JOBS, this::quietMillis, jobs));
+    WatchPace headsPace = WatchPace.of(this::quietMillis, HEADS_COLLECTION_MILLIS);
+    this.jobWatch = new JobWatch(() -> createWatcher(store, JobStore.JOBS, headsPace, jobs));
     this.server = createServer();
   }
 
@@ -314,15 +321,15 @@
   }
 
   private KindWatcher watch(
-      ObjectStore store, String kind, LongSupplier quietMillis, KindWatcher.Listener listener) {
-    KindWatcher watcher = createWatcher(store, kind, quietMillis, listener);
+      ObjectStore store, String kind, WatchPace pace, KindWatcher.Listener listener) {
+    KindWatcher watcher = createWatcher(store, kind, pace, listener);
     watchers.add(watcher);
     return watcher;
   }
 
   private KindWatcher createWatcher(
-      ObjectStore store, String kind, LongSupplier quietMillis, KindWatcher.Listener listener) {
-    return new KindWatcher(store, kind, storeWorkers, eventLoop, clock, log, quietMillis, listener);
+      ObjectStore store, String kind, WatchPace pace, KindWatcher.Listener listener) {
+    return new KindWatcher(store, kind, storeWorkers, eventLoop, clock, log, pace, listener);
   }
 
   private long quietMillis() {
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/MeasuredStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/MeasuredStore.java
@@ -126,6 +126,11 @@
       return listener.quietMillis();
     }
 
+    @Override
+    public long collectionMillis() {
+      return listener.collectionMillis();
+    }
+
     @Override
     public void onClosed(String reason) {
       recorder.recordWatch(kind, "failed");
--- a/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.concurrent.Executor;
-import java.util.function.LongSupplier;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.event.EventField;
@@ -50,7 +49,7 @@
   private final MonotonicClock clock;
   private final EventLog log;
   private final Listener listener;
-  private final LongSupplier quietMillis;
+  private final WatchPace pace;
   private AutoCloseable watch = () -> {};
 
   /** Version of the store up to which all changes were delivered. */
@@ -76,7 +75,7 @@
    * @param loop event loop that runs everything else
    * @param clock monotonic clock
    * @param log event log
-   * @param quietMillis returns for how long a watch may stay without an answer, in milliseconds
+   * @param pace how often a watch may be answered
    * @param listener receives the objects and their changes
    */
   public KindWatcher(
@@ -86,7 +85,7 @@
       EventLoop loop,
       MonotonicClock clock,
       EventLog log,
-      LongSupplier quietMillis,
+      WatchPace pace,
       Listener listener) {
     this.store = store;
     this.kind = kind;
@@ -94,7 +93,7 @@
     this.loop = loop;
     this.clock = clock;
     this.log = log;
-    this.quietMillis = quietMillis;
+    this.pace = pace;
     this.listener = listener;
   }
 
@@ -175,7 +174,12 @@
 
               @Override
               public long quietMillis() {
-                return quietMillis.getAsLong();
+                return pace.quietMillis();
+              }
+
+              @Override
+              public long collectionMillis() {
+                return pace.collectionMillis();
               }
 
               @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/WatchListener.java
@@ -21,6 +21,14 @@
     return 4_000;
   }
 
+  /**
+   * Returns the pause between an answer with changes and the next call, in milliseconds, in which
+   * further changes are collected.
+   */
+  default long collectionMillis() {
+    return WatchPace.COLLECTION_MILLIS;
+  }
+
   /** Receives the end of the watch. The receiver may start a new one from a new list. */
   void onClosed(String reason);
 
