Report the running and waiting live requests of each workspace

Fair shares need these numbers from all instances; the reports left them empty. The dispatcher counts a request for the workspace that its demand named, and the request releases its slot for the same one, because its key may be moved in between. Nothing is reported without workspaces.

DispatcherTest, LoadMessageCodecTest and GatewayKeyTest pass.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
@@ -1,5 +1,7 @@
 package org.sedgeroad.entry;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
@@ -8,13 +10,17 @@
 import org.sedgeroad.access.QuotaGate;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.gateway.RouteTableHolder;
+import org.sedgeroad.presence.Confirmation;
+import org.sedgeroad.presence.FleetDetails;
 import org.sedgeroad.presence.HubExchange;
+import org.sedgeroad.presence.WorkspaceLoad;
 import org.sedgeroad.settings.AccessSettings;
 import org.sedgeroad.store.KindWatcher;
 import org.sedgeroad.store.ObjectStore;
 
 /** The parts of an instance that decide who may send requests. Used on the event loop. */
 final class GatewayAccess {
+  private final RouteTableHolder routes;
   private final HubExchange hubExchange;
   private final EventLoop loop;
   private final MonotonicClock clock;
@@ -32,6 +38,7 @@
       EventLoop loop,
       MonotonicClock clock,
       EventLog log) {
+    this.routes = routes;
     this.hubExchange = hubExchange;
     this.loop = loop;
     this.clock = clock;
@@ -80,6 +87,23 @@
             log);
   }
 
+  /**
+   * Returns what this instance reports of the workspaces; nothing if the configuration has none.
+   *
+   * @param running numbers of live requests that endpoints have now, by workspace
+   * @param waiting numbers of live requests that wait for a slot, by workspace
+   */
+  FleetDetails details(Map<String, Integer> running, Map<String, Integer> waiting) {
+    if (!routes.current().workspaces().isRequired()) {
+      return FleetDetails.NONE;
+    }
+    Map<String, WorkspaceLoad> loads = new HashMap<>();
+    running.forEach((name, count) -> loads.put(name, new WorkspaceLoad(0, count, 0)));
+    waiting.forEach(
+        (name, count) -> loads.merge(name, new WorkspaceLoad(0, 0, count), WorkspaceLoad::plus));
+    return new FleetDetails(Confirmation.NONE, 0, 0, loads, Map.of());
+  }
+
   /** Confirms the configuration if it is time. To be called several times a second. */
   void tick() {
     probe.tick();
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -545,7 +545,9 @@
             jobs.waitingTokens(),
             dispatcher.occupancy(),
             dispatcher.sentToLimited(),
-            leaving));
+            leaving,
+            access.details(
+                dispatcher.liveRunningByWorkspace(), dispatcher.liveWaitingByWorkspace())));
   }
 
   /** Restarts watches that have missed a change that a peer has received. */
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -9,7 +9,6 @@
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.http.HttpFailure;
 import org.sedgeroad.placement.LiveDemand;
-import org.sedgeroad.placement.WorkClass;
 import org.sedgeroad.suspicion.CrashSeries;
 
 /**
@@ -66,6 +65,10 @@
   private final SuspicionCheck suspicionCheck;
   private EventLoop.Timeout timeout = EventLoop.Timeout.NONE;
   private LiveDemand demand;
+
+  /** Workspace for which the slot was taken; a key may be moved to another one afterwards. */
+  private String slotWorkspace = "";
+
   private EndpointAttempt attempt;
   private String lastEventId;
   private EndpointAnswer startedAnswer;
@@ -157,10 +160,11 @@
       refuseForRate(rateWaitNanos);
       return;
     }
+    slotWorkspace = permit.workspace();
     demand =
         LiveDemand.of(
             service,
-            permit.workspace(),
+            slotWorkspace,
             permit.priority().orElse(route.priority()),
             objectiveNanos,
             deadlineNanos,
@@ -222,10 +226,14 @@
   }
 
   private void giveSlotBack(ServiceEndpoint endpoint, Runnable next) {
-    dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+    releaseSlot(endpoint);
     next.run();
   }
 
+  private void releaseSlot(ServiceEndpoint endpoint) {
+    dependencies.dispatcher().releaseLive(endpoint.name(), slotWorkspace);
+  }
+
   /** Ends a request whose permission has ended since its arrival. */
   private void failUnpermitted(Refusal refusal) {
     if (!done) {
@@ -350,7 +358,7 @@
       if (!ended) {
         end();
         exchange.close();
-        dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+        releaseSlot(endpoint);
       }
     }
 
@@ -474,14 +482,14 @@
         finish("complete");
         answer.end();
       } else if (!head.isSuccess() && canRunElsewhere()) {
-        dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+        releaseSlot(endpoint);
         runElsewhere("endpoint answered " + head.status());
         return;
       } else {
         finish("answered " + head.status());
         answer.sendComplete(head, body);
       }
-      dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+      releaseSlot(endpoint);
     }
 
     @Override
@@ -495,7 +503,7 @@
             .dispatcher()
             .health()
             .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
-        dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+        releaseSlot(endpoint);
         attempt = null;
         if (isTrial) {
           suspicionCheck.repeatTrial();
@@ -513,7 +521,7 @@
 
     private void onRejection(int status) {
       end();
-      dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+      releaseSlot(endpoint);
       attempt = null;
       handleRejection("rejected with " + status);
     }
@@ -541,7 +549,7 @@
     /** Handles a broken answer. The request may have run at this endpoint. */
     private void onBrokenAnswer(String cause) {
       log.broken(endpoint, cause, head != null, eventCount);
-      dependencies.dispatcher().release(endpoint.name(), WorkClass.LIVE);
+      releaseSlot(endpoint);
       attempt = null;
       if (done) {
         return;
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -30,6 +30,7 @@
   private final MonotonicClock clock;
   private final DoubleSupplier random;
   private final WaitingRequests waiting = new WaitingRequests();
+  private final Map<String, Integer> liveRunningByWorkspace = new HashMap<>();
   private Runnable changeListener = () -> {};
   private long lastDeferralRoundNanos;
 
@@ -170,6 +171,18 @@
     }
   }
 
+  /**
+   * Releases the slot of a live request and uses it for waiting work.
+   *
+   * @param endpoint name of the endpoint
+   * @param workspace the workspace that was named in the demand for the slot, empty without one
+   */
+  public void releaseLive(String endpoint, String workspace) {
+    liveRunningByWorkspace.computeIfPresent(
+        workspace, (name, count) -> count > 1 ? count - 1 : null);
+    release(endpoint, WorkClass.LIVE);
+  }
+
   /**
    * Places waiting live requests, then preempts and starts batch items. To be called after a report
    * of another instance was received, or after this instance got new items.
@@ -203,6 +216,14 @@
     return waiting.byWorkspace();
   }
 
+  /**
+   * Returns the numbers of live requests that endpoints have now by workspace, without requests
+   * that have none.
+   */
+  public Map<String, Integer> liveRunningByWorkspace() {
+    return Map.copyOf(liveRunningByWorkspace);
+  }
+
   /** Returns the work of this instance by endpoint name, without endpoints that have none. */
   public Map<String, Occupancy> occupancy() {
     return directory.occupancy();
@@ -236,6 +257,9 @@
           }
           directory.restrictions().sent(chosen.endpoint());
           directory.addOccupancy(chosen.endpoint().name(), WorkClass.LIVE, 1);
+          if (!demand.workspace().isEmpty()) {
+            liveRunningByWorkspace.merge(demand.workspace(), 1, Integer::sum);
+          }
           demand.place(chosen.endpoint());
         });
     return choice.isPresent();
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/DispatcherTest.java
@@ -81,6 +81,33 @@
     }
   }
 
+  /** Guards against requests that stay counted for a workspace after their end, or are missed. */
+  @Nested
+  class RequestsOfWorkspaces {
+    private final Dispatcher dispatcher = dispatcher(Map.of());
+
+    private void submit(String workspace) {
+      long later = 60_000_000_000L;
+      dispatcher.submit(
+          LiveDemand.of(SERVICE, workspace, 0, later, later, Set.of(), endpoint -> {}));
+    }
+
+    @Test
+    void areCountedWhileTheyRunAndWhileTheyWait() {
+      submit("go");
+      int chess = 0;
+      for (; dispatcher.liveWaiting() == 0; chess++) {
+        submit("chess");
+      }
+      submit("");
+      assertEquals(Map.of("go", 1, "chess", chess - 1), dispatcher.liveRunningByWorkspace());
+      assertEquals(Map.of("chess", 1), dispatcher.liveWaitingByWorkspace());
+      dispatcher.releaseLive("endpoint", "go");
+      assertEquals(Map.of("chess", chess), dispatcher.liveRunningByWorkspace());
+      assertEquals(Map.of(), dispatcher.liveWaitingByWorkspace());
+    }
+  }
+
   /** Returns how many items an instance starts that has more ready items than there are slots. */
   private static int startedOf(BatchQueue queue, Map<String, Integer> readyOfOthers) {
     Dispatcher dispatcher = dispatcher(readyOfOthers);
