Observe the speed of each endpoint incarnation

Endpoints of one service may differ by a factor of more than two, and placement knew nothing of it.

Reports hold at most 600 incarnations, so that the sums fit in a datagram.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -11,6 +11,7 @@
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.http.HttpFailure;
 import org.sedgeroad.http.MemoryBudget;
+import org.sedgeroad.placement.RunTiming;
 
 /** One attempt to run an item at an endpoint. Must be used on the event loop. */
 final class ItemRun implements EndpointAnswerListener {
@@ -59,6 +60,7 @@
   private final EndListener listener;
   private final int eventsBefore;
   private final long startedNanos;
+  private final RunTiming timing;
   private final EventStreamParser eventParser = new EventStreamParser();
   private EndpointExchange exchange;
   private EventLoop.Timeout progressCheck = EventLoop.Timeout.NONE;
@@ -78,6 +80,7 @@
     this.memory = dependencies.answerMemory().reserve();
     this.eventsBefore = item.progress().eventCount();
     this.startedNanos = dependencies.clock().nanos();
+    this.timing = dependencies.dispatcher().speeds().begin(endpoint, 0);
   }
 
   OwnedItem item() {
@@ -177,6 +180,7 @@
   public void onBytes(ByteBuffer bytes) {
     if (!finished) {
       List<EventStreamParser.Event> events = eventParser.accept(bytes);
+      timing.received(events.size());
       if (!events.isEmpty()) {
         progressDeadlineNanos = dependencies.clock().deadlineAfterMillis(NEXT_EVENT_MILLIS);
       }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -36,6 +36,7 @@
 import org.sedgeroad.metric.GatewayMetrics;
 import org.sedgeroad.placement.AnnouncedRestrictions;
 import org.sedgeroad.placement.Dispatcher;
+import org.sedgeroad.presence.FleetDetails;
 import org.sedgeroad.presence.HubExchange;
 import org.sedgeroad.presence.LoadExchange;
 import org.sedgeroad.presence.LoadReport;
@@ -545,7 +546,8 @@
             jobs.waitingTokens(),
             dispatcher.occupancy(),
             dispatcher.sentToLimited(),
-            leaving));
+            leaving,
+            FleetDetails.NONE.withSpeeds(dispatcher.speedSamples())));
   }
 
   /** Restarts watches that have missed a change that a peer has received. */
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -9,6 +9,7 @@
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.http.HttpFailure;
 import org.sedgeroad.placement.LiveDemand;
+import org.sedgeroad.placement.RunTiming;
 import org.sedgeroad.placement.WorkClass;
 import org.sedgeroad.suspicion.CrashSeries;
 
@@ -286,7 +287,7 @@
     private EndpointExchange exchange;
     private EndpointAnswer head;
     private EventLoop.Timeout progressCheck = EventLoop.Timeout.NONE;
-    private long lastEventNanos;
+    private final RunTiming timing;
 
     /** Number of complete events that were received in this attempt. */
     private int eventCount;
@@ -299,10 +300,10 @@
 
     EndpointAttempt(ServiceEndpoint endpoint) {
       this.endpoint = endpoint;
+      this.timing = dependencies.dispatcher().speeds().begin(endpoint, 0);
     }
 
     void start(EndpointCall call) {
-      lastEventNanos = dependencies.clock().nanos();
       exchange = dependencies.endpointClient().start(call, this);
       if (route.kind() == RouteKind.STREAMING) {
         scheduleProgressCheck();
@@ -311,9 +312,7 @@
 
     private void scheduleProgressCheck() {
       progressCheck =
-          dependencies
-              .loop()
-              .scheduleAt(lastEventNanos + STALL_MILLIS * 1_000_000L, this::checkProgress);
+          dependencies.loop().scheduleAt(timing.deadlineNanos(STALL_MILLIS), this::checkProgress);
     }
 
     /**
@@ -324,7 +323,7 @@
       if (ended || done) {
         return;
       }
-      boolean stalled = dependencies.clock().nanos() - lastEventNanos >= STALL_MILLIS * 1_000_000L;
+      boolean stalled = dependencies.clock().hasPassed(timing.deadlineNanos(STALL_MILLIS));
       boolean movable = startedAnswer == null || route.isResumableStream();
       if (!stalled) {
         scheduleProgressCheck();
@@ -407,7 +406,6 @@
             return;
           }
           countEvents(1);
-          lastEventNanos = dependencies.clock().nanos();
           lastEventId = event.id().isEmpty() ? lastEventId : event.id();
           answer.send(ByteBuffer.wrap(event.bytes()));
         }
@@ -434,6 +432,7 @@
         suspicionCheck.recordAnswer();
       }
       eventCount += events;
+      timing.received(events);
     }
 
     /** Records a crash of the endpoint if the connection broke before it answered. */
@@ -469,6 +468,7 @@
       dependencies.dispatcher().health().recordSuccess(endpoint.name());
       if (head.isSuccess()) {
         suspicionCheck.recordAnswer();
+        timing.answered();
       }
       if (isStream()) {
         finish("complete");
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.sedgeroad.presence.FleetLoad;
 import org.sedgeroad.presence.LoadTotals;
 import org.sedgeroad.presence.Occupancy;
+import org.sedgeroad.presence.SpeedSample;
 
 /**
  * Assigns slots at the endpoints to the live requests and batch items of this instance, taking into
@@ -86,6 +87,16 @@
     return directory.health();
   }
 
+  /** Returns the speeds of the endpoints, to which the times of runs are reported. */
+  public EndpointSpeeds speeds() {
+    return directory.speeds();
+  }
+
+  /** Returns what this instance has observed of the speeds of endpoints, by incarnation. */
+  public Map<String, SpeedSample> speedSamples() {
+    return directory.speeds().reported();
+  }
+
   /**
    * Replaces the known endpoints and places waiting requests.
    *
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointDirectory.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointDirectory.java
@@ -27,6 +27,7 @@
   private final FleetLoad fleetLoad;
   private final MonotonicClock clock;
   private final EndpointHealth health = new EndpointHealth();
+  private final EndpointSpeeds speeds;
   private final Map<String, Occupancy> ownOccupancy = new HashMap<>();
 
   /** Distances of failure domains, computed again at each tick because settings may be reloaded. */
@@ -54,6 +55,7 @@
     this.regionOfDomain = regionOfDomain;
     this.fleetLoad = fleetLoad;
     this.clock = clock;
+    this.speeds = new EndpointSpeeds(clock);
   }
 
   void setRestrictions(EndpointRestrictions next) {
@@ -73,6 +75,10 @@
     return health;
   }
 
+  EndpointSpeeds speeds() {
+    return speeds;
+  }
+
   /** Replaces the known endpoints; those without a registration are treated as suspect. */
   void setEndpoints(
       Collection<ServiceEndpoint> endpoints, Collection<ServiceEndpoint> unregistered) {
@@ -86,6 +92,7 @@
         .keySet()
         .removeIf(name -> !next.containsKey(name) && ownOccupancy.get(name).isEmpty());
     restrictions.retain(endpointsByName.values());
+    speeds.retain(endpointsByName.values());
   }
 
   /** Returns all known endpoints; a copy, because work that is placed may change the directory. */
@@ -156,6 +163,7 @@
   void update(int peersExpected) {
     distances.clear();
     restrictions.update(peersExpected);
+    speeds.update(endpointsByName.values(), others().details().speeds());
   }
 
   /** Returns the work of this instance at an endpoint. */
--- /dev/null
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/RunTiming.java
@@ -0,0 +1,74 @@
+package org.sedgeroad.placement;
+
+import java.util.Objects;
+import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.route.EndpointSpeed;
+
+/**
+ * Observes the time to the first event and the gaps between events of one run at an endpoint. Used
+ * on the event loop.
+ */
+public final class RunTiming {
+  private final EndpointSpeed speed;
+  private final MonotonicClock clock;
+  private final int promptTokens;
+  private boolean begun;
+  private long lastNanos;
+
+  private RunTiming(EndpointSpeed speed, MonotonicClock clock, int promptTokens) {
+    this.speed = Objects.requireNonNull(speed);
+    this.clock = Objects.requireNonNull(clock);
+    this.promptTokens = promptTokens;
+    this.lastNanos = clock.nanos();
+  }
+
+  /**
+   * Returns the timing of a run that is sent now.
+   *
+   * @param speed receives the observations, not null
+   * @param clock source of monotonic time, not null
+   * @param promptTokens number of prompt tokens to process, 0 if it is not known
+   * @throws NullPointerException if an object is null
+   */
+  static RunTiming begin(EndpointSpeed speed, MonotonicClock clock, int promptTokens) {
+    return new RunTiming(speed, clock, promptTokens);
+  }
+
+  /**
+   * Returns the monotonic time, in nanoseconds, that is some milliseconds after the last event, or
+   * after the send if there was no event.
+   */
+  public long deadlineNanos(long millis) {
+    return lastNanos + millis * 1_000_000L;
+  }
+
+  /** Records that the answer is complete; an answer without events counts as one event. */
+  public void answered() {
+    if (!begun) {
+      received(1);
+    }
+  }
+
+  /**
+   * Records that events were received now. Events that arrive together share the time since the
+   * event before them.
+   *
+   * @param count number of complete events
+   */
+  public void received(int count) {
+    if (count <= 0) {
+      return;
+    }
+    long now = clock.nanos();
+    long elapsed = now - lastNanos;
+    lastNanos = now;
+    if (!begun) {
+      begun = true;
+      speed.recordFirstEvent(promptTokens, elapsed, now);
+      return;
+    }
+    for (int index = 0; index < count; index++) {
+      speed.recordGap(elapsed / count, now);
+    }
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetDetails.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetDetails.java
@@ -22,6 +22,12 @@
     int completeHistories,
     Map<String, WorkspaceLoad> workspaces,
     Map<String, SpeedSample> speeds) {
+  /**
+   * Largest number of incarnations in {@link #speeds}; with about 35 bytes each they take a third
+   * of the largest datagram.
+   */
+  static final int MAXIMUM_SPEEDS = 600;
+
   /** Nothing to report. */
   public static final FleetDetails NONE =
       new FleetDetails(Confirmation.NONE, 0, 0, Map.of(), Map.of());
@@ -44,7 +50,22 @@
         historyMillis + other.historyMillis,
         completeHistories + other.completeHistories,
         merged(workspaces, other.workspaces, WorkspaceLoad::plus),
-        merged(speeds, other.speeds, SpeedSample::plus));
+        bounded(merged(speeds, other.speeds, SpeedSample::plus)));
+  }
+
+  /**
+   * Returns the first entries by name if there are too many, so that all hubs keep the same ones.
+   */
+  private static Map<String, SpeedSample> bounded(Map<String, SpeedSample> all) {
+    if (all.size() <= MAXIMUM_SPEEDS) {
+      return all;
+    }
+    Map<String, SpeedSample> first = new HashMap<>();
+    all.keySet().stream()
+        .sorted()
+        .limit(MAXIMUM_SPEEDS)
+        .forEach(name -> first.put(name, all.get(name)));
+    return first;
   }
 
   /**
@@ -65,6 +86,11 @@
     return new FleetDetails(next, historyMillis, completeHistories, workspaces, speeds);
   }
 
+  /** Returns a copy with other observations of endpoints. */
+  public FleetDetails withSpeeds(Map<String, SpeedSample> next) {
+    return new FleetDetails(confirmation, historyMillis, completeHistories, workspaces, next);
+  }
+
   private static <T> Map<String, T> merged(
       Map<String, T> left, Map<String, T> right, BinaryOperator<T> sum) {
     if (left.isEmpty() || right.isEmpty()) {
--- a/sedgeroad/src/main/java/org/sedgeroad/route/EndpointSpeed.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/EndpointSpeed.java
@@ -1,7 +1,10 @@
 package org.sedgeroad.route;
 
-/** Observed speed of one endpoint. Guarded by the lock of its {@link EndpointTable}. */
-final class EndpointSpeed {
+/**
+ * Observed speed of one endpoint. Not thread-safe: guarded by the lock of its {@link
+ * EndpointTable}, or confined to the event loop.
+ */
+public final class EndpointSpeed {
   /**
    * Added to the number of prompt tokens before the time to the first event is divided by that
    * number, because part of the time does not depend on the prompt.
@@ -26,14 +29,32 @@
     lastPlacedNanos = now;
   }
 
-  void recordFirstEvent(int promptTokens, long nanos, long now) {
+  /**
+   * Records the time to the first event of an answer.
+   *
+   * @param promptTokens number of prompt tokens that were processed before, 0 if it is not known
+   * @param nanos time from the send to the first event, in nanoseconds
+   * @param now current monotonic time, in nanoseconds
+   */
+  public void recordFirstEvent(int promptTokens, long nanos, long now) {
     firstEventTimes.add((double) nanos / (promptTokens + PROMPT_OFFSET), now);
   }
 
-  void recordGap(long nanos, long now) {
+  /** Records the time between two events of an answer, in nanoseconds. */
+  public void recordGap(long nanos, long now) {
     gapTimes.add(nanos, now);
   }
 
+  /** Returns the times to the first event, relative to the size of the prompt. */
+  public SpeedWindow firstEventTimes() {
+    return firstEventTimes;
+  }
+
+  /** Returns the times between events, in nanoseconds. */
+  public SpeedWindow gapTimes() {
+    return gapTimes;
+  }
+
   double firstEventMean(long now) {
     return firstEventTimes.mean(MIN_FIRST_EVENTS, now);
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/SpeedComparison.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/SpeedComparison.java
@@ -5,9 +5,9 @@
 import java.util.function.ToDoubleFunction;
 
 /** Compares the speed of each endpoint of a service with the median of all. */
-final class SpeedComparison {
+public final class SpeedComparison {
   /** Minimum number of observed endpoints; with fewer there is no meaningful median. */
-  private static final int MIN_ENDPOINTS = 3;
+  public static final int MIN_ENDPOINTS = 3;
 
   /** Ratios to the median below this are treated as noise or as due to different requests. */
   private static final double NOISE_RATIO = 1.5;
@@ -40,10 +40,12 @@
       Collection<EndpointSpeed> speeds, ToDoubleFunction<EndpointSpeed> mean) {
     double[] means =
         speeds.stream().mapToDouble(mean).filter(value -> !Double.isNaN(value)).toArray();
-    if (means.length < MIN_ENDPOINTS) {
-      return Double.NaN;
-    }
-    Arrays.sort(means);
-    return means[means.length / 2];
+    return means.length < MIN_ENDPOINTS ? Double.NaN : median(means);
+  }
+
+  /** Returns the median of an array that is not empty; sorts the array. */
+  public static double median(double[] values) {
+    Arrays.sort(values);
+    return values[values.length / 2];
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/route/SpeedWindow.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/route/SpeedWindow.java
@@ -4,9 +4,9 @@
 
 /**
  * Sliding window over the last five seconds that calculates the mean of its values, in buckets of
- * one second.
+ * one second. Not thread-safe.
  */
-final class SpeedWindow {
+public final class SpeedWindow {
   private static final int BUCKETS = 5;
   private static final long BUCKET_NANOS = 1_000_000_000L;
 
@@ -14,12 +14,18 @@
   private final int[] counts = new int[BUCKETS];
   private final long[] bucketNumbers = new long[BUCKETS];
 
-  SpeedWindow() {
+  /** Creates a window without values. */
+  public SpeedWindow() {
     Arrays.fill(bucketNumbers, Long.MIN_VALUE);
   }
 
+  /** Returns the number of the bucket that a monotonic time in nanoseconds belongs to. */
+  public static long bucketNumber(long now) {
+    return Math.floorDiv(now, BUCKET_NANOS);
+  }
+
   void add(double value, long now) {
-    long number = Math.floorDiv(now, BUCKET_NANOS);
+    long number = bucketNumber(now);
     int index = (int) Math.floorMod(number, (long) BUCKETS);
     if (bucketNumbers[index] != number) {
       bucketNumbers[index] = number;
@@ -30,9 +36,21 @@
     counts[index]++;
   }
 
+  /** Returns the number of values in a bucket, 0 if it is no longer in the window. */
+  public int count(long bucketNumber) {
+    int index = (int) Math.floorMod(bucketNumber, (long) BUCKETS);
+    return bucketNumbers[index] == bucketNumber ? counts[index] : 0;
+  }
+
+  /** Returns the sum of the values in a bucket, 0 if it is no longer in the window. */
+  public double sum(long bucketNumber) {
+    int index = (int) Math.floorMod(bucketNumber, (long) BUCKETS);
+    return bucketNumbers[index] == bucketNumber ? sums[index] : 0;
+  }
+
   /** Returns the mean of the values, NaN if there are fewer than the given minimum number. */
-  double mean(int minCount, long now) {
-    long oldest = Math.floorDiv(now, BUCKET_NANOS) - BUCKETS;
+  public double mean(int minCount, long now) {
+    long oldest = bucketNumber(now) - BUCKETS;
     double sum = 0;
     int count = 0;
     for (int index = 0; index < BUCKETS; index++) {
