--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -553,8 +553,9 @@
             dispatcher.occupancy(),
             dispatcher.sentToLimited(),
             leaving,
-            access.details(
-                dispatcher.liveRunningByWorkspace(), dispatcher.liveWaitingByWorkspace())));
+            access
+                .details(dispatcher.liveRunningByWorkspace(), dispatcher.liveWaitingByWorkspace())
+                .withSpeeds(dispatcher.speedSamples())));
   }
 
   /** Restarts watches that have missed a change that a peer has received. */
