Let the hubs of a failure domain watch the store for the other instances

Every instance watched routes, endpoints, instances and quarantines, so that each change was answered to all of them, and as many waits ended. Now the two hubs watch, and the others hold a call to their first hub (/changes). They go back to the store while the hub is silent, can't reach the store, or is behind the versions in load reports. Routes contain keys and are not passed on: a hub only tells that they have changed. Small deployments, in which half of the instances are hubs, watch as before.

GatewayRelayTest and RelayedStoreTest inject the failures of hub and store.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -81,13 +81,6 @@
    */
   private static final long RARE_CHANGES_QUIET_MILLIS = 25_000;
 
-  /**
-   * Pause of the watch of job heads after an answer, in milliseconds. Several heads change in a
-   * second. An orphaned job is taken over after 2.5 s of silence of its owner, so that a head that
-   * is known 2 s after its creation delays no takeover.
-   */
-  private static final long HEADS_COLLECTION_MILLIS = 2_000;
-
   /**
    * Threads that wait for the store: one for each of the five kinds that are listed at startup
    * (routes, endpoints, instances, jobs and quarantines), and one for the registration.
@@ -140,6 +133,7 @@
   private final RouteTableHolder routes = new RouteTableHolder();
   private final HubExchange hubExchange;
   private final InstanceDirectory instances;
+  private final ChangeRelay relay;
   private final Dispatcher dispatcher;
   private final AnnouncementTable announcements;
   private final EndpointAnnouncements endpointAnnouncements;
@@ -194,6 +188,9 @@
             eventLoop,
             clock,
             this::refreshPlacement);
+    this.relay =
+        new ChangeRelay(
+            settings.instance(), store, hubExchange, instances, httpClient, eventLoop, clock);
     this.dispatcher =
         new Dispatcher(
             settings.instance(),
@@ -226,7 +223,7 @@
             () -> hasConfiguration() && access.control().isReady(),
             access.control(),
             dispatcher,
-            createSuspicionGuard(store),
+            createSuspicionGuard(),
             batch.endpointClient(),
             httpClient.answerMemory(),
             eventLoop,
@@ -237,15 +234,13 @@
     this.connections =
         new ClientConnections(platform.clientHandler(dependencies, gateway, jobs), clock);
     RoutesUpdater routesUpdater = new RoutesUpdater(platform, routes, endpointsUpdater, log);
-    this.routesWatcher = watch(store, platform.routesKind(), this::quietMillis, routesUpdater);
+    this.routesWatcher = watch(platform.routesKind(), relay::quietMillis, routesUpdater);
     access.probe(store, platform.routesKind(), routesWatcher, routesUpdater);
-    this.endpointsWatcher =
-        watch(store, platform.endpointsKind(), this::quietMillis, endpointsUpdater);
-    this.routesLag = new LagDetector(clock, () -> routesWatcher.restart("a peer has newer routes"));
-    this.endpointsLag =
-        new LagDetector(clock, () -> endpointsWatcher.restart("a peer has newer endpoints"));
-    watch(store, InstanceDirectory.KIND, () -> RARE_CHANGES_QUIET_MILLIS, instances);
-    WatchPace headsPace = WatchPace.of(this::quietMillis, HEADS_COLLECTION_MILLIS);
+    this.endpointsWatcher = watch(platform.endpointsKind(), relay::quietMillis, endpointsUpdater);
+    this.routesLag = relay.lagDetector(routesWatcher, "a peer has newer routes");
+    this.endpointsLag = relay.lagDetector(endpointsWatcher, "a peer has newer endpoints");
+    watch(InstanceDirectory.KIND, () -> RARE_CHANGES_QUIET_MILLIS, instances);
+    WatchPace headsPace = WatchPace.of(this::quietMillis, JobWatch.COLLECTION_MILLIS);
     this.jobWatch = new JobWatch(() -> createWatcher(store, JobStore.JOBS, headsPace, jobs));
     this.server = createServer();
   }
@@ -283,7 +278,7 @@
         settings.keepJobMillis());
   }
 
-  private SuspicionGuard createSuspicionGuard(ObjectStore store) {
+  private SuspicionGuard createSuspicionGuard() {
     SuspicionTable table = new SuspicionTable(clock);
     ChangeExchange<CrashSeries> exchange =
         new ChangeExchange<>(
@@ -303,7 +298,7 @@
             System::currentTimeMillis,
             log,
             exchange::receive);
-    watch(store, QuarantineStore.KIND, () -> RARE_CHANGES_QUIET_MILLIS, quarantines);
+    watch(QuarantineStore.KIND, () -> RARE_CHANGES_QUIET_MILLIS, quarantines);
     return new SuspicionGuard(table, exchange, quarantines, eventLoop, log);
   }
 
@@ -320,9 +315,11 @@
     return new EndpointAnnouncements(announcements, exchange, metrics, clock, log);
   }
 
-  private KindWatcher watch(
-      ObjectStore store, String kind, WatchPace pace, KindWatcher.Listener listener) {
-    KindWatcher watcher = createWatcher(store, kind, pace, listener);
+  private KindWatcher watch(String kind, WatchPace pace, KindWatcher.Listener listener) {
+    boolean hasSecrets = kind.equals(platform.routesKind());
+    KindWatcher watcher =
+        relay.watch(
+            kind, !hasSecrets, listener, next -> createWatcher(relay.store(), kind, pace, next));
     watchers.add(watcher);
     return watcher;
   }
@@ -352,7 +349,8 @@
         .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
         .addListener(listener(settings.clientAddress(), connections))
         .addListener(listener(settings.readinessAddress(), readiness))
-        .addListener(listener(settings.exchangeAddress(), new PeerJobsHandler(jobs, clock)))
+        .addListener(
+            listener(settings.exchangeAddress(), relay.handler(new PeerJobsHandler(jobs, clock))))
         .addListener(listener(settings.metricsAddress(), metricsPage))
         .build();
   }
@@ -531,6 +529,7 @@
 
   private void exchangeLoads() {
     hubExchange.tick();
+    relay.tick();
     access.tick();
     // Places and preempts work that has become due, so that the report contains the result.
     dispatcher.tick(instances.count());
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/JobWatch.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/JobWatch.java
@@ -12,6 +12,13 @@
  * so that the calls of watches by all instances would grow with the product of instances and jobs.
  */
 final class JobWatch implements AutoCloseable {
+  /**
+   * Pause of the watch after an answer with changes, in milliseconds. Several heads change in a
+   * second. An orphaned job is taken over after 2.5 s of silence of its owner, so that a head that
+   * is known 2 s after its creation delays no takeover.
+   */
+  static final long COLLECTION_MILLIS = 2_000;
+
   private final Supplier<KindWatcher> factory;
   private KindWatcher watcher;
   private boolean closed;
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/WatchWait.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/WatchWait.java
@@ -22,8 +22,26 @@
   /** Shortest wait as a fraction of the longest. */
   private static final double SHORTEST_FRACTION = 0.1;
 
+  /**
+   * Longest wait for each reader where only the hubs watch, in milliseconds. A wait for routes or
+   * endpoints then ends every 0.19 s on average, as often as in a fleet of nine that all watch. If
+   * all connections have become silent, the first watch that times out 1 s later finds the change.
+   */
+  private static final long MILLIS_OF_READER = 700;
+
   private WatchWait() {}
 
+  /**
+   * Returns the time for which a watch may stay without an answer where only the hubs watch, in
+   * milliseconds.
+   *
+   * @param readers number of instances that watch, at least 1
+   * @param random random number from 0 (inclusive) to 1 (exclusive)
+   */
+  static long readerMillis(int readers, double random) {
+    return spread(Math.min(LONGEST_MILLIS, MILLIS_OF_READER * readers), random);
+  }
+
   /**
    * Returns the time for which a watch may stay without an answer, in milliseconds.
    *
@@ -32,6 +50,10 @@
    */
   static long millis(int peers, double random) {
     long longest = Math.min(LONGEST_MILLIS, Math.max(SMALL_FLEET_MILLIS, MILLIS_OF_PEER * peers));
+    return spread(longest, random);
+  }
+
+  private static long spread(long longest, double random) {
     return (long) (longest * (SHORTEST_FRACTION + (1 - SHORTEST_FRACTION) * random));
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -132,6 +132,16 @@
     return hubsByDomain.get(domain).get(0).equals(instance);
   }
 
+  /** Returns the selected hubs of this failure domain, the first one first; at least one name. */
+  public List<String> hubs() {
+    return List.copyOf(hubsByDomain.get(domain));
+  }
+
+  /** Returns the number of selected hubs of all failure domains. */
+  public int hubCount() {
+    return hubsByDomain.values().stream().mapToInt(List::size).sum();
+  }
+
   /** Returns whether this instance publishes summaries and passes on series of crashes. */
   public boolean isHub() {
     return hubRole;
--- a/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/store/KindWatcher.java
@@ -107,6 +107,11 @@
     return version;
   }
 
+  /** Returns whether the last list succeeded and its watch has not failed since. */
+  public boolean isConnected() {
+    return connected;
+  }
+
   /** Lists the objects and then watches for changes. */
   public void start() {
     int startedGeneration = ++generation;
