Ask hubs for job heads, read immutable objects stale, store results at a stop

An instance that read a job for the first time read its head in the store, although the first hub of its domain watches all heads: it asks that hub now (/head) and reads the store if the hub does not know the job. A deletion reads immutable objects stale, and confirms exactly that no further result object follows.

A planned stop shut the store threads down while the results of the jobs that it left were being stored, sometimes before (RejectedExecutionException in the run of GatewayDroppedRouteTest). Results that wait for 3 s make this matter more; the threads now finish these calls first.

GatewayJobTest, GatewayDroppedRouteTest, GatewayStopTest, GatewayLastInstanceTest and the jobs of GatewayKeyTest pass.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobHeadLookup.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobHeadLookup.java
@@ -10,6 +10,7 @@
 final class JobHeadLookup implements HeadReader {
   private final BatchDependencies context;
   private final JobHeadCache jobHeads;
+  private final PeerJobs peerJobs;
   private final Consumer<StoredObject> onRead;
   private final Consumer<String> onAbsent;
 
@@ -18,16 +19,19 @@
    *
    * @param context dependencies
    * @param jobHeads known heads
+   * @param peerJobs asks the instance that watches all heads
    * @param onRead receives each head that was read, and adds it to the cache
    * @param onAbsent receives the id of a known job that no longer exists
    */
   JobHeadLookup(
       BatchDependencies context,
       JobHeadCache jobHeads,
+      PeerJobs peerJobs,
       Consumer<StoredObject> onRead,
       Consumer<String> onAbsent) {
     this.context = context;
     this.jobHeads = jobHeads;
+    this.peerJobs = peerJobs;
     this.onRead = onRead;
     this.onAbsent = onAbsent;
   }
@@ -52,8 +56,9 @@
   }
 
   /**
-   * Runs a task with the head of a job. If it is not cached, it is read from the store: first as it
-   * was some seconds ago, because its owner is then known in most cases.
+   * Runs a task with the head of a job. If it is not cached, the instance that watches all heads is
+   * asked. If that one does not know the job, the head is read from the store: first as it was some
+   * seconds ago, because its owner is then known in most cases.
    */
   private void withHead(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
     Optional<JobHeadCache.CachedJob> cached = jobHeads.find(id);
@@ -61,6 +66,20 @@
       task.accept(cached.get().head());
       return;
     }
+    peerJobs
+        .head(id)
+        .thenAccept(
+            found ->
+                context
+                    .loop()
+                    .execute(
+                        () ->
+                            found.ifPresentOrElse(
+                                object -> received(object, result, task),
+                                () -> readStale(id, result, task))));
+  }
+
+  private void readStale(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
     context
         .storeWorkers()
         .execute(
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobStore.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiFunction;
 import org.sedgeroad.store.JsonStoreCalls;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoreWriter;
@@ -188,7 +189,7 @@
    * number that does not exist.
    */
   public StoreResult<List<List<JobResult>>> readChunks(String job, int first) {
-    StoreResult<List<StoredObject>> read = readResultObjects(job, first);
+    StoreResult<List<StoredObject>> read = readResultObjects(job, first, writer.store()::get);
     return read instanceof StoreResult.Done<List<StoredObject>> done
         ? new StoreResult.Done<>(done.value().stream().map(JobStore::decodeChunk).toList())
         : JsonStoreCalls.castFailure(read);
@@ -198,6 +199,10 @@
    * Deletes a finished job. The result is {@link StoreResult.Done} or {@link StoreResult.Absent} if
    * nothing of the job is left.
    *
+   * <p>Results and items never change, so that a read of the store as it was some seconds ago,
+   * which costs less, finds their versions; that an object does not exist is confirmed by a read as
+   * it is.
+   *
    * <p>The job is marked as ended first, so that no instance runs it again after its results have
    * been deleted. Results are deleted from the last to the first, and the head is deleted after
    * everything else, so that a retry after a failure finds all remaining objects.
@@ -210,13 +215,13 @@
           ? new StoreResult.Absent<>()
           : new StoreResult.Unavailable<>("job not marked as ended: " + ended);
     }
-    StoreResult<List<StoredObject>> chunks = readResultObjects(job, 0);
+    StoreResult<List<StoredObject>> chunks = readResultObjects(job, 0, this::getImmutable);
     if (!(chunks instanceof StoreResult.Done<List<StoredObject>> results)) {
       return JsonStoreCalls.castFailure(chunks);
     }
     List<StoredObject> objects = new ArrayList<>();
     for (int index = 0; index < itemObjects; index++) {
-      StoreResult<StoredObject> read = writer.store().get(ITEMS, objectName(job, index));
+      StoreResult<StoredObject> read = getImmutable(ITEMS, objectName(job, index));
       if (read instanceof StoreResult.Done<StoredObject> item) {
         objects.add(item.value());
       } else if (!(read instanceof StoreResult.Absent)) {
@@ -240,11 +245,17 @@
     return deleted instanceof StoreResult.Done || deleted instanceof StoreResult.Absent;
   }
 
-  private StoreResult<List<StoredObject>> readResultObjects(String job, int first) {
+  private StoreResult<StoredObject> getImmutable(String kind, String name) {
+    StoreResult<StoredObject> stale = writer.store().getStale(kind, name);
+    return stale instanceof StoreResult.Done ? stale : writer.store().get(kind, name);
+  }
+
+  private static StoreResult<List<StoredObject>> readResultObjects(
+      String job, int first, BiFunction<String, String, StoreResult<StoredObject>> reader) {
     List<StoredObject> objects = new ArrayList<>();
     while (true) {
       StoreResult<StoredObject> read =
-          writer.store().get(RESULTS, objectName(job, first + objects.size()));
+          reader.apply(RESULTS, objectName(job, first + objects.size()));
       if (read instanceof StoreResult.Done<StoredObject> done) {
         objects.add(done.value());
       } else if (read instanceof StoreResult.Absent) {
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -1,5 +1,6 @@
 package org.sedgeroad.batch;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -66,7 +67,7 @@
     this.context = context;
     this.runner = runner;
     this.peerJobs = peerJobs;
-    this.heads = new JobHeadLookup(context, jobHeads, this::changed, this::remove);
+    this.heads = new JobHeadLookup(context, jobHeads, peerJobs, this::changed, this::remove);
     this.storedResults = new StoredResults(context);
     this.ownedReads = new OwnedJobReads(context);
     this.ownershipCheck = new OwnershipCheck(context, runner, jobHeads, heads);
@@ -253,6 +254,11 @@
     runner.jobs().forEach(ownershipCheck::check);
   }
 
+  /** Returns the head of a job for a peer, as JSON, if it is known here. */
+  public Optional<JsonNode> headForPeer(String id) {
+    return jobHeads.find(id).map(JobHeadJson::encode);
+  }
+
   /** Answers a peer's read; {@link ReadResult.Unavailable} if the job is not run here. */
   public void readForPeer(String id, int after, long deadlineNanos, Consumer<ReadResult> result) {
     runner
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/PeerJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/PeerJobs.java
@@ -1,6 +1,8 @@
 package org.sedgeroad.batch;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.sedgeroad.store.StoredObject;
 
 /**
  * Sends requests about a job to the instance that owns it. No call blocks, and the futures never
@@ -14,6 +16,12 @@
    */
   CompletableFuture<ReadResult> results(String owner, String job, int after, long deadlineNanos);
 
+  /**
+   * Reads the object that contains the head of a job, as the instance knows it that watches all
+   * heads for this one; empty if that one does not know the job or does not answer.
+   */
+  CompletableFuture<Optional<StoredObject>> head(String job);
+
   /** Reads the request body of an item. */
   CompletableFuture<ReadResult> body(String owner, String job, String item);
 
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -9,10 +9,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.announcement.AnnouncementTable;
@@ -81,12 +79,6 @@
    */
   private static final long RARE_CHANGES_QUIET_MILLIS = 25_000;
 
-  /**
-   * Threads that wait for the store: one for each of the five kinds that are listed at startup
-   * (routes, endpoints, instances, jobs and quarantines), and one for the registration.
-   */
-  private static final int STORE_THREADS = 6;
-
   /**
    * Time after which the hubs repeat the announcements of endpoints to instances that may have
    * missed them, such as those that have started since, in milliseconds.
@@ -123,9 +115,7 @@
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
   private final XnioWorker worker;
   private final IoEventLoop eventLoop;
-  private final ThreadPoolExecutor storeWorkers =
-      new ThreadPoolExecutor(
-          STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
+  private final StoreThreads storeWorkers = new StoreThreads();
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final PooledHttpClient httpClient;
   private final StoreWriter writer;
@@ -215,7 +205,11 @@
     this.runner = new OwnedJobRunner(batch);
     dispatcher.setBatchSource(runner);
     dispatcher.setChangeListener(this::scheduleReport);
-    this.jobs = new OwnedJobService(batch, runner, new HttpPeerJobs(instances, httpClient, clock));
+    this.jobs =
+        new OwnedJobService(
+            batch,
+            runner,
+            new HttpPeerJobs(instances, () -> hubExchange.hubs().get(0), httpClient, clock));
     this.access = new GatewayAccess(settings.access(), routes, hubExchange, eventLoop, clock, log);
     GatewayDependencies dependencies =
         new GatewayDependencies(
@@ -425,6 +419,7 @@
     stopping = true;
     connections.closeAfterAnswers();
     sleepUntil(clock.deadlineAfterMillis(noticeMillis()), false);
+    CountDownLatch jobsLeft = new CountDownLatch(1);
     // The load balancer has had time to notice, so new requests are refused from now on. Requests
     // on reused connections, and those that still arrive because too few instances are ready, would
     // otherwise be accepted until the connections are closed, and be cut off then.
@@ -435,6 +430,7 @@
           runner.stopAll();
           leaving = true;
           sendReport();
+          jobsLeft.countDown();
         });
     sleepUntil(deadline, true);
     if (connections.active() > 0) {
@@ -450,7 +446,7 @@
         });
     server.stop();
     loadExchange.close();
-    storeWorkers.shutdownNow();
+    storeWorkers.stop(jobsLeft);
     httpClient.close();
     worker.shutdown();
     log.log(LogEvent.INSTANCE_STOPPED);
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
@@ -8,7 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.batch.JobHeadJson;
 import org.sedgeroad.batch.PeerJobs;
 import org.sedgeroad.batch.ReadResult;
 import org.sedgeroad.batch.ResultPageJson;
@@ -16,6 +18,7 @@
 import org.sedgeroad.http.HttpFailure;
 import org.sedgeroad.http.HttpResult;
 import org.sedgeroad.http.PooledHttpClient;
+import org.sedgeroad.store.StoredObject;
 
 /**
  * Calls other instances over HTTP about the jobs that they run. The other side is {@link
@@ -29,12 +32,27 @@
   private static final long ROUND_TRIP_MILLIS = 300;
 
   private final InstanceDirectory instances;
+  private final Supplier<String> headWatcher;
   private final PooledHttpClient httpClient;
   private final MonotonicClock clock;
   private final ObjectMapper mapper = new ObjectMapper();
 
-  HttpPeerJobs(InstanceDirectory instances, PooledHttpClient httpClient, MonotonicClock clock) {
+  /**
+   * Creates a client.
+   *
+   * @param instances addresses of the other instances
+   * @param headWatcher returns the name of the instance that watches all job heads for this one;
+   *     that may be this instance
+   * @param httpClient sends the requests
+   * @param clock monotonic clock
+   */
+  HttpPeerJobs(
+      InstanceDirectory instances,
+      Supplier<String> headWatcher,
+      PooledHttpClient httpClient,
+      MonotonicClock clock) {
     this.instances = instances;
+    this.headWatcher = headWatcher;
     this.httpClient = httpClient;
     this.clock = clock;
   }
@@ -47,6 +65,22 @@
         .thenApply(this::readPage);
   }
 
+  @Override
+  public CompletableFuture<Optional<StoredObject>> head(String job) {
+    return call(headWatcher.get(), "GET", "head", job, "", 0)
+        .thenApply(result -> readHead(job, result));
+  }
+
+  private Optional<StoredObject> readHead(String job, HttpResult result) {
+    try {
+      return result instanceof HttpResult.Answered answered && answered.head().status() == 200
+          ? JobHeadJson.decode(job, mapper.readTree(answered.body()))
+          : Optional.empty();
+    } catch (IOException malformed) {
+      return Optional.empty();
+    }
+  }
+
   @Override
   public CompletableFuture<ReadResult> body(String owner, String job, String item) {
     return call(owner, "GET", "body", job, "&item=" + encode(item), 0)
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
@@ -44,6 +44,11 @@
       case "/body" ->
           jobs.readBodyForPeer(
               job, parameter(exchange, "item", ""), result -> send(exchange, result));
+      case "/head" ->
+          jobs.headForPeer(job)
+              .ifPresentOrElse(
+                  head -> send(exchange, OK, head.toString().getBytes(StandardCharsets.UTF_8)),
+                  () -> send(exchange, NOT_FOUND, new byte[0]));
       case "/ended" -> {
         jobs.stopJobEndedByPeer(job);
         send(exchange, new ReadResult.Ended());
