--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -9,10 +9,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.announcement.AnnouncementTable;
@@ -81,19 +79,6 @@
    */
   private static final long RARE_CHANGES_QUIET_MILLIS = 25_000;
 
-  /**
-   * Pause of the watch of job heads after an answer, in milliseconds. Several heads change in a
-   * second. An orphaned job is taken over after 2.5 s of silence of its owner, so that a head that
-   * is known 2 s after its creation delays no takeover.
-   */
-  private static final long HEADS_COLLECTION_MILLIS = 2_000;
-
-  /**
-   * Threads that wait for the store: one for each of the five kinds that are listed at startup
-   * (routes, endpoints, instances, jobs and quarantines), and one for the registration.
-   */
-  private static final int STORE_THREADS = 6;
-
   /**
    * Time after which the hubs repeat the announcements of endpoints to instances that may have
    * missed them, such as those that have started since, in milliseconds.
@@ -130,9 +115,7 @@
   private final MonotonicClock clock = MonotonicClock.SYSTEM;
   private final XnioWorker worker;
   private final IoEventLoop eventLoop;
-  private final ThreadPoolExecutor storeWorkers =
-      new ThreadPoolExecutor(
-          STORE_THREADS, STORE_THREADS, 1, TimeUnit.MINUTES, new LinkedBlockingQueue<>());
+  private final StoreThreads storeWorkers = new StoreThreads();
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final PooledHttpClient httpClient;
   private final StoreWriter writer;
@@ -140,6 +123,7 @@
   private final RouteTableHolder routes = new RouteTableHolder();
   private final HubExchange hubExchange;
   private final InstanceDirectory instances;
+  private final ChangeRelay relay;
   private final Dispatcher dispatcher;
   private final AnnouncementTable announcements;
   private final EndpointAnnouncements endpointAnnouncements;
@@ -194,6 +178,9 @@
             eventLoop,
             clock,
             this::refreshPlacement);
+    this.relay =
+        new ChangeRelay(
+            settings.instance(), store, hubExchange, instances, httpClient, eventLoop, clock);
     this.dispatcher =
         new Dispatcher(
             settings.instance(),
@@ -218,7 +205,11 @@
     this.runner = new OwnedJobRunner(batch);
     dispatcher.setBatchSource(runner);
     dispatcher.setChangeListener(this::scheduleReport);
-    this.jobs = new OwnedJobService(batch, runner, new HttpPeerJobs(instances, httpClient, clock));
+    this.jobs =
+        new OwnedJobService(
+            batch,
+            runner,
+            new HttpPeerJobs(instances, () -> hubExchange.hubs().get(0), httpClient, clock));
     this.access = new GatewayAccess(settings.access(), routes, hubExchange, eventLoop, clock, log);
     GatewayDependencies dependencies =
         new GatewayDependencies(
@@ -226,7 +217,7 @@
             () -> hasConfiguration() && access.control().isReady(),
             access.control(),
             dispatcher,
-            createSuspicionGuard(store),
+            createSuspicionGuard(),
             batch.endpointClient(),
             httpClient.answerMemory(),
             eventLoop,
@@ -237,15 +228,13 @@
     this.connections =
         new ClientConnections(platform.clientHandler(dependencies, gateway, jobs), clock);
     RoutesUpdater routesUpdater = new RoutesUpdater(platform, routes, endpointsUpdater, log);
-    this.routesWatcher = watch(store, platform.routesKind(), this::quietMillis, routesUpdater);
+    this.routesWatcher = watch(platform.routesKind(), relay::quietMillis, routesUpdater);
     access.probe(store, platform.routesKind(), routesWatcher, routesUpdater);
-    this.endpointsWatcher =
-        watch(store, platform.endpointsKind(), this::quietMillis, endpointsUpdater);
-    this.routesLag = new LagDetector(clock, () -> routesWatcher.restart("a peer has newer routes"));
-    this.endpointsLag =
-        new LagDetector(clock, () -> endpointsWatcher.restart("a peer has newer endpoints"));
-    watch(store, InstanceDirectory.KIND, () -> RARE_CHANGES_QUIET_MILLIS, instances);
-    WatchPace headsPace = WatchPace.of(this::quietMillis, HEADS_COLLECTION_MILLIS);
+    this.endpointsWatcher = watch(platform.endpointsKind(), relay::quietMillis, endpointsUpdater);
+    this.routesLag = relay.lagDetector(routesWatcher, "a peer has newer routes");
+    this.endpointsLag = relay.lagDetector(endpointsWatcher, "a peer has newer endpoints");
+    watch(InstanceDirectory.KIND, () -> RARE_CHANGES_QUIET_MILLIS, instances);
+    WatchPace headsPace = WatchPace.of(this::quietMillis, JobWatch.COLLECTION_MILLIS);
     this.jobWatch = new JobWatch(() -> createWatcher(store, JobStore.JOBS, headsPace, jobs));
     this.server = createServer();
   }
@@ -283,7 +272,7 @@
         settings.keepJobMillis());
   }
 
-  private SuspicionGuard createSuspicionGuard(ObjectStore store) {
+  private SuspicionGuard createSuspicionGuard() {
     SuspicionTable table = new SuspicionTable(clock);
     ChangeExchange<CrashSeries> exchange =
         new ChangeExchange<>(
@@ -303,7 +292,7 @@
             System::currentTimeMillis,
             log,
             exchange::receive);
-    watch(store, QuarantineStore.KIND, () -> RARE_CHANGES_QUIET_MILLIS, quarantines);
+    watch(QuarantineStore.KIND, () -> RARE_CHANGES_QUIET_MILLIS, quarantines);
     return new SuspicionGuard(table, exchange, quarantines, eventLoop, log);
   }
 
@@ -320,9 +309,11 @@
     return new EndpointAnnouncements(announcements, exchange, metrics, clock, log);
   }
 
-  private KindWatcher watch(
-      ObjectStore store, String kind, WatchPace pace, KindWatcher.Listener listener) {
-    KindWatcher watcher = createWatcher(store, kind, pace, listener);
+  private KindWatcher watch(String kind, WatchPace pace, KindWatcher.Listener listener) {
+    boolean hasSecrets = kind.equals(platform.routesKind());
+    KindWatcher watcher =
+        relay.watch(
+            kind, !hasSecrets, listener, next -> createWatcher(relay.store(), kind, pace, next));
     watchers.add(watcher);
     return watcher;
   }
@@ -352,7 +343,8 @@
         .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
         .addListener(listener(settings.clientAddress(), connections))
         .addListener(listener(settings.readinessAddress(), readiness))
-        .addListener(listener(settings.exchangeAddress(), new PeerJobsHandler(jobs, clock)))
+        .addListener(
+            listener(settings.exchangeAddress(), relay.handler(new PeerJobsHandler(jobs, clock))))
         .addListener(listener(settings.metricsAddress(), metricsPage))
         .build();
   }
@@ -427,6 +419,7 @@
     stopping = true;
     connections.closeAfterAnswers();
     sleepUntil(clock.deadlineAfterMillis(noticeMillis()), false);
+    CountDownLatch jobsLeft = new CountDownLatch(1);
     // The load balancer has had time to notice, so new requests are refused from now on. Requests
     // on reused connections, and those that still arrive because too few instances are ready, would
     // otherwise be accepted until the connections are closed, and be cut off then.
@@ -437,6 +430,7 @@
           runner.stopAll();
           leaving = true;
           sendReport();
+          jobsLeft.countDown();
         });
     sleepUntil(deadline, true);
     if (connections.active() > 0) {
@@ -452,7 +446,7 @@
         });
     server.stop();
     loadExchange.close();
-    storeWorkers.shutdownNow();
+    storeWorkers.stop(jobsLeft);
     httpClient.close();
     worker.shutdown();
     log.log(LogEvent.INSTANCE_STOPPED);
@@ -531,6 +525,7 @@
 
   private void exchangeLoads() {
     hubExchange.tick();
+    relay.tick();
     access.tick();
     // Places and preempts work that has become due, so that the report contains the result.
     dispatcher.tick(instances.count());
