Share slots among workspaces, and refuse early what one of them sends too much

Waiting live requests got slots by objective alone, so that a workspace at six times its usual rate took them in proportion to its requests. Within a priority the workspace with the fewest slots for its weight now comes first (FairOrder); one above its fair share is not queued inside endpoints, takes slots in rounds and leaves some free (SlotSharing); a request whose expected wait exceeds its objective is refused with a time to return if its workspace asks for more than twice its share (ScarcityPolicy). Dispatcher.refusal also decides the refusals for a limited rate, which RequestRun decided before. Without workspaces the order and the refusals are as before.

--- a/sedgeroad/src/main/java/org/sedgeroad/access/WorkspaceDirectory.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/WorkspaceDirectory.java
@@ -45,6 +45,18 @@
     return Optional.ofNullable(byName.get(name));
   }
 
+  /**
+   * Returns the weight of a workspace when capacity is shared: {@link Workspace#weight}, or the
+   * mean weight of all workspaces for a name that is not known, such as the empty name of the
+   * requests without a workspace; 1 if there are no workspaces.
+   */
+  public double weight(String name) {
+    Workspace workspace = byName.get(name);
+    return workspace == null
+        ? byName.values().stream().mapToDouble(Workspace::weight).average().orElse(1)
+        : workspace.weight();
+  }
+
   /** Returns all workspaces in the order of the configuration. */
   public Collection<Workspace> all() {
     return byName.values();
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -227,6 +227,7 @@
             metrics,
             log);
     this.gateway = new Gateway(dependencies);
+    dispatcher.setWorkspaces(() -> routes.current().workspaces(), gateway::runningByWorkspace);
     this.connections =
         new ClientConnections(platform.clientHandler(dependencies, gateway, jobs), clock);
     RoutesUpdater routesUpdater = new RoutesUpdater(platform, routes, endpointsUpdater, log);
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
@@ -1,7 +1,9 @@
 package org.sedgeroad.gateway;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -49,6 +51,20 @@
     stopping = true;
   }
 
+  /**
+   * Returns the number of requests that endpoints have now, by the name of the workspace, without
+   * requests that have none.
+   */
+  public Map<String, Integer> runningByWorkspace() {
+    Map<String, Integer> counts = new HashMap<>();
+    for (RequestRun run : runs) {
+      if (run.isAtEndpoint() && !run.workspace().isEmpty()) {
+        counts.merge(run.workspace(), 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
+
   /**
    * Ends all requests in progress, because the instance closes their connections next. Those that
    * were not sent to an endpoint are refused as not run.
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestLog.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestLog.java
@@ -24,20 +24,26 @@
   void placed(ServiceEndpoint endpoint, long objectiveNanos, String lastEventId, int run) {
     long waited = millisSince(request.arrivedNanos());
     dependencies.metrics().recordPlacement(route.name(), waited);
+    List<EventField> fields = new ArrayList<>();
+    fields.add(EventField.of("endpoint", endpoint.name()));
+    fields.add(EventField.of("configuration", dependencies.routes().current().version()));
+    fields.add(EventField.of("waited_ms", waited));
+    fields.add(EventField.of("objective_in_ms", -millisSince(objectiveNanos)));
+    fields.add(
+        EventField.of(
+            "client_ms", (request.deadlineNanos() - request.arrivedNanos()) / 1_000_000L));
+    fields.add(EventField.of("after_event", lastEventId));
+    fields.add(EventField.of("run", run));
+    if (waited > 0) {
+      dependencies
+          .dispatcher()
+          .share(workspace, route.priority())
+          .ifPresent(share -> fields.add(EventField.of("share", share.describe())));
+    }
     dependencies
         .log()
         .logRoutine(
-            request.id(),
-            LogEvent.REQUEST_PLACED,
-            fields(
-                EventField.of("endpoint", endpoint.name()),
-                EventField.of("configuration", dependencies.routes().current().version()),
-                EventField.of("waited_ms", waited),
-                EventField.of("objective_in_ms", -millisSince(objectiveNanos)),
-                EventField.of(
-                    "client_ms", (request.deadlineNanos() - request.arrivedNanos()) / 1_000_000L),
-                EventField.of("after_event", lastEventId),
-                EventField.of("run", run)));
+            request.id(), LogEvent.REQUEST_PLACED, fields(fields.toArray(EventField[]::new)));
   }
 
   /** Records that the request ends without a complete answer. */
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -115,6 +115,11 @@
     }
   }
 
+  /** Returns the name of the workspace for which the request is sent, empty without one. */
+  String workspace() {
+    return permit.workspace();
+  }
+
   /** Returns whether an endpoint has the request now. */
   boolean isAtEndpoint() {
     return attempt != null;
@@ -152,11 +157,6 @@
       refuseForLackOfEndpoints();
       return;
     }
-    long rateWaitNanos = dependencies.dispatcher().nanosUntilRateAllows(service, excluded);
-    if (rateWaitNanos >= deadlineNanos - dependencies.clock().nanos()) {
-      refuseForRate(rateWaitNanos);
-      return;
-    }
     demand =
         LiveDemand.of(
             service,
@@ -166,7 +166,12 @@
             deadlineNanos,
             excluded,
             this::send);
-    dependencies.dispatcher().submit(demand);
+    Optional<Refusal> refusal = dependencies.dispatcher().refusal(demand);
+    if (refusal.isPresent()) {
+      failBeforeSend(refusal.get());
+    } else {
+      dependencies.dispatcher().submit(demand);
+    }
   }
 
   private void refuseForLackOfEndpoints() {
@@ -178,19 +183,6 @@
     }
   }
 
-  private void refuseForRate(long waitNanos) {
-    String text = "all endpoints of " + service + " accept a limited rate only";
-    // Another instance may be a sender of these endpoints.
-    long retryAt =
-        waitNanos == Long.MAX_VALUE
-            ? dependencies.clock().deadlineAfterMillis(FULL_RETRY_MILLIS)
-            : dependencies.clock().nanos() + waitNanos;
-    fail(
-        possibleRuns > 0
-            ? Refusal.of(Refusal.Reason.UNKNOWN, text)
-            : new Refusal(Refusal.Reason.NOT_RUN, text, retryAt));
-  }
-
   private void send(ServiceEndpoint endpoint) {
     demand = null;
     if (!suspicionCheck.maySend()) {
@@ -202,7 +194,7 @@
     if (refusal.isPresent()) {
       dependencies
           .loop()
-          .execute(() -> giveSlotBack(endpoint, () -> failUnpermitted(refusal.get())));
+          .execute(() -> giveSlotBack(endpoint, () -> failBeforeSend(refusal.get())));
       return;
     }
     log.placed(endpoint, objectiveNanos, lastEventId, possibleRuns + 1);
@@ -226,8 +218,8 @@
     next.run();
   }
 
-  /** Ends a request whose permission has ended since its arrival. */
-  private void failUnpermitted(Refusal refusal) {
+  /** Ends a request that must not be sent again. */
+  private void failBeforeSend(Refusal refusal) {
     if (!done) {
       fail(possibleRuns == 0 ? refusal : Refusal.of(Refusal.Reason.UNKNOWN, refusal.text()));
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -9,8 +9,12 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.sedgeroad.MonotonicClock;
+import org.sedgeroad.access.WorkspaceDirectory;
+import org.sedgeroad.gateway.Refusal;
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.presence.FleetLoad;
 import org.sedgeroad.presence.LoadTotals;
@@ -24,12 +28,19 @@
   /** Upper bound of the estimated time until a limited rate allows a request, in nanoseconds. */
   private static final double LONGEST_WAIT_NANOS = 3.6e12;
 
+  /**
+   * Time after which a client may retry whose request only other instances can send, in
+   * milliseconds; they are available at once.
+   */
+  private static final long OTHER_SENDER_RETRY_MILLIS = 100;
+
   private final EndpointDirectory directory;
   private final ItemPlacement items;
   private final FleetLoad fleetLoad;
   private final MonotonicClock clock;
   private final DoubleSupplier random;
   private final WaitingRequests waiting = new WaitingRequests();
+  private final SlotSharing sharing;
   private Runnable changeListener = () -> {};
   private long lastDeferralRoundNanos;
 
@@ -52,6 +63,7 @@
       DoubleSupplier random) {
     this.directory = new EndpointDirectory(domain, regionOfDomain, fleetLoad, clock);
     this.items = new ItemPlacement(instance, directory, random);
+    this.sharing = new SlotSharing(directory, waiting, clock, random);
     this.fleetLoad = fleetLoad;
     this.clock = clock;
     this.random = random;
@@ -71,6 +83,18 @@
     items.setBatchSource(source);
   }
 
+  /**
+   * Sets the workspaces among which slots are shared; {@link WorkspaceDirectory#NONE} until then.
+   *
+   * @param workspaces returns the workspaces of the configuration in force, never null
+   * @param ownRunning returns the number of live requests of this instance that endpoints have, by
+   *     workspace, never null
+   */
+  public void setWorkspaces(
+      Supplier<WorkspaceDirectory> workspaces, Supplier<Map<String, Integer>> ownRunning) {
+    sharing.setWorkspaces(workspaces, ownRunning);
+  }
+
   /**
    * Sets the task that runs when the work of this instance has changed. It should report the work
    * to the other instances soon, so that they do not count on its slots, and preempt their items
@@ -131,6 +155,37 @@
         : (long) Math.min(LONGEST_WAIT_NANOS, (before + 1) / rate * 1e9);
   }
 
+  /**
+   * Returns the refusal of a live request that arrives now and can't be served in time, empty if it
+   * may wait. The refusal states that the request has not run.
+   */
+  public Optional<Refusal> refusal(LiveDemand demand) {
+    long now = clock.nanos();
+    long rateWaitNanos = nanosUntilRateAllows(demand.service(), demand.excluded());
+    if (rateWaitNanos < demand.deadlineNanos() - now) {
+      return sharing.refusal(demand);
+    }
+    // Another instance may be a sender of these endpoints.
+    long retryNanos =
+        rateWaitNanos == Long.MAX_VALUE ? OTHER_SENDER_RETRY_MILLIS * 1_000_000L : rateWaitNanos;
+    return Optional.of(
+        new Refusal(
+            Refusal.Reason.NOT_RUN,
+            "all endpoints of " + demand.service() + " accept a limited rate only",
+            now + retryNanos));
+  }
+
+  /**
+   * Returns the live slots that a workspace uses and its fair share, empty if the configuration in
+   * force has no such workspace.
+   *
+   * @param workspace name of the workspace, not null
+   * @param priority priority of its requests if the workspace has none of its own
+   */
+  public Optional<FairShare> share(String workspace, int priority) {
+    return sharing.share(workspace, priority);
+  }
+
   /**
    * Returns how many live requests wait for a service, if those of the other instances are for the
    * same services as those of this one.
@@ -147,13 +202,23 @@
    * instance releases.
    */
   public void submit(LiveDemand demand) {
-    if (demand.isDeferrable(clock.nanos())
-        || !place(demand, loads(demand.service(), demand.excluded()))) {
+    if (demand.isDeferrable(clock.nanos()) || !placeArrived(demand)) {
       waiting.add(demand);
       changeListener.run();
     }
   }
 
+  private boolean placeArrived(LiveDemand demand) {
+    List<EndpointLoad> loads = loads(demand.service(), demand.excluded());
+    if (!sharing.isActive() || sharing.hasAmpleRoom(loads)) {
+      return place(demand, loads, true);
+    }
+    SlotUse use = sharing.use();
+    boolean exceeded = sharing.isExceeded(demand, use);
+    return (!exceeded || sharing.hasFreeSlot(demand, use, loads))
+        && place(demand, loads, !exceeded);
+  }
+
   /** Removes a live request that has no slot yet; returns whether it was waiting. */
   public boolean cancel(LiveDemand demand) {
     return waiting.remove(demand);
@@ -161,6 +226,9 @@
 
   /** Releases a slot at an endpoint and uses it for waiting work. */
   public void release(String endpoint, WorkClass workClass) {
+    if (workClass == WorkClass.LIVE) {
+      directory.find(endpoint).ifPresent(freed -> sharing.recordChange(freed, 1));
+    }
     directory.addOccupancy(endpoint, workClass, -1);
     placeWaiting(Map.of(), Optional.of(endpoint));
     if (waiting.isEmpty()) {
@@ -226,28 +294,39 @@
     return directory.loads(service, excluded);
   }
 
-  private boolean place(LiveDemand demand, List<EndpointLoad> loads) {
+  private boolean place(LiveDemand demand, List<EndpointLoad> loads, boolean mayQueue) {
     Optional<LiveChoice> choice =
-        LivePlacement.choose(loads, demand.isDeferrable(clock.nanos()), random);
+        LivePlacement.choose(loads, !mayQueue || demand.isDeferrable(clock.nanos()), random);
     choice.ifPresent(
         chosen -> {
           if (chosen.preemptBatch()) {
             items.preemptItem(chosen.endpoint().name());
           }
           directory.restrictions().sent(chosen.endpoint());
+          sharing.recordChange(chosen.endpoint(), 0);
           directory.addOccupancy(chosen.endpoint().name(), WorkClass.LIVE, 1);
           demand.place(chosen.endpoint());
         });
     return choice.isPresent();
   }
 
+  /**
+   * Returns which waiting requests are placed in rounds of {@link DeferredPlacement}: deferrable
+   * ones, and those of workspaces that use far more than their fair share.
+   */
+  private Predicate<LiveDemand> inRounds(long now, SlotUse use) {
+    boolean shared = sharing.isActive();
+    return demand -> demand.isDeferrable(now) || (shared && sharing.isExceeded(demand, use));
+  }
+
   /**
    * Begins a round of deferrable requests if one is due, and returns how many of them this instance
    * may place, by service.
    */
   private Map<String, Integer> deferredShares(int peersExpected) {
     long now = clock.nanos();
-    Map<String, Integer> deferred = waiting.deferrable(now);
+    Map<String, Integer> deferred =
+        waiting.count(inRounds(now, sharing.isActive() ? sharing.use() : SlotUse.none()));
     boolean exchanged = fleetLoad.hasExchangedSince(lastDeferralRoundNanos, peersExpected, now);
     if (deferred.isEmpty()
         || !DeferredPlacement.mayBegin(exchanged, now - lastDeferralRoundNanos)) {
@@ -258,15 +337,13 @@
     int notReporting = Math.max(0, peersExpected - others.reporters());
     Map<String, Integer> shares = new HashMap<>();
     deferred.forEach(
-        (service, count) ->
-            shares.put(
-                service,
-                DeferredPlacement.share(
-                    loads(service, Set.of()),
-                    count,
-                    others.liveWaiting(),
-                    notReporting,
-                    random.getAsDouble())));
+        (service, count) -> {
+          List<EndpointLoad> loads = loads(service, Set.of());
+          int share =
+              DeferredPlacement.share(
+                  loads, count, others.liveWaiting(), notReporting, random.getAsDouble());
+          shares.put(service, sharing.isActive() ? sharing.limitRound(share, loads) : share);
+        });
     return shares;
   }
 
@@ -283,25 +360,34 @@
       return;
     }
     long now = clock.nanos();
-    List<LiveDemand> ordered = waiting.inOrder(now);
+    boolean shared = sharing.isActive();
+    SlotUse use = shared ? sharing.use() : SlotUse.none();
+    FairOrder order =
+        new FairOrder(
+            waiting.inOrder(now), shared ? LiveDemand::workspace : demand -> "", use::relativeUse);
+    Predicate<LiveDemand> deferred = inRounds(now, use);
     Map<String, Integer> shares = new HashMap<>(deferredShares);
     Set<String> fullServices = new HashSet<>();
     Optional<ServiceEndpoint> freedEndpoint = freed.flatMap(directory::find);
-    for (LiveDemand demand : ordered) {
+    for (Optional<LiveDemand> next = order.next(); next.isPresent(); next = order.next()) {
+      LiveDemand demand = next.get();
       String service = demand.service();
-      if (!demand.isDeferrable(now)) {
+      if (!deferred.test(demand)) {
         // A request with excluded endpoints may fail where another of its service succeeds, so
         // only a request without exclusions shows that the service is full.
         if (!fullServices.contains(service)
-            && !placeWaiting(demand, loads(service, demand.excluded()))
+            && !placeWaiting(demand, loads(service, demand.excluded()), true, use)
             && demand.excluded().isEmpty()) {
           fullServices.add(service);
         }
       } else if (shares.getOrDefault(service, 0) > 0) {
-        boolean placed = placeWaiting(demand, loads(service, demand.excluded()));
+        boolean placed = placeWaiting(demand, loads(service, demand.excluded()), false, use);
         shares.put(service, placed ? shares.get(service) - 1 : 0);
       } else if (freedEndpoint.isPresent() && service.equals(freedEndpoint.get().service())) {
-        boolean placed = placeWaiting(demand, loadsAt(demand, freedEndpoint.get().name()));
+        boolean mayTake = !shared || sharing.hasFreeSlot(loads(service, demand.excluded()));
+        boolean placed =
+            mayTake
+                && placeWaiting(demand, loadsAt(demand, freedEndpoint.get().name()), false, use);
         // An endpoint that is full for a request without exclusions is full for all others of the
         // service.
         if (placed || demand.excluded().isEmpty()) {
@@ -315,13 +401,16 @@
    * Places a waiting request at one of the endpoints; it keeps waiting if none has a slot. Returns
    * whether it no longer waits.
    */
-  private boolean placeWaiting(LiveDemand demand, List<EndpointLoad> loads) {
+  private boolean placeWaiting(
+      LiveDemand demand, List<EndpointLoad> loads, boolean mayQueue, SlotUse use) {
     // Placing one request may end another, which is then no longer waiting.
     if (!waiting.remove(demand)) {
       return true;
     }
-    boolean placed = place(demand, loads);
-    if (!placed) {
+    boolean placed = place(demand, loads, mayQueue);
+    if (placed) {
+      use.assigned(demand.workspace());
+    } else {
       waiting.add(demand);
     }
     return placed;
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LiveDemand.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LiveDemand.java
@@ -85,6 +85,11 @@
     return objectiveNanos;
   }
 
+  /** Returns the monotonic time until which the client waits, in nanoseconds. */
+  long deadlineNanos() {
+    return deadlineNanos;
+  }
+
   /**
    * Returns whether the request can be deferred at a monotonic time in nanoseconds: its objective
    * has passed, and its client will still wait long enough for the request to run later.
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/WaitingRequests.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/WaitingRequests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** The live requests of this instance that wait for a slot. Used on the event loop. */
 final class WaitingRequests {
@@ -33,11 +34,11 @@
     return waiting.stream().filter(demand -> demand.service().equals(service)).count();
   }
 
-  /** Returns the numbers of deferrable requests at a monotonic time, by service. */
-  Map<String, Integer> deferrable(long nowNanos) {
+  /** Returns the numbers of the requests that match a condition, by service. */
+  Map<String, Integer> count(Predicate<LiveDemand> condition) {
     Map<String, Integer> counts = new HashMap<>();
     for (LiveDemand demand : waiting) {
-      if (demand.isDeferrable(nowNanos)) {
+      if (condition.test(demand)) {
         counts.merge(demand.service(), 1, Integer::sum);
       }
     }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.sedgeroad.gateway.Refusal;
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.presence.FleetLoad;
 import org.sedgeroad.presence.HubExchange;
@@ -84,62 +85,27 @@
         new Load(Exchange.HUBS, 13, 410, 150, 731, 0.377, 1.84, 720, 9, 4_900, 18_000, 0, 0);
 
     Load withExchange(Exchange next) {
-      return new Load(
-          next,
-          domains,
-          instances,
-          engines,
-          livePerSecond,
-          lowLoad,
-          peakLoad,
-          liveMillis,
-          jobsPerSecond,
-          itemMillis,
-          dueMillis,
-          returning,
-          lateItems);
+      return copy(next, engines, returning, lateItems);
     }
 
     Load withEngines(int next) {
-      return new Load(
-          exchange,
-          domains,
-          instances,
-          next,
-          livePerSecond,
-          lowLoad,
-          peakLoad,
-          liveMillis,
-          jobsPerSecond,
-          itemMillis,
-          dueMillis,
-          returning,
-          lateItems);
+      return copy(exchange, next, returning, lateItems);
     }
 
     Load withReturning(int next) {
-      return new Load(
-          exchange,
-          domains,
-          instances,
-          engines,
-          livePerSecond,
-          lowLoad,
-          peakLoad,
-          liveMillis,
-          jobsPerSecond,
-          itemMillis,
-          dueMillis,
-          next,
-          lateItems);
+      return copy(exchange, engines, next, lateItems);
     }
 
     Load withLateItems(int next) {
+      return copy(exchange, engines, returning, next);
+    }
+
+    private Load copy(Exchange nextExchange, int nextEngines, int nextReturning, int nextItems) {
       return new Load(
-          exchange,
+          nextExchange,
           domains,
           instances,
-          engines,
+          nextEngines,
           livePerSecond,
           lowLoad,
           peakLoad,
@@ -147,8 +113,8 @@
           jobsPerSecond,
           itemMillis,
           dueMillis,
-          returning,
-          next);
+          nextReturning,
+          nextItems);
     }
   }
 
@@ -177,6 +143,7 @@
       double mostMessages) {}
 
   private final Load load;
+  private final WorkspaceTraffic traffic;
   private final VirtualTime time = new VirtualTime();
   private final Random random;
 
@@ -203,7 +170,12 @@
   private double measuredUntilMillis;
 
   PeakLoadSimulation(Load load, long seed) {
+    this(load, WorkspaceTraffic.NONE, seed);
+  }
+
+  PeakLoadSimulation(Load load, WorkspaceTraffic traffic, long seed) {
     this.load = load;
+    this.traffic = traffic;
     this.random = new Random(seed);
     this.arrivals = new Random(seed + 1);
     this.jobArrivals = new Random(seed + 2);
@@ -285,11 +257,15 @@
   private void scheduleLive() {
     double phase = time.nanos() / 1e6 % CYCLE_MILLIS;
     double rate =
-        load.livePerSecond() * (phase < LOW_LOAD_MILLIS ? load.lowLoad() : load.peakLoad());
+        load.livePerSecond()
+            * (phase < LOW_LOAD_MILLIS ? load.lowLoad() : load.peakLoad())
+            * traffic.rate(time.nanos() / 1e6);
     time.after(
         -Math.log(1 - arrivals.nextDouble()) * 1_000 / rate,
         () -> {
-          instances.get(arrivals.nextInt(instances.size())).arrive(0);
+          instances
+              .get(arrivals.nextInt(instances.size()))
+              .arrive(0, traffic.next(time.nanos() / 1e6, arrivals));
           scheduleLive();
         });
   }
@@ -300,7 +276,10 @@
     for (int count = 0; count < load.returning(); count++) {
       time.after(
           500 * arrivals.nextDouble(),
-          () -> instances.get(arrivals.nextInt(instances.size())).arrive(1_000));
+          () ->
+              instances
+                  .get(arrivals.nextInt(instances.size()))
+                  .arrive(1_000, traffic.next(time.nanos() / 1e6, arrivals)));
     }
     time.after(3 * CYCLE_MILLIS, this::scheduleReturningRequests);
   }
@@ -348,6 +327,7 @@
     private final Dispatcher dispatcher;
     private final List<Item> items = new ArrayList<>();
     private final Map<String, List<Run>> runs = new HashMap<>();
+    private final Map<String, Integer> running = new HashMap<>();
     private long sequence;
     private boolean reportScheduled;
     private int received;
@@ -374,6 +354,7 @@
           new Dispatcher(name, domain, key -> "region", fleetLoad, time, random::nextDouble);
       dispatcher.setEndpoints(endpoints, List.of());
       dispatcher.setBatchSource(this);
+      dispatcher.setWorkspaces(traffic::directory, () -> running);
       dispatcher.setChangeListener(
           () -> {
             if (load.exchange() == Exchange.HUBS && !reportScheduled) {
@@ -414,7 +395,8 @@
               Map.of(),
               dispatcher.occupancy(),
               dispatcher.sentToLimited(),
-              false);
+              false,
+              traffic.details(running, dispatcher.liveWaitingByWorkspace()));
       if (load.exchange() == Exchange.HUBS) {
         hubExchange.report(report);
         return;
@@ -437,22 +419,38 @@
     }
 
     /** Submits a request whose client had already waited for a time before it arrived here. */
-    void arrive(double waitedMillis) {
+    void arrive(double waitedMillis, WorkspaceTraffic.Request request) {
       double arrived = time.nanos() / 1e6;
       double millis = load.liveMillis() * (0.4 + 1.2 * arrivals.nextDouble());
       boolean[] placed = new boolean[1];
       LiveDemand demand =
           LiveDemand.of(
               SERVICE,
-              "",
+              request.workspace,
               0,
               time.nanos() + (long) ((300 - waitedMillis) * 1e6),
               time.nanos() + (long) ((CLIENT_TIMEOUT_MILLIS - waitedMillis) * 1e6),
               Set.of(),
               endpoint -> {
                 placed[0] = true;
-                send(endpoint, arrived - waitedMillis, millis);
+                send(endpoint, arrived - waitedMillis, millis, request);
               });
+      Optional<Refusal> refusal = dispatcher.refusal(demand);
+      if (refusal.isPresent()) {
+        traffic.refused(
+            request,
+            refusal.get(),
+            arrived,
+            CLIENT_TIMEOUT_MILLIS - waitedMillis,
+            (after, returning) ->
+                time.after(
+                    after,
+                    () ->
+                        instances
+                            .get(random.nextInt(instances.size()))
+                            .arrive(waitedMillis + after, returning)));
+        return;
+      }
       time.after(
           CLIENT_TIMEOUT_MILLIS - waitedMillis,
           () -> {
@@ -464,22 +462,28 @@
       dispatcher.submit(demand);
     }
 
-    private void send(ServiceEndpoint endpoint, double arrived, double millis) {
+    private void send(
+        ServiceEndpoint endpoint, double arrived, double millis, WorkspaceTraffic.Request request) {
+      running.merge(request.workspace, 1, Integer::sum);
       SimulatedEngine.Work work =
           new SimulatedEngine.Work(
               millis,
-              () -> started(arrived),
+              () -> started(arrived, request),
               () ->
                   time.after(
-                      NETWORK_MILLIS, () -> dispatcher.release(endpoint.name(), WorkClass.LIVE)));
+                      NETWORK_MILLIS,
+                      () -> {
+                        running.merge(request.workspace, -1, Integer::sum);
+                        dispatcher.release(endpoint.name(), WorkClass.LIVE);
+                      }));
       time.after(NETWORK_MILLIS, () -> engines.get(endpoint.name()).submit(work));
     }
 
-    private void started(double arrived) {
+    private void started(double arrived, WorkspaceTraffic.Request request) {
+      double firstEventMillis = time.nanos() / 1e6 + FIRST_EVENT_MILLIS + NETWORK_MILLIS - arrived;
+      traffic.started(request, firstEventMillis <= 300);
       if (isMeasured(arrived)) {
         live++;
-        double firstEventMillis =
-            time.nanos() / 1e6 + FIRST_EVENT_MILLIS + NETWORK_MILLIS - arrived;
         liveOnTime += firstEventMillis <= 300 ? 1 : 0;
         if (arrived >= returnStartMillis && arrived < returnStartMillis + FRESH_WINDOW_MILLIS) {
           fresh++;
