Take no part of an answer, and no invalid status, for an answer

An answer without a length or chunks ended with its connection, also where the request was still being written, unless a write had failed. If the reset came after that end, or never, the part was taken for the whole answer. Such an answer now ends only once the whole request was written. A status below 200 or above 599 fails the exchange: before, a 1xx other than 100 ended it, and three digits of any value were passed on.

Failed before: http/AnswerEndTest.BeforeTheEndOfTheRequest.isBroken with END_THEN_SILENCE, END_THEN_RESET and END_THEN_READ (the two resets without an end before them passed), and .WithAnInvalidStatus.isNoAnswer with 000, 001, 101, 102, 103, 199, 600 and 999.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
@@ -42,6 +42,12 @@
   /** Number of reads after which the other exchanges of the thread have their turn. */
   private static final int MAXIMUM_READS_IN_A_ROW = 16;
 
+  /** Lowest status of a final answer; those below precede one. */
+  private static final int LOWEST_FINAL_STATUS = 200;
+
+  /** Highest status that HTTP defines a class for. */
+  private static final int HIGHEST_STATUS = 599;
+
   private final HttpExchange exchange;
   private final HttpCall call;
   private final ClientConnection connection;
@@ -56,7 +62,8 @@
   /** Whether the connection was closed because the answer has no end. */
   private volatile boolean withoutEnd;
 
-  private boolean writeFailed;
+  /** Whether the whole request was handed to the operating system. */
+  private boolean requestWritten;
 
   /** Time at which the request was sent. */
   private long sentNanos;
@@ -239,13 +246,13 @@
       sink.shutdownWrites();
       boolean flushed = sink.flush();
       if (flushed) {
+        requestWritten = true;
         sink.suspendWrites();
       }
       return flushed;
     } catch (IOException failure) {
       // The server may have answered early and closed its side. The answer, or its absence,
       // determines the outcome.
-      writeFailed = true;
       sink.suspendWrites();
       return true;
     }
@@ -272,6 +279,11 @@
     }
     headReceived = true;
     ClientResponse answer = received.getResponse();
+    int status = answer.getResponseCode();
+    if (status < LOWEST_FINAL_STATUS || status > HIGHEST_STATUS) {
+      exchange.fail(this, new HttpFailure.Broken("the status " + status + " ends no exchange"));
+      return;
+    }
     Map<String, String> headers = new LinkedHashMap<>();
     Set<String> repeated = new HashSet<>();
     for (HeaderValues values : answer.getResponseHeaders()) {
@@ -281,7 +293,7 @@
         repeated.add(name);
       }
     }
-    exchange.headReceived(this, new HttpHead(answer.getResponseCode(), headers, repeated));
+    exchange.headReceived(this, new HttpHead(status, headers, repeated));
     StreamSourceChannel source = received.getResponseChannel();
     source.getReadSetter().set(channel -> readAvailable((StreamSourceChannel) channel, received));
     if (readAvailable(source, received)) {
@@ -326,8 +338,9 @@
   private void complete(ClientExchange received) {
     if (withoutEnd) {
       failWithoutEnd();
-    } else if (writeFailed && endsWithConnection(received.getResponse())) {
-      // A reset is reported once, to the write; the read that follows reports a normal end.
+    } else if (!requestWritten && endsWithConnection(received.getResponse())) {
+      // A reset is reported once, and perhaps to the write; the read that follows reports a normal
+      // end. It may also arrive after that end. A server that is done reads the request first.
       exchange.fail(
           this, new HttpFailure.Broken("the connection failed before the end of the answer"));
     } else {
--- a/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
@@ -193,6 +193,108 @@
     }
   }
 
+  /** An answer without a length that ends while the request is still being sent. */
+  @Nested
+  class BeforeTheEndOfTheRequest {
+    /** How a server ends its answer; the connection is reset where the request is not read. */
+    private enum Early {
+      /** The reset arrives with the answer. */
+      RESET_AT_ONCE,
+      /** The reset arrives after the answer was read. */
+      RESET_LATER,
+      /** The answer ends as if it were complete, and the rest of the request is not read. */
+      END_THEN_SILENCE,
+      /** The same, and the connection is reset later. */
+      END_THEN_RESET,
+      /** The same, and the request is read to its end; no error is ever reported. */
+      END_THEN_READ
+    }
+
+    @ParameterizedTest
+    @EnumSource(Early.class)
+    void isBroken(Early early) {
+      byte[] body = new byte[16 * 1024 * 1024];
+      serve(
+          socket -> {
+            readHead(socket);
+            socket.getOutputStream().write(UNFRAMED.getBytes(StandardCharsets.US_ASCII));
+            switch (early) {
+              case RESET_AT_ONCE -> socket.setSoLinger(true, 0);
+              case RESET_LATER -> {
+                Thread.sleep(20);
+                socket.setSoLinger(true, 0);
+              }
+              case END_THEN_SILENCE -> {
+                socket.shutdownOutput();
+                Thread.sleep(300);
+              }
+              case END_THEN_RESET -> {
+                socket.shutdownOutput();
+                Thread.sleep(20);
+                socket.setSoLinger(true, 0);
+              }
+              default -> {
+                socket.shutdownOutput();
+                Thread.sleep(20);
+                socket.getInputStream().readAllBytes();
+              }
+            }
+          });
+      for (int number = 0; number < 10; number++) {
+        assertInstanceOf(HttpResult.Failed.class, call("POST", body), "call " + number);
+      }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "Content-Length: 15\r\n\r\n%s",
+          "Transfer-Encoding: chunked\r\n\r\nf\r\n%s\r\n0\r\n\r\n"
+        })
+    void isCompleteIfItsFramingSaysSo(String answer) {
+      String text = "HTTP/1.1 413 Too Large\r\n" + String.format(answer, text(BODY));
+      serve(
+          socket -> {
+            readHead(socket);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(100);
+          });
+      assertComplete(BODY, call("POST", new byte[16 * 1024 * 1024]));
+    }
+  }
+
+  /** A status that is none, or that only precedes an answer. */
+  @Nested
+  class WithAnInvalidStatus {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "000",
+          "0",
+          "001",
+          "42",
+          "99",
+          "100",
+          "101",
+          "102",
+          "103",
+          "199",
+          "600",
+          "999",
+          "1000",
+          "20000",
+          "4294967496"
+        })
+    void isNoAnswer(String status) {
+      for (String framing : List.of("", "Content-Length: 15\r\n")) {
+        serve("HTTP/1.1 " + status + " OK\r\n" + framing + "\r\n" + text(BODY), End.CLOSED);
+        assertInstanceOf(HttpResult.Failed.class, get(), status + " " + framing);
+        assertInstanceOf(
+            HttpResult.Failed.class, call("POST", new byte[2]), status + " " + framing);
+      }
+    }
+  }
+
   @Nested
   class WithLengthOrChunks {
     @ParameterizedTest
