--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -181,14 +181,7 @@
     this.relay =
         new ChangeRelay(
             settings.instance(), store, hubExchange, instances, httpClient, eventLoop, clock);
-    this.dispatcher =
-        new Dispatcher(
-            settings.instance(),
-            settings.domain(),
-            name -> this.settings.region(name),
-            hubExchange.view(),
-            clock,
-            () -> ThreadLocalRandom.current().nextDouble());
+    this.dispatcher = createDispatcher();
     this.announcements = new AnnouncementTable(clock);
     this.endpointAnnouncements = createEndpointAnnouncements();
     dispatcher.setRestrictions(
@@ -255,6 +248,19 @@
     }
   }
 
+  private Dispatcher createDispatcher() {
+    Dispatcher created =
+        new Dispatcher(
+            settings.instance(),
+            settings.domain(),
+            name -> this.settings.region(name),
+            hubExchange.view(),
+            clock,
+            () -> ThreadLocalRandom.current().nextDouble());
+    created.setWorkspaces(() -> routes.current().workspaces(), created::liveRunningByWorkspace);
+    return created;
+  }
+
   private BatchDependencies createBatchDependencies() {
     return new BatchDependencies(
         settings.instance(),
