Start batch items where no live peak is expected, and preempt fewer of them

Cause: items took every free slot, so that each live peak preempted most of them, and an overbooked slot preempted an item at once although a live request often ends within a tenth of a second.

Change: each instance forecasts the live demand for slots from the last 20 s (DemandForecast). While an item can lose a whole period and still be on time, it starts only in slots that the expected peak will not need, or for a run of at least 1.9 s. Items prefer endpoints with many free slots. One live request without a slot waits for up to 150 ms before an item is preempted for it.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -222,6 +222,11 @@
     return ready;
   }
 
+  @Override
+  public Optional<ItemUrgency> next(String service) {
+    return readyItems(service).stream().map(this::urgency).min(ItemUrgency.ORDER);
+  }
+
   @Override
   public boolean startNext(ServiceEndpoint endpoint) {
     Optional<OwnedItem> next =
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/BatchSource.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/BatchSource.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.placement;
 
 import java.util.Map;
+import java.util.Optional;
 import org.sedgeroad.gateway.ServiceEndpoint;
 
 /** Gives the dispatcher access to the batch items of this instance. Used on the event loop. */
@@ -27,6 +28,14 @@
   /** Returns how many items of each queue could start now, without empty queues, never null. */
   Map<BatchQueue, Integer> ready();
 
+  /**
+   * Returns the urgency of the item that {@link #startNext} would start at an endpoint of a
+   * service; empty if none is ready, or if its items are to start in any free slot.
+   */
+  default Optional<ItemUrgency> next(String service) {
+    return Optional.empty();
+  }
+
   /**
    * Starts the most urgent ready item of the endpoint's service at an endpoint; a late item only if
    * none is ready that can still be on time. If an item was started, the dispatcher counts its slot
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -176,7 +176,7 @@
    */
   public void refresh() {
     placeWaiting(Map.of(), Optional.empty());
-    items.preemptItems();
+    items.preemptItems(clock.nanos());
     items.startItems(directory.all(), waiting.size(), false);
   }
 
@@ -188,8 +188,9 @@
    */
   public void tick(int peersExpected) {
     directory.update(peersExpected);
+    items.observeDemand(clock.nanos());
     placeWaiting(deferredShares(peersExpected), Optional.empty());
-    items.preemptItems();
+    items.preemptItems(clock.nanos());
     items.startItems(directory.all(), waiting.size(), false);
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/ItemPlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/ItemPlacement.java
@@ -1,11 +1,12 @@
 package org.sedgeroad.placement;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Collectors;
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.peer.RendezvousHashing;
 import org.sedgeroad.presence.EndpointTotal;
@@ -16,9 +17,21 @@
  * their slots. Used on the event loop.
  */
 final class ItemPlacement {
+  /**
+   * Time between two observations of the live demand in nanoseconds: two for each sample of the
+   * forecast. The cost of each grows with the number of endpoints.
+   */
+  private static final long OBSERVATION_NANOS = DemandForecast.SAMPLE_MILLIS * 1_000_000L / 2;
+
   private final String instance;
   private final EndpointDirectory endpoints;
   private final DoubleSupplier random;
+  private final Map<String, DemandHistory> demands = new HashMap<>();
+
+  /** Times since when endpoints with own items have more work than slots, in nanoseconds. */
+  private final Map<String, Long> overbookedSince = new HashMap<>();
+
+  private long lastObservedNanos;
   private BatchSource batchSource = BatchSource.NONE;
 
   /**
@@ -38,19 +51,33 @@
     batchSource = source;
   }
 
-  /** Preempts the items of this instance that take slots which live requests need. */
-  void preemptItems() {
+  /**
+   * Preempts the items of this instance that take slots which live requests need.
+   *
+   * @param nowNanos monotonic time in nanoseconds
+   */
+  void preemptItems(long nowNanos) {
     LoadTotals others = endpoints.others();
     for (ServiceEndpoint endpoint : endpoints.all()) {
-      if (endpoints.own(endpoint.name()).batch() > 0) {
-        int preemptions =
-            BatchPlacement.itemsToPreempt(
-                endpoints.load(endpoint, others),
-                isFirstToPreempt(endpoint, others),
-                RendezvousHashing.fraction(endpoint.name(), instance));
-        for (int index = 0; index < preemptions; index++) {
-          preemptItem(endpoint.name());
-        }
+      String name = endpoint.name();
+      if (endpoints.own(name).batch() == 0) {
+        overbookedSince.remove(name);
+        continue;
+      }
+      EndpointLoad load = endpoints.load(endpoint, others);
+      if (load.free() >= 0) {
+        overbookedSince.remove(name);
+        continue;
+      }
+      long overbookedNanos = nowNanos - overbookedSince.computeIfAbsent(name, key -> nowNanos);
+      int preemptions =
+          BatchPlacement.itemsToPreempt(
+              load,
+              overbookedNanos,
+              isFirstToPreempt(endpoint, others),
+              RendezvousHashing.fraction(name, instance));
+      for (int index = 0; index < preemptions; index++) {
+        preemptItem(name);
       }
     }
   }
@@ -90,36 +117,66 @@
     for (BatchQueue queue : ownReady.keySet()) {
       BatchQueue onTime = BatchQueue.onTime(queue.service());
       int before = queue.late() ? readyOfAll(onTime, ownReady, others) : 0;
-      List<EndpointLoad> loads = endpoints.loads(queue.service(), Set.of());
-      fractions.put(queue, BatchPlacement.startableFraction(loads, before));
+      fractions.put(
+          queue, startableFraction(queue.service(), before, readyOfAll(queue, ownReady, others)));
     }
-    for (ServiceEndpoint endpoint : limitedFirst(candidates)) {
-      BatchQueue onTime = BatchQueue.onTime(endpoint.service());
-      BatchQueue queue =
-          ownReady.getOrDefault(onTime, 0) > 0 ? onTime : BatchQueue.late(endpoint.service());
-      double fraction = fractions.getOrDefault(queue, 0.0);
-      if (endpoints.acceptsWork(endpoint) && fraction > 0) {
-        int allReady = readyOfAll(queue, ownReady, others);
-        int started =
-            startItemsAt(
-                endpoints.load(endpoint, others),
+    Map<String, List<ServiceEndpoint>> byService =
+        candidates.stream()
+            .filter(endpoints::acceptsWork)
+            .collect(Collectors.groupingBy(ServiceEndpoint::service));
+    byService.forEach(
+        (service, usable) -> {
+          BatchQueue onTime = BatchQueue.onTime(service);
+          BatchQueue queue =
+              ownReady.getOrDefault(onTime, 0) > 0 ? onTime : BatchQueue.late(service);
+          double fraction = fractions.getOrDefault(queue, 0.0);
+          if (fraction > 0) {
+            startItemsOf(
+                usable,
                 fraction,
                 ownReady.get(queue),
-                allReady,
+                readyOfAll(queue, ownReady, others),
                 reusesOwnSlot);
-        ownReady.merge(queue, -started, Integer::sum);
-      }
-    }
+          }
+        });
+  }
+
+  private double startableFraction(String service, int before, int ready) {
+    List<EndpointLoad> loads = endpoints.loads(service, Set.of());
+    DemandForecast forecast = demand(service).forecast();
+    int slots = BatchPlacement.slots(loads);
+    double expected =
+        batchSource
+            .next(service)
+            .map(item -> BatchPlacement.expectedLive(forecast, item, ready, slots))
+            .orElse(0.0);
+    return BatchPlacement.startableFraction(loads, before, expected);
   }
 
-  private List<ServiceEndpoint> limitedFirst(List<ServiceEndpoint> candidates) {
-    List<ServiceEndpoint> ordered = new ArrayList<>(candidates.size());
-    List<ServiceEndpoint> unlimited = new ArrayList<>(candidates.size());
-    for (ServiceEndpoint endpoint : candidates) {
-      (endpoints.restrictions().rate(endpoint).isPresent() ? ordered : unlimited).add(endpoint);
+  private DemandHistory demand(String service) {
+    return demands.computeIfAbsent(service, key -> new DemandHistory());
+  }
+
+  /**
+   * Records the present number of live requests of each service. To be called at each tick.
+   *
+   * @param nowNanos monotonic time in nanoseconds
+   */
+  void observeDemand(long nowNanos) {
+    if (!demands.isEmpty() && nowNanos - lastObservedNanos < OBSERVATION_NANOS) {
+      return;
     }
-    ordered.addAll(unlimited);
-    return ordered;
+    lastObservedNanos = nowNanos;
+    LoadTotals others = endpoints.others();
+    Map<String, Integer> live = new HashMap<>();
+    for (ServiceEndpoint endpoint : endpoints.all()) {
+      String name = endpoint.name();
+      int theirs = others.endpoints().getOrDefault(name, EndpointTotal.NONE).live();
+      live.merge(endpoint.service(), endpoints.own(name).live() + theirs, Integer::sum);
+    }
+    demands.keySet().retainAll(live.keySet());
+    live.forEach((service, slots) -> demand(service).observe(slots, nowNanos));
+    overbookedSince.keySet().removeIf(name -> endpoints.find(name).isEmpty());
   }
 
   private static int readyOfAll(
@@ -128,20 +185,31 @@
     return ownReady.getOrDefault(queue, 0) + Math.max(0, reported);
   }
 
-  /** Starts items at an endpoint; returns their number. */
-  private int startItemsAt(
-      EndpointLoad load, double fraction, int ownReady, int allReady, boolean reusesOwnSlot) {
+  /** Starts items of one queue at the endpoints of its service. */
+  private void startItemsOf(
+      List<ServiceEndpoint> usable,
+      double fraction,
+      int ownReady,
+      int allReady,
+      boolean reusesOwnSlot) {
+    List<EndpointLoad> loads = loads(usable);
     int allowed =
-        BatchPlacement.allowance(load, fraction, ownReady, allReady, random.getAsDouble());
-    if (reusesOwnSlot && load.startable() > BatchPlacement.RESERVED_SLOTS) {
+        BatchPlacement.allowance(loads, fraction, ownReady, allReady, random.getAsDouble());
+    if (reusesOwnSlot) {
       allowed = Math.max(allowed, 1);
     }
-    int started = 0;
-    while (started < allowed && batchSource.startNext(load.endpoint())) {
-      endpoints.restrictions().sent(load.endpoint());
-      endpoints.addOccupancy(load.endpoint().name(), WorkClass.BATCH, 1);
-      started++;
+    for (int started = 0; started < allowed; started++) {
+      Optional<EndpointLoad> chosen = BatchPlacement.choose(loads(usable), random.getAsDouble());
+      if (chosen.isEmpty() || !batchSource.startNext(chosen.get().endpoint())) {
+        return;
+      }
+      endpoints.restrictions().sent(chosen.get().endpoint());
+      endpoints.addOccupancy(chosen.get().endpoint().name(), WorkClass.BATCH, 1);
     }
-    return started;
+  }
+
+  private List<EndpointLoad> loads(List<ServiceEndpoint> usable) {
+    LoadTotals others = endpoints.others();
+    return usable.stream().map(endpoint -> endpoints.load(endpoint, others)).toList();
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/ItemUrgency.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/ItemUrgency.java
@@ -31,11 +31,16 @@
 
   /** Returns whether the item can no longer end by its due time. */
   public boolean isLate() {
-    return nowNanos + neededNanos - dueNanos > 0;
+    return slackNanos() < 0;
   }
 
   /** Returns whether the item ends soon if it gets, or keeps, a slot. */
   public boolean isNearlyDone() {
     return neededNanos < NEARLY_DONE_NANOS;
   }
+
+  /** Returns for how long the item can wait and still end by its due time, in nanoseconds. */
+  public long slackNanos() {
+    return dueNanos - nowNanos - neededNanos;
+  }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.presence.FleetLoad;
 import org.sedgeroad.presence.HubExchange;
@@ -56,6 +57,8 @@
    *     as after an outage
    * @param lateItems number of items that are already late at the start, as after an outage; they
    *     are of no job whose items are counted
+   * @param domainSpread by how much the peak of the last failure domain is above the mean of all
+   *     domains, and that of the first one below it, as a fraction of the mean
    */
   record Load(
       Exchange exchange,
@@ -70,76 +73,49 @@
       double itemMillis,
       double dueMillis,
       int returning,
-      int lateItems) {
+      int lateItems,
+      double domainSpread) {
     /** Nine instances, eight engines: live work takes 44% of the slots, batch work 37%. */
     static final Load TYPICAL =
-        new Load(Exchange.HUBS, 3, 9, 8, 39, 0.377, 1.84, 720, 0.48, 4_900, 18_000, 0, 0);
+        new Load(Exchange.HUBS, 3, 9, 8, 39, 0.377, 1.84, 720, 0.48, 4_900, 18_000, 0, 0, 0);
 
     /** As typical, on 80 instances in six failure domains that share 29 engines. */
     static final Load LARGE =
-        new Load(Exchange.HUBS, 6, 80, 29, 141, 0.377, 1.84, 720, 1.74, 4_900, 18_000, 0, 0);
+        new Load(Exchange.HUBS, 6, 80, 29, 141, 0.377, 1.84, 720, 1.74, 4_900, 18_000, 0, 0, 0);
 
     /** As typical, on 410 instances in 13 failure domains that share 150 engines. */
     static final Load VERY_LARGE =
-        new Load(Exchange.HUBS, 13, 410, 150, 731, 0.377, 1.84, 720, 9, 4_900, 18_000, 0, 0);
+        new Load(Exchange.HUBS, 13, 410, 150, 731, 0.377, 1.84, 720, 9, 4_900, 18_000, 0, 0, 0);
 
-    Load withExchange(Exchange next) {
-      return new Load(
-          next,
-          domains,
-          instances,
-          engines,
-          livePerSecond,
-          lowLoad,
-          peakLoad,
-          liveMillis,
-          jobsPerSecond,
-          itemMillis,
-          dueMillis,
-          returning,
-          lateItems);
-    }
+    /**
+     * Square-wave peaks that differ between six failure domains: 18 instances share 16 engines,
+     * live work takes 40% of the slots, batch work 25%.
+     */
+    static final Load SQUARE =
+        new Load(Exchange.HUBS, 6, 18, 16, 64, 0.38, 1.84, 800, 0.71, 4_500, 18_000, 0, 0, 0.4);
+
+    /** As square-wave peaks, with the mean load at all times. */
+    static final Load STEADY =
+        new Load(Exchange.HUBS, 6, 18, 16, 64, 1, 1, 800, 0.71, 4_500, 18_000, 0, 0, 0);
 
     Load withEngines(int next) {
-      return new Load(
-          exchange,
-          domains,
-          instances,
-          next,
-          livePerSecond,
-          lowLoad,
-          peakLoad,
-          liveMillis,
-          jobsPerSecond,
-          itemMillis,
-          dueMillis,
-          returning,
-          lateItems);
+      return with(next, returning, lateItems);
     }
 
     Load withReturning(int next) {
-      return new Load(
-          exchange,
-          domains,
-          instances,
-          engines,
-          livePerSecond,
-          lowLoad,
-          peakLoad,
-          liveMillis,
-          jobsPerSecond,
-          itemMillis,
-          dueMillis,
-          next,
-          lateItems);
+      return with(engines, next, lateItems);
     }
 
     Load withLateItems(int next) {
+      return with(engines, returning, next);
+    }
+
+    private Load with(int nextEngines, int nextReturning, int nextLateItems) {
       return new Load(
           exchange,
           domains,
           instances,
-          engines,
+          nextEngines,
           livePerSecond,
           lowLoad,
           peakLoad,
@@ -147,8 +123,9 @@
           jobsPerSecond,
           itemMillis,
           dueMillis,
-          returning,
-          next);
+          nextReturning,
+          nextLateItems,
+          domainSpread);
     }
   }
 
@@ -177,6 +154,7 @@
       double mostMessages) {}
 
   private final Load load;
+  private final boolean forecasts;
   private final VirtualTime time = new VirtualTime();
   private final Random random;
 
@@ -203,7 +181,17 @@
   private double measuredUntilMillis;
 
   PeakLoadSimulation(Load load, long seed) {
+    this(load, seed, true);
+  }
+
+  /**
+   * Creates a simulation.
+   *
+   * @param forecasts whether items start by the forecast of the live demand, or in any free slot
+   */
+  PeakLoadSimulation(Load load, long seed, boolean forecasts) {
     this.load = load;
+    this.forecasts = forecasts;
     this.random = new Random(seed);
     this.arrivals = new Random(seed + 1);
     this.jobArrivals = new Random(seed + 2);
@@ -229,27 +217,28 @@
 
   /** Runs the load once for each seed from 1 to {@code seeds} and returns the mean figures. */
   static Figures mean(Load load, int seeds, double seconds) {
-    double[] sums = new double[8];
+    return mean(load, seeds, seconds, true);
+  }
+
+  /** As {@link #mean(Load, int, double)}, by the forecast of the live demand or without it. */
+  static Figures mean(Load load, int seeds, double seconds, boolean forecasts) {
+    List<Figures> all = new ArrayList<>();
     for (int seed = 1; seed <= seeds; seed++) {
-      Figures figures = new PeakLoadSimulation(load, seed).run(seconds);
-      sums[0] += figures.liveOnTime();
-      sums[1] += figures.itemsOnTime();
-      sums[2] += figures.preemptions();
-      sums[3] += figures.utilization();
-      sums[4] += figures.freshOnTime();
-      sums[5] += figures.unserved();
-      sums[6] += figures.messages();
-      sums[7] += figures.mostMessages();
+      all.add(new PeakLoadSimulation(load, seed, forecasts).run(seconds));
     }
     return new Figures(
-        sums[0] / seeds,
-        sums[1] / seeds,
-        sums[2] / seeds,
-        sums[3] / seeds,
-        sums[4] / seeds,
-        sums[5] / seeds,
-        sums[6] / seeds,
-        sums[7] / seeds);
+        mean(all, Figures::liveOnTime),
+        mean(all, Figures::itemsOnTime),
+        mean(all, Figures::preemptions),
+        mean(all, Figures::utilization),
+        mean(all, Figures::freshOnTime),
+        mean(all, Figures::unserved),
+        mean(all, Figures::messages),
+        mean(all, Figures::mostMessages));
+  }
+
+  private static double mean(List<Figures> all, ToDoubleFunction<Figures> figure) {
+    return all.stream().mapToDouble(figure).average().orElseThrow();
   }
 
   /**
@@ -289,11 +278,23 @@
     time.after(
         -Math.log(1 - arrivals.nextDouble()) * 1_000 / rate,
         () -> {
-          instances.get(arrivals.nextInt(instances.size())).arrive(0);
+          nextInstance(phase >= LOW_LOAD_MILLIS).arrive(0);
           scheduleLive();
         });
   }
 
+  /** Returns the instance at which the next live request arrives. */
+  private Instance nextInstance(boolean inPeak) {
+    double spread = inPeak ? load.domainSpread() : 0;
+    while (true) {
+      int number = arrivals.nextInt(instances.size());
+      double position = 2.0 * (number % load.domains()) / (load.domains() - 1) - 1;
+      if (spread == 0 || arrivals.nextDouble() * (1 + spread) < 1 + spread * position) {
+        return instances.get(number);
+      }
+    }
+  }
+
   /** Schedules the requests of clients that return within half a second after an outage. */
   private void scheduleReturningRequests() {
     returnStartMillis = time.nanos() / 1e6;
@@ -518,16 +519,24 @@
       return ready;
     }
 
+    @Override
+    public Optional<ItemUrgency> next(String service) {
+      return forecasts ? nextItem().map(this::urgency) : Optional.empty();
+    }
+
     @Override
     public boolean startNext(ServiceEndpoint endpoint) {
-      Optional<Item> next =
-          items.stream()
-              .filter(item -> !item.running)
-              .min(Comparator.comparing(this::urgency, ItemUrgency.ORDER));
+      Optional<Item> next = nextItem();
       next.ifPresent(item -> start(item, endpoint.name()));
       return next.isPresent();
     }
 
+    private Optional<Item> nextItem() {
+      return items.stream()
+          .filter(item -> !item.running)
+          .min(Comparator.comparing(this::urgency, ItemUrgency.ORDER));
+    }
+
     /** Returns an urgency that is based on the mean time of an item, as in a real instance. */
     private ItemUrgency urgency(Item item) {
       double remaining = Math.max(0, load.itemMillis() - (item.totalMillis - item.remainingMillis));
@@ -537,6 +546,13 @@
           (long) (remaining * 1e6));
     }
 
+    private ItemUrgency urgency(Run run) {
+      ItemUrgency atStart = urgency(run.item());
+      long ranNanos = (long) (run.work().ranMillis(time) * 1e6);
+      return new ItemUrgency(
+          atStart.dueNanos(), atStart.nowNanos(), Math.max(0, atStart.neededNanos() - ranNanos));
+    }
+
     private void start(Item item, String endpoint) {
       item.running = true;
       SimulatedEngine.Work work =
@@ -568,7 +584,7 @@
     public boolean preempt(String endpoint) {
       List<Run> here = runs.getOrDefault(endpoint, new ArrayList<>());
       Optional<Run> last =
-          here.stream().max(Comparator.comparingDouble((Run run) -> run.item().submittedMillis));
+          here.stream().max(Comparator.comparing(run -> urgency(run), ItemUrgency.ORDER));
       last.ifPresent(
           run -> {
             here.remove(run);
