--- a/sedgeroad/src/main/java/org/sedgeroad/access/ConfigurationAge.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/ConfigurationAge.java
@@ -9,29 +9,18 @@
  * showed that no newer version existed. The read may have been made by another instance. Used on
  * the event loop.
  *
- * <p>While a process is suspended the monotonic clock may stand still, and messages wait in
- * buffers. The age therefore also grows by each forward jump of the wall clock against the
- * monotonic clock, and confirmations of other instances don't count shortly after a pause.
+ * <p>A message may wait for seconds in the buffers of a busy or suspended process. A confirmation
+ * of another instance therefore counts from the time at which this instance sent the report that
+ * the message answers. While a process is suspended the monotonic clock may stand still: the age
+ * also grows by each forward jump of the wall clock against the monotonic clock.
  */
 public final class ConfigurationAge {
   /** Fraction of the bound on revocation after which the configuration has expired. */
   private static final double EXPIRY_FRACTION = 0.6;
 
-  /**
-   * Time between two observations of the clocks that is a pause, in milliseconds; ten times that
-   * between two ticks of the load exchange, which observe them.
-   */
-  private static final long PAUSE_MILLIS = 500;
-
   /** Jump of the wall clock that counts as a suspension, in milliseconds; clocks drift by less. */
   private static final long WALL_JUMP_MILLIS = 250;
 
-  /**
-   * Time after a pause in which messages may have waited in buffers, in milliseconds; a busy event
-   * loop has handled them by then.
-   */
-  private static final long DISTRUST_MILLIS = 500;
-
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final long expiryNanos;
@@ -44,7 +33,9 @@
 
   private long observedNanos;
   private long observedWallMillis;
-  private long trustedFromNanos;
+
+  /** Time at which the last suspension was noticed, by the monotonic clock. */
+  private long suspensionNoticedNanos;
 
   /** Youngest confirmation of any version, and when its read began. */
   private long knownVersion;
@@ -74,7 +65,7 @@
     this.version = version;
     this.observedNanos = clock.nanos();
     this.observedWallMillis = wallMillis.getAsLong();
-    this.trustedFromNanos = observedNanos;
+    this.suspensionNoticedNanos = observedNanos - 1;
   }
 
   /** Returns whether requests with keys are refused once the configuration is too old. */
@@ -93,9 +84,7 @@
     long jump = (wall - observedWallMillis) * NANOS_PER_MILLI - passed;
     if (jump > WALL_JUMP_MILLIS * NANOS_PER_MILLI) {
       suspendedNanos += jump;
-    }
-    if (passed + Math.max(0, jump) > PAUSE_MILLIS * NANOS_PER_MILLI) {
-      trustedFromNanos = now + DISTRUST_MILLIS * NANOS_PER_MILLI;
+      suspensionNoticedNanos = now;
     }
     observedNanos = now;
     observedWallMillis = wall;
@@ -112,11 +101,21 @@
     record(version.getAsLong(), beganNanos);
   }
 
-  /** Records a confirmation that another instance has sent. */
-  public void receive(Confirmation confirmation) {
-    long now = observe();
-    if (confirmation.ageMillis() < Integer.MAX_VALUE && clock.hasPassed(trustedFromNanos)) {
-      record(confirmation.version(), now - confirmation.ageMillis() * NANOS_PER_MILLI);
+  /**
+   * Records a confirmation that another instance has sent after it had received a report of this
+   * one.
+   *
+   * @param confirmation the confirmation, not null
+   * @param reportedNanos monotonic time at which this instance sent that report, in nanoseconds; a
+   *     report that was sent before a suspension says nothing about the time since
+   */
+  public void receive(Confirmation confirmation, long reportedNanos) {
+    observe();
+    if (confirmation.ageMillis() < Integer.MAX_VALUE
+        && reportedNanos - suspensionNoticedNanos > 0) {
+      record(
+          confirmation.version(),
+          reportedNanos + suspendedNanos - confirmation.ageMillis() * NANOS_PER_MILLI);
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -268,7 +268,7 @@
    */
   public void refresh() {
     placeWaiting(Map.of(), Optional.empty());
-    items.preemptItems();
+    items.preemptItems(clock.nanos());
     items.startItems(directory.all(), waiting.size(), false);
   }
 
@@ -280,8 +280,9 @@
    */
   public void tick(int peersExpected) {
     directory.update(peersExpected);
+    items.observeDemand(clock.nanos());
     placeWaiting(deferredShares(peersExpected), Optional.empty());
-    items.preemptItems();
+    items.preemptItems(clock.nanos());
     items.startItems(directory.all(), waiting.size(), false);
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Load of the fleet from the summaries of the hubs of this instance's failure domain. Used on the
@@ -77,6 +78,23 @@
     }
   }
 
+  /**
+   * Returns when this instance sent the report that a summary contains, in nanoseconds of the
+   * monotonic clock; empty if it contains none, or one that is no longer remembered.
+   */
+  OptionalLong reportedNanos(LoadSummary summary) {
+    ReporterState own = summary.reporters().get(instance);
+    return own == null
+        ? OptionalLong.empty()
+        : sentReports.stream()
+            .filter(
+                sent ->
+                    sent.report().incarnation() == own.incarnation()
+                        && sent.report().sequence() == own.sequence())
+            .mapToLong(Sent::sentNanos)
+            .findFirst();
+  }
+
   /**
    * Stores a summary of the fleet; returns whether the loads of the others have changed.
    *
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -70,7 +70,7 @@
   private Consumer<Map<String, CrashSeries>> crashListener = series -> {};
   private Consumer<Map<String, VersionedAnnouncement>> announcementListener = news -> {};
   private Supplier<Confirmation> ownConfirmation = () -> Confirmation.NONE;
-  private Consumer<Confirmation> confirmationListener = confirmation -> {};
+  private ConfirmationListener confirmationListener = (confirmation, reported) -> {};
   private LoadReport lastReport;
   private long sequence;
   private final Interval unchangedReport = new Interval();
@@ -224,9 +224,9 @@
    * what they tell.
    *
    * @param own returns the youngest confirmation that is known, at the time of the call
-   * @param listener receives the confirmations of other instances
+   * @param listener receives the confirmations of other instances that answer a report
    */
-  public void setConfirmations(Supplier<Confirmation> own, Consumer<Confirmation> listener) {
+  public void setConfirmations(Supplier<Confirmation> own, ConfirmationListener listener) {
     ownConfirmation = own;
     confirmationListener = listener;
   }
@@ -240,7 +240,6 @@
       announcementListener.accept(news.announcements());
     } else if (message instanceof LoadReport report) {
       view.messageReceived(now);
-      confirmationListener.accept(report.details().confirmation());
       // An instance of another domain, or one that is not registered, is not counted here.
       if (members.contains(report.instance()) && hub.receive(report, now)) {
         requestSummaries();
@@ -248,8 +247,14 @@
     } else if (message instanceof LoadSummary summary && !summary.hub().equals(instance)) {
       view.messageReceived(now);
       selector.heard(summary.hub(), now);
-      confirmationListener.accept(summary.totals().details().confirmation());
-      boolean ofOwnDomain = summary.domain().equals(domain);
+      if (ofOwnDomain(summary)) {
+        view.reportedNanos(summary)
+            .ifPresent(
+                reported ->
+                    confirmationListener.confirmed(
+                        summary.totals().details().confirmation(), reported));
+      }
+      boolean ofOwnDomain = ofOwnDomain(summary);
       if (summary.scope() == LoadSummary.Scope.DOMAIN) {
         if (!ofOwnDomain && hub.receive(summary, now) && hubRole) {
           fleetPublisher.request(FLEET_INTERVAL_MILLIS * rarity());
@@ -327,6 +332,10 @@
     }
   }
 
+  private boolean ofOwnDomain(LoadSummary summary) {
+    return summary.domain().equals(domain);
+  }
+
   /** Returns a summary with the youngest confirmation that is known now. */
   private LoadSummary confirmed(LoadSummary summary) {
     return summary.withConfirmation(ownConfirmation.get());
--- a/sedgeroad/src/test/java/org/sedgeroad/access/ConfigurationAgeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/access/ConfigurationAgeTest.java
@@ -52,7 +52,7 @@
   class OtherInstance {
     @Test
     void confirmsWithItsAgeAndIsPassedOn() {
-      age.receive(new Confirmation(7, 1_000));
+      age.receive(new Confirmation(7, 1_000), nanos);
       run(500);
       assertEquals(1_500, age.ageMillis());
       assertEquals(new Confirmation(7, 1_500), age.confirmation());
@@ -60,9 +60,9 @@
 
     @Test
     void withANewerVersionConfirmsOnlyOnceThatVersionIsInForce() {
-      age.receive(new Confirmation(7, 0));
+      age.receive(new Confirmation(7, 0), nanos);
       run(1_000);
-      age.receive(new Confirmation(8, 0));
+      age.receive(new Confirmation(8, 0), nanos);
       assertEquals(1_000, age.ageMillis());
       assertEquals(Freshness.OUTDATED, freshness());
       version = 8;
@@ -72,41 +72,61 @@
 
     @Test
     void thatKnowsNothingConfirmsNothing() {
-      age.receive(Confirmation.NONE);
+      age.receive(Confirmation.NONE, nanos);
       assertFalse(age.isConfirmed());
       assertEquals(Confirmation.NONE, age.confirmation());
     }
   }
 
+  @Nested
+  class BusyInstance {
+    @Test
+    void doesNotTakeAMessageThatHasWaitedForANewOne() {
+      age.receive(new Confirmation(7, 0), nanos);
+      long reported = nanos;
+      run(2_900);
+      age.receive(new Confirmation(7, 50), reported);
+      run(150);
+      assertEquals(Freshness.EXPIRED, freshness());
+    }
+  }
+
   @Nested
   class Pause {
     @Test
     void thatOnlyTheWallClockCountsMakesTheConfigurationOlder() {
-      age.receive(new Confirmation(7, 0));
+      age.receive(new Confirmation(7, 0), nanos);
       wallMillis += 4_000;
       assertEquals(Freshness.EXPIRED, freshness());
     }
 
     @Test
     void thatTheMonotonicClockCountsDoesToo() {
-      age.receive(new Confirmation(7, 0));
+      age.receive(new Confirmation(7, 0), nanos);
       nanos += 4_000_000_000L;
       wallMillis += 4_000;
       assertEquals(Freshness.EXPIRED, freshness());
     }
 
     @Test
-    void makesWaitingMessagesWorthless() {
-      age.receive(new Confirmation(7, 0));
+    void makesMessagesOldThatAnswerAReportBeforeIt() {
+      long reported = nanos;
       nanos += 4_000_000_000L;
       wallMillis += 4_000;
-      age.receive(new Confirmation(7, 10));
+      age.receive(new Confirmation(7, 10), reported);
       assertEquals(Freshness.EXPIRED, freshness());
-      run(550);
-      age.receive(new Confirmation(7, 10));
+      age.receive(new Confirmation(7, 10), nanos);
       assertEquals(Freshness.CURRENT, freshness());
     }
 
+    @Test
+    void thatOnlyTheWallClockCountsMakesThemWorthless() {
+      long reported = nanos;
+      wallMillis += 4_000;
+      age.receive(new Confirmation(7, 10), reported);
+      assertEquals(Freshness.EXPIRED, freshness());
+    }
+
     @Test
     void duringARead() {
       long began = age.observe();
@@ -117,7 +137,7 @@
 
     @Test
     void isNotSeenInABackwardStepOfTheWallClock() {
-      age.receive(new Confirmation(7, 0));
+      age.receive(new Confirmation(7, 0), nanos);
       wallMillis -= 10_000;
       assertEquals(Freshness.CURRENT, freshness());
     }
--- a/sedgeroad/src/test/java/org/sedgeroad/entry/ConfigurationProbeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/entry/ConfigurationProbeTest.java
@@ -125,7 +125,7 @@
   class OtherInstance {
     private void hear(double untilMillis) {
       if (time.nanos() / 1e6 < untilMillis) {
-        age.receive(new Confirmation(3, 1_000));
+        age.receive(new Confirmation(3, 1_000), time.nanos());
         time.after(200, () -> hear(untilMillis));
       }
     }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/FairSharesSimulationTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/FairSharesSimulationTest.java
@@ -15,21 +15,9 @@
  * 33 s each, of the requests that are sent in the three bursts.
  */
 class FairSharesSimulationTest {
-  private static final PeakLoadSimulation.Load LOAD =
-      new PeakLoadSimulation.Load(
-          PeakLoadSimulation.Exchange.HUBS,
-          6,
-          18,
-          30,
-          146,
-          0.377,
-          1.84,
-          720,
-          1.8,
-          4_900,
-          18_000,
-          0,
-          0);
+  private static final PeakLoad LOAD =
+      new PeakLoad(
+          PeakLoad.Exchange.HUBS, 6, 18, 30, 146, 0.377, 1.84, 720, 1.8, 4_900, 18_000, 0, 0, 0);
 
   private static final int SEEDS = 2;
 
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import org.sedgeroad.gateway.Refusal;
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.presence.FleetLoad;
@@ -31,93 +32,6 @@
   private static final double CLIENT_TIMEOUT_MILLIS = 5_000;
   private static final String SERVICE = "engine";
 
-  /** Ways in which the instances learn each other's loads. */
-  enum Exchange {
-    /** Each instance sends its reports to all others, every 50 ms. */
-    DIRECT,
-    /** Reports go to the hubs of the failure domain, which publish the sums. */
-    HUBS
-  }
-
-  /**
-   * Simulated deployment and its load.
-   *
-   * @param exchange how the instances learn each other's loads
-   * @param domains number of failure domains
-   * @param instances number of instances
-   * @param engines number of engines with 8 slots each
-   * @param livePerSecond mean arrival rate of live requests, per second
-   * @param lowLoad arrival rate between peaks as a fraction of the mean
-   * @param peakLoad arrival rate in a peak as a fraction of the mean
-   * @param liveMillis mean time for which a live request holds a slot, in milliseconds
-   * @param jobsPerSecond arrival rate of jobs of ten items, per second
-   * @param itemMillis mean time for which an item needs a slot, in milliseconds
-   * @param dueMillis time from its submission after which a job is due, in milliseconds
-   * @param returning number of late requests that arrive together at the start of each third peak,
-   *     as after an outage
-   * @param lateItems number of items that are already late at the start, as after an outage; they
-   *     are of no job whose items are counted
-   */
-  record Load(
-      Exchange exchange,
-      int domains,
-      int instances,
-      int engines,
-      double livePerSecond,
-      double lowLoad,
-      double peakLoad,
-      double liveMillis,
-      double jobsPerSecond,
-      double itemMillis,
-      double dueMillis,
-      int returning,
-      int lateItems) {
-    /** Nine instances, eight engines: live work takes 44% of the slots, batch work 37%. */
-    static final Load TYPICAL =
-        new Load(Exchange.HUBS, 3, 9, 8, 39, 0.377, 1.84, 720, 0.48, 4_900, 18_000, 0, 0);
-
-    /** As typical, on 80 instances in six failure domains that share 29 engines. */
-    static final Load LARGE =
-        new Load(Exchange.HUBS, 6, 80, 29, 141, 0.377, 1.84, 720, 1.74, 4_900, 18_000, 0, 0);
-
-    /** As typical, on 410 instances in 13 failure domains that share 150 engines. */
-    static final Load VERY_LARGE =
-        new Load(Exchange.HUBS, 13, 410, 150, 731, 0.377, 1.84, 720, 9, 4_900, 18_000, 0, 0);
-
-    Load withExchange(Exchange next) {
-      return copy(next, engines, returning, lateItems);
-    }
-
-    Load withEngines(int next) {
-      return copy(exchange, next, returning, lateItems);
-    }
-
-    Load withReturning(int next) {
-      return copy(exchange, engines, next, lateItems);
-    }
-
-    Load withLateItems(int next) {
-      return copy(exchange, engines, returning, next);
-    }
-
-    private Load copy(Exchange nextExchange, int nextEngines, int nextReturning, int nextItems) {
-      return new Load(
-          nextExchange,
-          domains,
-          instances,
-          nextEngines,
-          livePerSecond,
-          lowLoad,
-          peakLoad,
-          liveMillis,
-          jobsPerSecond,
-          itemMillis,
-          dueMillis,
-          nextReturning,
-          nextItems);
-    }
-  }
-
   /**
    * Results of a simulation.
    *
@@ -142,8 +56,9 @@
       double messages,
       double mostMessages) {}
 
-  private final Load load;
+  private final PeakLoad load;
   private final WorkspaceTraffic traffic;
+  private final boolean forecasts;
   private final VirtualTime time = new VirtualTime();
   private final Random random;
 
@@ -169,13 +84,28 @@
   private double measuredFromMillis;
   private double measuredUntilMillis;
 
-  PeakLoadSimulation(Load load, long seed) {
-    this(load, WorkspaceTraffic.NONE, seed);
+  PeakLoadSimulation(PeakLoad load, long seed) {
+    this(load, WorkspaceTraffic.NONE, seed, true);
+  }
+
+  PeakLoadSimulation(PeakLoad load, WorkspaceTraffic traffic, long seed) {
+    this(load, traffic, seed, true);
   }
 
-  PeakLoadSimulation(Load load, WorkspaceTraffic traffic, long seed) {
+  /**
+   * Creates a simulation.
+   *
+   * @param forecasts whether items start by the forecast of the live demand, or in any free slot
+   */
+  PeakLoadSimulation(PeakLoad load, long seed, boolean forecasts) {
+    this(load, WorkspaceTraffic.NONE, seed, forecasts);
+  }
+
+  private PeakLoadSimulation(
+      PeakLoad load, WorkspaceTraffic traffic, long seed, boolean forecasts) {
     this.load = load;
     this.traffic = traffic;
+    this.forecasts = forecasts;
     this.random = new Random(seed);
     this.arrivals = new Random(seed + 1);
     this.jobArrivals = new Random(seed + 2);
@@ -200,28 +130,29 @@
   }
 
   /** Runs the load once for each seed from 1 to {@code seeds} and returns the mean figures. */
-  static Figures mean(Load load, int seeds, double seconds) {
-    double[] sums = new double[8];
+  static Figures mean(PeakLoad load, int seeds, double seconds) {
+    return mean(load, seeds, seconds, true);
+  }
+
+  /** As {@link #mean(Load, int, double)}, by the forecast of the live demand or without it. */
+  static Figures mean(PeakLoad load, int seeds, double seconds, boolean forecasts) {
+    List<Figures> all = new ArrayList<>();
     for (int seed = 1; seed <= seeds; seed++) {
-      Figures figures = new PeakLoadSimulation(load, seed).run(seconds);
-      sums[0] += figures.liveOnTime();
-      sums[1] += figures.itemsOnTime();
-      sums[2] += figures.preemptions();
-      sums[3] += figures.utilization();
-      sums[4] += figures.freshOnTime();
-      sums[5] += figures.unserved();
-      sums[6] += figures.messages();
-      sums[7] += figures.mostMessages();
+      all.add(new PeakLoadSimulation(load, seed, forecasts).run(seconds));
     }
     return new Figures(
-        sums[0] / seeds,
-        sums[1] / seeds,
-        sums[2] / seeds,
-        sums[3] / seeds,
-        sums[4] / seeds,
-        sums[5] / seeds,
-        sums[6] / seeds,
-        sums[7] / seeds);
+        mean(all, Figures::liveOnTime),
+        mean(all, Figures::itemsOnTime),
+        mean(all, Figures::preemptions),
+        mean(all, Figures::utilization),
+        mean(all, Figures::freshOnTime),
+        mean(all, Figures::unserved),
+        mean(all, Figures::messages),
+        mean(all, Figures::mostMessages));
+  }
+
+  private static double mean(List<Figures> all, ToDoubleFunction<Figures> figure) {
+    return all.stream().mapToDouble(figure).average().orElseThrow();
   }
 
   /**
@@ -263,13 +194,24 @@
     time.after(
         -Math.log(1 - arrivals.nextDouble()) * 1_000 / rate,
         () -> {
-          instances
-              .get(arrivals.nextInt(instances.size()))
+          nextInstance(phase >= LOW_LOAD_MILLIS)
               .arrive(0, traffic.next(time.nanos() / 1e6, arrivals));
           scheduleLive();
         });
   }
 
+  /** Returns the instance at which the next live request arrives. */
+  private Instance nextInstance(boolean inPeak) {
+    double spread = inPeak ? load.domainSpread() : 0;
+    while (true) {
+      int number = arrivals.nextInt(instances.size());
+      double position = 2.0 * (number % load.domains()) / (load.domains() - 1) - 1;
+      if (spread == 0 || arrivals.nextDouble() * (1 + spread) < 1 + spread * position) {
+        return instances.get(number);
+      }
+    }
+  }
+
   /** Schedules the requests of clients that return within half a second after an outage. */
   private void scheduleReturningRequests() {
     returnStartMillis = time.nanos() / 1e6;
@@ -349,7 +291,8 @@
               time,
               time,
               () -> this.dispatcher().refresh());
-      FleetLoad fleetLoad = load.exchange() == Exchange.HUBS ? hubExchange.view() : directReports;
+      FleetLoad fleetLoad =
+          load.exchange() == PeakLoad.Exchange.HUBS ? hubExchange.view() : directReports;
       this.dispatcher =
           new Dispatcher(name, domain, key -> "region", fleetLoad, time, random::nextDouble);
       dispatcher.setEndpoints(endpoints, List.of());
@@ -357,7 +300,7 @@
       dispatcher.setWorkspaces(traffic::directory, () -> running);
       dispatcher.setChangeListener(
           () -> {
-            if (load.exchange() == Exchange.HUBS && !reportScheduled) {
+            if (load.exchange() == PeakLoad.Exchange.HUBS && !reportScheduled) {
               reportScheduled = true;
               time.after(
                   REPORT_DELAY_MILLIS,
@@ -374,7 +317,7 @@
     }
 
     void tick() {
-      if (load.exchange() == Exchange.HUBS) {
+      if (load.exchange() == PeakLoad.Exchange.HUBS) {
         hubExchange.tick();
       }
       dispatcher.tick(instances.size() - 1);
@@ -397,7 +340,7 @@
               dispatcher.sentToLimited(),
               false,
               traffic.details(running, dispatcher.liveWaitingByWorkspace()));
-      if (load.exchange() == Exchange.HUBS) {
+      if (load.exchange() == PeakLoad.Exchange.HUBS) {
         hubExchange.report(report);
         return;
       }
@@ -410,7 +353,7 @@
 
     private void receive(LoadMessage message) {
       received++;
-      if (load.exchange() == Exchange.HUBS) {
+      if (load.exchange() == PeakLoad.Exchange.HUBS) {
         hubExchange.receive(message);
       } else {
         directReports.receive((LoadReport) message, time.nanos());
@@ -522,16 +465,24 @@
       return ready;
     }
 
+    @Override
+    public Optional<ItemUrgency> next(String service) {
+      return forecasts ? nextItem().map(this::urgency) : Optional.empty();
+    }
+
     @Override
     public boolean startNext(ServiceEndpoint endpoint) {
-      Optional<Item> next =
-          items.stream()
-              .filter(item -> !item.running)
-              .min(Comparator.comparing(this::urgency, ItemUrgency.ORDER));
+      Optional<Item> next = nextItem();
       next.ifPresent(item -> start(item, endpoint.name()));
       return next.isPresent();
     }
 
+    private Optional<Item> nextItem() {
+      return items.stream()
+          .filter(item -> !item.running)
+          .min(Comparator.comparing(this::urgency, ItemUrgency.ORDER));
+    }
+
     /** Returns an urgency that is based on the mean time of an item, as in a real instance. */
     private ItemUrgency urgency(Item item) {
       double remaining = Math.max(0, load.itemMillis() - (item.totalMillis - item.remainingMillis));
@@ -541,6 +492,13 @@
           (long) (remaining * 1e6));
     }
 
+    private ItemUrgency urgency(Run run) {
+      ItemUrgency atStart = urgency(run.item());
+      long ranNanos = (long) (run.work().ranMillis(time) * 1e6);
+      return new ItemUrgency(
+          atStart.dueNanos(), atStart.nowNanos(), Math.max(0, atStart.neededNanos() - ranNanos));
+    }
+
     private void start(Item item, String endpoint) {
       item.running = true;
       SimulatedEngine.Work work =
@@ -572,7 +530,7 @@
     public boolean preempt(String endpoint) {
       List<Run> here = runs.getOrDefault(endpoint, new ArrayList<>());
       Optional<Run> last =
-          here.stream().max(Comparator.comparingDouble((Run run) -> run.item().submittedMillis));
+          here.stream().max(Comparator.comparing(run -> urgency(run), ItemUrgency.ORDER));
       last.ifPresent(
           run -> {
             here.remove(run);
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulationTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulationTest.java
@@ -16,8 +16,7 @@
   class TypicalLoad {
     @Test
     void keepsLiveRequestsOnTimeAndFinishesItemsBeforeTheyAreDue() {
-      PeakLoadSimulation.Figures figures =
-          PeakLoadSimulation.mean(PeakLoadSimulation.Load.TYPICAL, 5, 150);
+      PeakLoadSimulation.Figures figures = PeakLoadSimulation.mean(PeakLoad.TYPICAL, 5, 150);
       assertTrue(figures.liveOnTime() >= 0.98, figures.toString());
       assertTrue(figures.itemsOnTime() >= 0.95, figures.toString());
     }
@@ -31,7 +30,7 @@
     @Test
     void leavesSlotsToRequestsThatCanStillBeOnTime() {
       PeakLoadSimulation.Figures figures =
-          PeakLoadSimulation.mean(PeakLoadSimulation.Load.TYPICAL.withReturning(140), 5, 150);
+          PeakLoadSimulation.mean(PeakLoad.TYPICAL.withReturning(140), 5, 150);
       // Fresh requests are new ones that arrive within 2 s after the late ones begin to arrive.
       assertTrue(figures.freshOnTime() >= 0.75, figures.toString());
       assertTrue(figures.unserved() <= 0.01, figures.toString());
@@ -44,7 +43,7 @@
     @Test
     void takeNoSlotsFromItemsOfOtherInstancesThatCanBeOnTime() {
       PeakLoadSimulation.Figures figures =
-          PeakLoadSimulation.mean(PeakLoadSimulation.Load.TYPICAL.withLateItems(400), 5, 150);
+          PeakLoadSimulation.mean(PeakLoad.TYPICAL.withLateItems(400), 5, 150);
       assertTrue(figures.liveOnTime() >= 0.98, figures.toString());
       assertTrue(figures.itemsOnTime() >= 0.95, figures.toString());
     }
@@ -58,8 +57,7 @@
   class LargeFleet {
     @Test
     void keepsLiveRequestsAndItemsOnTimeOnEightyInstances() {
-      PeakLoadSimulation.Figures figures =
-          PeakLoadSimulation.mean(PeakLoadSimulation.Load.LARGE, 1, 50);
+      PeakLoadSimulation.Figures figures = PeakLoadSimulation.mean(PeakLoad.LARGE, 1, 50);
       assertTrue(figures.liveOnTime() >= 0.95, figures.toString());
       assertTrue(figures.itemsOnTime() >= 0.95, figures.toString());
     }
@@ -68,8 +66,7 @@
     @Test
     @Tag("known-red")
     void costsAnInstanceNoMoreOnFourHundredAndTenInstances() {
-      PeakLoadSimulation.Figures figures =
-          PeakLoadSimulation.mean(PeakLoadSimulation.Load.VERY_LARGE, 1, 25);
+      PeakLoadSimulation.Figures figures = PeakLoadSimulation.mean(PeakLoad.VERY_LARGE, 1, 25);
       assertTrue(figures.liveOnTime() >= 0.95, figures.toString());
       assertTrue(figures.messages() <= 150, figures.toString());
     }
@@ -80,7 +77,7 @@
     @Test
     void keepsLiveRequestsAndMostItemsOnTimeOnSevenEngines() {
       PeakLoadSimulation.Figures figures =
-          PeakLoadSimulation.mean(PeakLoadSimulation.Load.TYPICAL.withEngines(7), 5, 150);
+          PeakLoadSimulation.mean(PeakLoad.TYPICAL.withEngines(7), 5, 150);
       assertTrue(figures.liveOnTime() >= 0.95, figures.toString());
       assertTrue(figures.itemsOnTime() >= 0.85, figures.toString());
     }
@@ -88,7 +85,7 @@
     @Test
     void keepsLiveRequestsOnTimeOnSixEngines() {
       PeakLoadSimulation.Figures figures =
-          PeakLoadSimulation.mean(PeakLoadSimulation.Load.TYPICAL.withEngines(6), 5, 150);
+          PeakLoadSimulation.mean(PeakLoad.TYPICAL.withEngines(6), 5, 150);
       assertTrue(figures.liveOnTime() >= 0.8, figures.toString());
     }
   }
