Keep the quotas of workspaces over all instances by exchanged counts

A workspace's ratePerS and burst were read but not enforced. Instances now count the requests of each workspace and report the counts; announced endpoint rates and quotas share SharedBudget, SendHistory and PossibleSenders. Counts of instances and processes that no longer report stay in the sums for one window. A request that reached no endpoint is taken back.

--- a/sedgeroad/src/main/java/org/sedgeroad/access/AccessControl.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/AccessControl.java
@@ -145,7 +145,12 @@
     private final Route route;
     private final Credential credential;
     private Optional<Workspace> workspace = Optional.empty();
-    private boolean taken;
+
+    /** Workspace whose quota the request was counted against, empty if it was not counted. */
+    private Optional<Workspace> counted = Optional.empty();
+
+    /** Number of sends that may have reached an endpoint. */
+    private int sends;
 
     WorkspacePermit(Route route, Credential credential) {
       this.route = route;
@@ -194,11 +199,26 @@
     @Override
     public Optional<Refusal> beforeSend() {
       Optional<Refusal> refusal = check();
-      if (refusal.isPresent() || taken || workspace.isEmpty()) {
+      if (refusal.isPresent()) {
         return refusal;
       }
-      taken = quotas.take(workspace.get());
-      return taken ? Optional.empty() : Optional.of(overQuota(workspace.get()));
+      if (counted.isEmpty() && sends == 0 && workspace.isPresent()) {
+        if (!quotas.take(workspace.get())) {
+          return Optional.of(overQuota(workspace.get()));
+        }
+        counted = workspace;
+      }
+      sends++;
+      return Optional.empty();
+    }
+
+    @Override
+    public void notSent() {
+      sends--;
+      if (sends == 0) {
+        counted.ifPresent(quotas::giveBack);
+        counted = Optional.empty();
+      }
     }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/access/QuotaGate.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/QuotaGate.java
@@ -18,6 +18,11 @@
           return true;
         }
 
+        @Override
+        public void giveBack(Workspace workspace) {
+          // Nothing is counted.
+        }
+
         @Override
         public long retryAtNanos(Workspace workspace) {
           return 0;
@@ -34,6 +39,9 @@
    */
   boolean take(Workspace workspace);
 
+  /** Takes the count of a request back that did not reach an endpoint after all. */
+  void giveBack(Workspace workspace);
+
   /**
    * Returns the monotonic time at which a refused request of a workspace may be sent again, in
    * nanoseconds.
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
@@ -7,32 +7,36 @@
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.access.AccessControl;
 import org.sedgeroad.access.ConfigurationAge;
-import org.sedgeroad.access.QuotaGate;
+import org.sedgeroad.access.FleetQuotaGate;
 import org.sedgeroad.event.EventLog;
 import org.sedgeroad.gateway.RouteTableHolder;
+import org.sedgeroad.placement.PossibleSenders;
 import org.sedgeroad.presence.Confirmation;
 import org.sedgeroad.presence.FleetDetails;
 import org.sedgeroad.presence.HubExchange;
 import org.sedgeroad.presence.WorkspaceLoad;
-import org.sedgeroad.settings.AccessSettings;
+import org.sedgeroad.settings.GatewaySettings;
 import org.sedgeroad.store.KindWatcher;
 import org.sedgeroad.store.ObjectStore;
 
 /** The parts of an instance that decide who may send requests. Used on the event loop. */
 final class GatewayAccess {
+  private final InstanceDirectory instances;
   private final RouteTableHolder routes;
   private final HubExchange hubExchange;
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final EventLog log;
   private final ConfigurationAge age;
+  private final FleetQuotaGate quotas;
   private final AccessControl control;
   private ConfigurationProbe probe;
   private volatile boolean ready;
 
   /** Creates the access control of an instance, and connects it to the exchange of loads. */
   GatewayAccess(
-      AccessSettings settings,
+      GatewaySettings settings,
+      InstanceDirectory instances,
       RouteTableHolder routes,
       HubExchange hubExchange,
       EventLoop loop,
@@ -45,17 +49,28 @@
     this.log = log;
     this.age =
         new ConfigurationAge(
-            settings.revokeMillis(),
+            settings.access().revokeMillis(),
             clock,
             System::currentTimeMillis,
             () -> routes.current().version());
     hubExchange.setConfirmations(age::confirmation, age::receive);
+    this.instances = instances;
+    long windowMillis = settings.access().quotaWindowMillis();
+    this.quotas =
+        new FleetQuotaGate(
+            new PossibleSenders(
+                settings.instance(), settings.domain(), instances::domainsByInstance),
+            hubExchange.view(),
+            windowMillis,
+            clock,
+            () -> ThreadLocalRandom.current().nextDouble());
+    hubExchange.retainCounts(windowMillis);
     this.control =
         new AccessControl(
             routes,
             age,
             () -> hubExchange.view().others(clock.nanos()).configurationVersion(),
-            QuotaGate.NONE,
+            quotas,
             clock);
     this.ready = !age.isBounded();
   }
@@ -101,11 +116,25 @@
     running.forEach((name, count) -> loads.put(name, new WorkspaceLoad(0, count, 0)));
     waiting.forEach(
         (name, count) -> loads.merge(name, new WorkspaceLoad(0, 0, count), WorkspaceLoad::plus));
-    return new FleetDetails(Confirmation.NONE, 0, 0, loads, Map.of());
+    quotas
+        .reportedCounts()
+        .forEach(
+            (name, count) ->
+                loads.merge(name, new WorkspaceLoad(count, 0, 0), WorkspaceLoad::plus));
+    return new FleetDetails(
+        Confirmation.NONE,
+        quotas.reportedHistoryMillis(),
+        quotas.reportedCompleteHistories(),
+        loads,
+        Map.of());
   }
 
-  /** Confirms the configuration if it is time. To be called several times a second. */
+  /**
+   * Confirms the configuration if it is time, and takes changes among the instances into account.
+   * To be called several times a second.
+   */
   void tick() {
+    quotas.update(instances.count());
     probe.tick();
     ready = control.isReady() && !control.isExpired();
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -212,7 +212,8 @@
     dispatcher.setBatchSource(runner);
     dispatcher.setChangeListener(this::scheduleReport);
     this.jobs = new OwnedJobService(batch, runner, new HttpPeerJobs(instances, httpClient, clock));
-    this.access = new GatewayAccess(settings.access(), routes, hubExchange, eventLoop, clock, log);
+    this.access =
+        new GatewayAccess(settings, instances, routes, hubExchange, eventLoop, clock, log);
     GatewayDependencies dependencies =
         new GatewayDependencies(
             routes,
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestPermit.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestPermit.java
@@ -30,6 +30,11 @@
         public Optional<Refusal> beforeSend() {
           return Optional.empty();
         }
+
+        @Override
+        public void notSent() {
+          // Nothing is counted.
+        }
       };
 
   /**
@@ -51,4 +56,10 @@
    * @return the refusal of a request that has not run, empty if it may be sent
    */
   Optional<Refusal> beforeSend();
+
+  /**
+   * Records that the last send did not reach its endpoint. A request that has reached none is not
+   * counted against the quota.
+   */
+  void notSent();
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -503,6 +503,7 @@
             .dispatcher()
             .health()
             .recordUnreachable(endpoint.name(), dependencies.clock().nanos());
+        permit.notSent();
         releaseSlot(endpoint);
         attempt = null;
         if (isTrial) {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/AnnouncedRestrictions.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/AnnouncedRestrictions.java
@@ -83,8 +83,8 @@
     LoadTotals others = fleetLoad.others(now);
     int heard = others.reporters() == 0 ? 1 : heard(senders, now);
     String key = endpoint.incarnation();
-    RateBudget.Sent sent =
-        new RateBudget.Sent(
+    SharedBudget.Sent sent =
+        new SharedBudget.Sent(
             history.count(key, RateBudget.windowMillis(rate), now),
             Math.max(0, others.sentToLimited().getOrDefault(key, 0)),
             history.countNewest(
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/RateBudget.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/RateBudget.java
@@ -4,11 +4,9 @@
  * Decides how many requests an instance may send now to an endpoint that accepts a limited rate
  * from all instances together.
  *
- * <p>Only some instances use a limited endpoint, its senders. They count what all of them have sent
- * within a window and send while the sum is below the limit, so that the shares follow the demand.
- * The counts are some tens of milliseconds old. In this time each sender may send its even share of
- * what is left, or one request, so that the senders together exceed the limit by less than their
- * number.
+ * <p>Only some instances use a limited endpoint, its senders, which share a {@link SharedBudget}.
+ * What the others do not know yet is at most the sender's even share of what is left, or one
+ * request, so that the senders together exceed the limit by less than their number.
  */
 public final class RateBudget {
   /** Shortest window in which requests are counted, in milliseconds. */
@@ -53,15 +51,6 @@
     return (int) Math.min(instances, wanted);
   }
 
-  /**
-   * Requests sent to an endpoint within its window.
-   *
-   * @param own number sent by this instance
-   * @param others number sent by the other senders whose counts are known
-   * @param unreported number of {@code own} that the other senders may not know yet
-   */
-  record Sent(int own, int others, int unreported) {}
-
   /**
    * Returns how many requests this instance may send.
    *
@@ -71,11 +60,9 @@
    *     heard may be cut off and send its even share, which is set aside
    * @param sent what was sent in the window
    */
-  static int allowance(double requestsPerSecond, int senders, int heard, Sent sent) {
+  static int allowance(double requestsPerSecond, int senders, int heard, SharedBudget.Sent sent) {
     double known = (double) Math.min(heard, senders) / senders;
     double budget = Math.max(1, requestsInWindow(requestsPerSecond) * known);
-    int left = (int) Math.floor(Math.min(budget, Integer.MAX_VALUE)) - sent.own() - sent.others();
-    int share = Math.max(1, left / Math.max(1, heard));
-    return Math.max(0, Math.min(left, share - sent.unreported()));
+    return SharedBudget.allowance(budget, left -> left / Math.max(1, heard), sent);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/SendHistory.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/SendHistory.java
@@ -8,8 +8,11 @@
 import java.util.Map;
 import java.util.function.LongPredicate;
 
-/** Times at which this instance sent requests to endpoints. Used on the event loop. */
-final class SendHistory {
+/**
+ * Times at which this instance sent requests, by the endpoint or workspace whose requests are
+ * limited. Used on the event loop.
+ */
+public final class SendHistory {
   private final Map<String, Deque<Long>> sends = new HashMap<>();
 
   /**
@@ -17,15 +20,15 @@
    *
    * @param windowMillis length of the window, in milliseconds
    */
-  void record(String endpoint, long windowMillis, long nowNanos) {
-    Deque<Long> times = sends.computeIfAbsent(endpoint, name -> new ArrayDeque<>());
+  public void record(String key, long windowMillis, long nowNanos) {
+    Deque<Long> times = sends.computeIfAbsent(key, each -> new ArrayDeque<>());
     removeOld(times, windowMillis, nowNanos);
     times.addLast(nowNanos);
   }
 
   /** Returns the number of requests within a window that ends now. */
-  int count(String endpoint, long windowMillis, long nowNanos) {
-    Deque<Long> times = sends.get(endpoint);
+  public int count(String key, long windowMillis, long nowNanos) {
+    Deque<Long> times = sends.get(key);
     if (times == null) {
       return 0;
     }
@@ -33,13 +36,30 @@
     return times.size();
   }
 
+  /** Takes the newest request back, because it was not sent after all; no effect without one. */
+  public void removeNewest(String key) {
+    Deque<Long> times = sends.get(key);
+    if (times != null) {
+      times.pollLast();
+    }
+  }
+
+  /** Returns the numbers of requests within a window that ends now, and forgets keys without. */
+  public Map<String, Integer> counts(long windowMillis, long nowNanos) {
+    sends.values().forEach(times -> removeOld(times, windowMillis, nowNanos));
+    sends.values().removeIf(Deque::isEmpty);
+    Map<String, Integer> counts = new HashMap<>();
+    sends.forEach((key, times) -> counts.put(key, times.size()));
+    return counts;
+  }
+
   /**
    * Returns the number of newest requests whose times meet a condition.
    *
    * @param condition condition on a monotonic time in nanoseconds that all later times meet too
    */
-  int countNewest(String endpoint, LongPredicate condition) {
-    Deque<Long> times = sends.get(endpoint);
+  public int countNewest(String key, LongPredicate condition) {
+    Deque<Long> times = sends.get(key);
     int count = 0;
     if (times != null) {
       Iterator<Long> newestFirst = times.descendingIterator();
@@ -50,9 +70,9 @@
     return count;
   }
 
-  /** Forgets the endpoints that are not among some names. */
-  void retain(Collection<String> endpoints) {
-    sends.keySet().retainAll(endpoints);
+  /** Forgets the keys that are not among those given. */
+  public void retain(Collection<String> keys) {
+    sends.keySet().retainAll(keys);
   }
 
   private static void removeOld(Deque<Long> times, long windowMillis, long nowNanos) {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/SenderSelection.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/SenderSelection.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
@@ -20,14 +19,11 @@
  * {@link #SILENCE_MILLIS} is gone and is not selected.
  */
 final class SenderSelection {
-  /** Time after which a silent instance is considered gone; splits last for seconds. */
-  static final long SILENCE_MILLIS = 15_000;
+  /** Time after which a silent instance is considered gone, in milliseconds. */
+  static final long SILENCE_MILLIS = PossibleSenders.SILENCE_MILLIS;
 
-  private final String instance;
   private final UnaryOperator<String> regionOfDomain;
-  private final Supplier<Map<String, String>> domainsByInstance;
-  private final Map<String, Long> heardNanos = new HashMap<>();
-  private Map<String, String> candidates = Map.of();
+  private final PossibleSenders candidates;
   private final Map<String, List<String>> ranked = new HashMap<>();
 
   /**
@@ -43,49 +39,20 @@
       String domain,
       UnaryOperator<String> regionOfDomain,
       Supplier<Map<String, String>> domainsByInstance) {
-    this.instance = instance;
     this.regionOfDomain = regionOfDomain;
-    this.domainsByInstance =
-        () -> {
-          Map<String, String> domains = new HashMap<>(domainsByInstance.get());
-          domains.put(instance, domain);
-          return domains;
-        };
-    this.candidates = Map.of(instance, domain);
+    this.candidates = new PossibleSenders(instance, domain, domainsByInstance);
   }
 
-  /**
-   * Updates the instances that can be selected.
-   *
-   * @param isLive returns whether another instance is heard
-   * @param isLeaving returns whether another instance has announced its stop
-   * @param nowNanos monotonic time, in nanoseconds
-   */
+  /** Updates the instances that can be selected, see {@link PossibleSenders#update}. */
   void update(Predicate<String> isLive, Predicate<String> isLeaving, long nowNanos) {
-    Map<String, String> next = domainsByInstance.get();
-    heardNanos.keySet().retainAll(next.keySet());
-    for (String name : Set.copyOf(next.keySet())) {
-      if (isLive.test(name)) {
-        heardNanos.put(name, nowNanos);
-      } else {
-        heardNanos.putIfAbsent(name, nowNanos);
-      }
-    }
-    next.keySet()
-        .removeIf(
-            name ->
-                !name.equals(instance)
-                    && (isLeaving.test(name)
-                        || nowNanos - heardNanos.get(name) >= SILENCE_MILLIS * 1_000_000L));
-    if (!next.equals(candidates)) {
-      candidates = next;
+    if (candidates.update(isLive, isLeaving, nowNanos)) {
       ranked.clear();
     }
   }
 
   /** Returns the number of instances that can be selected. */
   int candidates() {
-    return candidates.size();
+    return candidates.count();
   }
 
   /** Returns the senders of an endpoint, at most the given number. */
@@ -103,8 +70,8 @@
     String region = regionOfDomain.apply(endpoint.domain());
     List<String> near = new ArrayList<>();
     List<String> far = new ArrayList<>();
-    for (String name : RendezvousHashing.rank(endpoint.name(), candidates.keySet())) {
-      boolean same = regionOfDomain.apply(candidates.get(name)).equals(region);
+    for (String name : RendezvousHashing.rank(endpoint.name(), candidates.domains().keySet())) {
+      boolean same = regionOfDomain.apply(candidates.domains().get(name)).equals(region);
       (same ? near : far).add(name);
     }
     near.addAll(far);
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/DomainHub.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/DomainHub.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.presence;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,7 @@
   private final LoadReportTable reports = new LoadReportTable();
   private final Map<String, Map<String, Received>> summariesByDomain = new HashMap<>();
   private long sequence;
+  private long retentionNanos;
 
   DomainHub(String instance, String domain, long incarnation) {
     this.instance = instance;
@@ -39,6 +41,12 @@
     this.incarnation = incarnation;
   }
 
+  /** Sets the time for which sent requests stay in the sums, see {@link LoadReportTable}. */
+  void setRetention(long millis) {
+    reports.setRetention(millis);
+    retentionNanos = millis * 1_000_000L;
+  }
+
   /** Stores a report of an instance of this domain; returns whether it was newer. */
   boolean receive(LoadReport report, long nowNanos) {
     return reports.receive(report, nowNanos);
@@ -60,10 +68,7 @@
 
   /** Returns a summary of this domain, which has the next sequence number. */
   LoadSummary domainSummary(long nowNanos) {
-    return summary(
-        LoadSummary.Scope.DOMAIN,
-        LoadTotals.ofReports(reports.current(nowNanos)),
-        reports.reporters(nowNanos));
+    return summary(LoadSummary.Scope.DOMAIN, reports.others(nowNanos), reports.reporters(nowNanos));
   }
 
   /**
@@ -75,11 +80,13 @@
    */
   LoadSummary fleetSummary(boolean complete, long nowNanos) {
     List<LoadTotals> parts = new ArrayList<>();
-    parts.add(LoadTotals.ofReports(reports.current(nowNanos)));
+    parts.add(reports.others(nowNanos));
     Map<String, ReporterState> states = reports.reporters(nowNanos);
     for (Map<String, Received> summaries : summariesByDomain.values()) {
       Received best = best(summaries, nowNanos);
-      if (best != null) {
+      if (best == null) {
+        parts.add(LoadTotals.NONE.withDetails(retained(summaries, nowNanos)));
+      } else {
         parts.add(best.summary().totals());
         int ageMillis = (int) ((nowNanos - best.receivedNanos()) / 1_000_000L);
         best.summary()
@@ -101,6 +108,15 @@
     return summary(LoadSummary.Scope.FLEET, LoadTotals.sum(parts), states);
   }
 
+  /** Returns the requests that the instances of a domain that became silent have sent. */
+  private FleetDetails retained(Map<String, Received> summaries, long nowNanos) {
+    return summaries.values().stream()
+        .max(Comparator.comparingLong(received -> received.receivedNanos() - nowNanos))
+        .filter(newest -> nowNanos - newest.receivedNanos() < retentionNanos)
+        .map(newest -> newest.summary().totals().details().retained())
+        .orElse(FleetDetails.NONE);
+  }
+
   private LoadSummary summary(
       LoadSummary.Scope scope, LoadTotals totals, Map<String, ReporterState> states) {
     return new LoadSummary(scope, instance, domain, incarnation, ++sequence, totals, states);
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetDetails.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetDetails.java
@@ -65,6 +65,36 @@
     return new FleetDetails(next, historyMillis, completeHistories, workspaces, speeds);
   }
 
+  /**
+   * Returns what stays in the sums after the instances have stopped to report: the requests that
+   * they have sent.
+   */
+  FleetDetails retained() {
+    return new FleetDetails(Confirmation.NONE, 0, 0, retained(workspaces, Map.of()), Map.of());
+  }
+
+  /**
+   * Returns the requests in these details that are missing in later ones, in which fewer instances
+   * are counted.
+   */
+  FleetDetails retainedBeyond(FleetDetails later) {
+    return new FleetDetails(
+        Confirmation.NONE, 0, 0, retained(workspaces, later.workspaces), Map.of());
+  }
+
+  private static Map<String, WorkspaceLoad> retained(
+      Map<String, WorkspaceLoad> earlier, Map<String, WorkspaceLoad> later) {
+    Map<String, WorkspaceLoad> result = new HashMap<>();
+    earlier.forEach(
+        (name, load) -> {
+          int known = later.getOrDefault(name, WorkspaceLoad.NONE).sentByAll();
+          if (load.sentByAll() > known) {
+            result.put(name, new WorkspaceLoad(0, 0, 0, load.sentByAll() - known));
+          }
+        });
+    return result;
+  }
+
   private static <T> Map<String, T> merged(
       Map<String, T> left, Map<String, T> right, BinaryOperator<T> sum) {
     if (left.isEmpty() || right.isEmpty()) {
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/FleetLoadView.java
@@ -61,6 +61,12 @@
 
   private DomainHub.Received used;
   private LoadTotals others = LoadTotals.NONE;
+
+  /** Sums from which instances are missing since; null if there are none. */
+  private LoadTotals fuller;
+
+  private long fullerNanos;
+  private long retentionNanos;
   private long includedNanos;
   private boolean includesOwnReport;
 
@@ -69,6 +75,14 @@
     this.instance = instance;
   }
 
+  /**
+   * Sets the time for which requests that other instances have sent stay in the sums after these
+   * instances are no longer counted, in milliseconds; 0 until then.
+   */
+  void setRetention(long millis) {
+    retentionNanos = millis * 1_000_000L;
+  }
+
   /** Remembers a report that this instance sends. */
   void sent(LoadReport report, long nowNanos) {
     sentReports.addLast(new Sent(report, nowNanos));
@@ -92,12 +106,32 @@
     if (best == used) {
       return false;
     }
-    used = best;
     LoadTotals before = others;
+    boolean retained = used != null && nowNanos - used.receivedNanos() < retentionNanos;
+    used = best;
     takeOutOwnReport();
+    retainCounts(retained ? before : LoadTotals.NONE, nowNanos);
     return !others.equals(before);
   }
 
+  /**
+   * Adds the requests that instances have sent which are no longer counted, unless the hubs still
+   * count them.
+   */
+  private void retainCounts(LoadTotals before, long nowNanos) {
+    if (fuller != null
+        && (nowNanos - fullerNanos >= retentionNanos || others.reporters() >= fuller.reporters())) {
+      fuller = null;
+    }
+    if (fuller == null && others.reporters() < before.reporters()) {
+      fuller = before;
+      fullerNanos = nowNanos;
+    }
+    if (fuller != null) {
+      others = others.plusDetails(fuller.details().retainedBeyond(others.details()));
+    }
+  }
+
   /**
    * Records whether other instances are live at a monotonic time in nanoseconds; see {@link
    * IsolationDetector#observe}.
@@ -171,10 +205,13 @@
 
   @Override
   public LoadTotals others(long nowNanos) {
-    boolean valid =
-        used != null
-            && nowNanos - used.receivedNanos() < LoadReportTable.COUNTS_VALID_MILLIS * 1_000_000L;
-    return valid ? others : LoadTotals.NONE;
+    long age = used == null ? Long.MAX_VALUE : nowNanos - used.receivedNanos();
+    if (age < LoadReportTable.COUNTS_VALID_MILLIS * 1_000_000L) {
+      return others;
+    }
+    return age < retentionNanos
+        ? LoadTotals.NONE.withDetails(others.details().retained())
+        : LoadTotals.NONE;
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/HubExchange.java
@@ -221,6 +221,15 @@
     confirmationListener = listener;
   }
 
+  /**
+   * Sets the time for which the requests of workspaces that an instance has sent stay in the sums
+   * after it has stopped to report, in milliseconds; 0 until then.
+   */
+  public void retainCounts(long millis) {
+    hub.setRetention(millis);
+    view.setRetention(millis);
+  }
+
   /** Receives a message of another instance. */
   public void receive(LoadMessage message) {
     long now = clock.nanos();
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
@@ -101,6 +101,7 @@
       packer.packInt(entry.getValue().sent());
       packer.packInt(entry.getValue().running());
       packer.packInt(entry.getValue().waiting());
+      packer.packInt(entry.getValue().retained());
     }
     packer.packMapHeader(details.speeds().size());
     for (Map.Entry<String, SpeedSample> entry : details.speeds().entrySet()) {
@@ -118,7 +119,11 @@
     for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
       workspaces.put(
           unpacker.unpackString(),
-          new WorkspaceLoad(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt()));
+          new WorkspaceLoad(
+              unpacker.unpackInt(),
+              unpacker.unpackInt(),
+              unpacker.unpackInt(),
+              unpacker.unpackInt()));
     }
     Map<String, SpeedSample> speeds = new HashMap<>();
     for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadReportTable.java
@@ -28,9 +28,22 @@
    */
   public static final long FAILURE_TIMEOUT_MILLIS = 2_500;
 
+  /** Requests that a process sent which was replaced by another one of the same instance. */
+  private record Former(FleetDetails sent, long receivedNanos) {}
+
   private record Received(LoadReport report, long receivedNanos, MessageOrder order) {}
 
   private final Map<String, Received> reports = new HashMap<>();
+  private final List<Former> formerProcesses = new ArrayList<>();
+  private long retentionNanos;
+
+  /**
+   * Sets the time for which the requests of workspaces that an instance has sent stay in the sums
+   * after its last report, in milliseconds; 0 until then.
+   */
+  void setRetention(long millis) {
+    retentionNanos = millis * 1_000_000L;
+  }
 
   /**
    * Stores a report unless it is older than the stored one or repeats it.
@@ -44,6 +57,10 @@
     if (before != null && !before.order().isNewer(report.incarnation(), report.sequence())) {
       return false;
     }
+    if (before != null && before.report().incarnation() != report.incarnation()) {
+      formerProcesses.removeIf(former -> nowNanos - former.receivedNanos() >= retentionNanos);
+      formerProcesses.add(new Former(before.report().details().retained(), before.receivedNanos()));
+    }
     MessageOrder order =
         before == null
             ? MessageOrder.first(report.incarnation(), report.sequence())
@@ -83,7 +100,24 @@
 
   @Override
   public LoadTotals others(long nowNanos) {
-    return LoadTotals.ofReports(current(nowNanos));
+    return LoadTotals.ofReports(current(nowNanos)).plusDetails(retained(nowNanos));
+  }
+
+  /** Returns the requests that were sent by instances and processes that no longer report. */
+  private FleetDetails retained(long nowNanos) {
+    FleetDetails sum = FleetDetails.NONE;
+    for (Former former : formerProcesses) {
+      if (nowNanos - former.receivedNanos() < retentionNanos) {
+        sum = sum.plus(former.sent());
+      }
+    }
+    for (Received received : reports.values()) {
+      long age = nowNanos - received.receivedNanos();
+      if (age >= COUNTS_VALID_MILLIS * 1_000_000L && age < retentionNanos) {
+        sum = sum.plus(received.report().details().retained());
+      }
+    }
+    return sum;
   }
 
   /** Returns whether all other instances have reported since a time; see {@link FleetLoad}. */
--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadTotals.java
@@ -145,6 +145,11 @@
         next);
   }
 
+  /** Returns a copy to whose details others are added. */
+  LoadTotals plusDetails(FleetDetails other) {
+    return withDetails(details.plus(other));
+  }
+
   private static LoadTotals of(LoadReport report) {
     Map<String, EndpointTotal> endpoints = new HashMap<>();
     report
