--- a/sedgeroad/src/test/java/org/sedgeroad/presence/LoadReportTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadReportTableTest.java
@@ -40,6 +40,40 @@
     }
   }
 
+  /** Guards against a quota that is used again because its user was killed or restarted. */
+  @Nested
+  class SentRequests {
+    private LoadReport sent(long incarnation, int count) {
+      Map<String, WorkspaceLoad> loads = Map.of("chess", new WorkspaceLoad(count, 1, 1));
+      return report("a", incarnation, 1)
+          .withDetails(new FleetDetails(Confirmation.NONE, 5_000, 1, loads, Map.of()));
+    }
+
+    private WorkspaceLoad known(long millis) {
+      FleetDetails details = table.others(millis * MILLI).details();
+      return details.workspaces().getOrDefault("chess", WorkspaceLoad.NONE);
+    }
+
+    @Test
+    void ofASilentInstanceStayForTheRetention() {
+      table.setRetention(5_000);
+      table.receive(sent(1, 7), 0);
+      assertEquals(new WorkspaceLoad(7, 1, 1), known(599));
+      assertEquals(new WorkspaceLoad(0, 0, 0, 7), known(600));
+      assertEquals(0, table.others(600 * MILLI).details().completeHistories());
+      assertEquals(new WorkspaceLoad(0, 0, 0, 7), known(4_999));
+      assertEquals(WorkspaceLoad.NONE, known(5_000));
+    }
+
+    @Test
+    void ofAReplacedProcessStayBesideThoseOfTheNewOne() {
+      table.setRetention(5_000);
+      table.receive(sent(1, 7), 0);
+      table.receive(sent(2, 3), 100 * MILLI);
+      assertEquals(new WorkspaceLoad(3, 1, 1, 7), known(200));
+    }
+  }
+
   @Nested
   class Order {
     @Test
