--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -203,7 +203,8 @@
             batch,
             runner,
             new HttpPeerJobs(instances, () -> hubExchange.hubs().get(0), httpClient, clock));
-    this.access = new GatewayAccess(settings.access(), routes, hubExchange, eventLoop, clock, log);
+    this.access =
+        new GatewayAccess(settings, instances, routes, hubExchange, eventLoop, clock, log);
     GatewayDependencies dependencies =
         new GatewayDependencies(
             routes,
