Take a whole answer to a long upload for whole, and test early ends at both doors

After a long upload, the read that finds the end of an answer without a length closes the connection, which was reported as a failure before the read returned, so that a whole answer was taken for a broken one. The result of the read now counts.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
@@ -65,6 +65,11 @@
   /** Whether the whole request was handed to the operating system. */
   private boolean requestWritten;
 
+  private boolean reading;
+
+  /** Failure that was reported during a read, null without one. */
+  private IOException failureWhileReading;
+
   /** Time at which the request was sent. */
   private long sentNanos;
 
@@ -268,7 +273,13 @@
 
           @Override
           public void failed(IOException failure) {
-            fail(failure);
+            if (reading) {
+              // A read that finds the end of an answer closes the connection, which is reported
+              // here before the read returns; what it returns tells whether the answer is whole.
+              failureWhileReading = failure;
+            } else {
+              fail(failure);
+            }
           }
         });
   }
@@ -312,10 +323,14 @@
           return true;
         }
         buffer.clear();
-        int count = source.read(buffer);
-        if (count == 0) {
+        int count = read(source, buffer);
+        if (count == 0 && failureWhileReading == null) {
           return true;
         }
+        if (count == 0) {
+          fail(failureWhileReading);
+          return false;
+        }
         if (count < 0) {
           complete(received);
           return false;
@@ -335,6 +350,15 @@
     }
   }
 
+  private int read(StreamSourceChannel source, ByteBuffer buffer) throws IOException {
+    reading = true;
+    try {
+      return source.read(buffer);
+    } finally {
+      reading = false;
+    }
+  }
+
   private void complete(ClientExchange received) {
     if (withoutEnd) {
       failWithoutEnd();
--- a/sedgeroad/src/test/java/org/sedgeroad/engine/EngineStreamEndTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/engine/EngineStreamEndTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.ServiceClass;
 import org.sedgeroad.http.HttpHead;
@@ -28,6 +29,9 @@
   private final PooledHttpClient httpClient = PooledHttpClient.create(1);
   private ServerSocket server;
 
+  /** Whether the server ends its answer before it closes the connection. */
+  private volatile boolean endsAnswerFirst;
+
   @BeforeEach
   void listen() throws IOException {
     server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
@@ -41,7 +45,12 @@
 
   /** Answers one request, without a length or chunks, and closes or resets the connection. */
   private void serve(String contentType, String body, boolean reset) {
-    String answer = "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n\r\n" + body;
+    serve("200", contentType, body, reset);
+  }
+
+  private void serve(String status, String contentType, String body, boolean reset) {
+    String answer =
+        "HTTP/1.1 " + status + " OK\r\nContent-Type: " + contentType + "\r\n\r\n" + body;
     Thread thread =
         new Thread(
             () -> {
@@ -52,6 +61,10 @@
                   request.append((char) input.read());
                 }
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                if (endsAnswerFirst) {
+                  socket.shutdownOutput();
+                  Thread.sleep(50);
+                }
                 if (reset) {
                   Thread.sleep(50);
                   socket.setSoLinger(true, 0);
@@ -66,6 +79,10 @@
 
   /** Returns the data of the events and, at the end, the outcome. */
   private List<String> call() throws Exception {
+    return call("body");
+  }
+
+  private List<String> call(String body) throws Exception {
     List<String> seen = new ArrayList<>();
     CompletableFuture<List<String>> ended = new CompletableFuture<>();
     EngineListener listener =
@@ -98,7 +115,7 @@
                 "POST",
                 URI.create("http://127.0.0.1:" + server.getLocalPort() + "/v1/completions"),
                 Map.of(),
-                "body".getBytes(StandardCharsets.UTF_8),
+                body.getBytes(StandardCharsets.UTF_8),
                 "r1",
                 ServiceClass.LIVE,
                 false,
@@ -130,4 +147,21 @@
     serve("application/json", "{}", reset);
     assertEquals(expected, String.join(" ", call()));
   }
+
+  /** The request is longer than what the buffers of a connection take, and is not read. */
+  @ParameterizedTest
+  @CsvSource({"application/json,{},Broken", "text/event-stream,'data: a\n\n',a Broken"})
+  void isNotThereWhileTheRequestIsStillSent(String contentType, String body, String expected)
+      throws Exception {
+    endsAnswerFirst = true;
+    serve(contentType, body, false);
+    assertEquals(expected, String.join(" ", call("body".repeat(4 * 1024 * 1024))));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "103", "600", "999"})
+  void isNotThatOfAnAnswerWithAnInvalidStatus(String status) throws Exception {
+    serve(status, "application/json", "{}", false);
+    assertEquals("Broken", String.join(" ", call()));
+  }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
@@ -245,6 +245,20 @@
       }
     }
 
+    @Test
+    void isCompleteIfTheRequestWasReadWhole() {
+      byte[] body = new byte[16 * 1024 * 1024];
+      serve(
+          socket -> {
+            readHead(socket);
+            socket.getInputStream().readNBytes(body.length);
+            socket.getOutputStream().write(UNFRAMED.getBytes(StandardCharsets.US_ASCII));
+          });
+      for (int number = 0; number < 20; number++) {
+        assertComplete(BODY, call("POST", body));
+      }
+    }
+
     @ParameterizedTest
     @ValueSource(
         strings = {
