--- a/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerChanges.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerChanges.java
@@ -27,10 +27,10 @@
   static final int GONE = 410;
 
   /**
-   * Time allowed for a call beyond its wait, in milliseconds; ten round trips between regions, as
-   * for other calls to peers.
+   * Time allowed for a call beyond its wait, in milliseconds, as for a watch of the store; a pause
+   * of the hub's process is shorter, and would otherwise cost store calls of all its members.
    */
-  private static final long ROUND_TRIP_MILLIS = 300;
+  private static final long ANSWER_GRACE_MILLIS = 1_000;
 
   private final InstanceDirectory instances;
   private final PooledHttpClient httpClient;
@@ -57,7 +57,7 @@
     HttpCall call =
         HttpCall.get(
             URI.create("http://" + authority + PATH + query),
-            clock.deadlineAfterMillis(waitMillis + ROUND_TRIP_MILLIS));
+            clock.deadlineAfterMillis(waitMillis + ANSWER_GRACE_MILLIS));
     HttpExchange exchange =
         httpClient.start(call, (HttpResult answer) -> result.accept(decode(kind, answer)));
     return exchange::close;
