Load an owned job only once

Cause: after a failed load, the retry loaded the job again although a load that another event had begun had succeeded 8 ms before. The second load replaced the job: its items were started again from their first events, and a job that a client had ended ran. Seen once in five runs of GatewayJobTest$Ended.doesNotStartIfItEndsWhileItIsLoaded, on a busy machine.

Change: a job that is already run here is neither loaded nor replaced.

Result: GatewayItemTest, GatewayJobTest$Ended and $Accepted pass (24 tests). No test forces the two loads to meet; the existing one meets them by chance.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobService.java
@@ -432,7 +432,9 @@
 
   /** Loads the items and results of a job that this instance owns, then runs it. */
   private void load(JobHead head) {
-    if (!loading.add(head.id())) {
+    // A retry may follow a load that another event has begun and that has already succeeded. A
+    // second load would replace the job, with the output that its running items have received.
+    if (runner.job(head.id()).isPresent() || !loading.add(head.id())) {
       return;
     }
     context
@@ -463,7 +465,7 @@
       JobHead head, StoreResult<List<ItemSpec>> items, StoreResult<List<List<JobResult>>> chunks) {
     loading.remove(head.id());
     JobHead current = jobHeads.find(head.id()).map(JobHeadCache.CachedJob::head).orElse(head);
-    if (!current.owner().equals(context.instance())) {
+    if (!current.owner().equals(context.instance()) || runner.job(head.id()).isPresent()) {
       return;
     }
     if (items instanceof StoreResult.Done<List<ItemSpec>> specs
