Choose the endpoint of a live request by the expected time to its first event

The placement took free slots in proportion to their number, so that slow endpoints of a service got as many requests as fast ones, and as many were queued inside them. LivePlacement now adds wait, time to the first event at the observed speed, and distance, and chooses at random among those that take nearly the least.

PeakLoadSimulationTest passes unchanged.

--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -31,6 +31,7 @@
   private final MonotonicClock clock;
   private final DoubleSupplier random;
   private final WaitingRequests waiting = new WaitingRequests();
+  private LivePolicy livePolicy = LivePlacement::choose;
   private Runnable changeListener = () -> {};
   private long lastDeferralRoundNanos;
 
@@ -67,6 +68,11 @@
     directory.setRestrictions(next);
   }
 
+  /** Sets the choice of endpoints for live requests; {@link LivePlacement} until then. */
+  void setLivePolicy(LivePolicy policy) {
+    livePolicy = policy;
+  }
+
   /** Sets the source of the batch items; {@link BatchSource#NONE} until then. */
   public void setBatchSource(BatchSource source) {
     items.setBatchSource(source);
@@ -239,7 +245,11 @@
 
   private boolean place(LiveDemand demand, List<EndpointLoad> loads) {
     Optional<LiveChoice> choice =
-        LivePlacement.choose(loads, demand.isDeferrable(clock.nanos()), random);
+        livePolicy.choose(
+            loads,
+            demand.isDeferrable(clock.nanos()),
+            directory.speeds().runTimes(demand.service()),
+            random);
     choice.ifPresent(
         chosen -> {
           if (chosen.preemptBatch()) {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointDirectory.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointDirectory.java
@@ -147,7 +147,8 @@
         ours.batch(),
         unregisteredNames.contains(endpoint.name())
             || health.isSuspect(endpoint.name(), clock.nanos()),
-        restrictions.allowance(endpoint));
+        restrictions.allowance(endpoint),
+        speeds.factor(endpoint.name()));
   }
 
   private EndpointLoad.Distance distance(String other) {
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointLoad.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointLoad.java
@@ -14,6 +14,8 @@
  * @param suspect whether the endpoint failed recently or has no registration
  * @param allowance number of requests that this instance may send to the endpoint now, because the
  *     endpoint accepts a limited rate only; {@link Integer#MAX_VALUE} without a limit
+ * @param slowness time that the endpoint takes for a step of its work, relative to the median of
+ *     its service, positive
  */
 public record EndpointLoad(
     ServiceEndpoint endpoint,
@@ -22,7 +24,8 @@
     int batch,
     int ownBatch,
     boolean suspect,
-    int allowance) {
+    int allowance,
+    double slowness) {
 
   /** Location of an endpoint relative to this instance. */
   public enum Distance {
@@ -34,7 +37,7 @@
     OTHER_REGION
   }
 
-  /** Creates the load of an endpoint that states no limit. */
+  /** Creates the load of an endpoint of median speed that states no limit. */
   public EndpointLoad(
       ServiceEndpoint endpoint,
       Distance distance,
@@ -42,7 +45,7 @@
       int batch,
       int ownBatch,
       boolean suspect) {
-    this(endpoint, distance, live, batch, ownBatch, suspect, Integer.MAX_VALUE);
+    this(endpoint, distance, live, batch, ownBatch, suspect, Integer.MAX_VALUE, 1);
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointSpeeds.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointSpeeds.java
@@ -32,6 +32,7 @@
 
   private final MonotonicClock clock;
   private final Map<String, EndpointSpeed> own = new HashMap<>();
+  private final Map<String, RunTimeAverage> runTimes = new HashMap<>();
   private final Map<String, SpeedFactor> factors = new HashMap<>();
   private Map<String, Double> factorsByName = Map.of();
   private Map<String, SpeedSample> reported = Map.of();
@@ -56,7 +57,15 @@
         incarnations.contains(incarnation)
             ? own.computeIfAbsent(incarnation, key -> new EndpointSpeed())
             : new EndpointSpeed();
-    return RunTiming.begin(speed, clock, promptTokens);
+    RunTimeAverage average =
+        runTimes.computeIfAbsent(endpoint.service(), key -> new RunTimeAverage());
+    return RunTiming.begin(speed, average, factor(endpoint.name()), clock, promptTokens);
+  }
+
+  /** Returns the times of live requests of a service at an endpoint of median speed. */
+  RunTimes runTimes(String service) {
+    RunTimeAverage average = runTimes.get(service);
+    return average == null ? RunTimes.UNKNOWN : average.times();
   }
 
   /** Discards the observations of all incarnations but those of the known endpoints. */
@@ -64,6 +73,7 @@
     incarnations = endpoints.stream().map(ServiceEndpoint::incarnation).collect(Collectors.toSet());
     own.keySet().retainAll(incarnations);
     factors.keySet().retainAll(incarnations);
+    runTimes.keySet().retainAll(endpoints.stream().map(ServiceEndpoint::service).toList());
     updateFactorsByName(endpoints);
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/LivePlacement.java
@@ -1,34 +1,58 @@
 package org.sedgeroad.placement;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
-import java.util.function.ToIntFunction;
 
 /**
- * Chooses the endpoint for a live request.
+ * Chooses the endpoint for a live request: one with the least expected time to the first event.
  *
- * <p>A free slot is preferred, then the slot of a batch item of this instance, then a short queue
- * inside an endpoint. If none of these is available, the request waits in the instance. Free slots
- * of endpoints that accept a limited rate come after those of others: a rate is used best by items,
- * which are longer, and by the requests that find no other slot.
+ * <p>The time at an endpoint is the sum of the wait for a slot, of the time to the first event at
+ * its speed, and of the distance. A free slot costs no wait, the slot of a batch item of this
+ * instance costs the preemption, that of another instance's item also the time until that instance
+ * knows, and a place in a short queue inside the endpoint the time until requests there end. If no
+ * endpoint has any of these, the request waits in the instance. Free slots of endpoints that accept
+ * a limited rate are used after those of others: a rate is used best by items, which are longer,
+ * and by the requests that find no other slot.
  */
 public final class LivePlacement {
   /**
-   * Number of live requests that may be queued inside one endpoint: with 8 slots that are held for
-   * 0.7 s each, a slot becomes free every 0.09 s, so that two requests wait less than an objective
-   * of 0.3 s.
+   * Number of live requests that may be queued inside an endpoint of median speed: with 8 slots
+   * that are held for 0.7 s each, a slot becomes free every 0.09 s, so that two requests wait less
+   * than an objective of 0.3 s. At other speeds, as many as wait for the same time.
    */
   public static final int MAXIMUM_QUEUE_IN_ENDPOINT = 2;
 
   /**
-   * Weight of an endpoint in another region, relative to one in this region with as many slots: its
-   * answers take tens of milliseconds longer and use the link between the regions.
+   * Cost of a preemption of an own item, in milliseconds: the prompt and the output of the item are
+   * processed again, which takes an endpoint up to 30 ms.
    */
-  private static final double OTHER_REGION_WEIGHT = 0.1;
+  private static final double OWN_ITEM_MILLIS = 30;
 
-  /** Weight of an endpoint in another failure domain of this region. */
-  private static final double OTHER_DOMAIN_WEIGHT = 0.9;
+  /**
+   * Cost of a preemption of another instance's item, in milliseconds: the same, and 30 ms until
+   * that instance knows of the request.
+   */
+  private static final double OTHER_ITEM_MILLIS = 60;
+
+  /** Time by which another region is farther away, in milliseconds: a round trip. */
+  private static final double OTHER_REGION_MILLIS = 24;
+
+  /** Time by which another failure domain of this region is farther away, in milliseconds. */
+  private static final double OTHER_DOMAIN_MILLIS = 3;
+
+  /**
+   * Weight of an endpoint in another region beside its distance, because its answers use the link
+   * between the regions. With the distance, it gets a tenth of the requests of a near one.
+   */
+  private static final double OTHER_REGION_WEIGHT = 0.22;
+
+  /**
+   * Additional time at which an endpoint is chosen 2.7 times less often, in milliseconds: the usual
+   * age of the counts, in which a peak fills the slots that they show as free.
+   */
+  private static final double NEAR_EQUAL_MILLIS = 30;
 
   private LivePlacement() {}
 
@@ -36,53 +60,95 @@
    * Returns the endpoint for a request, empty if the request has to wait.
    *
    * <p>All instances choose by counts that are some tens of milliseconds old. If each one chose the
-   * least loaded endpoint, the requests of this time would all arrive there; so the choice is
-   * random, in proportion to the slots that can be had.
+   * endpoint with the least time, the requests of this time would all arrive there; so the choice
+   * among those with nearly the least is random, in proportion to the slots that can be had.
    *
    * @param loads loads of the endpoints that the request may use
    * @param deferrable whether the request is late and can wait
+   * @param times times of requests of the service at an endpoint of median speed
    * @param random source of random numbers from 0 (inclusive) to 1 (exclusive)
    */
-  public static Optional<LiveChoice> choose(
-      List<EndpointLoad> loads, boolean deferrable, DoubleSupplier random) {
+  static Optional<LiveChoice> choose(
+      List<EndpointLoad> loads, boolean deferrable, RunTimes times, DoubleSupplier random) {
     List<EndpointLoad> candidates = healthy(loads);
-    return weighted(candidates, LivePlacement::unlimitedFree, random)
-        .or(() -> weighted(candidates, EndpointLoad::startable, random))
-        .map(load -> new LiveChoice(load.endpoint(), false))
-        .or(
-            () ->
-                weighted(candidates, LivePlacement::ownPreemptible, random)
-                    .map(load -> new LiveChoice(load.endpoint(), true)))
-        .or(
-            () ->
-                weighted(candidates, LivePlacement::preemptible, random)
-                    .or(() -> weighted(candidates, load -> queueRoom(load, deferrable), random))
-                    .map(load -> new LiveChoice(load.endpoint(), false)));
+    boolean unlimitedFree = candidates.stream().anyMatch(LivePlacement::isUnlimitedFree);
+    Option[] options = new Option[candidates.size()];
+    double least = Double.POSITIVE_INFINITY;
+    double leastWithoutPreemption = Double.POSITIVE_INFINITY;
+    for (int index = 0; index < options.length; index++) {
+      EndpointLoad load = candidates.get(index);
+      if (!unlimitedFree || !load.isLimited()) {
+        options[index] = option(load, deferrable, times);
+        least = Math.min(least, options[index].millis);
+        if (options[index].preemption == Preemption.NONE) {
+          leastWithoutPreemption = Math.min(leastWithoutPreemption, options[index].millis);
+        }
+      }
+    }
+    double[] weights = new double[options.length];
+    for (int index = 0; index < options.length; index++) {
+      weights[index] = weight(options[index], least, leastWithoutPreemption);
+    }
+    int chosen = atRandom(weights, random.getAsDouble());
+    return chosen < 0
+        ? Optional.empty()
+        : Optional.of(
+            new LiveChoice(
+                candidates.get(chosen).endpoint(),
+                options[chosen].preemption == Preemption.OWN_ITEM));
   }
 
-  /** Returns the number of free slots of an endpoint, 0 if it accepts a limited rate only. */
-  private static int unlimitedFree(EndpointLoad load) {
-    return load.isLimited() ? 0 : load.free();
+  /** What has to give way to a request at an endpoint. */
+  private enum Preemption {
+    NONE,
+    OWN_ITEM,
+    OTHER_ITEM
   }
 
-  /** Returns the number of own items at an endpoint that may give way to live requests. */
-  private static int ownPreemptible(EndpointLoad load) {
-    return Math.min(load.ownBatch(), preemptible(load));
+  /**
+   * The best way to run a request at one endpoint.
+   *
+   * @param load load of the endpoint
+   * @param room number of requests that can be run in this way, not positive if there is none
+   * @param millis expected time to the first event, infinite if there is no such way
+   * @param preemption what gives way
+   */
+  private record Option(EndpointLoad load, int room, double millis, Preemption preemption) {}
+
+  private static Option option(EndpointLoad load, boolean deferrable, RunTimes times) {
+    int slots = load.endpoint().slots();
+    double base = times.firstEventMillis() * load.slowness() + distanceMillis(load);
+    if (load.startable() > 0) {
+      return new Option(load, load.startable(), base, Preemption.NONE);
+    }
+    int preemptible = Math.min(slots - load.live(), load.allowance());
+    int ownPreemptible = Math.min(load.ownBatch(), preemptible);
+    if (ownPreemptible > 0) {
+      return new Option(load, ownPreemptible, base + OWN_ITEM_MILLIS, Preemption.OWN_ITEM);
+    }
+    if (preemptible > 0) {
+      return new Option(load, preemptible, base + OTHER_ITEM_MILLIS, Preemption.OTHER_ITEM);
+    }
+    // A deferrable request is not queued inside an endpoint, because a request that can still be on
+    // time could not overtake it.
+    int queue = (int) (MAXIMUM_QUEUE_IN_ENDPOINT / load.slowness());
+    int queueRoom = deferrable ? 0 : Math.min(slots + queue - load.live(), load.allowance());
+    double stepMillis = times.slotMillis() * load.slowness() / Math.max(1, slots);
+    double millis = base + (load.live() - slots + 1) * stepMillis;
+    return new Option(
+        load, queueRoom, queueRoom > 0 ? millis : Double.POSITIVE_INFINITY, Preemption.NONE);
   }
 
-  /** Returns the number of slots that live requests may still take from items of any instance. */
-  private static int preemptible(EndpointLoad load) {
-    return Math.min(load.endpoint().slots() - load.live(), load.allowance());
+  private static double distanceMillis(EndpointLoad load) {
+    return switch (load.distance()) {
+      case SAME_DOMAIN -> 0;
+      case SAME_REGION -> OTHER_DOMAIN_MILLIS;
+      case OTHER_REGION -> OTHER_REGION_MILLIS;
+    };
   }
 
-  /**
-   * Returns how many more requests may be queued inside an endpoint whose slots all have live
-   * requests. A deferrable request is not queued there, because a request that can still be on time
-   * could not overtake it.
-   */
-  private static int queueRoom(EndpointLoad load, boolean deferrable) {
-    int room = load.endpoint().slots() + MAXIMUM_QUEUE_IN_ENDPOINT - load.live();
-    return deferrable ? 0 : Math.min(room, load.allowance());
+  private static boolean isUnlimitedFree(EndpointLoad load) {
+    return !load.isLimited() && load.free() > 0;
   }
 
   /** Returns the endpoints that are not suspect, or all of them if each one is. */
@@ -91,36 +157,35 @@
     return healthy.isEmpty() ? loads : healthy;
   }
 
-  /**
-   * Returns an endpoint at random, in proportion to its room and its nearness; empty if none has
-   * room.
-   */
-  private static Optional<EndpointLoad> weighted(
-      List<EndpointLoad> loads, ToIntFunction<EndpointLoad> room, DoubleSupplier random) {
-    double sum = 0;
-    for (EndpointLoad load : loads) {
-      sum += Math.max(0, room.applyAsInt(load)) * nearness(load);
-    }
-    double left = random.getAsDouble() * sum;
-    EndpointLoad last = null;
-    for (EndpointLoad load : loads) {
-      double weight = Math.max(0, room.applyAsInt(load)) * nearness(load);
-      if (weight > 0) {
-        last = load;
-        left -= weight;
+  /** Returns an index at random, in proportion to its weight; -1 if no weight is positive. */
+  private static int atRandom(double[] weights, double random) {
+    double left = random * Arrays.stream(weights).sum();
+    int last = -1;
+    for (int index = 0; index < weights.length; index++) {
+      if (weights[index] > 0) {
+        last = index;
+        left -= weights[index];
         if (left < 0) {
-          return Optional.of(load);
+          return last;
         }
       }
     }
-    return Optional.ofNullable(last);
+    return last;
   }
 
-  private static double nearness(EndpointLoad load) {
-    return switch (load.distance()) {
-      case SAME_DOMAIN -> 1;
-      case SAME_REGION -> OTHER_DOMAIN_WEIGHT;
-      case OTHER_REGION -> OTHER_REGION_WEIGHT;
-    };
+  /**
+   * Returns the weight of an option; 0 if it is none, or preempts an item although another option
+   * without preemption takes no longer.
+   */
+  private static double weight(Option option, double least, double leastWithoutPreemption) {
+    if (option == null || option.room <= 0) {
+      return 0;
+    }
+    if (option.preemption != Preemption.NONE && leastWithoutPreemption <= option.millis) {
+      return 0;
+    }
+    double link =
+        option.load.distance() == EndpointLoad.Distance.OTHER_REGION ? OTHER_REGION_WEIGHT : 1;
+    return option.room * link * Math.exp((least - option.millis) / NEAR_EQUAL_MILLIS);
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/RunTiming.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/RunTiming.java
@@ -10,28 +10,46 @@
  */
 public final class RunTiming {
   private final EndpointSpeed speed;
+  private final RunTimeAverage average;
+  private final double slowness;
+  private final long sentNanos;
   private final MonotonicClock clock;
   private final int promptTokens;
   private boolean begun;
   private long lastNanos;
 
-  private RunTiming(EndpointSpeed speed, MonotonicClock clock, int promptTokens) {
+  private RunTiming(
+      EndpointSpeed speed,
+      RunTimeAverage average,
+      double slowness,
+      MonotonicClock clock,
+      int promptTokens) {
     this.speed = Objects.requireNonNull(speed);
+    this.average = Objects.requireNonNull(average);
+    this.slowness = slowness;
     this.clock = Objects.requireNonNull(clock);
     this.promptTokens = promptTokens;
-    this.lastNanos = clock.nanos();
+    this.sentNanos = clock.nanos();
+    this.lastNanos = sentNanos;
   }
 
   /**
    * Returns the timing of a run that is sent now.
    *
    * @param speed receives the observations, not null
+   * @param average receives the times of the run at median speed, not null
+   * @param slowness time that the endpoint takes for a step, relative to the median
    * @param clock source of monotonic time, not null
    * @param promptTokens number of prompt tokens to process, 0 if it is not known
    * @throws NullPointerException if an object is null
    */
-  static RunTiming begin(EndpointSpeed speed, MonotonicClock clock, int promptTokens) {
-    return new RunTiming(speed, clock, promptTokens);
+  static RunTiming begin(
+      EndpointSpeed speed,
+      RunTimeAverage average,
+      double slowness,
+      MonotonicClock clock,
+      int promptTokens) {
+    return new RunTiming(speed, average, slowness, clock, promptTokens);
   }
 
   /**
@@ -42,11 +60,15 @@
     return lastNanos + millis * 1_000_000L;
   }
 
-  /** Records that the answer is complete; an answer without events counts as one event. */
+  /**
+   * Records that the answer of a live request is complete; an answer without events counts as one
+   * event.
+   */
   public void answered() {
     if (!begun) {
       received(1);
     }
+    average.addRun((clock.nanos() - sentNanos) / 1e6 / slowness);
   }
 
   /**
@@ -65,6 +87,7 @@
     if (!begun) {
       begun = true;
       speed.recordFirstEvent(promptTokens, elapsed, now);
+      average.addFirstEvent(elapsed / 1e6 / slowness);
       return;
     }
     for (int index = 0; index < count; index++) {
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -8,7 +8,9 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import org.sedgeroad.gateway.ServiceEndpoint;
+import org.sedgeroad.presence.FleetDetails;
 import org.sedgeroad.presence.FleetLoad;
 import org.sedgeroad.presence.HubExchange;
 import org.sedgeroad.presence.LoadMessage;
@@ -26,6 +28,7 @@
   private static final double LOW_LOAD_MILLIS = 3_800;
   private static final double CYCLE_MILLIS = 6_600;
   private static final double FIRST_EVENT_MILLIS = 15;
+  private static final double EVENT_MILLIS = 34;
   private static final double FRESH_WINDOW_MILLIS = 2_000;
   private static final double CLIENT_TIMEOUT_MILLIS = 5_000;
   private static final String SERVICE = "engine";
@@ -35,7 +38,9 @@
     /** Each instance sends its reports to all others, every 50 ms. */
     DIRECT,
     /** Reports go to the hubs of the failure domain, which publish the sums. */
-    HUBS
+    HUBS,
+    /** Each change of the work of an instance is known to all others at once. */
+    EXACT
   }
 
   /**
@@ -177,6 +182,7 @@
       double mostMessages) {}
 
   private final Load load;
+  private final SimulatedSpeeds speeds;
   private final VirtualTime time = new VirtualTime();
   private final Random random;
 
@@ -202,8 +208,9 @@
   private double measuredFromMillis;
   private double measuredUntilMillis;
 
-  PeakLoadSimulation(Load load, long seed) {
+  PeakLoadSimulation(Load load, SimulatedSpeeds speeds, long seed) {
     this.load = load;
+    this.speeds = speeds;
     this.random = new Random(seed);
     this.arrivals = new Random(seed + 1);
     this.jobArrivals = new Random(seed + 2);
@@ -229,27 +236,28 @@
 
   /** Runs the load once for each seed from 1 to {@code seeds} and returns the mean figures. */
   static Figures mean(Load load, int seeds, double seconds) {
-    double[] sums = new double[8];
+    return mean(load, SimulatedSpeeds.EQUAL, seeds, seconds);
+  }
+
+  /** As {@link #mean(Load, int, double)}, with engines of other speeds. */
+  static Figures mean(Load load, SimulatedSpeeds speeds, int seeds, double seconds) {
+    List<Figures> all = new ArrayList<>();
     for (int seed = 1; seed <= seeds; seed++) {
-      Figures figures = new PeakLoadSimulation(load, seed).run(seconds);
-      sums[0] += figures.liveOnTime();
-      sums[1] += figures.itemsOnTime();
-      sums[2] += figures.preemptions();
-      sums[3] += figures.utilization();
-      sums[4] += figures.freshOnTime();
-      sums[5] += figures.unserved();
-      sums[6] += figures.messages();
-      sums[7] += figures.mostMessages();
+      all.add(new PeakLoadSimulation(load, speeds, seed).run(seconds));
     }
     return new Figures(
-        sums[0] / seeds,
-        sums[1] / seeds,
-        sums[2] / seeds,
-        sums[3] / seeds,
-        sums[4] / seeds,
-        sums[5] / seeds,
-        sums[6] / seeds,
-        sums[7] / seeds);
+        mean(all, Figures::liveOnTime),
+        mean(all, Figures::itemsOnTime),
+        mean(all, Figures::preemptions),
+        mean(all, Figures::utilization),
+        mean(all, Figures::freshOnTime),
+        mean(all, Figures::unserved),
+        mean(all, Figures::messages),
+        mean(all, Figures::mostMessages));
+  }
+
+  private static double mean(List<Figures> all, ToDoubleFunction<Figures> figure) {
+    return all.stream().mapToDouble(figure).average().orElseThrow();
   }
 
   /**
@@ -324,30 +332,14 @@
     return atMillis >= measuredFromMillis && atMillis < measuredUntilMillis;
   }
 
-  /** A batch item with its remaining run time. */
-  private static final class Item {
-    private final double submittedMillis;
-    private final double totalMillis;
-    private double remainingMillis;
-    private boolean running;
-
-    Item(double submittedMillis, double totalMillis) {
-      this.submittedMillis = submittedMillis;
-      this.totalMillis = totalMillis;
-      this.remainingMillis = totalMillis;
-    }
-  }
-
-  private record Run(Item item, SimulatedEngine.Work work) {}
-
   /** One instance with its own dispatcher and its own reports of the others. */
   private final class Instance implements BatchSource {
     private final String name;
     private final LoadReportTable directReports = new LoadReportTable();
     private final HubExchange hubExchange;
     private final Dispatcher dispatcher;
-    private final List<Item> items = new ArrayList<>();
-    private final Map<String, List<Run>> runs = new HashMap<>();
+    private final List<SimulatedItem> items = new ArrayList<>();
+    private final Map<String, List<SimulatedItem.Run>> runs = new HashMap<>();
     private long sequence;
     private boolean reportScheduled;
     private int received;
@@ -374,9 +366,12 @@
           new Dispatcher(name, domain, key -> "region", fleetLoad, time, random::nextDouble);
       dispatcher.setEndpoints(endpoints, List.of());
       dispatcher.setBatchSource(this);
+      dispatcher.setLivePolicy(speeds.policy());
       dispatcher.setChangeListener(
           () -> {
-            if (load.exchange() == Exchange.HUBS && !reportScheduled) {
+            if (load.exchange() == Exchange.EXACT) {
+              report();
+            } else if (load.exchange() == Exchange.HUBS && !reportScheduled) {
               reportScheduled = true;
               time.after(
                   REPORT_DELAY_MILLIS,
@@ -414,13 +409,19 @@
               Map.of(),
               dispatcher.occupancy(),
               dispatcher.sentToLimited(),
-              false);
+              false,
+              FleetDetails.NONE.withSpeeds(dispatcher.speedSamples()));
       if (load.exchange() == Exchange.HUBS) {
         hubExchange.report(report);
         return;
       }
       for (Instance other : instances) {
-        if (other != this) {
+        if (other != this && load.exchange() == Exchange.EXACT) {
+          other.directReports.receive(report, time.nanos());
+          if (other.dispatcher.liveWaiting() > 0) {
+            time.after(0, other.dispatcher::refresh);
+          }
+        } else if (other != this) {
           time.after(NETWORK_MILLIS, () -> other.receive(report));
         }
       }
@@ -465,21 +466,29 @@
     }
 
     private void send(ServiceEndpoint endpoint, double arrived, double millis) {
+      double slowness = speeds.of(endpoint.name());
+      RunTiming timing = dispatcher.speeds().begin(endpoint, 0);
       SimulatedEngine.Work work =
           new SimulatedEngine.Work(
-              millis,
-              () -> started(arrived),
+              millis * slowness,
+              () -> started(arrived, timing, slowness),
               () ->
                   time.after(
-                      NETWORK_MILLIS, () -> dispatcher.release(endpoint.name(), WorkClass.LIVE)));
+                      NETWORK_MILLIS,
+                      () -> {
+                        timing.received((int) (millis / EVENT_MILLIS));
+                        timing.answered();
+                        dispatcher.release(endpoint.name(), WorkClass.LIVE);
+                      }));
       time.after(NETWORK_MILLIS, () -> engines.get(endpoint.name()).submit(work));
     }
 
-    private void started(double arrived) {
+    private void started(double arrived, RunTiming timing, double slowness) {
+      time.after(FIRST_EVENT_MILLIS * slowness + NETWORK_MILLIS, () -> timing.received(1));
       if (isMeasured(arrived)) {
         live++;
         double firstEventMillis =
-            time.nanos() / 1e6 + FIRST_EVENT_MILLIS + NETWORK_MILLIS - arrived;
+            time.nanos() / 1e6 + FIRST_EVENT_MILLIS * slowness + NETWORK_MILLIS - arrived;
         liveOnTime += firstEventMillis <= 300 ? 1 : 0;
         if (arrived >= returnStartMillis && arrived < returnStartMillis + FRESH_WINDOW_MILLIS) {
           fresh++;
@@ -489,13 +498,14 @@
     }
 
     void addLateItem() {
-      items.add(new Item(-load.dueMillis(), load.itemMillis()));
+      items.add(new SimulatedItem(-load.dueMillis(), load.itemMillis()));
     }
 
     void addJob() {
       double now = time.nanos() / 1e6;
       for (int index = 0; index < 10; index++) {
-        items.add(new Item(now, load.itemMillis() * (0.6 + 0.8 * jobArrivals.nextDouble())));
+        items.add(
+            new SimulatedItem(now, load.itemMillis() * (0.6 + 0.8 * jobArrivals.nextDouble())));
         itemsDue += isMeasured(now) ? 1 : 0;
       }
       dispatcher.refresh();
@@ -504,7 +514,7 @@
     @Override
     public Map<BatchQueue, Integer> ready() {
       Map<BatchQueue, Integer> ready = new HashMap<>();
-      for (Item item : items) {
+      for (SimulatedItem item : items) {
         if (!item.running) {
           ready.merge(new BatchQueue(SERVICE, urgency(item).isLate()), 1, Integer::sum);
         }
@@ -520,7 +530,7 @@
 
     @Override
     public boolean startNext(ServiceEndpoint endpoint) {
-      Optional<Item> next =
+      Optional<SimulatedItem> next =
           items.stream()
               .filter(item -> !item.running)
               .min(Comparator.comparing(this::urgency, ItemUrgency.ORDER));
@@ -529,7 +539,7 @@
     }
 
     /** Returns an urgency that is based on the mean time of an item, as in a real instance. */
-    private ItemUrgency urgency(Item item) {
+    private ItemUrgency urgency(SimulatedItem item) {
       double remaining = Math.max(0, load.itemMillis() - (item.totalMillis - item.remainingMillis));
       return new ItemUrgency(
           (long) ((item.submittedMillis + load.dueMillis()) * 1e6),
@@ -537,14 +547,15 @@
           (long) (remaining * 1e6));
     }
 
-    private void start(Item item, String endpoint) {
+    private void start(SimulatedItem item, String endpoint) {
       item.running = true;
       SimulatedEngine.Work work =
           new SimulatedEngine.Work(
-              item.remainingMillis,
+              item.remainingMillis * speeds.of(endpoint),
               () -> {},
               () -> time.after(NETWORK_MILLIS, () -> end(item, endpoint)));
-      runs.computeIfAbsent(endpoint, key -> new ArrayList<>()).add(new Run(item, work));
+      runs.computeIfAbsent(endpoint, key -> new ArrayList<>())
+          .add(new SimulatedItem.Run(item, work));
       time.after(
           NETWORK_MILLIS,
           () -> {
@@ -554,7 +565,7 @@
           });
     }
 
-    private void end(Item item, String endpoint) {
+    private void end(SimulatedItem item, String endpoint) {
       if (runs.get(endpoint).removeIf(run -> run.item() == item)) {
         items.remove(item);
         itemsEnded++;
@@ -566,14 +577,18 @@
 
     @Override
     public boolean preempt(String endpoint) {
-      List<Run> here = runs.getOrDefault(endpoint, new ArrayList<>());
-      Optional<Run> last =
-          here.stream().max(Comparator.comparingDouble((Run run) -> run.item().submittedMillis));
+      List<SimulatedItem.Run> here = runs.getOrDefault(endpoint, new ArrayList<>());
+      Optional<SimulatedItem.Run> last =
+          here.stream()
+              .max(
+                  Comparator.comparingDouble(
+                      (SimulatedItem.Run run) -> run.item().submittedMillis));
       last.ifPresent(
           run -> {
             here.remove(run);
             preemptions++;
-            run.item().remainingMillis -= Math.max(0, run.work().ranMillis(time) - NETWORK_MILLIS);
+            run.item().remainingMillis -=
+                Math.max(0, run.work().ranMillis(time) - NETWORK_MILLIS) / speeds.of(endpoint);
             run.item().remainingMillis = Math.max(run.item().remainingMillis, 20) + 15;
             time.after(NETWORK_MILLIS, () -> engines.get(endpoint).cancel(run.work()));
             time.after(50, () -> run.item().running = false);
