--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -43,6 +43,7 @@
   private final WaitingRequests waiting = new WaitingRequests();
   private final Map<String, Integer> liveRunningByWorkspace = new HashMap<>();
   private final SlotSharing sharing;
+  private LivePolicy livePolicy = LivePlacement::choose;
   private Runnable changeListener = () -> {};
   private long lastDeferralRoundNanos;
 
@@ -80,6 +81,11 @@
     directory.setRestrictions(next);
   }
 
+  /** Sets the choice of endpoints for live requests; {@link LivePlacement} until then. */
+  void setLivePolicy(LivePolicy policy) {
+    livePolicy = policy;
+  }
+
   /** Sets the source of the batch items; {@link BatchSource#NONE} until then. */
   public void setBatchSource(BatchSource source) {
     items.setBatchSource(source);
@@ -329,7 +335,11 @@
 
   private boolean place(LiveDemand demand, List<EndpointLoad> loads, boolean mayQueue) {
     Optional<LiveChoice> choice =
-        LivePlacement.choose(loads, !mayQueue || demand.isDeferrable(clock.nanos()), random);
+        livePolicy.choose(
+            loads,
+            !mayQueue || demand.isDeferrable(clock.nanos()),
+            directory.speeds().runTimes(demand.service()),
+            random);
     choice.ifPresent(
         chosen -> {
           if (chosen.preemptBatch()) {
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoad.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoad.java
@@ -98,6 +98,8 @@
     /** Each instance sends its reports to all others, every 50 ms. */
     DIRECT,
     /** Reports go to the hubs of the failure domain, which publish the sums. */
-    HUBS
+    HUBS,
+    /** Each change of the work of an instance is known to all others at once. */
+    EXACT
   }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.LongFunction;
 import java.util.function.ToDoubleFunction;
 import org.sedgeroad.gateway.Refusal;
 import org.sedgeroad.gateway.ServiceEndpoint;
@@ -28,6 +29,7 @@
   private static final double LOW_LOAD_MILLIS = 3_800;
   private static final double CYCLE_MILLIS = 6_600;
   private static final double FIRST_EVENT_MILLIS = 15;
+  private static final double EVENT_MILLIS = 34;
   private static final double FRESH_WINDOW_MILLIS = 2_000;
   private static final double CLIENT_TIMEOUT_MILLIS = 5_000;
   private static final String SERVICE = "engine";
@@ -57,6 +59,7 @@
       double mostMessages) {}
 
   private final PeakLoad load;
+  private final SimulatedSpeeds speeds;
   private final WorkspaceTraffic traffic;
   private final boolean forecasts;
   private final VirtualTime time = new VirtualTime();
@@ -84,12 +87,12 @@
   private double measuredFromMillis;
   private double measuredUntilMillis;
 
-  PeakLoadSimulation(PeakLoad load, long seed) {
-    this(load, WorkspaceTraffic.NONE, seed, true);
+  PeakLoadSimulation(PeakLoad load, SimulatedSpeeds speeds, long seed) {
+    this(load, speeds, WorkspaceTraffic.NONE, seed, true);
   }
 
   PeakLoadSimulation(PeakLoad load, WorkspaceTraffic traffic, long seed) {
-    this(load, traffic, seed, true);
+    this(load, SimulatedSpeeds.EQUAL, traffic, seed, true);
   }
 
   /**
@@ -98,12 +101,17 @@
    * @param forecasts whether items start by the forecast of the live demand, or in any free slot
    */
   PeakLoadSimulation(PeakLoad load, long seed, boolean forecasts) {
-    this(load, WorkspaceTraffic.NONE, seed, forecasts);
+    this(load, SimulatedSpeeds.EQUAL, WorkspaceTraffic.NONE, seed, forecasts);
   }
 
   private PeakLoadSimulation(
-      PeakLoad load, WorkspaceTraffic traffic, long seed, boolean forecasts) {
+      PeakLoad load,
+      SimulatedSpeeds speeds,
+      WorkspaceTraffic traffic,
+      long seed,
+      boolean forecasts) {
     this.load = load;
+    this.speeds = speeds;
     this.traffic = traffic;
     this.forecasts = forecasts;
     this.random = new Random(seed);
@@ -131,14 +139,23 @@
 
   /** Runs the load once for each seed from 1 to {@code seeds} and returns the mean figures. */
   static Figures mean(PeakLoad load, int seeds, double seconds) {
-    return mean(load, seeds, seconds, true);
+    return mean(seeds, seed -> new PeakLoadSimulation(load, seed, true).run(seconds));
   }
 
-  /** As {@link #mean(Load, int, double)}, by the forecast of the live demand or without it. */
+  /** As {@link #mean(PeakLoad, int, double)}, by the forecast of the live demand or without it. */
   static Figures mean(PeakLoad load, int seeds, double seconds, boolean forecasts) {
+    return mean(seeds, seed -> new PeakLoadSimulation(load, seed, forecasts).run(seconds));
+  }
+
+  /** As {@link #mean(PeakLoad, int, double)}, with engines of other speeds. */
+  static Figures mean(PeakLoad load, SimulatedSpeeds speeds, int seeds, double seconds) {
+    return mean(seeds, seed -> new PeakLoadSimulation(load, speeds, seed).run(seconds));
+  }
+
+  private static Figures mean(int seeds, LongFunction<Figures> run) {
     List<Figures> all = new ArrayList<>();
     for (int seed = 1; seed <= seeds; seed++) {
-      all.add(new PeakLoadSimulation(load, seed, forecasts).run(seconds));
+      all.add(run.apply(seed));
     }
     return new Figures(
         mean(all, Figures::liveOnTime),
@@ -245,30 +262,14 @@
     return atMillis >= measuredFromMillis && atMillis < measuredUntilMillis;
   }
 
-  /** A batch item with its remaining run time. */
-  private static final class Item {
-    private final double submittedMillis;
-    private final double totalMillis;
-    private double remainingMillis;
-    private boolean running;
-
-    Item(double submittedMillis, double totalMillis) {
-      this.submittedMillis = submittedMillis;
-      this.totalMillis = totalMillis;
-      this.remainingMillis = totalMillis;
-    }
-  }
-
-  private record Run(Item item, SimulatedEngine.Work work) {}
-
   /** One instance with its own dispatcher and its own reports of the others. */
   private final class Instance implements BatchSource {
     private final String name;
     private final LoadReportTable directReports = new LoadReportTable();
     private final HubExchange hubExchange;
     private final Dispatcher dispatcher;
-    private final List<Item> items = new ArrayList<>();
-    private final Map<String, List<Run>> runs = new HashMap<>();
+    private final List<SimulatedItem> items = new ArrayList<>();
+    private final Map<String, List<SimulatedItem.Run>> runs = new HashMap<>();
     private final Map<String, Integer> running = new HashMap<>();
     private long sequence;
     private boolean reportScheduled;
@@ -297,10 +298,13 @@
           new Dispatcher(name, domain, key -> "region", fleetLoad, time, random::nextDouble);
       dispatcher.setEndpoints(endpoints, List.of());
       dispatcher.setBatchSource(this);
+      dispatcher.setLivePolicy(speeds.policy());
       dispatcher.setWorkspaces(traffic::directory, () -> running);
       dispatcher.setChangeListener(
           () -> {
-            if (load.exchange() == PeakLoad.Exchange.HUBS && !reportScheduled) {
+            if (load.exchange() == PeakLoad.Exchange.EXACT) {
+              report();
+            } else if (load.exchange() == PeakLoad.Exchange.HUBS && !reportScheduled) {
               reportScheduled = true;
               time.after(
                   REPORT_DELAY_MILLIS,
@@ -339,13 +343,20 @@
               dispatcher.occupancy(),
               dispatcher.sentToLimited(),
               false,
-              traffic.details(running, dispatcher.liveWaitingByWorkspace()));
+              traffic
+                  .details(running, dispatcher.liveWaitingByWorkspace())
+                  .withSpeeds(dispatcher.speedSamples()));
       if (load.exchange() == PeakLoad.Exchange.HUBS) {
         hubExchange.report(report);
         return;
       }
       for (Instance other : instances) {
-        if (other != this) {
+        if (other != this && load.exchange() == PeakLoad.Exchange.EXACT) {
+          other.directReports.receive(report, time.nanos());
+          if (other.dispatcher.liveWaiting() > 0) {
+            time.after(0, other.dispatcher::refresh);
+          }
+        } else if (other != this) {
           time.after(NETWORK_MILLIS, () -> other.receive(report));
         }
       }
@@ -408,22 +419,29 @@
     private void send(
         ServiceEndpoint endpoint, double arrived, double millis, WorkspaceTraffic.Request request) {
       running.merge(request.workspace, 1, Integer::sum);
+      double slowness = speeds.of(endpoint.name());
+      RunTiming timing = dispatcher.speeds().begin(endpoint, 0);
       SimulatedEngine.Work work =
           new SimulatedEngine.Work(
-              millis,
-              () -> started(arrived, request),
+              millis * slowness,
+              () -> started(arrived, timing, slowness, request),
               () ->
                   time.after(
                       NETWORK_MILLIS,
                       () -> {
                         running.merge(request.workspace, -1, Integer::sum);
+                        timing.received((int) (millis / EVENT_MILLIS));
+                        timing.answered();
                         dispatcher.release(endpoint.name(), WorkClass.LIVE);
                       }));
       time.after(NETWORK_MILLIS, () -> engines.get(endpoint.name()).submit(work));
     }
 
-    private void started(double arrived, WorkspaceTraffic.Request request) {
-      double firstEventMillis = time.nanos() / 1e6 + FIRST_EVENT_MILLIS + NETWORK_MILLIS - arrived;
+    private void started(
+        double arrived, RunTiming timing, double slowness, WorkspaceTraffic.Request request) {
+      time.after(FIRST_EVENT_MILLIS * slowness + NETWORK_MILLIS, () -> timing.received(1));
+      double firstEventMillis =
+          time.nanos() / 1e6 + FIRST_EVENT_MILLIS * slowness + NETWORK_MILLIS - arrived;
       traffic.started(request, firstEventMillis <= 300);
       if (isMeasured(arrived)) {
         live++;
@@ -436,13 +454,14 @@
     }
 
     void addLateItem() {
-      items.add(new Item(-load.dueMillis(), load.itemMillis()));
+      items.add(new SimulatedItem(-load.dueMillis(), load.itemMillis()));
     }
 
     void addJob() {
       double now = time.nanos() / 1e6;
       for (int index = 0; index < 10; index++) {
-        items.add(new Item(now, load.itemMillis() * (0.6 + 0.8 * jobArrivals.nextDouble())));
+        items.add(
+            new SimulatedItem(now, load.itemMillis() * (0.6 + 0.8 * jobArrivals.nextDouble())));
         itemsDue += isMeasured(now) ? 1 : 0;
       }
       dispatcher.refresh();
@@ -451,7 +470,7 @@
     @Override
     public Map<BatchQueue, Integer> ready() {
       Map<BatchQueue, Integer> ready = new HashMap<>();
-      for (Item item : items) {
+      for (SimulatedItem item : items) {
         if (!item.running) {
           ready.merge(new BatchQueue(SERVICE, urgency(item).isLate()), 1, Integer::sum);
         }
@@ -472,19 +491,19 @@
 
     @Override
     public boolean startNext(ServiceEndpoint endpoint) {
-      Optional<Item> next = nextItem();
+      Optional<SimulatedItem> next = nextItem();
       next.ifPresent(item -> start(item, endpoint.name()));
       return next.isPresent();
     }
 
-    private Optional<Item> nextItem() {
+    private Optional<SimulatedItem> nextItem() {
       return items.stream()
           .filter(item -> !item.running)
           .min(Comparator.comparing(this::urgency, ItemUrgency.ORDER));
     }
 
     /** Returns an urgency that is based on the mean time of an item, as in a real instance. */
-    private ItemUrgency urgency(Item item) {
+    private ItemUrgency urgency(SimulatedItem item) {
       double remaining = Math.max(0, load.itemMillis() - (item.totalMillis - item.remainingMillis));
       return new ItemUrgency(
           (long) ((item.submittedMillis + load.dueMillis()) * 1e6),
@@ -492,21 +511,22 @@
           (long) (remaining * 1e6));
     }
 
-    private ItemUrgency urgency(Run run) {
+    private ItemUrgency urgency(SimulatedItem.Run run) {
       ItemUrgency atStart = urgency(run.item());
       long ranNanos = (long) (run.work().ranMillis(time) * 1e6);
       return new ItemUrgency(
           atStart.dueNanos(), atStart.nowNanos(), Math.max(0, atStart.neededNanos() - ranNanos));
     }
 
-    private void start(Item item, String endpoint) {
+    private void start(SimulatedItem item, String endpoint) {
       item.running = true;
       SimulatedEngine.Work work =
           new SimulatedEngine.Work(
-              item.remainingMillis,
+              item.remainingMillis * speeds.of(endpoint),
               () -> {},
               () -> time.after(NETWORK_MILLIS, () -> end(item, endpoint)));
-      runs.computeIfAbsent(endpoint, key -> new ArrayList<>()).add(new Run(item, work));
+      runs.computeIfAbsent(endpoint, key -> new ArrayList<>())
+          .add(new SimulatedItem.Run(item, work));
       time.after(
           NETWORK_MILLIS,
           () -> {
@@ -516,7 +536,7 @@
           });
     }
 
-    private void end(Item item, String endpoint) {
+    private void end(SimulatedItem item, String endpoint) {
       if (runs.get(endpoint).removeIf(run -> run.item() == item)) {
         items.remove(item);
         itemsEnded++;
@@ -528,14 +548,15 @@
 
     @Override
     public boolean preempt(String endpoint) {
-      List<Run> here = runs.getOrDefault(endpoint, new ArrayList<>());
-      Optional<Run> last =
+      List<SimulatedItem.Run> here = runs.getOrDefault(endpoint, new ArrayList<>());
+      Optional<SimulatedItem.Run> last =
           here.stream().max(Comparator.comparing(run -> urgency(run), ItemUrgency.ORDER));
       last.ifPresent(
           run -> {
             here.remove(run);
             preemptions++;
-            run.item().remainingMillis -= Math.max(0, run.work().ranMillis(time) - NETWORK_MILLIS);
+            run.item().remainingMillis -=
+                Math.max(0, run.work().ranMillis(time) - NETWORK_MILLIS) / speeds.of(endpoint);
             run.item().remainingMillis = Math.max(run.item().remainingMillis, 20) + 15;
             time.after(NETWORK_MILLIS, () -> engines.get(endpoint).cancel(run.work()));
             time.after(50, () -> run.item().running = false);
