--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -555,9 +555,8 @@
             dispatcher.occupancy(),
             dispatcher.sentToLimited(),
             leaving,
-            access
-                .details(dispatcher.liveRunningByWorkspace(), dispatcher.liveWaitingByWorkspace())
-                .withSpeeds(dispatcher.speedSamples())));
+            access.details(
+                dispatcher.liveRunningByWorkspace(), dispatcher.liveWaitingByWorkspace())));
   }
 
   /** Restarts watches that have missed a change that a peer has received. */
