Let readiness end when the configuration expires, not at the next tick

The decision on requests uses the age of the configuration at that moment, whereas readiness was computed every 50 ms, so a load balancer could send requests for up to 50 ms to an instance that refuses them. The time of expiry is now a deadline that readiness checks itself.

ConfigurationAgeTest has a case for the deadline.

--- a/sedgeroad/src/main/java/org/sedgeroad/access/AccessControl.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/AccessControl.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.gateway.Refusal;
@@ -94,6 +95,16 @@
     return !age.isBounded() || !routes.current().workspaces().isRequired() || age.isConfirmed();
   }
 
+  /**
+   * Returns the monotonic time until which requests with keys are served if nothing confirms the
+   * configuration before, in nanoseconds; empty if that time is not bounded.
+   */
+  public OptionalLong expiresAtNanos() {
+    return age.isBounded() && routes.current().workspaces().isRequired() && age.isConfirmed()
+        ? OptionalLong.of(age.expiresAtNanos())
+        : OptionalLong.empty();
+  }
+
   private Freshness freshness() {
     return age.freshness(newestPeerVersion.getAsLong());
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/access/ConfigurationAge.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/ConfigurationAge.java
@@ -160,6 +160,20 @@
     return confirmed ? (now - confirmedNanos) / NANOS_PER_MILLI : Long.MAX_VALUE;
   }
 
+  /**
+   * Returns the monotonic time from which on the configuration in force is too old if nothing
+   * confirms it until then, in nanoseconds.
+   *
+   * @throws IllegalStateException if the age is not bounded, or no read has confirmed the
+   *     configuration
+   */
+  public long expiresAtNanos() {
+    if (!isBounded() || !isConfirmed()) {
+      throw new IllegalStateException("the configuration has no time of expiry");
+    }
+    return confirmedNanos - suspendedNanos + expiryNanos;
+  }
+
   /**
    * Returns what is known of the age of the configuration in force.
    *
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.MonotonicClock;
@@ -33,7 +34,9 @@
   private final FleetQuotaGate quotas;
   private final AccessControl control;
   private ConfigurationProbe probe;
-  private volatile boolean ready;
+
+  /** Whether requests with keys can be served, as of the last tick, and until when. */
+  private volatile Readiness readiness;
 
   /** Creates the access control of an instance, and connects it to the exchange of loads. */
   GatewayAccess(
@@ -74,7 +77,7 @@
             () -> hubExchange.view().others(clock.nanos()).configurationVersion(),
             quotas,
             clock);
-    this.ready = !age.isBounded();
+    this.readiness = new Readiness(!age.isBounded(), OptionalLong.empty());
   }
 
   AccessControl control() {
@@ -160,14 +163,19 @@
   void tick() {
     quotas.update(instances.count());
     probe.tick();
-    ready = control.isReady() && !control.isExpired();
+    readiness = new Readiness(control.isReady() && !control.isExpired(), control.expiresAtNanos());
   }
 
   /**
-   * Returns whether requests with keys can be served, as of the last tick. May be called on any
-   * thread.
+   * Returns whether requests with keys can be served. The time at which the configuration expires
+   * counts at once, so that no request is refused by an instance that still says that it is ready.
+   * May be called on any thread.
    */
   boolean isReady() {
-    return ready;
+    Readiness current = readiness;
+    return current.ready()
+        && current.untilNanos().stream().allMatch(until -> clock.nanos() - until < 0);
   }
+
+  private record Readiness(boolean ready, OptionalLong untilNanos) {}
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/access/ConfigurationAgeTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/access/ConfigurationAgeTest.java
@@ -46,6 +46,18 @@
       run(50);
       assertEquals(Freshness.EXPIRED, freshness());
     }
+
+    /** Otherwise an instance would refuse requests while it still says that it is ready. */
+    @Test
+    void expiresAtTheStatedTime() {
+      age.confirm(age.observe());
+      run(1_000);
+      long expiry = age.expiresAtNanos();
+      assertEquals(nanos + (EXPIRY_MILLIS - 1_000) * 1_000_000L, expiry);
+      run((expiry - nanos) / 1_000_000L + 1);
+      assertEquals(Freshness.EXPIRED, freshness());
+      assertTrue(nanos - expiry > 0);
+    }
   }
 
   @Nested
