Compress the load summaries that cross failure domains

Names of endpoints and instances recur in each summary. Summaries of domains, and any message above 32 KB, are compressed. A summary of 100 endpoints takes less than half of its bytes, and one of 3,200 endpoints, which did not fit a datagram, is sent in one (LoadMessageCodecTest).

--- a/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/presence/LoadMessageCodec.java
@@ -18,7 +18,7 @@
   /**
    * Version of the layout, first value of each datagram; each change of the layout increases it.
    */
-  private static final int LAYOUT = 4;
+  private static final int LAYOUT = 5;
 
   private static final int REPORT = 0;
   private static final int DOMAIN_SUMMARY = 1;
@@ -26,9 +26,36 @@
   private static final int CRASH_NEWS = 3;
   private static final int ANNOUNCEMENT_NEWS = 4;
 
+  /** A message of another kind, compressed. */
+  private static final int COMPRESSED = 5;
+
+  /**
+   * Size from which each message is compressed, in bytes: half of the largest datagram. Smaller
+   * ones stay inside the failure domain, except for summaries of domains, and cost more processor
+   * time than they save.
+   */
+  private static final int LARGE_BYTES = 32 * 1024;
+
   private LoadMessageCodec() {}
 
   static byte[] encode(LoadMessage message) throws IOException {
+    byte[] bytes = encodeUncompressed(message);
+    boolean crossesDomains =
+        message instanceof LoadSummary summary && summary.scope() == LoadSummary.Scope.DOMAIN;
+    if (!crossesDomains && bytes.length < LARGE_BYTES) {
+      return bytes;
+    }
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      byte[] compressed = MessageCompression.compress(bytes);
+      packer.packInt(LAYOUT);
+      packer.packInt(COMPRESSED);
+      packer.packBinaryHeader(compressed.length);
+      packer.writePayload(compressed);
+      return packer.toByteArray();
+    }
+  }
+
+  private static byte[] encodeUncompressed(LoadMessage message) throws IOException {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packInt(LAYOUT);
       if (message instanceof LoadReport report) {
@@ -51,25 +78,43 @@
 
   static LoadMessage decode(byte[] bytes, int length) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
-      int layout = unpacker.unpackInt();
-      if (layout != LAYOUT) {
-        throw new IOException("unknown layout " + layout);
+      int kind = unpackKind(unpacker);
+      if (kind != COMPRESSED) {
+        return unpackMessage(unpacker, kind);
+      }
+      int size = unpacker.unpackBinaryHeader();
+      if (size > length) {
+        throw new IOException("a content of " + size + " bytes in " + length + " bytes");
+      }
+      byte[] message = MessageCompression.decompress(unpacker.readPayload(size));
+      try (MessageUnpacker content = MessagePack.newDefaultUnpacker(message)) {
+        return unpackMessage(content, unpackKind(content));
       }
-      int kind = unpacker.unpackInt();
-      return switch (kind) {
-        case REPORT -> unpackReport(unpacker);
-        case DOMAIN_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.DOMAIN);
-        case FLEET_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.FLEET);
-        case CRASH_NEWS -> unpackNews(unpacker);
-        case ANNOUNCEMENT_NEWS -> unpackAnnouncements(unpacker);
-        default -> throw new IOException("unknown kind " + kind);
-      };
     } catch (RuntimeException malformed) {
       // The unpacker throws unchecked exceptions for unexpected types.
       throw new IOException("not a load message", malformed);
     }
   }
 
+  private static int unpackKind(MessageUnpacker unpacker) throws IOException {
+    int layout = unpacker.unpackInt();
+    if (layout != LAYOUT) {
+      throw new IOException("unknown layout " + layout);
+    }
+    return unpacker.unpackInt();
+  }
+
+  private static LoadMessage unpackMessage(MessageUnpacker unpacker, int kind) throws IOException {
+    return switch (kind) {
+      case REPORT -> unpackReport(unpacker);
+      case DOMAIN_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.DOMAIN);
+      case FLEET_SUMMARY -> unpackSummary(unpacker, LoadSummary.Scope.FLEET);
+      case CRASH_NEWS -> unpackNews(unpacker);
+      case ANNOUNCEMENT_NEWS -> unpackAnnouncements(unpacker);
+      default -> throw new IOException("unknown kind " + kind);
+    };
+  }
+
   private static void pack(MessagePacker packer, LoadReport report) throws IOException {
     packer.packString(report.instance());
     packer.packLong(report.incarnation());
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -45,4 +47,47 @@
       assertThrows(IOException.class, () -> LoadMessageCodec.decode(new byte[] {1, 2, 3, 4}, 4));
     }
   }
+
+  /** Guards against summaries that exceed a datagram, or that cost more than they tell. */
+  @Nested
+  class Compression {
+    private LoadSummary summary(LoadSummary.Scope scope, int endpoints) {
+      Map<String, EndpointTotal> totals = new HashMap<>();
+      for (int number = 0; number < endpoints; number++) {
+        totals.put("endpoint-" + number, new EndpointTotal(number % 8, 1, "instance-" + number));
+      }
+      LoadTotals sums =
+          new LoadTotals(1, 2, 3, 4, Map.of(), Map.of(), totals, Map.of(), FleetDetails.NONE);
+      return new LoadSummary(scope, "hub", "domain", 5, 6, sums, Map.of());
+    }
+
+    @Test
+    void halvesSummariesForOtherDomains() throws IOException {
+      LoadSummary summary = summary(LoadSummary.Scope.DOMAIN, 100);
+      byte[] bytes = LoadMessageCodec.encode(summary);
+      assertEquals(summary, LoadMessageCodec.decode(bytes, bytes.length));
+      byte[] plain = LoadMessageCodec.encode(summary(LoadSummary.Scope.FLEET, 100));
+      assertTrue(bytes.length * 2 < plain.length);
+    }
+
+    @Test
+    void keepsTheSummaryOfThreeThousandEndpointsInOneDatagram() throws IOException {
+      LoadSummary summary = summary(LoadSummary.Scope.FLEET, 3_200);
+      byte[] bytes = LoadMessageCodec.encode(summary);
+      assertTrue(bytes.length < 65_000);
+      assertEquals(summary, LoadMessageCodec.decode(bytes, bytes.length));
+    }
+
+    @Test
+    void rejectsDamagedOrExcessiveContent() throws IOException {
+      byte[] bytes = LoadMessageCodec.encode(summary(LoadSummary.Scope.DOMAIN, 10));
+      for (int length = 0; length < bytes.length; length++) {
+        int cut = length;
+        assertThrows(IOException.class, () -> LoadMessageCodec.decode(bytes, cut));
+      }
+      byte[] excessive =
+          MessageCompression.compress(new byte[MessageCompression.MAXIMUM_BYTES + 1]);
+      assertThrows(IOException.class, () -> MessageCompression.decompress(excessive));
+    }
+  }
 }
