--- a/sedgeroad/src/main/java/org/sedgeroad/access/FleetQuotaGate.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/FleetQuotaGate.java
@@ -10,6 +10,7 @@
 import org.sedgeroad.presence.FleetLoad;
 import org.sedgeroad.presence.LoadTotals;
 import org.sedgeroad.presence.WorkspaceLoad;
+import org.sedgeroad.settings.QuotaSettings;
 
 /**
  * Quotas over all instances, kept by counts that are exchanged with the load reports. Applies
@@ -27,6 +28,7 @@
 
   private final PossibleSenders senders;
   private final FleetLoad fleetLoad;
+  private final QuotaSettings settings;
   private final long windowMillis;
   private final MonotonicClock clock;
   private final DoubleSupplier random;
@@ -43,7 +45,7 @@
    *
    * @param senders the instances that may be sending; updated by the gate
    * @param fleetLoad load of the other instances
-   * @param windowMillis length of the window in which requests are counted, in milliseconds
+   * @param settings window in which requests are counted, and the tolerance
    * @param clock monotonic clock
    * @param random source of random numbers from 0 (inclusive) to 1 (exclusive)
    * @throws IllegalArgumentException if the window is not positive
@@ -51,15 +53,16 @@
   public FleetQuotaGate(
       PossibleSenders senders,
       FleetLoad fleetLoad,
-      long windowMillis,
+      QuotaSettings settings,
       MonotonicClock clock,
       DoubleSupplier random) {
-    if (windowMillis <= 0) {
-      throw new IllegalArgumentException("window of " + windowMillis + " ms");
+    if (settings.windowMillis() <= 0) {
+      throw new IllegalArgumentException("window of " + settings.windowMillis() + " ms");
     }
+    this.settings = settings;
     this.senders = Objects.requireNonNull(senders);
     this.fleetLoad = Objects.requireNonNull(fleetLoad);
-    this.windowMillis = windowMillis;
+    this.windowMillis = settings.windowMillis();
     this.clock = Objects.requireNonNull(clock);
     this.random = Objects.requireNonNull(random);
     this.completeNanos = clock.deadlineAfterMillis(windowMillis);
@@ -104,7 +107,7 @@
 
   private int allowance(Workspace workspace) {
     long now = clock.nanos();
-    return QuotaBudget.allowance(workspace, windowMillis, fleet(now), sent(workspace.name(), now));
+    return QuotaBudget.allowance(workspace, settings, fleet(now), sent(workspace.name(), now));
   }
 
   private QuotaBudget.Fleet fleet(long now) {
--- a/sedgeroad/src/main/java/org/sedgeroad/access/QuotaBudget.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/QuotaBudget.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.access;
 
 import org.sedgeroad.placement.SharedBudget;
+import org.sedgeroad.settings.QuotaSettings;
 
 /**
  * Decides how many live requests of a workspace an instance may send now, and when a refused one
@@ -21,11 +22,6 @@
    */
   static final long SHORTEST_WAIT_MILLIS = 100;
 
-  /** Part of a quota by which it may be exceeded, and the number of requests beyond that. */
-  private static final double OVERAGE = 0.1;
-
-  private static final double SLACK = 20;
-
   /**
    * Part of what may be exceeded that one instance may send unreported, so that demand which moves
    * to it is not refused: five instances may begin to send at once and stay within the bound.
@@ -81,9 +77,12 @@
    * part of what was sent lately, because even parts are too small for demand that arrives at few
    * of many instances. At least, it may send a part of what the quota may be exceeded by.
    */
-  static int allowance(Workspace workspace, long windowMillis, Fleet fleet, Sent sent) {
+  static int allowance(Workspace workspace, QuotaSettings settings, Fleet fleet, Sent sent) {
+    long windowMillis = settings.windowMillis();
     double part = part(fleet, sent);
-    double sudden = SUDDEN_PART * (OVERAGE * total(workspace, windowMillis) + SLACK);
+    double tolerated =
+        settings.tolerance() * total(workspace, windowMillis) + settings.toleratedRequests();
+    double sudden = SUDDEN_PART * tolerated;
     return SharedBudget.allowance(
         known(workspace, windowMillis, fleet, sent.retained()),
         left -> (int) Math.max(left * part, Math.min(left * LEFT_PART, sudden)),
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
@@ -60,16 +60,15 @@
             () -> routes.current().version());
     hubExchange.setConfirmations(age::confirmation, age::receive);
     this.instances = instances;
-    long windowMillis = settings.access().quotaWindowMillis();
     this.quotas =
         new FleetQuotaGate(
             new PossibleSenders(
                 settings.instance(), settings.domain(), instances::domainsByInstance),
             hubExchange.view(),
-            windowMillis,
+            settings.access().quota(),
             clock,
             () -> ThreadLocalRandom.current().nextDouble());
-    hubExchange.retainCounts(windowMillis);
+    hubExchange.retainCounts(settings.access().quota().windowMillis());
     this.control =
         new AccessControl(
             routes,
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointCall.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointCall.java
@@ -27,4 +27,11 @@
     boolean hidesCredentials,
     String workspace,
     String lastEventId,
-    long deadlineNanos) {}
+    long deadlineNanos) {
+
+  /** Returns the request line and the endpoint; headers may hold the key of a workspace. */
+  @Override
+  public String toString() {
+    return method + " " + target + " at " + endpoint.name() + ", id " + id;
+  }
+}
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
@@ -21,7 +21,12 @@
               "endpoints", Set.of("connect-timeout-millis"),
               "jobs", Set.of("keep-seconds"),
               "stop", Set.of("notice-millis", "timeout-seconds"),
-              "access", Set.of("revoke-millis", "quota-window-seconds")));
+              "access",
+                  Set.of(
+                      "revoke-millis",
+                      "quota-window-seconds",
+                      "quota-tolerance",
+                      "quota-tolerated-requests")));
 
   /**
    * Time that is reserved at the end of a planned stop for closing connections, in milliseconds. It
@@ -84,7 +89,19 @@
         ini.number("stop", "timeout-seconds", 8, 1, 3_600) * 1_000 - CLOSE_MARGIN_MILLIS,
         new AccessSettings(
             ini.number("access", "revoke-millis", 0, 0, 3_600_000),
-            ini.millisOfSeconds("access", "quota-window-seconds", 5_000, 100, 3_600_000)));
+            new QuotaSettings(
+                ini.millisOfSeconds(
+                    "access",
+                    "quota-window-seconds",
+                    QuotaSettings.DEFAULT.windowMillis(),
+                    100,
+                    3_600_000),
+                ini.decimal("access", "quota-tolerance", QuotaSettings.DEFAULT.tolerance(), 1),
+                ini.decimal(
+                    "access",
+                    "quota-tolerated-requests",
+                    QuotaSettings.DEFAULT.toleratedRequests(),
+                    1e6))));
   }
 
   private static List<DomainSetting> domains(IniText ini) {
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
@@ -205,6 +205,26 @@
     return fallbackMillis;
   }
 
+  /**
+   * Returns a number with a fraction or without. Adds a fault if it is not valid or out of range.
+   *
+   * @param section section of the value
+   * @param key key of the value
+   * @param fallback result if the value is missing or not valid
+   * @param maximum largest valid number; the smallest is 0
+   */
+  double decimal(String section, String key, double fallback, double maximum) {
+    String value = value(section, key);
+    if (value == null) {
+      return fallback;
+    }
+    if (value.matches("[0-9]{1,9}(\\.[0-9]{1,9})?") && Double.parseDouble(value) <= maximum) {
+      return Double.parseDouble(value);
+    }
+    addFault(section, key, "expected a number from 0 to " + maximum + ", found '" + value + "'");
+    return fallback;
+  }
+
   /** Adds a fault of a key, or of the whole section if the key is empty. */
   void addFault(String section, String key, String message) {
     faults.add(new SettingsFault(section, key, lineOf(section, key), message));
--- a/sedgeroad/src/test/java/org/sedgeroad/access/ExchangedCounts.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/access/ExchangedCounts.java
@@ -101,7 +101,7 @@
           new FleetQuotaGate(
               new PossibleSenders("i" + number, domain, () -> others),
               hubs.view(),
-              QuotaSimulation.WINDOW_MILLIS,
+              QuotaSimulation.SETTINGS,
               simulation.time,
               simulation.random::nextDouble);
     }
--- a/sedgeroad/src/test/java/org/sedgeroad/access/FleetQuotaGateTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/access/FleetQuotaGateTest.java
@@ -12,17 +12,23 @@
 import org.sedgeroad.placement.PossibleSenders;
 import org.sedgeroad.placement.VirtualTime;
 import org.sedgeroad.presence.LoadReportTable;
+import org.sedgeroad.settings.QuotaSettings;
 
 /** Guards against requests that are counted wrongly, and against clients that return together. */
 class FleetQuotaGateTest {
   private static final Workspace CHESS = new Workspace("chess", OptionalInt.empty(), 2, 2);
   private static final int QUOTA = 12;
+  private static final QuotaSettings SETTINGS = new QuotaSettings(5_000, 0.1, 20);
 
   private final VirtualTime time = new VirtualTime();
   private double random;
   private final FleetQuotaGate gate =
       new FleetQuotaGate(
-          new PossibleSenders("a", "d", Map::of), new LoadReportTable(), 5_000, time, () -> random);
+          new PossibleSenders("a", "d", Map::of),
+          new LoadReportTable(),
+          SETTINGS,
+          time,
+          () -> random);
 
   @BeforeEach
   void takeTheQuota() {
--- a/sedgeroad/src/test/java/org/sedgeroad/access/QuotaSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/access/QuotaSimulation.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.DoubleUnaryOperator;
 import org.sedgeroad.placement.VirtualTime;
+import org.sedgeroad.settings.QuotaSettings;
 
 /**
  * Requests of one workspace at many instances in virtual time, whose quota a scheme keeps. A
@@ -17,6 +18,7 @@
  */
 final class QuotaSimulation {
   static final long WINDOW_MILLIS = 5_000;
+  static final QuotaSettings SETTINGS = new QuotaSettings(WINDOW_MILLIS, 0.1, 20);
 
   /** A third of the time that a client has left: the longest wait that it honours. */
   private static final double LONGEST_WAIT_MILLIS = 1_685;
@@ -181,7 +183,8 @@
 
   /** Returns the most that may be sent in any window. */
   static double bound(Workspace workspace) {
-    return QuotaBudget.total(workspace, WINDOW_MILLIS) * 1.1 + 20;
+    return QuotaBudget.total(workspace, WINDOW_MILLIS) * (1 + SETTINGS.tolerance())
+        + SETTINGS.toleratedRequests();
   }
 
   Result result() {
