Check a configuration before it is sent

Cause: instances serve as much of a configuration as they can use, so an operator learned of an unknown service, a key in two workspaces or a timeout below the objective only from refused requests.

Change: bin/sedgeroad check-configuration FILE [--against FILE] [--json] lists such findings with severity, place and reason, and the differences from the version in force. The checks are pure functions of a decoded document (package check). The field names are those of a format: the product's own, or the platform's, which the adapter provides by a service loader; the adapter also decodes the configuration as an instance does. Keys are compared by digest and only counted. The decoder that serves requests is unchanged.

Result: the 64 tests of the new classes pass. RouteTableDecoderTest, EntrySettingsReaderTest, CommandSubcommandTest and GatewayKeyTest pass as before. Files of 2 MB with only empty entries, names or keys, compared with themselves, took 1 to 8 s within 512 MB. Other test classes were not run.

--- a/bin/common.sh
+++ b/bin/common.sh
@@ -7,6 +7,7 @@
 build_if_needed() {
   local stamp="$ROOT/target/built"
   local sources=("$ROOT"/pom.xml "$ROOT"/sedgeroad*/pom.xml "$ROOT"/sedgeroad*/src/main)
+  sources+=("$ROOT"/platform/pom.xml "$ROOT"/platform/src/main)
   if [ ! -f "$stamp" ] || [ -n "$(find "${sources[@]}" -newer "$stamp" -print -quit)" ]; then
     echo "building sedgeroad" >&2
     (cd "$ROOT" && mvn -B -ntp -q -Dmaven.test.skip=true -Dcheckstyle.skip -Dspotless.check.skip package) >&2
--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/Main.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/Main.java
@@ -12,6 +12,7 @@
           Map.of(
               "entry", EntrySubcommand::new,
               "check", CheckSubcommand::new,
+              "check-configuration", CheckConfigurationSubcommand::new,
               "burn", BurnSubcommand::new,
               "command", CommandSubcommand::new,
               "explain", ExplainSubcommand::new));
