--- a/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/CheckConfigurationSubcommand.java
+++ b/sedgeroad-daemon/src/main/java/org/sedgeroad/daemon/CheckConfigurationSubcommand.java
@@ -58,7 +58,7 @@
       metaVar = "N",
       usage = "window of the quotas, as in the settings of the instances")
   private double quotaWindowSeconds =
-      AccessSettings.DEFAULT.quotaWindowMillis() / MILLIS_PER_SECOND;
+      AccessSettings.DEFAULT.quota().windowMillis() / MILLIS_PER_SECOND;
 
   @Option(
       name = "--capacity",
