Know a popular prompt part after a few requests

Cause: the fraction of the requests that share a part was taken over 64 requests, also for a part that was new. The prompt of the next item was also computed where no cache size is configured.

ItemPlacement asks for the prompt of an item only if the service has kvCacheTokens.

--- a/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
@@ -112,6 +112,11 @@
     return timing;
   }
 
+  /** Returns whether the size of the caches of a service is known, so that prompts matter. */
+  boolean isUsed(String service) {
+    return cacheTokens.applyAsInt(service) > 0;
+  }
+
   private int maximumParts() {
     int share = MAXIMUM_PARTS / Math.max(1, incarnationsByName.size());
     return Math.max(LEAST_PARTS, Math.min(MOST_PARTS, share));
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/ItemPlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/ItemPlacement.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.stream.Collectors;
+import org.sedgeroad.gateway.PromptPrefix;
 import org.sedgeroad.gateway.ServiceEndpoint;
 import org.sedgeroad.peer.RendezvousHashing;
 import org.sedgeroad.presence.EndpointTotal;
@@ -192,6 +193,7 @@
       int ownReady,
       int allReady,
       boolean reusesOwnSlot) {
+    String service = usable.get(0).service();
     List<EndpointLoad> loads = loads(usable);
     int allowed =
         BatchPlacement.allowance(loads, fraction, ownReady, allReady, random.getAsDouble());
@@ -199,8 +201,9 @@
       allowed = Math.max(allowed, 1);
     }
     for (int started = 0; started < allowed; started++) {
-      List<EndpointLoad> current =
-          endpoints.withSavings(loads(usable), batchSource.nextPrompt(usable.get(0).service()));
+      PromptPrefix prompt =
+          endpoints.prompts().isUsed(service) ? batchSource.nextPrompt(service) : PromptPrefix.NONE;
+      List<EndpointLoad> current = endpoints.withSavings(loads(usable), prompt);
       Optional<EndpointLoad> chosen = BatchPlacement.choose(current, random.getAsDouble());
       if (chosen.isEmpty() || !batchSource.startNext(chosen.get().endpoint())) {
         return;
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsSimulation.java
@@ -66,8 +66,10 @@
    * @param medianMillis median of the times to the first event
    * @param p99Millis 99th percentile of them
    * @param prefilledTokens tokens that engines processed for each request
+   * @param largestShare largest fraction of all requests that one engine got
    */
-  record Figures(double medianMillis, double p99Millis, double prefilledTokens) {}
+  record Figures(
+      double medianMillis, double p99Millis, double prefilledTokens, double largestShare) {}
 
   private final Load load;
   private final Scheme scheme;
@@ -81,6 +83,7 @@
   private final String[] shared;
   private final double[] popularity;
   private final List<Double> firstEventMillis = new ArrayList<>();
+  private final Map<String, Integer> sent = new HashMap<>();
   private int replacements;
   private int requests;
   private int crashes;
@@ -111,14 +114,20 @@
   static Figures run(Load load, Scheme scheme, int seeds, double seconds) {
     List<Double> times = new ArrayList<>();
     double tokens = 0;
+    double largestShare = 0;
     for (int seed = 0; seed < seeds; seed++) {
       CachedPromptsSimulation simulation = new CachedPromptsSimulation(load, scheme, 100 * seed);
       tokens += simulation.run(seconds * 1_000);
       times.addAll(simulation.firstEventMillis);
+      int largest = simulation.sent.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+      largestShare += (double) largest / simulation.requests / seeds;
     }
     double[] sorted = times.stream().mapToDouble(Double::doubleValue).sorted().toArray();
     return new Figures(
-        sorted[sorted.length / 2], sorted[sorted.length * 99 / 100], tokens / sorted.length);
+        sorted[sorted.length / 2],
+        sorted[sorted.length * 99 / 100],
+        tokens / sorted.length,
+        largestShare);
   }
 
   /** Runs the simulation; returns the number of processed prompt tokens after the warm-up. */
@@ -255,6 +264,7 @@
         double arrived,
         Set<String> excluded) {
       String engine = endpoint.name();
+      sent.merge(engine, 1, Integer::sum);
       RunTiming timing = dispatcher.prompts().begin(endpoint, prompt);
       boolean[] begun = new boolean[1];
       Runnable lost =
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsSimulationTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsSimulationTest.java
@@ -14,6 +14,12 @@
  * cached prompts, or always choose the engine that has the prompt cached.
  */
 class CachedPromptsSimulationTest {
+  /**
+   * Largest ratio of 99th percentiles that counts as no difference. With six sets of three seeds
+   * and short prompts the ratio is 0.966 to 1.004, and the percentiles of one scheme differ by 7%.
+   */
+  private static final double SPREAD = 1.02;
+
   private static final int SEEDS = 3;
   private static final double SECONDS = 60;
 
@@ -39,14 +45,23 @@
     }
   }
 
+  /** Two of three requests share one part, the others another one. */
   @Nested
-  class ShortPrompts {
-    /**
-     * Largest ratio of the 99th percentiles that counts as no difference. With six sets of three
-     * seeds the ratio is 0.966 to 1.004, and the percentiles of one scheme differ by 7%.
-     */
-    private static final double SPREAD = 1.02;
+  class PopularPrompts {
+    @Test
+    void areSpreadOverTheEngines() {
+      Load load = new Load(9, 2, 15_000, 1_000, 20, 7_000);
+      Figures ignored = run(load, Scheme.IGNORED);
+      Figures shipped = run(load, Scheme.SHIPPED);
+      String figures = "shipped " + shipped + ", ignored " + ignored;
+      // An even share is 0.125. With shares that are known only after 64 requests it was 0.21.
+      assertTrue(shipped.largestShare() <= 0.18, figures);
+      assertTrue(shipped.p99Millis() <= SPREAD * ignored.p99Millis(), figures);
+    }
+  }
 
+  @Nested
+  class ShortPrompts {
     @Test
     void startNoLater() {
       Load load = new Load(9, 40, 200, 250, 50, 7_000);
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsTest.java
@@ -297,6 +297,32 @@
     }
   }
 
+  /** Guards against popular parts that stay at few endpoints, and rare ones that are spread. */
+  @Nested
+  class Popularity {
+    private final PartPopularity popularity = new PartPopularity();
+
+    private double fractionAfter(int requests, int every) {
+      for (int number = 0; number < requests; number++) {
+        popularity.add(number % every == 0 ? LONG : prompt("part-" + number, 100));
+      }
+      return popularity.fraction(LONG.key(0));
+    }
+
+    @Test
+    void ofANewPartThatAllRequestsShareIsKnownAfterAFewRequests() {
+      assertEquals(0, fractionAfter(1, 1));
+      assertEquals(1, fractionAfter(20, 1), 0.1);
+    }
+
+    @Test
+    void isTheFractionOfTheRequests() {
+      assertEquals(0.1, fractionAfter(500, 10), 0.02);
+      assertEquals(0, popularity.fraction(prompt("part-499", 100).key(0)));
+      assertEquals(0, popularity.fraction(prompt("unknown", 100).key(0)));
+    }
+  }
+
   /** Guards against a rate that follows noise, or the waits inside endpoints. */
   @Nested
   class Rate {
