Count prompt tokens that are expected to be cached

Operators could not see whether cached prompts are used. sedgeroad_gateway_prompt_tokens_total counts the tokens of prompts that are sent, by whether the endpoint should have them cached.

CachedPromptsTest.Record and GatewayMetricsTest cover it.

--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayInstance.java
@@ -259,6 +259,7 @@
             clock,
             () -> ThreadLocalRandom.current().nextDouble());
     created.prompts().setCacheTokens(service -> routes.current().cacheTokens(service));
+    created.prompts().setRecorder(metrics::recordPrompt);
     created.setWorkspaces(() -> routes.current().workspaces(), created::liveRunningByWorkspace);
     return created;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/metric/GatewayMetrics.java
@@ -86,6 +86,14 @@
           .labelNames("kind", "call", "outcome")
           .register(registry);
 
+  private final Counter promptTokens =
+      Counter.builder()
+          .name("sedgeroad_gateway_prompt_tokens_total")
+          .help(
+              "Tokens of prompts that were sent, by whether the endpoint should have them cached.")
+          .labelNames("expected")
+          .register(registry);
+
   /**
    * Records that a request was placed at an endpoint.
    *
@@ -150,6 +158,17 @@
     itemsGivenUp.inc(count);
   }
 
+  /**
+   * Records a prompt that was sent to an endpoint.
+   *
+   * @param cached number of its tokens that the endpoint has probably cached
+   * @param uncached number of the others
+   */
+  public void recordPrompt(int cached, int uncached) {
+    promptTokens.labelValues("cached").inc(cached);
+    promptTokens.labelValues("uncached").inc(uncached);
+  }
+
   /** Returns a view of a store that counts the calls to it. */
   public ObjectStore measure(ObjectStore store) {
     return new MeasuredStore(
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
@@ -47,6 +47,18 @@
   /** Weight of the last request in the mean number of new tokens of a request. */
   private static final double WEIGHT = 0.05;
 
+  /** Receives what is expected of each prompt that is sent. */
+  @FunctionalInterface
+  public interface TokenRecorder {
+    /**
+     * Records a prompt.
+     *
+     * @param cached number of its tokens that the endpoint has probably cached
+     * @param uncached number of the others
+     */
+    void record(int cached, int uncached);
+  }
+
   /** What is known of the prompts of one service. */
   private static final class ServicePrompts {
     private final PartPopularity popularity = new PartPopularity();
@@ -62,6 +74,7 @@
   private final Map<String, ServicePrompts> byService = new HashMap<>();
   private Map<String, String> incarnationsByName = Map.of();
   private ToIntFunction<String> cacheTokens = service -> 0;
+  private TokenRecorder recorder = (cached, uncached) -> {};
 
   /** Creates a table without parts. */
   CachedPrompts(MonotonicClock clock, EndpointSpeeds speeds) {
@@ -79,6 +92,11 @@
     cacheTokens = next;
   }
 
+  /** Sets the receiver of the expected numbers of tokens, not null. */
+  public void setRecorder(TokenRecorder next) {
+    recorder = next;
+  }
+
   /**
    * Returns a new observer of a run that is sent to an endpoint now, and records its prompt.
    *
@@ -96,11 +114,14 @@
     EndpointPrompts sent =
         byIncarnation.computeIfAbsent(incarnation, key -> new EndpointPrompts(now));
     ServicePrompts service = service(endpoint.service());
+    int total = 0;
     double uncached = 0;
     for (int index = 0; index < prompt.size(); index++) {
+      total += prompt.tokens(index);
       uncached += prompt.tokens(index) * (1 - sent.probability(prompt.key(index), tokens, now));
     }
     int uncachedTokens = (int) uncached;
+    recorder.record(total - uncachedTokens, uncachedTokens);
     service.newTokens += WEIGHT * (uncachedTokens - service.newTokens);
     service.popularity.add(prompt);
     sent.send(prompt, tokens, maximumParts(), now);
--- a/sedgeroad/src/test/java/org/sedgeroad/metric/GatewayMetricsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/metric/GatewayMetricsTest.java
@@ -20,6 +20,7 @@
     metrics.recordQuarantineRefusal("r", Refusal.Reason.NOT_RUN);
     metrics.recordItemRun("completed");
     metrics.recordWorkspace("w", "sent");
+    metrics.recordPrompt(1, 1);
     metrics
         .measure(MetricsPages.emptyStore())
         .create("k", "n", JsonNodeFactory.instance.objectNode());
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsTest.java
@@ -119,6 +119,28 @@
   }
 
   /** Guards against changed choices in deployments that do not use cached prompts. */
+  /** Guards against a metric from which an operator would conclude that caches are not used. */
+  @Nested
+  class Record {
+    private int cached;
+    private int uncached;
+
+    @Test
+    void countsTheTokensOfAPromptThatIsSentAgainAsCached() {
+      prompts.setRecorder(
+          (more, less) -> {
+            cached += more;
+            uncached += less;
+          });
+      send("a", LONG);
+      assertEquals(0, cached);
+      assertEquals(15_100, uncached);
+      send("a", LONG);
+      assertTrue(cached > 0.7 * 15_100, cached + " tokens");
+      assertEquals(2 * 15_100, cached + uncached);
+    }
+  }
+
   @Nested
   class WithoutPromptsOrCacheSizes {
     private final List<EndpointLoad> loads = List.of(load("a", 0, false), load("b", 0, false));
