Print no headers of client requests; remove an unused permit

ClientRequest.toString printed the headers, which may hold a key. RequestPermit.UNRESTRICTED had no callers. Compiles with formatter and linter; no test refers to either.

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/ClientRequest.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/ClientRequest.java
@@ -47,4 +47,10 @@
     Objects.requireNonNull(prompt);
     Objects.requireNonNull(lastEventId);
   }
+
+  /** Returns the request line and the id; headers may hold the key of a workspace. */
+  @Override
+  public String toString() {
+    return method + " " + target + ", id " + id;
+  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestPermit.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestPermit.java
@@ -8,35 +8,6 @@
  * Used on the event loop.
  */
 public interface RequestPermit {
-  /** Permission of a request without a workspace, which never ends. */
-  RequestPermit UNRESTRICTED =
-      new RequestPermit() {
-        @Override
-        public String workspace() {
-          return "";
-        }
-
-        @Override
-        public OptionalInt priority() {
-          return OptionalInt.empty();
-        }
-
-        @Override
-        public boolean hidesCredentials() {
-          return false;
-        }
-
-        @Override
-        public Optional<Refusal> beforeSend() {
-          return Optional.empty();
-        }
-
-        @Override
-        public void notSent() {
-          // Nothing is counted.
-        }
-      };
-
   /**
    * Returns the name of the workspace that sent the request, empty without one. It may change with
    * a check, because keys may be moved to another workspace.
