Place requests with short prompts without regard to caches

CachedPromptsSimulationTest.ShortPrompts requires times no later than without the term, instead of at most 1.02 times; CachedPromptsTest covers the bound.

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/PromptPrefix.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/PromptPrefix.java
@@ -1,6 +1,7 @@
 package org.sedgeroad.gateway;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 
@@ -84,4 +85,9 @@
   public int tokens(int index) {
     return tokens[index];
   }
+
+  /** Returns the number of tokens of all parts. */
+  public int tokens() {
+    return (int) Math.min(Integer.MAX_VALUE, Arrays.stream(tokens).asLongStream().sum());
+  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
@@ -30,6 +30,13 @@
    */
   private static final double HOME_PROBABILITY = 0.9;
 
+  /**
+   * Processing time below which a prompt has no influence on the choice, in milliseconds: endpoints
+   * whose times differ by less count as nearly equal, and instances that prefer the same ones for
+   * short prompts collide there in a peak.
+   */
+  private static final double LEAST_PROMPT_MILLIS = 30;
+
   /** Fraction of the requests that share a part from which on it has no influence. */
   private static final double SPREAD_FRACTION = 0.5;
 
@@ -114,14 +121,12 @@
     EndpointPrompts sent =
         byIncarnation.computeIfAbsent(incarnation, key -> new EndpointPrompts(now));
     ServicePrompts service = service(endpoint.service());
-    int total = 0;
     double uncached = 0;
     for (int index = 0; index < prompt.size(); index++) {
-      total += prompt.tokens(index);
       uncached += prompt.tokens(index) * (1 - sent.probability(prompt.key(index), tokens, now));
     }
     int uncachedTokens = (int) uncached;
-    recorder.record(total - uncachedTokens, uncachedTokens);
+    recorder.record(prompt.tokens() - uncachedTokens, uncachedTokens);
     service.newTokens += WEIGHT * (uncachedTokens - service.newTokens);
     service.popularity.add(prompt);
     sent.send(prompt, tokens, maximumParts(), now);
@@ -171,7 +176,7 @@
 
   /**
    * Returns the loads of endpoints of one service with what each of them saves a request; the same
-   * list if nothing is known of the prompt or the caches.
+   * list if the prompt is short, or nothing is known of it or of the caches.
    *
    * @param loads loads of the endpoints
    * @param prompt parts of the prompt
@@ -190,6 +195,9 @@
     ServicePrompts service = service(name);
     double slotMillis = speeds.runTimes(name).slotMillis();
     double millisPerToken = service.prefillRate.millisPerToken();
+    if (millisPerToken * prompt.tokens() < LEAST_PROMPT_MILLIS) {
+      return loads;
+    }
     double[] weights = weights(prompt, service.popularity);
     // The homes count for free slots only.
     boolean anyFree = loads.stream().anyMatch(load -> load.startable() > 0);
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsSimulationTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsSimulationTest.java
@@ -69,8 +69,8 @@
       Figures holder = run(load, Scheme.HOLDER);
       Figures shipped = run(load, Scheme.SHIPPED);
       String figures = figures(shipped, ignored, holder);
-      assertTrue(shipped.medianMillis() <= ignored.medianMillis() + 0.01, figures);
-      assertTrue(shipped.p99Millis() <= SPREAD * ignored.p99Millis(), figures);
+      assertTrue(shipped.medianMillis() <= ignored.medianMillis(), figures);
+      assertTrue(shipped.p99Millis() <= ignored.p99Millis(), figures);
       assertTrue(shipped.p99Millis() <= holder.p99Millis(), figures);
     }
   }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsTest.java
@@ -72,12 +72,23 @@
     }
 
     @Test
-    void isAFewMillisecondsForAShortPrompt() {
-      send("a", prompt("short", 200));
-      double millis = savingAt("a", prompt("short", 200)).millis();
+    void isSmallForASmallPart() {
+      PromptPrefix prompt =
+          PromptPrefix.of(
+              List.of(
+                  new PromptPrefix.Part("short", 200), new PromptPrefix.Part("unshared", 2_000)));
+      send("a", PromptPrefix.of(List.of(new PromptPrefix.Part("short", 200))));
+      double millis = savingAt("a", prompt).millis();
       assertTrue(millis > 2 && millis < 5, millis + " ms");
     }
 
+    /** At the usual 0.015 ms a token, 1,000 tokens take 15 ms. */
+    @Test
+    void ofAShortPromptDoesNotCount() {
+      send("a", prompt("short", 900));
+      assertEquals(PromptSaving.NONE, savingAt("a", prompt("short", 900)));
+    }
+
     @Test
     void ofAnotherIncarnationIsDiscarded() {
       send("a", LONG);
