Count the prompts of other instances also when short prompts have no influence

Since short prompts are placed without regard to caches, the tokens that other instances send were no longer counted for them, so that sedgeroad_gateway_prompt_tokens_total took parts for cached that must have been evicted.

The homes of a part use RendezvousHashing.rank, which now computes each weight once, instead of a second ranking; the argument for prompt tokens of EndpointSpeeds.begin, which was always 0, is removed.

--- a/sedgeroad/src/main/java/org/sedgeroad/peer/RendezvousHashing.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/peer/RendezvousHashing.java
@@ -19,11 +19,14 @@
    * @param candidates names of the candidates
    */
   public static List<String> rank(String key, Collection<String> candidates) {
+    record Weighted(String candidate, long weight) {}
     return candidates.stream()
+        .map(candidate -> new Weighted(candidate, weight(key, candidate)))
         .sorted(
-            Comparator.comparingLong((String candidate) -> weight(key, candidate))
+            Comparator.comparingLong(Weighted::weight)
                 .reversed()
-                .thenComparing(Comparator.naturalOrder()))
+                .thenComparing(Weighted::candidate))
+        .map(Weighted::candidate)
         .toList();
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
@@ -111,7 +111,7 @@
    * @param prompt parts of the prompt, not null
    */
   public RunTiming begin(ServiceEndpoint endpoint, PromptPrefix prompt) {
-    RunTiming timing = speeds.begin(endpoint, 0);
+    RunTiming timing = speeds.begin(endpoint);
     String incarnation = endpoint.incarnation();
     int tokens = cacheTokens.applyAsInt(endpoint.service());
     if (prompt.isEmpty() || tokens <= 0 || !incarnationsByName.containsValue(incarnation)) {
@@ -188,12 +188,12 @@
       return loads;
     }
     String name = loads.get(0).endpoint().service();
-    int tokens = cacheTokens.applyAsInt(name);
-    if (tokens <= 0) {
+    if (!isUsed(name)) {
       return loads;
     }
+    int tokens = cacheTokens.applyAsInt(name);
     ServicePrompts service = service(name);
-    double slotMillis = speeds.runTimes(name).slotMillis();
+    countOthers(loads, service, speeds.runTimes(name).slotMillis(), ownLive);
     double millisPerToken = service.prefillRate.millisPerToken();
     if (millisPerToken * prompt.tokens() < LEAST_PROMPT_MILLIS) {
       return loads;
@@ -204,15 +204,7 @@
     List<Set<String>> homes = anyFree ? homes(loads, prompt, service.popularity) : List.of();
     List<EndpointLoad> next = new ArrayList<>(loads.size());
     for (EndpointLoad load : loads) {
-      double othersPerMilli =
-          (load.live() - ownLive.applyAsInt(load.endpoint().name())) / slotMillis
-              + (load.batch() - load.ownBatch()) / ITEM_SLOT_MILLIS;
-      double[] known =
-          known(
-              load,
-              prompt,
-              tokens - load.occupied() * service.newTokens,
-              Math.max(0, othersPerMilli) * service.newTokens);
+      double[] known = known(load, prompt, tokens - load.occupied() * service.newTokens);
       double[] likely = likely(load, prompt.size(), homes);
       double millisPerCachedToken = millisPerToken * load.slowness();
       next.add(
@@ -225,6 +217,27 @@
     return next;
   }
 
+  /**
+   * Counts the tokens that other instances have probably sent to endpoints, also for prompts
+   * without influence: they evict parts all the same.
+   */
+  private void countOthers(
+      List<EndpointLoad> loads,
+      ServicePrompts service,
+      double slotMillis,
+      ToIntFunction<String> ownLive) {
+    long now = clock.nanos();
+    for (EndpointLoad load : loads) {
+      EndpointPrompts sent = byIncarnation.get(load.endpoint().incarnation());
+      if (sent != null) {
+        double requestsPerMilli =
+            (load.live() - ownLive.applyAsInt(load.endpoint().name())) / slotMillis
+                + (load.batch() - load.ownBatch()) / ITEM_SLOT_MILLIS;
+        sent.countOthers(Math.max(0, requestsPerMilli) * service.newTokens, now);
+      }
+    }
+  }
+
   /** Returns the influence of each part on the choice, from 0 to 1. */
   private static double[] weights(PromptPrefix prompt, PartPopularity popularity) {
     double[] weights = new double[prompt.size()];
@@ -250,35 +263,23 @@
    */
   private static List<Set<String>> homes(
       List<EndpointLoad> loads, PromptPrefix prompt, PartPopularity popularity) {
+    List<String> names = loads.stream().map(load -> load.endpoint().name()).toList();
     List<Set<String>> homes = new ArrayList<>();
     for (int index = 0; index < prompt.size() - 1; index++) {
       long key = prompt.key(index);
-      int count = Math.max(1, (int) Math.ceil(popularity.fraction(key) * loads.size()));
-      String name = Long.toHexString(key);
-      Map<String, Double> ranks = new HashMap<>();
-      loads.forEach(
-          load ->
-              ranks.put(
-                  load.endpoint().name(),
-                  RendezvousHashing.fraction(name, load.endpoint().name())));
-      homes.add(
-          ranks.entrySet().stream()
-              .sorted(Map.Entry.<String, Double>comparingByValue().reversed())
-              .limit(count)
-              .map(Map.Entry::getKey)
-              .collect(Collectors.toSet()));
+      int count = Math.max(1, (int) Math.ceil(popularity.fraction(key) * names.size()));
+      List<String> ranked = RendezvousHashing.rank(Long.toHexString(key), names);
+      homes.add(Set.copyOf(ranked.subList(0, count)));
     }
     return homes;
   }
 
   /** Returns the probabilities that the parts are cached, from what this instance has sent. */
-  private double[] known(
-      EndpointLoad load, PromptPrefix prompt, double room, double othersTokensPerMilli) {
+  private double[] known(EndpointLoad load, PromptPrefix prompt, double room) {
     double[] known = new double[prompt.size()];
     EndpointPrompts sent = byIncarnation.get(load.endpoint().incarnation());
     if (sent != null) {
       long now = clock.nanos();
-      sent.countOthers(othersTokensPerMilli, now);
       for (int index = 0; index < known.length; index++) {
         known[index] = sent.probability(prompt.key(index), room, now);
       }
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointSpeeds.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/EndpointSpeeds.java
@@ -49,9 +49,8 @@
    * Returns a new observer of a run that is sent to an endpoint now.
    *
    * @param endpoint the endpoint, not null
-   * @param promptTokens number of prompt tokens to process, 0 if it is not known
    */
-  public RunTiming begin(ServiceEndpoint endpoint, int promptTokens) {
+  public RunTiming begin(ServiceEndpoint endpoint) {
     String incarnation = endpoint.incarnation();
     EndpointSpeed speed =
         incarnations.contains(incarnation)
@@ -59,7 +58,7 @@
             : new EndpointSpeed();
     RunTimeAverage average =
         runTimes.computeIfAbsent(endpoint.service(), key -> new RunTimeAverage());
-    return RunTiming.begin(speed, average, factor(endpoint.name()), clock, promptTokens);
+    return RunTiming.begin(speed, average, factor(endpoint.name()), clock);
   }
 
   /** Returns the times of live requests of a service at an endpoint of median speed. */
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/RunTiming.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/RunTiming.java
@@ -10,27 +10,24 @@
  * on the event loop.
  */
 public final class RunTiming {
+  /** Lets first events count with their whole time: which tokens were cached is not known. */
+  private static final int NO_PROMPT_TOKENS = 0;
+
   private final EndpointSpeed speed;
   private final RunTimeAverage average;
   private final double slowness;
   private final long sentNanos;
   private final MonotonicClock clock;
-  private final int promptTokens;
   private DoubleConsumer firstEventListener = millis -> {};
   private boolean begun;
   private long lastNanos;
 
   private RunTiming(
-      EndpointSpeed speed,
-      RunTimeAverage average,
-      double slowness,
-      MonotonicClock clock,
-      int promptTokens) {
+      EndpointSpeed speed, RunTimeAverage average, double slowness, MonotonicClock clock) {
     this.speed = Objects.requireNonNull(speed);
     this.average = Objects.requireNonNull(average);
     this.slowness = slowness;
     this.clock = Objects.requireNonNull(clock);
-    this.promptTokens = promptTokens;
     this.sentNanos = clock.nanos();
     this.lastNanos = sentNanos;
   }
@@ -42,16 +39,11 @@
    * @param average receives the times of the run at median speed, not null
    * @param slowness time that the endpoint takes for a step, relative to the median
    * @param clock source of monotonic time, not null
-   * @param promptTokens number of prompt tokens to process, 0 if it is not known
    * @throws NullPointerException if an object is null
    */
   static RunTiming begin(
-      EndpointSpeed speed,
-      RunTimeAverage average,
-      double slowness,
-      MonotonicClock clock,
-      int promptTokens) {
-    return new RunTiming(speed, average, slowness, clock, promptTokens);
+      EndpointSpeed speed, RunTimeAverage average, double slowness, MonotonicClock clock) {
+    return new RunTiming(speed, average, slowness, clock);
   }
 
   /**
@@ -96,7 +88,7 @@
     lastNanos = now;
     if (!begun) {
       begun = true;
-      speed.recordFirstEvent(promptTokens, elapsed, now);
+      speed.recordFirstEvent(NO_PROMPT_TOKENS, elapsed, now);
       average.addFirstEvent(elapsed / 1e6 / slowness);
       firstEventListener.accept(elapsed / 1e6 / slowness);
       return;
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsTest.java
@@ -152,6 +152,25 @@
     }
   }
 
+  /** Guards against parts that count as cached although other instances have sent many prompts. */
+  @Nested
+  class PromptsOfOtherInstances {
+    private double cached;
+
+    @Test
+    void evictThePartsOfShortPrompts() {
+      PromptPrefix prompt = prompt("short", 900);
+      send("a", prompt);
+      for (int second = 0; second < 200; second++) {
+        time.runUntil(time.nanos() / 1_000_000L + 1_000);
+        prompts.withSavings(List.of(load("a", 8, false)), prompt, name -> 0);
+      }
+      prompts.setRecorder((more, less) -> cached = more);
+      send("a", prompt);
+      assertEquals(0, cached);
+    }
+  }
+
   @Nested
   class WithoutPromptsOrCacheSizes {
     private final List<EndpointLoad> loads = List.of(load("a", 0, false), load("b", 0, false));
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/EndpointSpeedsTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/EndpointSpeedsTest.java
@@ -29,7 +29,7 @@
       for (ServiceEndpoint endpoint : endpoints) {
         // The peer uses the slowest endpoint only.
         if (instance == speeds || endpoint.name().equals("c")) {
-          RunTiming timing = instance.begin(endpoint, 0);
+          RunTiming timing = instance.begin(endpoint);
           scheduleEvent(timing, endpoint, slowness, random, time.nanos() / 1e6 + seconds * 1_000);
         }
       }
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/PeakLoadSimulation.java
@@ -420,7 +420,7 @@
         ServiceEndpoint endpoint, double arrived, double millis, WorkspaceTraffic.Request request) {
       running.merge(request.workspace, 1, Integer::sum);
       double slowness = speeds.of(endpoint.name());
-      RunTiming timing = dispatcher.speeds().begin(endpoint, 0);
+      RunTiming timing = dispatcher.speeds().begin(endpoint);
       SimulatedEngine.Work work =
           new SimulatedEngine.Work(
               millis * slowness,
