Share what the handlers and clients of instances had twice

Query parameters, answers and addresses of the two peer protocols stand in PeerResponses and InstanceDirectory.exchangeUri. Readiness and refusal use one definition of the time at which the configuration expires. JobHeadLookup, OwnedJobRunner, IniText and FleetQuotaGate lose repeated steps. The codec test covers the details of reports, which it left out.

--- a/sedgeroad/src/main/java/org/sedgeroad/access/AccessControl.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/AccessControl.java
@@ -85,11 +85,6 @@
     this.clock = clock;
   }
 
-  /** Returns whether requests with keys are refused because the configuration is too old. */
-  public boolean isExpired() {
-    return routes.current().workspaces().isRequired() && freshness() == Freshness.EXPIRED;
-  }
-
   /** Returns whether the age of the configuration is known as far as it matters. */
   public boolean isReady() {
     return !age.isBounded() || !routes.current().workspaces().isRequired() || age.isConfirmed();
--- a/sedgeroad/src/main/java/org/sedgeroad/access/ConfigurationAge.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/ConfigurationAge.java
@@ -181,8 +181,8 @@
    */
   public Freshness freshness(long newestPeerVersion) {
     if (isBounded()) {
-      long age = ageMillis();
-      if (age == Long.MAX_VALUE || age * NANOS_PER_MILLI > expiryNanos) {
+      observe();
+      if (!isConfirmed() || clock.nanos() - expiresAtNanos() > 0) {
         return Freshness.EXPIRED;
       }
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/access/FleetQuotaGate.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/access/FleetQuotaGate.java
@@ -29,7 +29,6 @@
   private final PossibleSenders senders;
   private final FleetLoad fleetLoad;
   private final QuotaSettings settings;
-  private final long windowMillis;
   private final MonotonicClock clock;
   private final DoubleSupplier random;
   private final SendHistory sends = new SendHistory();
@@ -62,10 +61,9 @@
     this.settings = settings;
     this.senders = Objects.requireNonNull(senders);
     this.fleetLoad = Objects.requireNonNull(fleetLoad);
-    this.windowMillis = settings.windowMillis();
     this.clock = Objects.requireNonNull(clock);
     this.random = Objects.requireNonNull(random);
-    this.completeNanos = clock.deadlineAfterMillis(windowMillis);
+    this.completeNanos = clock.deadlineAfterMillis(settings.windowMillis());
     this.nextReportNanos = clock.nanos();
   }
 
@@ -79,7 +77,7 @@
     if (!allows(workspace)) {
       return false;
     }
-    sends.record(workspace.name(), windowMillis, clock.nanos());
+    sends.record(workspace.name(), settings.windowMillis(), clock.nanos());
     nextReportNanos = clock.nanos();
     return true;
   }
@@ -93,12 +91,12 @@
   @Override
   public long retryAtNanos(Workspace workspace) {
     long now = clock.nanos();
-    refusals.record(workspace.name(), windowMillis, now);
-    int refused = refusals.count(workspace.name(), windowMillis, now);
+    refusals.record(workspace.name(), settings.windowMillis(), now);
+    int refused = refusals.count(workspace.name(), settings.windowMillis(), now);
     return clock.deadlineAfterMillis(
         QuotaBudget.waitMillis(
             workspace,
-            windowMillis,
+            settings.windowMillis(),
             fleet(now),
             sent(workspace.name(), now),
             refused,
@@ -124,7 +122,7 @@
     Map<String, WorkspaceLoad> loads = fleetLoad.others(now).details().workspaces();
     WorkspaceLoad others = loads.getOrDefault(workspace, WorkspaceLoad.NONE);
     return new QuotaBudget.Sent(
-        sends.count(workspace, windowMillis, now),
+        sends.count(workspace, settings.windowMillis(), now),
         sends.countNewest(
             workspace, time -> !fleetLoad.hasExchangedSince(time, peersExpected, now)),
         others.sent(),
@@ -139,8 +137,8 @@
 
   private long ownHistoryMillis() {
     return isComplete()
-        ? windowMillis
-        : windowMillis - Math.max(0, (completeNanos - clock.nanos()) / 1_000_000L);
+        ? settings.windowMillis()
+        : settings.windowMillis() - Math.max(0, (completeNanos - clock.nanos()) / 1_000_000L);
   }
 
   /**
@@ -161,8 +159,8 @@
   public Map<String, Integer> reportedCounts() {
     if (clock.hasPassed(nextReportNanos)) {
       nextReportNanos = clock.deadlineAfterMillis(REPORT_STEP_MILLIS);
-      reported = Map.copyOf(sends.counts(windowMillis, clock.nanos()));
-      refusals.counts(windowMillis, clock.nanos());
+      reported = Map.copyOf(sends.counts(settings.windowMillis(), clock.nanos()));
+      refusals.counts(settings.windowMillis(), clock.nanos());
     }
     return reported;
   }
@@ -170,7 +168,7 @@
   /** Returns for how long this instance has counted, in steps and at most a window. */
   public long reportedHistoryMillis() {
     return isComplete()
-        ? windowMillis
+        ? settings.windowMillis()
         : ownHistoryMillis() / HISTORY_STEP_MILLIS * HISTORY_STEP_MILLIS;
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/JobHeadLookup.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/JobHeadLookup.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.sedgeroad.access.JobAccess;
 import org.sedgeroad.store.StoreResult;
 import org.sedgeroad.store.StoredObject;
@@ -80,22 +81,15 @@
   }
 
   private void readStale(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
-    context
-        .storeWorkers()
-        .execute(
-            () -> {
-              StoreResult<StoredObject> read = context.store().readStale(id);
-              context
-                  .loop()
-                  .execute(
-                      () -> {
-                        if (read instanceof StoreResult.Done<StoredObject> done) {
-                          received(done.value(), result, task);
-                        } else {
-                          read(id, result, task);
-                        }
-                      });
-            });
+    onWorker(
+        () -> context.store().readStale(id),
+        read -> {
+          if (read instanceof StoreResult.Done<StoredObject> done) {
+            received(done.value(), result, task);
+          } else {
+            read(id, result, task);
+          }
+        });
   }
 
   /** Runs a task with the head of a job as it is in the store now. */
@@ -103,26 +97,31 @@
   public void read(String id, Consumer<ReadResult> result, Consumer<JobHead> task) {
     // A job that was not known may be accepted here while its head is read.
     boolean known = jobHeads.find(id).isPresent();
+    onWorker(
+        () -> context.store().read(id),
+        read -> {
+          if (read instanceof StoreResult.Done<StoredObject> done) {
+            received(done.value(), result, task);
+          } else if (read instanceof StoreResult.Absent) {
+            if (known) {
+              onAbsent.accept(id);
+            }
+            result.accept(new ReadResult.Absent());
+          } else {
+            result.accept(new ReadResult.Unavailable(read.toString()));
+          }
+        });
+  }
+
+  /** Calls the store on a thread that may block, and passes the result on to the event loop. */
+  private void onWorker(
+      Supplier<StoreResult<StoredObject>> call, Consumer<StoreResult<StoredObject>> next) {
     context
         .storeWorkers()
         .execute(
             () -> {
-              StoreResult<StoredObject> read = context.store().read(id);
-              context
-                  .loop()
-                  .execute(
-                      () -> {
-                        if (read instanceof StoreResult.Done<StoredObject> done) {
-                          received(done.value(), result, task);
-                        } else if (read instanceof StoreResult.Absent) {
-                          if (known) {
-                            onAbsent.accept(id);
-                          }
-                          result.accept(new ReadResult.Absent());
-                        } else {
-                          result.accept(new ReadResult.Unavailable(read.toString()));
-                        }
-                      });
+              StoreResult<StoredObject> read = call.get();
+              context.loop().execute(() -> next.accept(read));
             });
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -214,7 +214,7 @@
 
   @Override
   public Optional<ItemUrgency> next(String service) {
-    return readyItems(service).stream().map(this::urgency).min(ItemUrgency.ORDER);
+    return nextItem(service).map(this::urgency);
   }
 
   @Override
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/GatewayAccess.java
@@ -162,7 +162,7 @@
   void tick() {
     quotas.update(instances.count());
     probe.tick();
-    readiness = new Readiness(control.isReady() && !control.isExpired(), control.expiresAtNanos());
+    readiness = new Readiness(control.isReady(), control.expiresAtNanos());
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerChanges.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerChanges.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -46,18 +45,14 @@
   @Override
   public AutoCloseable read(
       String instance, String kind, long afterVersion, long waitMillis, Consumer<Answer> result) {
-    Optional<InetSocketAddress> address =
-        instances.find(instance).map(InstanceDirectory.Addresses::exchange);
-    if (address.isEmpty()) {
+    String query = "?kind=" + kind + "&after=" + afterVersion + "&wait_millis=" + waitMillis;
+    Optional<URI> uri = instances.exchangeUri(instance, PATH + query);
+    if (uri.isEmpty()) {
       result.accept(new Answer.Unavailable("unknown instance " + instance));
       return () -> {};
     }
-    String authority = address.get().getHostString() + ":" + address.get().getPort();
-    String query = "?kind=" + kind + "&after=" + afterVersion + "&wait_millis=" + waitMillis;
     HttpCall call =
-        HttpCall.get(
-            URI.create("http://" + authority + PATH + query),
-            clock.deadlineAfterMillis(waitMillis + ANSWER_GRACE_MILLIS));
+        HttpCall.get(uri.get(), clock.deadlineAfterMillis(waitMillis + ANSWER_GRACE_MILLIS));
     HttpExchange exchange =
         httpClient.start(call, (HttpResult answer) -> result.accept(decode(kind, answer)));
     return exchange::close;
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/HttpPeerJobs.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -112,17 +111,17 @@
 
   private CompletableFuture<HttpResult> call(
       String owner, String method, String path, String job, String query, long waitMillis) {
-    Optional<InetSocketAddress> address =
-        instances.find(owner).map(InstanceDirectory.Addresses::exchange);
-    if (address.isEmpty()) {
+    Optional<URI> uri = instances.exchangeUri(owner, "/" + path + "?job=" + encode(job) + query);
+    if (uri.isEmpty()) {
       return CompletableFuture.completedFuture(
           new HttpResult.Failed(new HttpFailure.NotSent("unknown instance " + owner)));
     }
-    String authority = address.get().getHostString() + ":" + address.get().getPort();
-    URI uri = URI.create("http://" + authority + "/" + path + "?job=" + encode(job) + query);
     HttpCall call =
         HttpCall.of(
-            method, uri, new byte[0], clock.deadlineAfterMillis(waitMillis + ROUND_TRIP_MILLIS));
+            method,
+            uri.get(),
+            new byte[0],
+            clock.deadlineAfterMillis(waitMillis + ROUND_TRIP_MILLIS));
     return httpClient.sendAsync(method.equals("GET") ? call.asRepeatable() : call);
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/InstanceDirectory.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/InstanceDirectory.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -51,6 +52,21 @@
     return Optional.ofNullable(instances.get(instance));
   }
 
+  /**
+   * Returns the address of a resource that an instance serves to other instances, empty if the
+   * instance is not registered.
+   *
+   * @param instance name of the instance
+   * @param target path and query
+   */
+  Optional<URI> exchangeUri(String instance, String target) {
+    return find(instance)
+        .map(Addresses::exchange)
+        .map(
+            address ->
+                URI.create("http://" + address.getHostString() + ":" + address.getPort() + target));
+  }
+
   /** Returns the number of other instances that are registered. */
   int count() {
     return instances.size();
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/PeerChangesHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerChangesHandler.java
@@ -2,11 +2,8 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
-import java.nio.ByteBuffer;
-import java.util.Deque;
 import java.util.Map;
 
 /** Serves requests of other instances for changes of objects; passes on all other requests. */
@@ -33,34 +30,23 @@
   }
 
   private void handle(HttpServerExchange exchange) {
-    ChangeHistory history = histories.get(parameter(exchange, "kind", ""));
+    ChangeHistory history = histories.get(PeerResponses.parameter(exchange, "kind", ""));
     if (history == null) {
-      send(exchange, StatusCodes.NOT_FOUND, new byte[0]);
+      PeerResponses.send(exchange, StatusCodes.NOT_FOUND, new byte[0]);
       return;
     }
-    long after = Long.parseLong(parameter(exchange, "after", "0"));
-    long wait = Long.parseLong(parameter(exchange, "wait_millis", "0"));
+    long after = Long.parseLong(PeerResponses.parameter(exchange, "after", "0"));
+    long wait = Long.parseLong(PeerResponses.parameter(exchange, "wait_millis", "0"));
     history.read(after, Math.min(MAXIMUM_WAIT_MILLIS, wait), answer -> send(exchange, answer));
   }
 
-  private static String parameter(HttpServerExchange exchange, String name, String defaultValue) {
-    Deque<String> values = exchange.getQueryParameters().get(name);
-    return values == null || values.isEmpty() ? defaultValue : values.getFirst();
-  }
-
   private static void send(HttpServerExchange exchange, PeerChanges.Answer answer) {
     if (answer instanceof PeerChanges.Answer.Changes changes) {
-      send(exchange, HttpPeerChanges.OK, HttpPeerChanges.encode(changes));
+      PeerResponses.send(exchange, HttpPeerChanges.OK, HttpPeerChanges.encode(changes));
     } else if (answer instanceof PeerChanges.Answer.Expired) {
-      send(exchange, HttpPeerChanges.GONE, new byte[0]);
+      PeerResponses.send(exchange, HttpPeerChanges.GONE, new byte[0]);
     } else {
-      send(exchange, StatusCodes.SERVICE_UNAVAILABLE, new byte[0]);
+      PeerResponses.send(exchange, StatusCodes.SERVICE_UNAVAILABLE, new byte[0]);
     }
   }
-
-  private static void send(HttpServerExchange exchange, int status, byte[] body) {
-    exchange.setStatusCode(status);
-    exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
-    exchange.getResponseSender().send(ByteBuffer.wrap(body));
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/entry/PeerJobsHandler.java
@@ -2,11 +2,8 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Deque;
 import org.sedgeroad.MonotonicClock;
 import org.sedgeroad.batch.OwnedJobService;
 import org.sedgeroad.batch.ReadResult;
@@ -28,7 +25,7 @@
 
   @Override
   public void handleRequest(HttpServerExchange exchange) {
-    String job = parameter(exchange, "job", "");
+    String job = PeerResponses.parameter(exchange, "job", "");
     // The job service calls back on this event loop, so the response is sent on this thread.
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> handle(exchange, job));
   }
@@ -36,19 +33,21 @@
   private void handle(HttpServerExchange exchange, String job) {
     switch (exchange.getRequestPath()) {
       case "/results" -> {
-        int after = Integer.parseInt(parameter(exchange, "after", "0"));
-        long wait = Long.parseLong(parameter(exchange, "wait_millis", "0"));
+        int after = Integer.parseInt(PeerResponses.parameter(exchange, "after", "0"));
+        long wait = Long.parseLong(PeerResponses.parameter(exchange, "wait_millis", "0"));
         jobs.readForPeer(
             job, after, clock.deadlineAfterMillis(wait), result -> send(exchange, result));
       }
       case "/body" ->
           jobs.readBodyForPeer(
-              job, parameter(exchange, "item", ""), result -> send(exchange, result));
+              job, PeerResponses.parameter(exchange, "item", ""), result -> send(exchange, result));
       case "/head" ->
           jobs.headForPeer(job)
               .ifPresentOrElse(
-                  head -> send(exchange, OK, head.toString().getBytes(StandardCharsets.UTF_8)),
-                  () -> send(exchange, NOT_FOUND, new byte[0]));
+                  head ->
+                      PeerResponses.send(
+                          exchange, OK, head.toString().getBytes(StandardCharsets.UTF_8)),
+                  () -> PeerResponses.send(exchange, NOT_FOUND, new byte[0]));
       case "/ended" -> {
         jobs.stopJobEndedByPeer(job);
         send(exchange, new ReadResult.Ended());
@@ -61,29 +60,18 @@
     }
   }
 
-  private static String parameter(HttpServerExchange exchange, String name, String defaultValue) {
-    Deque<String> values = exchange.getQueryParameters().get(name);
-    return values == null || values.isEmpty() ? defaultValue : values.getFirst();
-  }
-
   private static void send(HttpServerExchange exchange, ReadResult result) {
     if (result instanceof ReadResult.Page page) {
       String text = ResultPageJson.encode(page.page()).toString();
-      send(exchange, OK, text.getBytes(StandardCharsets.UTF_8));
+      PeerResponses.send(exchange, OK, text.getBytes(StandardCharsets.UTF_8));
     } else if (result instanceof ReadResult.Body body) {
-      send(exchange, OK, body.body());
+      PeerResponses.send(exchange, OK, body.body());
     } else if (result instanceof ReadResult.Ended) {
-      send(exchange, OK, new byte[0]);
+      PeerResponses.send(exchange, OK, new byte[0]);
     } else if (result instanceof ReadResult.Absent) {
-      send(exchange, NOT_FOUND, new byte[0]);
+      PeerResponses.send(exchange, NOT_FOUND, new byte[0]);
     } else {
-      send(exchange, UNAVAILABLE, new byte[0]);
+      PeerResponses.send(exchange, UNAVAILABLE, new byte[0]);
     }
   }
-
-  private static void send(HttpServerExchange exchange, int status, byte[] body) {
-    exchange.setStatusCode(status);
-    exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
-    exchange.getResponseSender().send(ByteBuffer.wrap(body));
-  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
@@ -11,11 +11,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.ini4j.Config;
 import org.ini4j.Ini;
 
 /** A parsed INI file that collects the faults found in it. Not thread-safe. */
 final class IniText {
+  /** A number with a fraction or without, short enough to be exact. */
+  private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
+
   private final String text;
   private final Ini ini = new Ini();
   private final List<SettingsFault> faults = new ArrayList<>();
@@ -186,7 +190,7 @@
     if (value == null) {
       return fallbackMillis;
     }
-    if (value.matches("[0-9]{1,9}(\\.[0-9]{1,9})?")) {
+    if (DECIMAL.matcher(value).matches()) {
       long millis = Math.round(Double.parseDouble(value) * 1_000);
       if (millis >= minimumMillis && millis <= maximumMillis) {
         return millis;
@@ -218,7 +222,7 @@
     if (value == null) {
       return fallback;
     }
-    if (value.matches("[0-9]{1,9}(\\.[0-9]{1,9})?") && Double.parseDouble(value) <= maximum) {
+    if (DECIMAL.matcher(value).matches() && Double.parseDouble(value) <= maximum) {
       return Double.parseDouble(value);
     }
     addFault(section, key, "expected a number from 0 to " + maximum + ", found '" + value + "'");
--- a/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/presence/LoadMessageCodecTest.java
@@ -37,6 +37,20 @@
       assertEquals(REPORT, LoadMessageCodec.decode(bytes, bytes.length));
     }
 
+    @Test
+    void keepsTheDetails() throws IOException {
+      LoadReport report =
+          REPORT.withDetails(
+              new FleetDetails(
+                  new Confirmation(11, 12),
+                  13,
+                  1,
+                  Map.of("chess", new WorkspaceLoad(14, 15, 16, 17)),
+                  Map.of("e1/1", new SpeedSample(18, 19))));
+      byte[] bytes = LoadMessageCodec.encode(report);
+      assertEquals(report, LoadMessageCodec.decode(bytes, bytes.length));
+    }
+
     @Test
     void rejectsMalformedReports() throws IOException {
       byte[] bytes = LoadMessageCodec.encode(REPORT);
