--- a/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/CachedPrompts.java
@@ -81,6 +81,7 @@
   private final Map<String, ServicePrompts> byService = new HashMap<>();
   private Map<String, String> incarnationsByName = Map.of();
   private ToIntFunction<String> cacheTokens = service -> 0;
+  private double leastPromptMillis = LEAST_PROMPT_MILLIS;
   private TokenRecorder recorder = (cached, uncached) -> {};
 
   /** Creates a table without parts. */
@@ -99,6 +100,14 @@
     cacheTokens = next;
   }
 
+  /**
+   * Sets the processing time below which a prompt has no influence, in milliseconds; {@link
+   * #LEAST_PROMPT_MILLIS} until then. For comparisons of policies.
+   */
+  void setLeastPromptMillis(double millis) {
+    leastPromptMillis = millis;
+  }
+
   /** Sets the receiver of the expected numbers of tokens, not null. */
   public void setRecorder(TokenRecorder next) {
     recorder = next;
@@ -195,7 +204,7 @@
     ServicePrompts service = service(name);
     countOthers(loads, service, speeds.runTimes(name).slotMillis(), ownLive);
     double millisPerToken = service.prefillRate.millisPerToken();
-    if (millisPerToken * prompt.tokens() < LEAST_PROMPT_MILLIS) {
+    if (millisPerToken * prompt.tokens() < leastPromptMillis) {
       return loads;
     }
     double[] weights = weights(prompt, service.popularity);
--- a/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsSimulation.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/placement/CachedPromptsSimulation.java
@@ -215,6 +215,7 @@
       dispatcher.setEndpoints(endpoints, List.of());
       if (scheme == Scheme.HOLDER) {
         dispatcher.setLivePolicy(CachedPromptsSimulation::chooseHolder);
+        dispatcher.prompts().setLeastPromptMillis(0);
       }
     }
 
