--- a/review/standin2/Scene.java
+++ b/review/standin2/Scene.java
@@ -26,13 +26,17 @@
   final List<Worker> workers = new ArrayList<>();
   final List<Entry> entries = new ArrayList<>();
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+
+  /** Loopback network of this run, so that runs at the same time use different addresses. */
+  private final String network = "127." + (10 + ProcessHandle.current().pid() % 200);
+
   private final Path folder = Files.createTempDirectory("sedgeroad-review");
   private final long startNanos = System.nanoTime();
   private final PrintStream record;
 
   Scene(Path record) throws IOException {
     this.record = new PrintStream(Files.newOutputStream(record), true, StandardCharsets.UTF_8);
-    this.store = new Store("127.0.2.1", 0);
+    this.store = new Store(network + ".2.1", 0);
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
     note("disruption: " + (trouble ? "yes" : "no (TROUBLE=0)"));
   }
@@ -84,7 +88,7 @@
 
   Worker addWorker(String id, String zone, int slots, int eventMillis, Worker.Lengths lengths)
       throws IOException {
-    String host = "127.0.3." + (workers.size() + 1);
+    String host = network + ".3." + (workers.size() + 1);
     Worker worker =
         new Worker(store, id, "tallador-lm", zone, host, slots, eventMillis, lengths);
     workers.add(worker);
@@ -93,7 +97,7 @@
 
   /** Starts an entry process. */
   Entry addEntry(String name, String zone) throws IOException {
-    String host = "127.0.1." + (entries.size() + 1);
+    String host = network + ".1." + (entries.size() + 1);
     Entry entry = new Entry(folder, name, zone, host, store.address());
     entries.add(entry);
     entry.start();
