Reject answers whose head does not state one length

What callers saw: a worker in trouble sent two lengths that differ, a length with a sign, a folded length, or a length beside a transfer coding. The client got 200 and a signature with a part of the worker's body, framed as complete. Streams, resumed streams, items and the store's answers were cut in the same way.

Cause: Undertow's client takes the first of several lengths, parses it with Long.parseLong, joins folded lines, and prefers a coding to a length. It has no option for a stricter parser, and hands over only what it made of the bytes.

Change: the bytes of each connection are validated before the client parses them, in the one place that all readers of answers share (PooledHttpClient). AnswerValidator splits the head into lines; AnswerHead accepts digits only, one value, and no coding beside it. ValidatingConnector puts the validating conduit below the client. Another client library was ruled out: all of its states (resets, early answers, endless answers) would have to be proved again. A check of the parsed head was ruled out: folded lines are no longer visible there.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/Connections.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/Connections.java
@@ -1,6 +1,5 @@
 package org.sedgeroad.http;
 
-import io.undertow.client.ClientConnection;
 import io.undertow.connector.ByteBufferPool;
 import java.net.URI;
 
@@ -21,7 +20,7 @@
    * @param serverIdleSeconds time after which the server closes the idle connection, in seconds;
    *     null if the server does not state it
    */
-  void release(URI uri, ClientConnection connection, Long serverIdleSeconds);
+  void release(URI uri, ValidatedConnection connection, Long serverIdleSeconds);
 
   /**
    * Closes the idle connections that were put into the pool at a time or before.
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
@@ -34,7 +34,7 @@
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
 
   /** Largest head of an answer, in bytes. */
-  private static final long MAXIMUM_HEAD_BYTES = 256 * 1024;
+  static final int MAXIMUM_HEAD_BYTES = 256 * 1024;
 
   /** Largest number of bytes on the wire for each byte of a body; a chunk of one byte takes six. */
   private static final long MAXIMUM_FRAMING_FACTOR = 16;
@@ -50,6 +50,7 @@
 
   private final HttpExchange exchange;
   private final HttpCall call;
+  private final ValidatedConnection validated;
   private final ClientConnection connection;
   private final boolean pooled;
   private final MonotonicClock clock;
@@ -80,15 +81,16 @@
    * Creates an attempt that has not been sent.
    *
    * @param exchange receives the answer or the failure
-   * @param connection an open connection without an exchange in progress
+   * @param opened an open connection without an exchange in progress
    * @param pooled whether the connection was taken from the pool
    * @param clock monotonic clock
    */
   HttpAttempt(
-      HttpExchange exchange, ClientConnection connection, boolean pooled, MonotonicClock clock) {
+      HttpExchange exchange, ValidatedConnection opened, boolean pooled, MonotonicClock clock) {
     this.exchange = exchange;
     this.call = exchange.call();
-    this.connection = connection;
+    this.validated = opened;
+    this.connection = opened.client();
     this.pooled = pooled;
     this.clock = clock;
     this.connectionBytesBefore = connection.getStatistics().getRead();
@@ -115,6 +117,7 @@
   /** Sends the request. */
   void send() {
     sentNanos = clock.nanos();
+    validated.source().validator().beginAnswer();
     connection.sendRequest(
         toClientRequest(),
         new ClientCallback<>() {
@@ -159,7 +162,7 @@
       IoUtils.safeClose(connection);
     } else {
       String keepAlive = answer.getResponseHeaders().getFirst(Headers.KEEP_ALIVE);
-      exchange.connections().release(call.uri(), connection, keepAliveSeconds(keepAlive));
+      exchange.connections().release(call.uri(), validated, keepAliveSeconds(keepAlive));
     }
   }
 
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -1,6 +1,5 @@
 package org.sedgeroad.http;
 
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientResponse;
 import java.nio.ByteBuffer;
 import java.util.concurrent.RejectedExecutionException;
@@ -75,14 +74,14 @@
    * @param opened the connection
    * @param pooled whether the connection was taken from the pool
    */
-  void send(ClientConnection opened, boolean pooled) {
+  void send(ValidatedConnection opened, boolean pooled) {
     if (ended.get()) {
       // The exchange ended before a byte was sent on this connection, so the connection can serve
       // another request.
       connections.release(call.uri(), opened, null);
       return;
     }
-    if (pooled && !opened.isOpen()) {
+    if (pooled && !opened.client().isOpen()) {
       connect();
       return;
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/PooledHttpClient.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/PooledHttpClient.java
@@ -1,9 +1,6 @@
 package org.sedgeroad.http;
 
-import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
@@ -62,6 +59,7 @@
   private static final long DEADLINE_GRACE_MILLIS = 1_000;
 
   private final XnioWorker worker;
+  private final ValidatingConnector connector;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 0);
   private final Map<String, Deque<IdleConnection>> idleByAddress = new ConcurrentHashMap<>();
   private final MonotonicClock clock;
@@ -77,11 +75,12 @@
   private volatile boolean closed;
 
   private record IdleConnection(
-      ClientConnection connection, long releasedNanos, long reusableUntilNanos) {}
+      ValidatedConnection connection, long releasedNanos, long reusableUntilNanos) {}
 
   private PooledHttpClient(
       XnioWorker worker, MonotonicClock clock, long connectTimeoutMillis, boolean ownsWorker) {
     this.worker = worker;
+    this.connector = new ValidatingConnector(worker);
     this.clock = clock;
     this.connectTimeoutMillis = connectTimeoutMillis;
     this.ownsWorker = ownsWorker;
@@ -141,10 +140,10 @@
    */
   public HttpExchange start(HttpCall call, HttpListener listener) {
     HttpExchange exchange = new HttpExchange(pool, call, listener, clock);
-    ClientConnection pooled = call.newConnection() ? null : takeIdle(call.uri());
+    ValidatedConnection pooled = call.newConnection() ? null : takeIdle(call.uri());
     try {
       if (pooled != null) {
-        pooled.getIoThread().execute(() -> exchange.send(pooled, true));
+        pooled.client().getIoThread().execute(() -> exchange.send(pooled, true));
       } else {
         pool.connect(exchange);
       }
@@ -223,7 +222,8 @@
     idleByAddress
         .values()
         .forEach(
-            connections -> connections.forEach(entry -> IoUtils.safeClose(entry.connection())));
+            connections ->
+                connections.forEach(entry -> IoUtils.safeClose(entry.connection().client())));
     if (ownsWorker) {
       worker.shutdownNow();
     }
@@ -240,17 +240,17 @@
   }
 
   /** Removes and returns a reusable connection of the pool, null if there is none. */
-  private ClientConnection takeIdle(URI uri) {
+  private ValidatedConnection takeIdle(URI uri) {
     Deque<IdleConnection> connections = idleByAddress.get(uri.getAuthority());
     if (connections == null) {
       return null;
     }
     IdleConnection next = connections.poll();
     while (next != null) {
-      if (next.connection().isOpen() && !clock.hasPassed(next.reusableUntilNanos())) {
+      if (next.connection().client().isOpen() && !clock.hasPassed(next.reusableUntilNanos())) {
         return next.connection();
       }
-      IoUtils.safeClose(next.connection());
+      IoUtils.safeClose(next.connection().client());
       next = connections.poll();
     }
     return null;
@@ -260,30 +260,22 @@
   private final class Pool implements Connections {
     @Override
     public void connect(HttpExchange exchange) {
-      OptionMap options =
-          OptionMap.builder()
-              .set(Options.TCP_NODELAY, true)
-              .set(UndertowOptions.ENABLE_STATISTICS, true)
-              .getMap();
       exchange.startConnectTimer(connectTimeoutMillis, worker.getIoThread());
       try {
-        UndertowClient.getInstance()
-            .connect(
-                new ClientCallback<>() {
-                  @Override
-                  public void completed(ClientConnection connection) {
-                    connection.getIoThread().execute(() -> exchange.send(connection, false));
-                  }
+        connector.connect(
+            exchange.call().uri(),
+            buffers,
+            new ClientCallback<>() {
+              @Override
+              public void completed(ValidatedConnection opened) {
+                opened.client().getIoThread().execute(() -> exchange.send(opened, false));
+              }
 
-                  @Override
-                  public void failed(IOException failure) {
-                    exchange.fail(new HttpFailure.NotSent(HttpFailure.describe(failure)));
-                  }
-                },
-                exchange.call().uri(),
-                worker,
-                buffers,
-                options);
+              @Override
+              public void failed(IOException failure) {
+                exchange.fail(new HttpFailure.NotSent(HttpFailure.describe(failure)));
+              }
+            });
       } catch (ClosedSelectorException closing) {
         // Closing the client ends the I/O threads while the connection is being registered.
         throw new RejectedExecutionException(closing);
@@ -291,21 +283,21 @@
     }
 
     @Override
-    public void release(URI uri, ClientConnection connection, Long serverIdleSeconds) {
+    public void release(URI uri, ValidatedConnection connection, Long serverIdleSeconds) {
       Deque<IdleConnection> connections =
           idleByAddress.computeIfAbsent(uri.getAuthority(), key -> new ConcurrentLinkedDeque<>());
       // One second less than the server states, because a request that is sent later could arrive
       // after the server has closed the connection.
       long reusableMillis =
           serverIdleSeconds == null ? DEFAULT_IDLE_MILLIS : (serverIdleSeconds - 1) * 1_000L;
-      if (connection.isOpen()
+      if (connection.client().isOpen()
           && reusableMillis > 0
           && connections.size() < MAX_IDLE_CONNECTIONS_PER_ADDRESS) {
         connections.push(
             new IdleConnection(
                 connection, clock.nanos(), clock.deadlineAfterMillis(reusableMillis)));
       } else {
-        IoUtils.safeClose(connection);
+        IoUtils.safeClose(connection.client());
       }
     }
 
@@ -318,7 +310,7 @@
       for (IdleConnection entry : connections) {
         // Another thread may take the connection at the same time.
         if (entry.releasedNanos() - untilNanos <= 0 && connections.remove(entry)) {
-          IoUtils.safeClose(entry.connection());
+          IoUtils.safeClose(entry.connection().client());
         }
       }
     }
--- /dev/null
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
@@ -0,0 +1,178 @@
+package org.sedgeroad.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sedgeroad.MonotonicClock;
+
+/** Guards against answers that are not valid HTTP and are passed on, and against the opposite. */
+class InvalidAnswerTest {
+  private static final String STATUS = "HTTP/1.1 200 OK\r\n";
+  private static final String BODY = "0123456789abcde";
+  private static final String CHUNKS = "f\r\n" + BODY + "\r\n0\r\n\r\n";
+  private static final String SOUND = STATUS + "Content-Length: 15\r\n\r\n" + BODY;
+
+  /** Time for which a server keeps a connection open after its answer, in milliseconds. */
+  private static final long LINGER_MILLIS = 50;
+
+  private static final long BYTE_INTERVAL_NANOS = 200_000;
+
+  private PooledHttpClient client;
+  private RawServer server;
+
+  /** How the bytes of an answer arrive. */
+  private enum Delivery {
+    AT_ONCE,
+    BYTE_BY_BYTE;
+
+    void write(Socket socket, String text) throws IOException {
+      if (this == AT_ONCE) {
+        RawServer.write(socket, text);
+        return;
+      }
+      for (int index = 0; index < text.length(); index++) {
+        RawServer.write(socket, text.substring(index, index + 1));
+        LockSupport.parkNanos(BYTE_INTERVAL_NANOS);
+      }
+    }
+  }
+
+  @BeforeEach
+  void open() throws IOException {
+    client = PooledHttpClient.create(1);
+    server = new RawServer();
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    client.close();
+    server.close();
+  }
+
+  private HttpResult call(String method) {
+    return client.send(
+        new HttpCall(
+            method,
+            server.uri(),
+            Map.of(),
+            new byte[0],
+            false,
+            MonotonicClock.SYSTEM.deadlineAfterMillis(3_000)));
+  }
+
+  private HttpResult call() {
+    return call("POST");
+  }
+
+  private void serve(Delivery delivery, String... answers) {
+    server.serve(
+        socket -> {
+          for (String answer : answers) {
+            RawServer.readHead(socket);
+            delivery.write(socket, answer);
+          }
+          Thread.sleep(LINGER_MILLIS);
+        });
+  }
+
+  private void assertInvalid(String answer) throws IOException {
+    for (Delivery delivery : Delivery.values()) {
+      serve(delivery, answer);
+      assertInstanceOf(HttpResult.Failed.class, call(), delivery + " on a new connection");
+      server.close();
+      server = new RawServer();
+      serve(delivery, SOUND, answer);
+      assertBody(BODY, call());
+      assertInstanceOf(HttpResult.Failed.class, call(), delivery + " on a reused connection");
+      assertEquals(1, server.connections());
+      server.close();
+      server = new RawServer();
+    }
+  }
+
+  private void assertValid(String body, String answer) throws IOException {
+    for (Delivery delivery : Delivery.values()) {
+      serve(delivery, answer, answer);
+      assertBody(body, call());
+      assertBody(body, call());
+      server.close();
+      server = new RawServer();
+    }
+  }
+
+  private static void assertBody(String body, HttpResult result) {
+    byte[] received = assertInstanceOf(HttpResult.Answered.class, result).body();
+    assertEquals(body, new String(received, StandardCharsets.ISO_8859_1));
+  }
+
+  /** A head that does not state the length of the body, or states it more than once. */
+  @Nested
+  class Length {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "Content-Length: x",
+          "Content-Length: +15",
+          "Content-Length: -1",
+          "Content-Length: -15",
+          "Content-Length: 15.0",
+          "Content-Length: 1 5",
+          "Content-Length: 0xf",
+          "Content-Length: 15;",
+          "Content-Length: \u00b9\u00b5",
+          "Content-Length: 9223372036854775808",
+          "Content-Length: 18446744073709551631",
+          "Content-Length: 99999999999999999999999",
+          "Content-Length:",
+          "Content-Length: , 15",
+          "Content-Length: 15, 15",
+          "Content-Length: 5, 15",
+          "Content-Length: 5\r\nContent-Length: 15",
+          "Content-Length: 15\r\nContent-Length: 5",
+          "Content-Length: 15\r\ncontent-length: 5",
+          "Content-Length: 15\r\nContent-Length: ",
+          "Content-Length: 15\r\nContent-Length: +15",
+          "Content-Length:\r\n 15",
+          "Content-Length: 1\r\n 5",
+          "Content-Length : 15",
+          "Content-Length\t: 15",
+          "Content Length: 15",
+          "Content-Len\u0000gth: 15",
+          "Content-Length\u0001: 15",
+          "Content-Length\u007f: 15",
+          " Content-Length: 15",
+          "\tContent-Length: 15",
+          "Content-Length 15",
+          "Content-Length= 15",
+          "Content-Length",
+        })
+    void isInvalid(String line) throws IOException {
+      assertInvalid(STATUS + line + "\r\n\r\n" + BODY);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "Content-Length: 15",
+          "Content-Length:15",
+          "Content-Length: \t 15 \t ",
+          "cOnTeNt-LeNgTh: 15",
+          "Content-Length: 0015",
+          "Content-Length: 15\r\nContent-Length: 15",
+          "X-Empty:\r\nContent-Length: 15\r\nX-Blank: ",
+        })
+    void isValid(String line) throws IOException {
+      assertValid(BODY, STATUS + line + "\r\n\r\n" + BODY);
+    }
+  }
+}
--- a/sedgeroad/src/test/java/org/sedgeroad/http/RepeatedCallbackTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/RepeatedCallbackTest.java
@@ -33,6 +33,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Guards against bodies that are mixed from two answers: a broken connection is reported to both
@@ -156,7 +157,7 @@
 
   private static final class FakeConnections implements Connections {
     private final ByteBufferPool buffers = new DefaultByteBufferPool(false, 1_024);
-    private final List<ClientConnection> released = new ArrayList<>();
+    private final List<ValidatedConnection> released = new ArrayList<>();
     private int connected;
 
     @Override
@@ -165,7 +166,7 @@
     }
 
     @Override
-    public void release(URI uri, ClientConnection connection, Long serverIdleSeconds) {
+    public void release(URI uri, ValidatedConnection connection, Long serverIdleSeconds) {
       released.add(connection);
     }
 
@@ -183,10 +184,12 @@
 
   /** A connection whose callbacks the test runs. */
   private final class FakeConnection {
-    private final ClientConnection connection =
-        fake(
-            ClientConnection.class,
-            (proxy, method, arguments) -> onCall(method.getName(), arguments));
+    private final ValidatedConnection connection =
+        new ValidatedConnection(
+            fake(
+                ClientConnection.class,
+                (proxy, method, arguments) -> onCall(method.getName(), arguments)),
+            new ValidatedSource(fake(StreamSourceConduit.class, (proxy, method, arguments) -> 0)));
     private ClientCallback<ClientExchange> sendCallback;
     private ClientCallback<ClientExchange> headCallback;
 
