--- a/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sedgeroad.MonotonicClock;
@@ -175,4 +176,47 @@
       assertValid(BODY, STATUS + line + "\r\n\r\n" + BODY);
     }
   }
+
+  /** A transfer coding other than chunks alone, so that the end of the body is not known. */
+  @Nested
+  class Coding {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "Transfer-Encoding: other",
+          "Transfer-Encoding:",
+          "Transfer-Encoding: identity",
+          "Transfer-Encoding: xchunked",
+          "Transfer-Encoding: \"chunked\"",
+          "Transfer-Encoding: chunked;a=b",
+          "Transfer-Encoding: chunked,",
+          "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: chunked, gzip",
+          "Transfer-Encoding: chunked, chunked",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+          "Transfer-Encoding:\r\n chunked",
+          "Transfer-Encoding : chunked",
+          "Transfer-Encoding\u0000: chunked",
+          "Transfer Encoding: chunked",
+          "Transfer-Encoding chunked",
+          "Transfer-Encoding: chunked\r\nContent-Length: 15",
+          "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        })
+    void isInvalid(String line) throws IOException {
+      assertInvalid(STATUS + line + "\r\n\r\n" + CHUNKS);
+    }
+
+    @Test
+    void isInvalidBeforeItsVersion() throws IOException {
+      assertInvalid("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "Chunked", "\t CHUNKED\t "})
+    void isValid(String coding) throws IOException {
+      assertValid(BODY, STATUS + "Transfer-Encoding:" + coding + "\r\n\r\n" + CHUNKS);
+    }
+  }
 }
