Reject answers with a line that holds no field

What callers saw: a worker in trouble sent a line that begins with a blank, also as the first one of the head. The client got 200 and a signature, with the line joined to the field before it.

Cause: Undertow's client joins such lines, which RFC 9112, section 5.2, no longer allows.

Change: FieldLine requires a name of token bytes with a colon right after it, and a value without control bytes except tabs. A line that continues another one has no name.

The lines without a colon or a name, and names with a blank or a control byte, were refused before; their tests stay.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/LineBuffer.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/LineBuffer.java
@@ -11,6 +11,8 @@
   /** Size beyond which the buffer is not kept for the next line, in bytes. */
   private static final int LARGEST_KEPT_BYTES = 4 * 1024;
 
+  private static final int DELETE = 0x7f;
+
   private byte[] bytes = new byte[INITIAL_BYTES];
   private int length;
 
@@ -80,6 +82,21 @@
     return new String(bytes, start, end - start, StandardCharsets.ISO_8859_1);
   }
 
+  /**
+   * Checks that the line holds no control bytes, except tabs.
+   *
+   * @param start index of the first byte that is checked
+   * @throws InvalidAnswerException if it does
+   */
+  void checkText(int start) throws InvalidAnswerException {
+    for (int index = start; index < length; index++) {
+      int next = at(index);
+      if (next < ' ' && next != '\t' || next == DELETE) {
+        throw new InvalidAnswerException("a line has a control byte");
+      }
+    }
+  }
+
   /** Starts a new line. */
   void clear() {
     length = 0;
--- a/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
@@ -219,4 +219,67 @@
       assertValid(BODY, STATUS + "Transfer-Encoding:" + coding + "\r\n\r\n" + CHUNKS);
     }
   }
+
+  /** A line of the head that is no field. */
+  @Nested
+  class Fields {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "no field",
+          ":",
+          ": v",
+          "X Y: v",
+          "X : v",
+          "X\t: v",
+          " X: v",
+          "\tX: v",
+          "  ",
+          "X: a\r\n b",
+          "X: a\r\n\tb",
+          "X: a\r\n ",
+          "X\u0000Y: v",
+          "X\u0001: v",
+          "X\u007f: v",
+          "X(y): v",
+          "X/y: v",
+          "\"X\": v",
+          "\u00e9: v",
+          "X: a\u0000b",
+          "X: a\u0007b",
+          "X: a\u001bb",
+          "X: a\u007fb",
+          "X: a\rb",
+          "X: a\r",
+          "X\rY: v",
+        })
+    void areInvalid(String line) throws IOException {
+      assertInvalid(STATUS + line + "\r\nContent-Length: 15\r\n\r\n" + BODY);
+      assertInvalid(STATUS + "Content-Length: 15\r\n" + line + "\r\n\r\n" + BODY);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "X:",
+          "X: \t ",
+          "X:a",
+          "X: a\tb c",
+          "X: a:b, \"c d\"",
+          "X: \u0080\u00e9\u00ff",
+          "!#$%&'*+-.^_`|~0aZ: v",
+        })
+    void areValid(String line) throws IOException {
+      assertValid(BODY, STATUS + line + "\r\nContent-Length: 15\r\n\r\n" + BODY);
+    }
+
+    @Test
+    void areValidIfTheyAreLong() throws IOException {
+      String line = "X: " + "v".repeat(5_000) + "\r\n";
+      String head = STATUS + line.repeat(3) + "Content-Length: 15\r\n\r\n";
+      serve(Delivery.AT_ONCE, head + BODY, head + BODY);
+      assertBody(BODY, call());
+      assertBody(BODY, call());
+    }
+  }
 }
