Reject answers whose first line is not a status line of HTTP/1

What callers saw: an answer that began with HTTP/2.0 or HTTP/0.9 reached clients with 200 and a signature, as if it were one of HTTP/1.1.

Cause: Undertow's client accepts these protocols, whose framing it does not speak, and reads the rest as HTTP/1.1.

Change: AnswerHead requires HTTP/1 with one digit of a minor version, single blanks, three digits from 100 to 599, and a reason phrase without control bytes. The check of the highest status in HttpAttempt is no longer needed.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/AnswerHead.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/AnswerHead.java
@@ -6,13 +6,13 @@
   private static final String TRANSFER_ENCODING = "Transfer-Encoding";
   private static final String CHUNKED = "chunked";
 
-  /** Length of {@code HTTP/1.1} and the blank after it. */
-  private static final int STATUS_START = 9;
+  /** Start of a status line; the minor version and a blank follow. */
+  private static final String PROTOCOL = "HTTP/1.";
 
-  private static final int STATUS_DIGITS = 3;
-
-  /** Position of the digit that transfer codings depend on; HTTP/1.0 has none. */
-  private static final int MINOR_VERSION = 7;
+  private static final int STATUS_START = PROTOCOL.length() + 2;
+  private static final int STATUS_END = STATUS_START + 3;
+  private static final int LOWEST_STATUS = 100;
+  private static final int HIGHEST_STATUS = 599;
 
   private int status;
   private long contentLength = -1;
@@ -24,13 +24,35 @@
     return status;
   }
 
-  /** Reads the status line. */
-  void addStatusLine(LineBuffer line) {
-    allowsCoding = line.length() > MINOR_VERSION && line.at(MINOR_VERSION) != '0';
-    int end = STATUS_START + STATUS_DIGITS;
-    for (int index = STATUS_START; index < Math.min(end, line.length()); index++) {
-      status = 10 * status + line.at(index) - '0';
+  /**
+   * Reads the status line.
+   *
+   * @throws InvalidAnswerException if the line is not a status line of HTTP/1
+   */
+  void addStatusLine(LineBuffer line) throws InvalidAnswerException {
+    // The blank after the status is there without a reason phrase, too.
+    if (line.length() <= STATUS_END
+        || !line.text(0, PROTOCOL.length()).equals(PROTOCOL)
+        || line.at(STATUS_START - 1) != ' '
+        || line.at(STATUS_END) != ' ') {
+      throw new InvalidAnswerException("its first line is not a status line of HTTP/1");
+    }
+    allowsCoding = digit(line, PROTOCOL.length()) > 0;
+    for (int index = STATUS_START; index < STATUS_END; index++) {
+      status = 10 * status + digit(line, index);
+    }
+    if (status < LOWEST_STATUS || status > HIGHEST_STATUS) {
+      throw new InvalidAnswerException("its status is not in the range of 100 to 599");
+    }
+    line.checkText(STATUS_END);
+  }
+
+  private static int digit(LineBuffer line, int index) throws InvalidAnswerException {
+    int digit = line.at(index) - '0';
+    if (digit < 0 || digit > 9) {
+      throw new InvalidAnswerException("its first line is not a status line of HTTP/1");
     }
+    return digit;
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
@@ -45,9 +45,6 @@
   /** Lowest status of a final answer; those below precede one. */
   private static final int LOWEST_FINAL_STATUS = 200;
 
-  /** Highest status that HTTP defines a class for. */
-  private static final int HIGHEST_STATUS = 599;
-
   private final HttpExchange exchange;
   private final HttpCall call;
   private final ValidatedConnection validated;
@@ -294,7 +291,7 @@
     headReceived = true;
     ClientResponse answer = received.getResponse();
     int status = answer.getResponseCode();
-    if (status < LOWEST_FINAL_STATUS || status > HIGHEST_STATUS) {
+    if (status < LOWEST_FINAL_STATUS) {
       exchange.fail(this, new HttpFailure.Broken("the status " + status + " ends no exchange"));
       return;
     }
--- a/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
@@ -282,4 +282,63 @@
       assertBody(BODY, call());
     }
   }
+
+  /** A first line that is no status line. */
+  @Nested
+  class StatusLine {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/0.9 200 OK",
+          "HTTP/2.0 200 OK",
+          "HTTP/2 200 OK",
+          "HTTP/1.10 200 OK",
+          "HTTP/1.x 200 OK",
+          "HTTP/1 200 OK",
+          "http/1.1 200 OK",
+          "HTTPS/1.1 200 OK",
+          "XTTP/1.1 200 OK",
+          "RTSP/1.0 200 OK",
+          "ICY 200 OK",
+          " HTTP/1.1 200 OK",
+          "\r\nHTTP/1.1 200 OK",
+          "HTTP/1.1  200 OK",
+          "HTTP/1.1\t200 OK",
+          "HTTP/1.1 200\tOK",
+          "HTTP/1.1 200OK",
+          "HTTP/1.1 2000 OK",
+          "HTTP/1.1 0200 OK",
+          "HTTP/1.1 20 OK",
+          "HTTP/1.1 +20 OK",
+          "HTTP/1.1 2x0 OK",
+          "HTTP/1.1 \u00b2\u00b2\u00b2 OK",
+          "HTTP/1.1 000 OK",
+          "HTTP/1.1 099 OK",
+          "HTTP/1.1 600 OK",
+          "HTTP/1.1 999 OK",
+          "HTTP/1.1 OK",
+          "HTTP/1.1",
+          "HTTP/1.1 200 O\u0000K",
+          "HTTP/1.1 200 O\u007fK",
+          "HTTP/1.1 200 O\rK",
+        })
+    void isInvalid(String line) throws IOException {
+      assertInvalid(line + "\r\nContent-Length: 15\r\n\r\n" + BODY);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 200 OK",
+          "HTTP/1.0 200 OK",
+          "HTTP/1.1 200 ",
+          "HTTP/1.1 200 O\tK \u00e9",
+          "HTTP/1.1 404 Not Found",
+          "HTTP/1.1 599 ",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+        })
+    void isValid(String line) throws IOException {
+      assertValid(BODY, line + "\r\nContent-Length: 15\r\n\r\n" + BODY);
+    }
+  }
 }
