Reject chunks whose size is no number or does not match their data

What callers saw: a worker in trouble sent chunks with a spoilt size, data longer or shorter than their size, or lines that end with LF only. The client got 200 and a signature, with other bytes than the worker's body.

Cause: Undertow's client ignores what follows the hexadecimal digits of a size, skips to the next line after the data of a chunk, and reads trailers that are no fields.

Change: AnswerValidator follows the body, too: ChunkLine requires a hexadecimal number that fits, alone or before extensions; the data must be followed by CR LF; trailers must be fields. Of other bodies, only the bytes are counted.

Sizes without a digit at the beginning, and bodies without a last chunk, were refused before; their tests stay.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/AnswerHead.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/AnswerHead.java
@@ -16,7 +16,7 @@
 
   private int status;
   private long contentLength = -1;
-  private boolean hasCoding;
+  private boolean chunked;
   private boolean allowsCoding;
 
   /** Returns the status code, 0 before the status line. */
@@ -24,6 +24,16 @@
     return status;
   }
 
+  /** Returns whether the body is sent in chunks. */
+  boolean isChunked() {
+    return chunked;
+  }
+
+  /** Returns the length of the body in bytes, -1 if it is not stated. */
+  long contentLength() {
+    return contentLength;
+  }
+
   /**
    * Reads the status line.
    *
@@ -67,7 +77,7 @@
     } else if (field.hasName(TRANSFER_ENCODING)) {
       addCoding(field.value());
     }
-    if (hasCoding && contentLength >= 0) {
+    if (chunked && contentLength >= 0) {
       throw new InvalidAnswerException("it has both a length and a transfer coding");
     }
   }
@@ -81,14 +91,14 @@
   }
 
   private void addCoding(String value) throws InvalidAnswerException {
-    if (hasCoding) {
+    if (chunked) {
       throw new InvalidAnswerException("it has several transfer codings");
     }
     // Requests ask for no coding, so that a server may only use chunks.
     if (!allowsCoding || !CHUNKED.equalsIgnoreCase(value)) {
       throw new InvalidAnswerException("its transfer coding is not known");
     }
-    hasCoding = true;
+    chunked = true;
   }
 
   private static long parseLength(String value) throws InvalidAnswerException {
--- a/sedgeroad/src/main/java/org/sedgeroad/http/AnswerValidator.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/AnswerValidator.java
@@ -8,16 +8,30 @@
  */
 final class AnswerValidator {
   private static final int FIRST_FINAL_STATUS = 200;
+  private static final String CHUNK_END = "\r\n";
 
   private final LineBuffer line = new LineBuffer();
   private State state = State.STATUS_LINE;
   private AnswerHead head = new AnswerHead();
 
+  /** Bytes of the body, of a chunk or of the end of a chunk that have not been received. */
+  private long remaining;
+
   /** What the next byte is a part of. */
   private enum State {
     STATUS_LINE,
     FIELDS,
-    BODY
+    /** A body of known length. */
+    BODY,
+    /** A body that ends with its connection. */
+    UNFRAMED_BODY,
+    CHUNK_SIZE,
+    CHUNK_DATA,
+    /** The end of line after the data of a chunk. */
+    CHUNK_END,
+    TRAILERS,
+    /** Nothing that belongs to the answer. */
+    END
   }
 
   /** Expects the answer to a request that will be sent. */
@@ -39,25 +53,79 @@
    */
   void accept(ByteBuffer bytes) throws InvalidAnswerException {
     while (bytes.hasRemaining()) {
-      if (state == State.BODY) {
-        bytes.position(bytes.limit());
-      } else if (line.collect(bytes, HttpAttempt.MAXIMUM_HEAD_BYTES)) {
-        endLine();
-        line.clear();
+      switch (state) {
+        case BODY, CHUNK_DATA -> skipData(bytes);
+        case UNFRAMED_BODY, END -> bytes.position(bytes.limit());
+        case CHUNK_END -> acceptChunkEnd(bytes.get());
+        default -> {
+          if (line.collect(bytes, HttpAttempt.MAXIMUM_HEAD_BYTES)) {
+            endLine();
+            line.clear();
+          }
+        }
       }
     }
   }
 
+  private void skipData(ByteBuffer bytes) {
+    int count = (int) Math.min(remaining, bytes.remaining());
+    bytes.position(bytes.position() + count);
+    remaining -= count;
+    if (remaining == 0 && state == State.CHUNK_DATA) {
+      state = State.CHUNK_END;
+      remaining = CHUNK_END.length();
+    } else if (remaining == 0) {
+      state = State.END;
+    }
+  }
+
+  private void acceptChunkEnd(byte next) throws InvalidAnswerException {
+    if (next != CHUNK_END.charAt(CHUNK_END.length() - (int) remaining)) {
+      throw new InvalidAnswerException("a chunk does not end after its size");
+    }
+    remaining--;
+    if (remaining == 0) {
+      state = State.CHUNK_SIZE;
+    }
+  }
+
   private void endLine() throws InvalidAnswerException {
-    if (state == State.STATUS_LINE) {
-      head.addStatusLine(line);
-      state = State.FIELDS;
-    } else if (line.length() > 0) {
-      head.addField(line);
-    } else if (head.status() < FIRST_FINAL_STATUS) {
+    switch (state) {
+      case STATUS_LINE -> {
+        head.addStatusLine(line);
+        state = State.FIELDS;
+      }
+      case CHUNK_SIZE -> {
+        remaining = ChunkLine.parseSize(line);
+        state = remaining == 0 ? State.TRAILERS : State.CHUNK_DATA;
+      }
+      case TRAILERS -> {
+        if (line.length() == 0) {
+          state = State.END;
+        } else {
+          FieldLine.parse(line);
+        }
+      }
+      default -> {
+        if (line.length() == 0) {
+          endHead();
+        } else {
+          head.addField(line);
+        }
+      }
+    }
+  }
+
+  private void endHead() {
+    if (head.status() < FIRST_FINAL_STATUS) {
       beginHead();
+    } else if (head.isChunked()) {
+      state = State.CHUNK_SIZE;
+    } else if (head.contentLength() < 0) {
+      state = State.UNFRAMED_BODY;
     } else {
-      state = State.BODY;
+      remaining = head.contentLength();
+      state = remaining == 0 ? State.END : State.BODY;
     }
   }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/FieldLine.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/FieldLine.java
@@ -51,7 +51,8 @@
     return new FieldLine(line, nameEnd, start, end);
   }
 
-  private static boolean isBlank(int next) {
+  /** Returns whether a byte is a space or a tab. */
+  static boolean isBlank(int next) {
     return next == ' ' || next == '\t';
   }
 
--- a/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
@@ -341,4 +341,81 @@
       assertValid(BODY, line + "\r\nContent-Length: 15\r\n\r\n" + BODY);
     }
   }
+
+  /** Chunks whose sizes are no numbers, or do not match the data. */
+  @Nested
+  class Chunks {
+    private static final String HEAD = STATUS + "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String END = "\r\n0\r\n\r\n";
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "",
+          "x",
+          "-f",
+          "+f",
+          " f",
+          "0xf",
+          "f.0",
+          "f f",
+          "fg",
+          "f\u0000",
+          "f ",
+          "f,a",
+          ";a",
+          "f;a\u0000b",
+          "f;a\rb",
+          "10000000f",
+          "1000000000000000f",
+          "8000000000000000",
+          "7fffffffffffffff",
+          "ffffffffffffffff",
+          "fffffffffffffffff",
+          "10",
+          "e",
+        })
+    void areInvalid(String size) throws IOException {
+      assertInvalid(HEAD + size + "\r\n" + BODY + END);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "f\r\n" + BODY + "0\r\n\r\n",
+          "f\r\n" + BODY + "XX\r\n0\r\n\r\n",
+          "f\r\n" + BODY + "\r\r\n0\r\n\r\n",
+          "f\r\n" + BODY + "\n0\r\n\r\n",
+          "f\n" + BODY + "\r\n0\r\n\r\n",
+          "f\r" + BODY + "\r0\r\r",
+          "f\n" + BODY + "\n0\n\n",
+          "f\r\n" + BODY + "\r\n0\n\n",
+          "f\r\n" + BODY + "\r\n",
+          "f\r\n" + BODY + "\r\n0",
+          "f\r\n" + BODY + "\r\n0\r\n",
+          "f\r\n" + BODY + "\r\n0\r\nno field\r\n\r\n",
+          "f\r\n" + BODY + "\r\n0\r\nX Y: v\r\n\r\n",
+          "f\r\n" + BODY + "\r\n0\r\nX: a\r\n b\r\n\r\n",
+          "f\r\n" + BODY + "\r\n0\r\nX: a\u0000\r\n\r\n",
+        })
+    void areInvalidIfTheirLinesAre(String chunks) throws IOException {
+      assertInvalid(HEAD + chunks);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "F\r\n" + BODY + "\r\n000\r\n\r\n",
+          "000000000000000000f\r\n" + BODY + "\r\n0\r\n\r\n",
+          "5\r\n01234\r\na\r\n56789abcde\r\n0\r\n\r\n",
+          "f;a\r\n" + BODY + "\r\n0;b=c\r\n\r\n",
+          "f;a=\"b;c d\"\r\n" + BODY + "\r\n0\r\n\r\n",
+          "f ; a = b\r\n" + BODY + "\r\n0\r\n\r\n",
+          "f\r\n" + BODY + "\r\n0\r\nX: v\r\nY:\r\n\r\n",
+          "f\r\n" + BODY + "\r\n0\r\nContent-Length: 5\r\n\r\n",
+        })
+    void areValid(String chunks) throws IOException {
+      assertValid(BODY, HEAD + chunks);
+    }
+  }
 }
