End answers 304 with their head, and reject 204 with a body

What callers saw: an answer 304 or 204 with a length or a coding was given the bytes after it as its body. If there were none, as is proper for 304, the call waited until its deadline.

Cause: Undertow's client gives the fields of the length precedence over the status.

Change: AnswerValidator ends the answers to HEAD and those with 304 with their head. HttpAttempt completes such a 304 at once and closes its connection, on which the client would wait for a body. A 204 with a body is invalid (RFC 9110, section 8.6).

--- a/sedgeroad/src/main/java/org/sedgeroad/http/AnswerValidator.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/AnswerValidator.java
@@ -8,11 +8,14 @@
  */
 final class AnswerValidator {
   private static final int FIRST_FINAL_STATUS = 200;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
   private static final String CHUNK_END = "\r\n";
 
   private final LineBuffer line = new LineBuffer();
   private State state = State.STATUS_LINE;
   private AnswerHead head = new AnswerHead();
+  private boolean toHead;
 
   /** Bytes of the body, of a chunk or of the end of a chunk that have not been received. */
   private long remaining;
@@ -34,8 +37,13 @@
     END
   }
 
-  /** Expects the answer to a request that will be sent. */
-  void beginAnswer() {
+  /**
+   * Expects the answer to a request that will be sent.
+   *
+   * @param method method of the request; an answer to {@code HEAD} has no body
+   */
+  void beginAnswer(String method) {
+    toHead = method.equals("HEAD");
     beginHead();
   }
 
@@ -116,9 +124,13 @@
     }
   }
 
-  private void endHead() {
+  private void endHead() throws InvalidAnswerException {
     if (head.status() < FIRST_FINAL_STATUS) {
       beginHead();
+    } else if (toHead || head.status() == NOT_MODIFIED) {
+      state = State.END;
+    } else if (head.status() == NO_CONTENT) {
+      endHeadWithoutContent();
     } else if (head.isChunked()) {
       state = State.CHUNK_SIZE;
     } else if (head.contentLength() < 0) {
@@ -128,4 +140,11 @@
       state = remaining == 0 ? State.END : State.BODY;
     }
   }
+
+  private void endHeadWithoutContent() throws InvalidAnswerException {
+    if (head.isChunked() || head.contentLength() > 0) {
+      throw new InvalidAnswerException("its status allows no body");
+    }
+    state = State.END;
+  }
 }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
@@ -45,6 +45,9 @@
   /** Lowest status of a final answer; those below precede one. */
   private static final int LOWEST_FINAL_STATUS = 200;
 
+  /** Status of an answer that may state the length of a body but has none. */
+  private static final int NOT_MODIFIED = 304;
+
   private final HttpExchange exchange;
   private final HttpCall call;
   private final ValidatedConnection validated;
@@ -63,6 +66,9 @@
   /** Whether the whole request was handed to the operating system. */
   private boolean requestWritten;
 
+  /** Whether the answer has ended with its head, although its fields describe a body. */
+  private boolean withoutBody;
+
   private boolean reading;
 
   /** Failure that was reported during a read, null without one. */
@@ -114,7 +120,7 @@
   /** Sends the request. */
   void send() {
     sentNanos = clock.nanos();
-    validated.source().validator().beginAnswer();
+    validated.source().validator().beginAnswer(call.method());
     connection.sendRequest(
         toClientRequest(),
         new ClientCallback<>() {
@@ -154,7 +160,9 @@
    */
   void end(boolean reusable, ClientResponse answer) {
     cancelDeadlineTimer();
-    if (!reusable
+    if (withoutBody) {
+      closeRaw();
+    } else if (!reusable
         || "close".equalsIgnoreCase(answer.getResponseHeaders().getFirst(Headers.CONNECTION))) {
       IoUtils.safeClose(connection);
     } else {
@@ -305,6 +313,12 @@
       }
     }
     exchange.headReceived(this, new HttpHead(status, headers, repeated));
+    if (status == NOT_MODIFIED && !endsWithConnection(answer)) {
+      // Its length is that of another answer, but Undertow's client would wait for the body.
+      withoutBody = true;
+      exchange.answered(this, answer);
+      return;
+    }
     StreamSourceChannel source = received.getResponseChannel();
     source.getReadSetter().set(channel -> readAvailable((StreamSourceChannel) channel, received));
     if (readAvailable(source, received)) {
--- a/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
@@ -418,4 +418,49 @@
       assertValid(BODY, HEAD + chunks);
     }
   }
+
+  /** An answer that has no body, whatever its fields say. */
+  @Nested
+  class WithoutBody {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 304 Not Modified\r\n",
+          "HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n",
+          "HTTP/1.1 304 Not Modified\r\nContent-Length: 15\r\n",
+          "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n",
+          "HTTP/1.1 204 No Content\r\n",
+          "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n",
+        })
+    void endsWithItsHead(String head) throws IOException {
+      assertValid("", head + "\r\n");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 304 Not Modified\r\nContent-Length: 15\r\n\r\n" + BODY,
+          "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+          "HTTP/1.1 204 No Content\r\n\r\n" + BODY,
+        })
+    void isNotGivenTheBytesAfterIt(String answer) throws IOException {
+      assertValid("", answer);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 15", "Transfer-Encoding: chunked"})
+    void isInvalidIfItsStatusForbidsTheField(String line) throws IOException {
+      String body = line.endsWith("chunked") ? CHUNKS : BODY;
+      assertInvalid("HTTP/1.1 204 No Content\r\n" + line + "\r\n\r\n" + body);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 15", "Transfer-Encoding: chunked"})
+    void endsWithItsHeadAfterAHeadRequest(String line) {
+      serve(Delivery.AT_ONCE, STATUS + line + "\r\n\r\n", SOUND);
+      assertBody("", call("HEAD"));
+      assertBody(BODY, call());
+      assertEquals(1, server.connections());
+    }
+  }
 }
