Send no request on a connection on which bytes have arrived

What callers saw: bytes that a server wrote after an answer were taken for the answer to the next request on the same connection, or failed it, if they arrived shortly before that request was sent. Answers with another request's id were refused before; calls to the store and between instances have no such id.

Cause: Undertow's client closes a connection that receives bytes while no request is in progress, but an I/O thread runs the tasks that were handed to it, such as the sending of a request, before it looks for such bytes.

Change: before a request is sent on a pooled connection, the connection is read once. If there is a byte, or the end of the connection, a new connection is used; the request has not been sent on the old one. A connection that delivered bytes with the end of an answer is not pooled. Bytes that arrive after the request was sent can't be told from its answer by their time.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/AnswerValidator.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/AnswerValidator.java
@@ -20,6 +20,9 @@
   /** Bytes of the body, of a chunk or of the end of a chunk that have not been received. */
   private long remaining;
 
+  /** Whether bytes were received after the answer. */
+  private boolean bytesAfterEnd;
+
   /** What the next byte is a part of. */
   private enum State {
     STATUS_LINE,
@@ -44,9 +47,15 @@
    */
   void beginAnswer(String method) {
     toHead = method.equals("HEAD");
+    bytesAfterEnd = false;
     beginHead();
   }
 
+  /** Returns whether bytes were received that belong to no answer. */
+  boolean hasBytesAfterEnd() {
+    return bytesAfterEnd;
+  }
+
   private void beginHead() {
     state = State.STATUS_LINE;
     head = new AnswerHead();
@@ -63,7 +72,11 @@
     while (bytes.hasRemaining()) {
       switch (state) {
         case BODY, CHUNK_DATA -> skipData(bytes);
-        case UNFRAMED_BODY, END -> bytes.position(bytes.limit());
+        case UNFRAMED_BODY -> bytes.position(bytes.limit());
+        case END -> {
+          bytesAfterEnd = true;
+          bytes.position(bytes.limit());
+        }
         case CHUNK_END -> acceptChunkEnd(bytes.get());
         default -> {
           if (line.collect(bytes, HttpAttempt.MAXIMUM_HEAD_BYTES)) {
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
@@ -163,6 +163,7 @@
     if (withoutBody) {
       closeRaw();
     } else if (!reusable
+        || validated.source().validator().hasBytesAfterEnd()
         || "close".equalsIgnoreCase(answer.getResponseHeaders().getFirst(Headers.CONNECTION))) {
       IoUtils.safeClose(connection);
     } else {
--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpExchange.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.sedgeroad.MonotonicClock;
+import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /**
@@ -81,7 +82,8 @@
       connections.release(call.uri(), opened, null);
       return;
     }
-    if (pooled && !opened.client().isOpen()) {
+    if (pooled && !(opened.client().isOpen() && opened.source().isIdle())) {
+      IoUtils.safeClose(opened.client());
       connect();
       return;
     }
--- a/sedgeroad/src/main/java/org/sedgeroad/http/ValidatedSource.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/ValidatedSource.java
@@ -26,6 +26,18 @@
     return validator;
   }
 
+  /**
+   * Returns whether another request may be sent: the connection is open, and nothing has arrived
+   * since the last answer.
+   */
+  boolean isIdle() {
+    try {
+      return !validator.hasBytesAfterEnd() && next.read(ByteBuffer.allocate(1)) == 0;
+    } catch (IOException closed) {
+      return false;
+    }
+  }
+
   /**
    * Receives bytes.
    *
--- a/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
@@ -5,8 +5,12 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -463,4 +467,107 @@
       assertEquals(1, server.connections());
     }
   }
+
+  /** Bytes that follow an answer on its connection. */
+  @Nested
+  class AfterTheEnd {
+    private static final long MOST_SECONDS = 5;
+
+    /** Releases the bytes after the first answer. */
+    private final CountDownLatch left = new CountDownLatch(1);
+
+    private final CountDownLatch written = new CountDownLatch(1);
+
+    /** Sends bytes after the first answer on its connection, and a sound answer on all others. */
+    private void serveWith(String answer, String bytesAfterIt) {
+      server.serve(
+          socket -> {
+            RawServer.readHead(socket);
+            if (server.connections() > 1) {
+              RawServer.write(socket, SOUND);
+            } else {
+              RawServer.write(socket, answer);
+              left.await();
+              RawServer.write(socket, bytesAfterIt);
+              written.countDown();
+            }
+            Thread.sleep(10 * LINGER_MILLIS);
+          });
+    }
+
+    private void sendBytesAfterEnd() {
+      left.countDown();
+      try {
+        written.await(MOST_SECONDS, TimeUnit.SECONDS);
+        Thread.sleep(LINGER_MILLIS);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    private static HttpCall post(URI uri) {
+      long deadline = MonotonicClock.SYSTEM.deadlineAfterMillis(3_000);
+      return HttpCall.of("POST", uri, new byte[0], deadline);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          STATUS + "Content-Length: 5\r\n\r\nfirst" + SOUND,
+          STATUS + "Content-Length: 5\r\n\r\nfirst\r\n",
+          STATUS + "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n" + SOUND,
+          STATUS + "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\nx",
+        })
+    void areNotInTheNextAnswerIfTheyArriveWithTheEnd(String answer) throws Exception {
+      serveWith(answer, "");
+      CompletableFuture<HttpResult> second = new CompletableFuture<>();
+      client.start(
+          post(server.uri()),
+          first -> {
+            assertBody("first", first);
+            client.start(post(server.uri()), second::complete);
+          });
+      assertBody(BODY, second.get(MOST_SECONDS, TimeUnit.SECONDS));
+      assertEquals(2, server.connections());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nleft",
+          "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+          "\r\n",
+          "x"
+        })
+    void areNotInTheNextAnswerIfTheThreadIsBusy(String bytesAfterIt) throws Exception {
+      serveWith(SOUND, bytesAfterIt);
+      assertBody(BODY, call());
+      CompletableFuture<HttpResult> second = new CompletableFuture<>();
+      try (RawServer other = new RawServer()) {
+        other.serve(
+            socket -> {
+              RawServer.readHead(socket);
+              RawServer.write(socket, SOUND);
+            });
+        client.start(
+            post(other.uri()),
+            result -> {
+              // The I/O thread receives the bytes only after it has sent the next request.
+              sendBytesAfterEnd();
+              client.start(post(server.uri()), second::complete);
+            });
+        assertBody(BODY, second.get(MOST_SECONDS, TimeUnit.SECONDS));
+      }
+      assertEquals(2, server.connections());
+    }
+
+    @Test
+    void areNotInTheNextAnswerIfTheThreadIsIdle() {
+      serveWith(SOUND, SOUND);
+      assertBody(BODY, call());
+      sendBytesAfterEnd();
+      assertBody(BODY, call());
+      assertEquals(2, server.connections());
+    }
+  }
 }
