Pool no connection whose request is not written to its end

What callers saw: after an endpoint had answered a long request early, with a length or chunks, the next request to it failed as broken (AsynchronousCloseException), although it was never sent.

Cause: the connection went into the pool while the rest of the first request was still being written. Undertow's client keeps the next request waiting behind it and then closes the connection.

Change: HttpAttempt closes such a connection.

Evidence: without the change, both cases of AnswerEndTest.BeforeTheEndOfTheRequest.isNotFollowedByAnotherRequestInsideTheBody failed; with it, they pass. In neither case did the server find bytes of the next request inside the first one. Parts of answers with a length or chunks that are reset early, ten new cases, were refused before, as those without a length were; their tests stay.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
@@ -160,7 +160,8 @@
    */
   void end(boolean reusable, ClientResponse answer) {
     cancelDeadlineTimer();
-    if (withoutBody) {
+    if (withoutBody || !requestWritten) {
+      // Undertow's client would wait for the body, or for the rest of the request to be written.
       closeRaw();
     } else if (!reusable
         || validated.source().validator().hasBytesAfterEnd()
--- a/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/AnswerEndTest.java
@@ -213,11 +213,28 @@
     @ParameterizedTest
     @EnumSource(Early.class)
     void isBroken(Early early) {
+      assertBroken(UNFRAMED, early);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Early.class)
+    void isBrokenIfItsLengthSaysSo(Early early) {
+      assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + text(BODY), early);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Early.class)
+    void isBrokenIfItsChunksSaySo(Early early) {
+      String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+      assertBroken(head + "f\r\n" + text(BODY) + "\r\n", early);
+    }
+
+    private void assertBroken(String answer, Early early) {
       byte[] body = new byte[16 * 1024 * 1024];
       serve(
           socket -> {
             readHead(socket);
-            socket.getOutputStream().write(UNFRAMED.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
             switch (early) {
               case RESET_AT_ONCE -> socket.setSoLinger(true, 0);
               case RESET_LATER -> {
@@ -275,6 +292,35 @@
           });
       assertComplete(BODY, call("POST", new byte[16 * 1024 * 1024]));
     }
+
+    /** The server reads on, and must not find another request where the rest of the body is due. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "Content-Length: 15\r\n\r\n%s",
+          "Transfer-Encoding: chunked\r\n\r\nf\r\n%s\r\n0\r\n\r\n"
+        })
+    void isNotFollowedByAnotherRequestInsideTheBody(String answer) throws Exception {
+      byte[] body = new byte[16 * 1024 * 1024];
+      String text = "HTTP/1.1 200 OK\r\n" + String.format(answer, text(BODY));
+      AtomicInteger foreignBytes = new AtomicInteger();
+      serve(
+          socket -> {
+            readHead(socket);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            if (connections.get() == 1) {
+              Thread.sleep(50);
+              for (byte next : socket.getInputStream().readNBytes(body.length)) {
+                foreignBytes.addAndGet(next == 0 ? 0 : 1);
+              }
+              readHead(socket);
+              socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            }
+          });
+      assertComplete(BODY, call("POST", body));
+      assertComplete(BODY, call("POST", new byte[0]));
+      assertEquals(0, foreignBytes.get());
+    }
   }
 
   /** A status that is none, or that only precedes an answer. */
