--- a/sedgeroad/src/test/java/org/sedgeroad/engine/EngineStreamEndTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/engine/EngineStreamEndTest.java
@@ -164,4 +164,18 @@
     serve(status, "application/json", "{}", false);
     assertEquals("Broken", String.join(" ", call()));
   }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 23\r\nContent-Length: 30",
+        "Content-Length: +23",
+        "Transfer-Encoding: other",
+        "X Y: v",
+        " X: v"
+      })
+  void isNotThatOfAnInvalidAnswer(String line) throws Exception {
+    serve("text/event-stream\r\n" + line, "data: a\n\ndata: [DONE]\n\n", false);
+    assertEquals("Broken", String.join(" ", call()));
+  }
 }
--- a/sedgeroad/src/test/java/org/sedgeroad/http/RawServer.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/RawServer.java
@@ -10,20 +10,20 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-in for a server that writes the bytes of its answers itself. Thread-safe. */
-final class RawServer implements AutoCloseable {
+public final class RawServer implements AutoCloseable {
   private final ServerSocket server;
   private final AtomicInteger connections = new AtomicInteger();
 
   /** What the server does with a connection after it was opened. */
-  interface Script {
+  public interface Script {
     void run(Socket socket) throws IOException, InterruptedException;
   }
 
-  RawServer() throws IOException {
+  public RawServer() throws IOException {
     this.server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
   }
 
-  URI uri() {
+  public URI uri() {
     return URI.create("http://127.0.0.1:" + server.getLocalPort() + "/");
   }
 
@@ -32,7 +32,7 @@
   }
 
   /** Accepts connections; each is closed when its script returns. */
-  void serve(Script script) {
+  public void serve(Script script) {
     startThread(
         () -> {
           while (!server.isClosed()) {
@@ -63,7 +63,7 @@
   }
 
   /** Reads the head of a request. */
-  static void readHead(Socket socket) throws IOException {
+  public static void readHead(Socket socket) throws IOException {
     InputStream input = socket.getInputStream();
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
@@ -76,7 +76,7 @@
   }
 
   /** Writes a text at once; each character is one byte. */
-  static void write(Socket socket, String text) throws IOException {
+  public static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
