--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins and the programs of cases 11 to 15. Needs the build of the deploy file.
+# Builds the stand-ins and the programs of this review. Needs the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 classes=platform/target/review3
