--- a/review/standin3/Desk.java
+++ b/review/standin3/Desk.java
@@ -40,8 +40,6 @@
     folder = Files.createTempDirectory("review3-");
     record = new PrintWriter(Files.newBufferedWriter(recordFile));
     processes = new Instances(folder, store.address(), BOUNDS);
-    // Ends the processes also if this one is stopped.
-    Runtime.getRuntime().addShutdownHook(new Thread(processes::close));
   }
 
   /** The part of a case that sends and judges; returns 1 if the rule was broken, else 0, or 2. */
@@ -55,7 +53,9 @@
     try (Desk desk = new Desk(Path.of(caseFolder, "record.txt"))) {
       status = part.run(desk);
       desk.note(status == 1 ? "BROKEN" : status == 0 ? "held" : "the case could not run");
-    } catch (Exception failure) {
+    } catch (Throwable failure) {
+      // Also an error: the status 1 of an uncaught one would mean that the rule was broken.
+      status = 2;
       failure.printStackTrace();
     }
     System.exit(status);
--- a/review/standin3/Instances.java
+++ b/review/standin3/Instances.java
@@ -5,9 +5,9 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -50,7 +50,7 @@
   private final Path folder;
   private final String storeAddress;
   private final Map<String, String> bounds;
-  private final List<Instance> instances = new ArrayList<>();
+  private final List<Instance> instances = new CopyOnWriteArrayList<>();
 
   /**
    * Creates an empty set.
@@ -63,6 +63,8 @@
     this.folder = folder;
     this.storeAddress = storeAddress;
     this.bounds = bounds;
+    // Ends the processes also if this one is stopped.
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
   private static int freePort(String ip) throws IOException {
