--- a/review/standin3/Link.java
+++ b/review/standin3/Link.java
@@ -7,17 +7,18 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * A link between clients and a machine, as a proxy. If it is slow, it passes on what a client has
- * sent in parts, with a pause after each; no byte is lost or changed.
+ * sent in parts, at the rate of the link; no byte is lost or changed.
  */
 final class Link implements AutoCloseable {
   private final ServerSocket server;
   private final String ip;
   private final int port;
   private final int partBytes;
-  private final long pauseMillis;
+  private final long partNanos;
 
   /**
    * Opens a link.
@@ -25,13 +26,13 @@
    * @param ip address of the machine
    * @param port port of the machine
    * @param partBytes bytes of a part, 0 for a link that passes everything on at once
-   * @param pauseMillis pause after a part, in milliseconds
+   * @param mbps rate in Mbit/s
    */
-  Link(String ip, int port, int partBytes, long pauseMillis) throws IOException {
+  Link(String ip, int port, int partBytes, double mbps) throws IOException {
     this.ip = ip;
     this.port = port;
     this.partBytes = partBytes;
-    this.pauseMillis = pauseMillis;
+    this.partNanos = (long) (partBytes * 8 * 1_000 / mbps);
     this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     Worker.daemon(this::accept);
   }
@@ -67,11 +68,11 @@
           output.write(buffer, sent, next);
           sent += next;
           if (sent < count) {
-            Thread.sleep(pauseMillis);
+            LockSupport.parkNanos(partNanos);
           }
         }
       }
-    } catch (IOException | InterruptedException closed) {
+    } catch (IOException closed) {
       // Either side has closed the connection.
     }
   }
--- a/review/standin3/Worker.java
+++ b/review/standin3/Worker.java
@@ -28,9 +28,15 @@
     boolean answer(Socket socket, Run run) throws IOException, InterruptedException;
   }
 
+  private static final AtomicInteger RUNNING = new AtomicInteger();
+
+  /** Monotonic time at which a run ended last at any worker. */
+  private static volatile long lastRunNanos = System.nanoTime();
+
   final String name;
   private final String service;
   private final int slots;
+  private final String zone;
   private final ServerSocket server;
   private final AtomicInteger connections = new AtomicInteger();
   private final Script script;
@@ -38,6 +44,11 @@
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
   Worker(String name, String service, int slots, Script script) throws IOException {
+    this(name, service, slots, "zone-0", script);
+  }
+
+  Worker(String name, String service, int slots, String zone, Script script) throws IOException {
+    this.zone = zone;
     this.name = name;
     this.service = service;
     this.slots = slots;
@@ -57,7 +68,7 @@
         .objectNode()
         .put("service", service)
         .put("address", "127.0.0.1:" + server.getLocalPort())
-        .put("zone", "a")
+        .put("zone", zone)
         .put("version", "v1")
         .put("slots", slots)
         .put("state", "ready")
@@ -108,9 +119,26 @@
     socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
   }
 
-  /** Writes a whole stream of events in chunks. */
+  /** Returns for how many seconds no worker has had a run; rejections are none. */
+  static double calmSeconds() {
+    return RUNNING.get() > 0 ? 0 : (System.nanoTime() - lastRunNanos) / 1e9;
+  }
+
+  /** Runs a request: writes a whole stream of events in chunks. */
   static void stream(Socket socket, Run run, int events, long gapMillis, String text)
       throws IOException, InterruptedException {
+    RUNNING.incrementAndGet();
+    try {
+      writeStream(socket, run, events, gapMillis, text);
+    } finally {
+      lastRunNanos = System.nanoTime();
+      RUNNING.decrementAndGet();
+    }
+  }
+
+  private static void writeStream(
+      Socket socket, Run run, int events, long gapMillis, String text)
+      throws IOException, InterruptedException {
     write(
         socket,
         "HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\nX-Attempt-Id: "
