Divide the items of a split route among its services

What callers saw: with a batch route divided 10 to 90, all items went to the service named first.

Cause: OwnedJobRunner.services asked each route for the service of the draw 0, and the dispatcher starts items only at the services named there. Nothing selected a service for an item.

Change: ServiceSelection selects a service for each waiting item, by weight among those with endpoints that are not suspect, anew after each run, and among those with free slots before the item is late. The draw is a hash of the item's id and the number of its ended runs: counts, urgency and start agree.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedItem.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedItem.java
@@ -1,5 +1,7 @@
 package org.sedgeroad.batch;
 
+import org.sedgeroad.peer.RendezvousHashing;
+
 /** Item of a job that this instance owns. Must be used on the event loop. */
 final class OwnedItem {
   /** Retry delay before any doubling, in milliseconds. */
@@ -15,6 +17,7 @@
   private final ItemSpec spec;
   private final ItemProgress progress = new ItemProgress();
   private ItemRun run;
+  private int endedRuns;
   private int failures;
   private long notBeforeNanos;
   private boolean done;
@@ -45,6 +48,20 @@
     run = next;
   }
 
+  /**
+   * Returns the number from 0 (inclusive) to 1 (exclusive) that selects the service of the next
+   * run. It changes with each run that ended here, so that an item whose runs fail at one service
+   * is not bound to it.
+   */
+  double serviceChoice() {
+    return RendezvousHashing.fraction(spec.id(), Integer.toString(endedRuns));
+  }
+
+  /** Records that a run has ended at its endpoint, as opposed to one that was withdrawn. */
+  void addEndedRun() {
+    endedRuns++;
+  }
+
   boolean isDone() {
     return done;
   }
--- a/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/OwnedJobRunner.java
@@ -4,11 +4,10 @@
 import java.util.Base64;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
@@ -204,11 +203,9 @@
   @Override
   public Map<BatchQueue, Integer> ready() {
     Map<BatchQueue, Integer> ready = new HashMap<>();
-    for (String service : services()) {
-      for (OwnedItem item : readyItems(service)) {
-        ready.merge(new BatchQueue(service, urgency(item).isLate()), 1, Integer::sum);
-      }
-    }
+    forEachReady(
+        (item, service) ->
+            ready.merge(new BatchQueue(service, urgency(item).isLate()), 1, Integer::sum));
     return ready;
   }
 
@@ -230,7 +227,14 @@
   }
 
   private Optional<OwnedItem> nextItem(String service) {
-    return readyItems(service).stream().min(Comparator.comparing(this::urgency, ItemUrgency.ORDER));
+    List<OwnedItem> ready = new ArrayList<>();
+    forEachReady(
+        (item, selected) -> {
+          if (selected.equals(service)) {
+            ready.add(item);
+          }
+        });
+    return ready.stream().min(Comparator.comparing(this::urgency, ItemUrgency.ORDER));
   }
 
   @Override
@@ -283,28 +287,23 @@
         remainingNanos);
   }
 
-  /** Returns the names of the services that have unfinished items. */
-  private Set<String> services() {
-    Set<String> services = new HashSet<>();
-    for (OwnedJob job : jobs.values()) {
-      if (!job.isComplete() && !job.isEnded()) {
-        route(job).ifPresent(route -> services.add(route.serviceFor(0)));
-      }
-    }
-    return services;
-  }
-
-  private List<OwnedItem> readyItems(String service) {
+  /** Passes on each item that could start now, with the name of the service at which it is to. */
+  private void forEachReady(BiConsumer<OwnedItem, String> consumer) {
     long now = dependencies.clock().nanos();
-    List<OwnedItem> ready = new ArrayList<>();
+    ServiceSelection selection = new ServiceSelection(dependencies.dispatcher()::stateOf);
     for (OwnedJob job : jobs.values()) {
-      if (!job.isEnded()
-          && !job.isComplete()
-          && route(job).map(route -> route.allows(service)).orElse(false)) {
-        job.items().stream().filter(item -> item.isReady(now)).forEach(ready::add);
-      }
+      Optional<Route> found = job.isEnded() || job.isComplete() ? Optional.empty() : route(job);
+      found.ifPresent(
+          route ->
+              job.items().stream()
+                  .filter(item -> item.isReady(now))
+                  .forEach(
+                      item ->
+                          consumer.accept(
+                              item,
+                              selection.serviceFor(
+                                  item, route, () -> urgency(item).slackNanos()))));
     }
-    return ready;
   }
 
   private Optional<Route> route(OwnedJob job) {
@@ -341,6 +340,7 @@
   private void runEnded(ItemRun run, ItemRun.Outcome outcome, String cause) {
     remove(run);
     OwnedItem item = run.item();
+    item.addEndedRun();
     OwnedJob job = item.job();
     long now = dependencies.clock().nanos();
     String id = item.spec().id();
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Route.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Route.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Predicate;
 
 /**
  * A rule that sends requests of one host and path prefix to services. No component may be null.
@@ -102,21 +103,49 @@
     return kind == RouteKind.STREAMING && resumable;
   }
 
+  /** Returns whether the route divides its requests among several services. */
+  public boolean isSplit() {
+    return services.size() > 1;
+  }
+
   /**
    * Returns the name of the service for one request.
    *
    * @param choice random number from 0 (inclusive) to 1 (exclusive) that selects by weight
    */
   public String serviceFor(double choice) {
-    int total = services.stream().mapToInt(WeightedService::weight).sum();
+    return serviceFor(choice, service -> true);
+  }
+
+  /**
+   * Returns the name of the service for one request, selected by weight among the available
+   * services, or among all services if none is available. A service of weight 0 is selected only if
+   * the weights of all services are 0.
+   *
+   * @param choice random number from 0 (inclusive) to 1 (exclusive) that selects by weight
+   * @param available tests whether the service with a name can take the request
+   */
+  public String serviceFor(double choice, Predicate<String> available) {
+    if (!isSplit()) {
+      return services.get(0).service();
+    }
+    List<WeightedService> candidates =
+        services.stream()
+            .filter(service -> service.weight() > 0 && available.test(service.service()))
+            .toList();
+    return select(candidates.isEmpty() ? services : candidates, choice);
+  }
+
+  private static String select(List<WeightedService> candidates, double choice) {
+    int total = candidates.stream().mapToInt(WeightedService::weight).sum();
     double remaining = choice * total;
-    for (WeightedService service : services) {
-      remaining -= service.weight();
+    for (WeightedService candidate : candidates) {
+      remaining -= candidate.weight();
       if (remaining < 0) {
-        return service.service();
+        return candidate.service();
       }
     }
-    return services.get(0).service();
+    return candidates.get(0).service();
   }
 
   /**
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/BatchPlacement.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/BatchPlacement.java
@@ -114,6 +114,18 @@
     return Math.pow(room(load), FREE_SLOTS_EXPONENT) * Math.exp(saved);
   }
 
+  /**
+   * Returns whether the endpoints of a service can start an item.
+   *
+   * @param loads loads of all endpoints of the service that accept new work, not null
+   */
+  static ServiceState stateOf(List<EndpointLoad> loads) {
+    if (loads.stream().allMatch(EndpointLoad::suspect)) {
+      return loads.isEmpty() ? ServiceState.WITHOUT_ENDPOINTS : ServiceState.SUSPECT;
+    }
+    return loads.stream().anyMatch(load -> room(load) > 0) ? ServiceState.FREE : ServiceState.FULL;
+  }
+
   /** Returns the number of slots of the endpoints that are not suspect. */
   static int slots(List<EndpointLoad> loads) {
     return loads.stream().mapToInt(load -> load.suspect() ? 0 : load.endpoint().slots()).sum();
--- a/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/placement/Dispatcher.java
@@ -155,6 +155,15 @@
     return !directory.usable(service, excluded).isEmpty();
   }
 
+  /**
+   * Returns whether the endpoints of a service can start a batch item now.
+   *
+   * @param service name of the service
+   */
+  public ServiceState stateOf(String service) {
+    return BatchPlacement.stateOf(directory.loads(service, Set.of()));
+  }
+
   /**
    * Returns the time until a live request that arrives now can be sent if each endpoint of its
    * service accepts only a limited rate, in nanoseconds; 0 if one states no limit, {@link
--- a/sedgeroad/src/test/java/org/sedgeroad/gateway/RouteTableTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/gateway/RouteTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -87,6 +88,28 @@
       Route route = route("r", "/a/", new WeightedService("old", 0), new WeightedService("new", 1));
       assertEquals("new", route.serviceFor(0));
       assertFalse(route.allows("old"));
+      assertEquals("new", route.serviceFor(0, "old"::equals));
+    }
+
+    /** A request for a service without endpoints was refused while another service was idle. */
+    @Test
+    void thatAreNotAvailableReceiveNone() {
+      Route route =
+          route(
+              "r",
+              "/a/",
+              new WeightedService("first", 30),
+              new WeightedService("middle", 60),
+              new WeightedService("last", 10));
+      for (String lost : List.of("first", "middle", "last")) {
+        for (double choice = 0; choice < 1; choice += 0.01) {
+          assertNotEquals(lost, route.serviceFor(choice, service -> !service.equals(lost)));
+        }
+      }
+      assertEquals(
+          "first",
+          route.serviceFor(0.74, service -> !service.equals("last") && !service.equals("middle")));
+      assertEquals("middle", route.serviceFor(0.5, service -> false));
     }
   }
 
