Draw another service for a live request whose service has no endpoint left

What callers saw: on a split route, requests drawn for a service without an endpoint were refused with 503 beside an idle endpoint of another service, and a second attempt ended with 502 if the first had used the only endpoint.

Cause: Gateway.forward drew the service once, by weight alone, and RequestRun never left it.

Change: RequestRun draws among the services that have an endpoint which the request has not tried, and again when its service has none left.

Measured: GatewaySplitRouteTest.LiveRequests on: 3 of 4 fail (503, 503 and 502 instead of 200); with the change all 4 pass, two runs of two.

--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/Gateway.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import org.sedgeroad.event.EventField;
 import org.sedgeroad.event.LogEvent;
 
@@ -137,13 +136,11 @@
    */
   public RequestRun forward(
       Route route, ClientRequest request, RequestPermit permit, ClientAnswer answer) {
-    String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
     long waitedNanos =
         priorWaitEstimator.waitedNanos(
             route.name(), request.deadlineNanos() - request.arrivedNanos());
     RequestRun run =
-        new RequestRun(
-            dependencies, route, service, request, permit, answer, waitedNanos, runs::remove);
+        new RequestRun(dependencies, route, request, permit, answer, waitedNanos, runs::remove);
     runs.add(run);
     run.start();
     return run;
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.http.HttpFailure;
@@ -49,7 +50,6 @@
 
   private final GatewayDependencies dependencies;
   private final Route route;
-  private final String service;
   private final ClientRequest request;
   private final RequestPermit permit;
   private final ClientAnswer answer;
@@ -65,6 +65,10 @@
   private final Set<String> excluded = new HashSet<>();
   private final SuspicionCheck suspicionCheck;
   private EventLoop.Timeout timeout = EventLoop.Timeout.NONE;
+
+  /** Name of the service that has the request, empty before the first selection. */
+  private String service = "";
+
   private LiveDemand demand;
 
   /** Workspace for which the slot was taken; a key may be moved to another one afterwards. */
@@ -83,7 +87,6 @@
   RequestRun(
       GatewayDependencies dependencies,
       Route route,
-      String service,
       ClientRequest request,
       RequestPermit permit,
       ClientAnswer answer,
@@ -91,7 +94,6 @@
       Consumer<RequestRun> endListener) {
     this.dependencies = dependencies;
     this.route = route;
-    this.service = service;
     this.request = request;
     this.permit = permit;
     this.answer = answer;
@@ -152,7 +154,11 @@
   }
 
   private void submitDemand() {
-    if (!dependencies.dispatcher().hasEndpoint(service, excluded)) {
+    if (!hasEndpoint(service)) {
+      // The other services of a split route may still have endpoints.
+      service = route.serviceFor(ThreadLocalRandom.current().nextDouble(), this::hasEndpoint);
+    }
+    if (!hasEndpoint(service)) {
       refuseForLackOfEndpoints();
       return;
     }
@@ -175,6 +181,10 @@
     }
   }
 
+  private boolean hasEndpoint(String name) {
+    return dependencies.dispatcher().hasEndpoint(name, excluded);
+  }
+
   private void refuseForLackOfEndpoints() {
     long retryAt = dependencies.clock().deadlineAfterMillis(FULL_RETRY_MILLIS);
     if (possibleRuns > 0) {
