Close the connection after an answer that does not end its request

What callers saw: an item was listed as dead_letter after two answers 500 of three, although the endpoint had written its whole output (MIXED).

Cause: all runs of an item have one id. After a 500 the connection was used again by the next run, and a late copy of the 500 counted as its answer.

Change: EndpointAnswerListener.isFinal; the HTTP client of endpoints keeps a connection only after an answer that ends its request.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -69,6 +69,9 @@
   private final MemoryBudget.Reservation memory;
   private boolean finished;
 
+  /** Whether the endpoint reported that the item can never succeed. */
+  private boolean impossible;
+
   ItemRun(
       BatchDependencies dependencies,
       OwnedItem item,
@@ -163,6 +166,7 @@
     } else if (!answer.genuine()) {
       abort("the answer is not signed or belongs to another request");
     } else if (answer.status() == UNPROCESSABLE) {
+      impossible = true;
       end(Outcome.IMPOSSIBLE, "answered " + answer.status());
     } else if (answer.status() == INTERNAL_SERVER_ERROR) {
       end(Outcome.FAILED, "answered " + answer.status());
@@ -209,6 +213,13 @@
     }
   }
 
+  /** Returns whether the item is done; it is sent again, under the same id, if it is not. */
+  @Override
+  public boolean isFinal() {
+    boolean whole = !eventParser.isInsideEvent() && item.progress().eventCount() > 0;
+    return impossible || (!finished && whole);
+  }
+
   @Override
   public void onEnd() {
     if (!finished) {
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/AnnouncementReceiver.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/AnnouncementReceiver.java
@@ -45,6 +45,11 @@
       next.onBytes(bytes);
     }
 
+    @Override
+    public boolean isFinal() {
+      return next.isFinal();
+    }
+
     @Override
     public void onEnd() {
       next.onEnd();
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointAnswerListener.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EndpointAnswerListener.java
@@ -23,6 +23,16 @@
   /** Receives a part of the body; the buffer is valid only during the call. */
   void onBytes(ByteBuffer bytes);
 
+  /**
+   * Returns whether the answer, all of which has been received, is final: the request will not be
+   * sent to the endpoint again under its id. Called before {@link #onEnd}. The connection is closed
+   * after an answer that is not final, because a late copy of it would be taken for the answer to
+   * the next sending.
+   */
+  default boolean isFinal() {
+    return true;
+  }
+
   /** Receives the end of a complete answer. */
   void onEnd();
 
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/EventStreamParser.java
@@ -89,6 +89,11 @@
     return eventSeen;
   }
 
+  /** Returns whether the stream has ended inside an event if it ends now. */
+  public boolean isInsideEvent() {
+    return pending.size() > 0;
+  }
+
   /** Removes and returns the bytes of an incomplete event; empty if there are none. */
   public byte[] takeIncompleteEvent() {
     byte[] rest = pending.toByteArray();
