Accept bounds with fractions

What callers saw: with graceS = 8.5 no program started, and no request was served (Fault).

Cause: the template passes on bounds that may be fractions, and most settings were read as whole numbers; the template made keep-seconds by appending a digit to statusS, so that 120.5 became 120.50.

Change: numbers with fractions for each setting that the template fills in, rounded to the strict side (IniText.Unit); the factor of ten for keeping jobs is in the program, with the new key readable-seconds.

--- a/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/GatewaySettingsReader.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.sedgeroad.settings.IniText.Unit;
 
 /** Reads the INI settings files of gateway instances. Reports all faults of a file at once. */
 public final class GatewaySettingsReader {
@@ -19,7 +20,7 @@
               "listen", Set.of("clients", "readiness", "reports", "exchange", "metrics"),
               "store", Set.of("address", "timeout-millis", "object-bytes"),
               "endpoints", Set.of("connect-timeout-millis"),
-              "jobs", Set.of("keep-seconds"),
+              "jobs", Set.of("keep-seconds", "readable-seconds"),
               "stop", Set.of("notice-millis", "timeout-seconds"),
               "access",
                   Set.of(
@@ -29,11 +30,17 @@
                       "quota-tolerated-requests")));
 
   /**
-   * Time that is reserved at the end of a planned stop for closing connections, in milliseconds. It
-   * is a sixteenth of the default of {@code stop.timeout-seconds}.
+   * Time that is reserved at the end of a planned stop for closing connections, in milliseconds, or
+   * half of a shorter stop. It is a sixteenth of the default of {@code stop.timeout-seconds}.
    */
   private static final long CLOSE_MARGIN_MILLIS = 500;
 
+  /**
+   * Time for which jobs are kept, as a multiple of that for which their results must be readable:
+   * clients may come back late, and jobs that ended are small.
+   */
+  private static final long KEPT_PER_READABLE_TIME = 10;
+
   private GatewaySettingsReader() {}
 
   /**
@@ -82,20 +89,21 @@
         ini.socket("listen", "metrics"),
         ini.address("store", "address", ini.required("store", "address"), null),
         ini.number("store", "timeout-millis", 1_500, 10, 60_000),
-        ini.number("store", "object-bytes", 1_048_576, 16_384, 1_073_741_824),
+        ini.rounded("store", "object-bytes", 1_048_576, Unit.AT_MOST, 16_384, 1_073_741_824),
         ini.number("endpoints", "connect-timeout-millis", 250, 10, 60_000),
-        ini.number("jobs", "keep-seconds", 86_400, 1, 31_536_000) * 1_000,
+        keepJobMillis(ini),
         ini.number("stop", "notice-millis", 2_500, 0, 600_000),
-        ini.number("stop", "timeout-seconds", 8, 1, 3_600) * 1_000 - CLOSE_MARGIN_MILLIS,
+        stopTimeoutMillis(ini),
         new AccessSettings(
-            ini.number("access", "revoke-millis", 0, 0, 3_600_000),
+            ini.rounded("access", "revoke-millis", 0, Unit.AT_MOST, 0, 3_600_000),
             new QuotaSettings(
-                ini.millisOfSeconds(
+                ini.rounded(
                     "access",
                     "quota-window-seconds",
                     QuotaSettings.DEFAULT.windowMillis(),
-                    100,
-                    3_600_000),
+                    Unit.SECONDS_AT_MOST,
+                    0.1,
+                    3_600),
                 ini.decimal("access", "quota-tolerance", QuotaSettings.DEFAULT.tolerance(), 1),
                 ini.decimal(
                     "access",
@@ -104,6 +112,24 @@
                     1e6))));
   }
 
+  /**
+   * Returns the time for which a job is kept: {@code keep-seconds}, or a multiple of the time for
+   * which its results must be readable.
+   */
+  private static long keepJobMillis(IniText ini) {
+    long keepMillis =
+        ini.rounded("jobs", "keep-seconds", 86_400_000, Unit.SECONDS_AT_LEAST, 1, 31_536_000);
+    long readableMillis =
+        ini.rounded("jobs", "readable-seconds", 0, Unit.SECONDS_AT_LEAST, 0.1, 3_153_600);
+    return readableMillis > 0 ? readableMillis * KEPT_PER_READABLE_TIME : keepMillis;
+  }
+
+  private static long stopTimeoutMillis(IniText ini) {
+    long stopMillis =
+        ini.rounded("stop", "timeout-seconds", 8_000, Unit.SECONDS_AT_MOST, 0.1, 3_600);
+    return stopMillis - Math.min(CLOSE_MARGIN_MILLIS, stopMillis / 2);
+  }
+
   private static List<DomainSetting> domains(IniText ini) {
     List<DomainSetting> domains = new ArrayList<>();
     for (String part : ini.list("instance", "domains")) {
--- a/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/settings/IniText.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.StringReader;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.ArrayList;
@@ -17,8 +19,27 @@
 
 /** A parsed INI file that collects the faults found in it. Not thread-safe. */
 final class IniText {
-  /** A number with a fraction or without, short enough to be exact. */
-  private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
+  /** A number that is not negative, with or without a fraction and an exponent. */
+  private static final Pattern DECIMAL =
+      Pattern.compile("[0-9]{1,18}(\\.[0-9]{1,25})?([eE][+-]?[0-9]{1,2})?");
+
+  /** Unit of a number in a file, in relation to the unit in which it is used. */
+  enum Unit {
+    /** The same unit; a fraction is cut off, which is the strict side of an upper bound. */
+    AT_MOST(1, RoundingMode.FLOOR),
+    /** Seconds, used as milliseconds; a part of a millisecond is cut off. */
+    SECONDS_AT_MOST(1_000, RoundingMode.FLOOR),
+    /** Seconds, used as milliseconds; a part of a millisecond counts as a whole one. */
+    SECONDS_AT_LEAST(1_000, RoundingMode.CEILING);
+
+    private final BigDecimal size;
+    private final RoundingMode rounding;
+
+    Unit(long size, RoundingMode rounding) {
+      this.size = BigDecimal.valueOf(size);
+      this.rounding = rounding;
+    }
+  }
 
   private final String text;
   private final Ini ini = new Ini();
@@ -175,38 +196,39 @@
   }
 
   /**
-   * Returns a time in milliseconds that is given in seconds, with a fraction or without. Adds a
-   * fault if it is not valid or out of range.
+   * Returns a number in a smaller unit than that of the file, rounded to a whole number. It may
+   * have a fraction in the file. Adds a fault if it is not valid or out of range.
    *
    * @param section section of the value
    * @param key key of the value
-   * @param fallbackMillis result if the value is missing or not valid
-   * @param minimumMillis shortest valid time
-   * @param maximumMillis longest valid time
+   * @param fallback result if the value is missing or not valid, in the smaller unit
+   * @param unit size of the file's unit and direction of rounding
+   * @param minimum smallest valid number in the file's unit
+   * @param maximum largest valid number in the file's unit
    */
-  long millisOfSeconds(
-      String section, String key, long fallbackMillis, long minimumMillis, long maximumMillis) {
+  long rounded(String section, String key, long fallback, Unit unit, double minimum, long maximum) {
     String value = value(section, key);
     if (value == null) {
-      return fallbackMillis;
+      return fallback;
     }
     if (DECIMAL.matcher(value).matches()) {
-      long millis = Math.round(Double.parseDouble(value) * 1_000);
-      if (millis >= minimumMillis && millis <= maximumMillis) {
-        return millis;
+      BigDecimal number = new BigDecimal(value);
+      if (number.compareTo(BigDecimal.valueOf(minimum)) >= 0
+          && number.compareTo(BigDecimal.valueOf(maximum)) <= 0) {
+        return number.multiply(unit.size).setScale(0, unit.rounding).longValueExact();
       }
     }
     addFault(
         section,
         key,
-        "expected seconds from "
-            + minimumMillis / 1e3
+        "expected a number from "
+            + BigDecimal.valueOf(minimum).stripTrailingZeros().toPlainString()
             + " to "
-            + maximumMillis / 1e3
+            + maximum
             + ", found '"
             + value
             + "'");
-    return fallbackMillis;
+    return fallback;
   }
 
   /**
--- a/sedgeroad/src/test/java/org/sedgeroad/settings/GatewaySettingsReloadTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/settings/GatewaySettingsReloadTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sedgeroad.event.EventLog;
 
 /** Guards against a reload that applies a file with faults or a value that needs a restart. */
@@ -55,6 +57,11 @@
       assertEquals(19_500, next.stopTimeoutMillis());
     }
 
+    @Test
+    void appliesAStopTimeWithAFraction() throws IOException {
+      assertEquals(8_250, reload(TEXT.replace("= 8", "= 8.75")).stopTimeoutMillis());
+    }
+
     @Test
     void ignoresAddressesThatNeedARestart() throws IOException {
       assertEquals(current, reload(TEXT.replace("127.0.0.1:1", "127.0.0.1:9")));
@@ -69,6 +76,14 @@
       assertEquals(current, reload(""));
     }
 
+    /** A value that can't be read may not end the process or take the old one away. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {"8,5", "8.5.1", "eight", "NaN", "-8", "", "true", "1e99", "0", "99999999999999"})
+    void keepsTheStopTimeInForce(String value) throws IOException {
+      assertEquals(current, reload(TEXT.replace("= 8", "= " + value)));
+    }
+
     @Test
     void changesNothingWithoutAFile() {
       Path missing = folder.resolve("missing.ini");
