Confirm the silence of an endpoint after the event loop has read

What callers saw: after a pause of an instance of a second or more, streams were broken off, or moved, although their events had arrived; runs of items were cut and begun again elsewhere.

Cause: the event loop runs the timers that are due before it reads, so that the check for silence found the time of the last event before the pause.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ItemRun.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.OptionalLong;
 import org.sedgeroad.EventLoop;
 import org.sedgeroad.gateway.EndpointAnswer;
 import org.sedgeroad.gateway.EndpointAnswerListener;
@@ -10,6 +11,7 @@
 import org.sedgeroad.gateway.EventStreamParser;
 import org.sedgeroad.gateway.PromptPrefix;
 import org.sedgeroad.gateway.ServiceEndpoint;
+import org.sedgeroad.gateway.StallCheck;
 import org.sedgeroad.http.HttpFailure;
 import org.sedgeroad.http.MemoryBudget;
 import org.sedgeroad.placement.RunTiming;
@@ -66,6 +68,7 @@
   private EndpointExchange exchange;
   private EventLoop.Timeout progressCheck = EventLoop.Timeout.NONE;
   private long progressDeadlineNanos;
+  private final StallCheck stallCheck;
   private final MemoryBudget.Reservation memory;
   private boolean finished;
 
@@ -82,6 +85,7 @@
     this.item = item;
     this.endpoint = endpoint;
     this.listener = listener;
+    this.stallCheck = new StallCheck(dependencies.clock());
     this.memory = dependencies.answerMemory().reserve();
     this.eventsBefore = item.progress().eventCount();
     this.startedNanos = dependencies.clock().nanos();
@@ -109,11 +113,11 @@
   void start(EndpointCall call) {
     progressDeadlineNanos = dependencies.clock().deadlineAfterMillis(FIRST_EVENT_MILLIS);
     exchange = dependencies.endpointClient().start(call, this);
-    scheduleProgressCheck();
+    scheduleProgressCheck(progressDeadlineNanos);
   }
 
-  private void scheduleProgressCheck() {
-    progressCheck = dependencies.loop().scheduleAt(progressDeadlineNanos, this::checkProgress);
+  private void scheduleProgressCheck(long nanos) {
+    progressCheck = dependencies.loop().scheduleAt(nanos, this::checkProgress);
   }
 
   /** Ends a run whose endpoint delivers no more events, so that the item continues elsewhere. */
@@ -121,8 +125,9 @@
     if (finished) {
       return;
     }
-    if (!dependencies.clock().hasPassed(progressDeadlineNanos)) {
-      scheduleProgressCheck();
+    OptionalLong nextNanos = stallCheck.nextCheckNanos(progressDeadlineNanos);
+    if (nextNanos.isPresent()) {
+      scheduleProgressCheck(nextNanos.getAsLong());
       return;
     }
     recordUnreachable();
--- a/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/gateway/RequestRun.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -293,6 +294,7 @@
     private EndpointExchange exchange;
     private EndpointAnswer head;
     private EventLoop.Timeout progressCheck = EventLoop.Timeout.NONE;
+    private final StallCheck stallCheck = new StallCheck(dependencies.clock());
     private final RunTiming timing;
 
     /** Number of complete events that were received in this attempt. */
@@ -313,13 +315,12 @@
     void start(EndpointCall call) {
       exchange = dependencies.endpointClient().start(call, this);
       if (route.kind() == RouteKind.STREAMING) {
-        scheduleProgressCheck();
+        scheduleProgressCheck(timing.deadlineNanos(STALL_MILLIS));
       }
     }
 
-    private void scheduleProgressCheck() {
-      progressCheck =
-          dependencies.loop().scheduleAt(timing.deadlineNanos(STALL_MILLIS), this::checkProgress);
+    private void scheduleProgressCheck(long nanos) {
+      progressCheck = dependencies.loop().scheduleAt(nanos, this::checkProgress);
     }
 
     /**
@@ -330,10 +331,10 @@
       if (ended || done) {
         return;
       }
-      boolean stalled = dependencies.clock().hasPassed(timing.deadlineNanos(STALL_MILLIS));
+      OptionalLong nextNanos = stallCheck.nextCheckNanos(timing.deadlineNanos(STALL_MILLIS));
       boolean movable = startedAnswer == null || route.isResumableStream();
-      if (!stalled) {
-        scheduleProgressCheck();
+      if (nextNanos.isPresent()) {
+        scheduleProgressCheck(nextNanos.getAsLong());
       } else if (movable && canRunElsewhere()) {
         end();
         exchange.close();
