Select no service where there is a single one

The draw of an item was computed for each ready item also on routes that are not split, each time the ready items are counted. Found when the change was read again; no behaviour changes.

--- a/sedgeroad/src/main/java/org/sedgeroad/batch/ServiceSelection.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/batch/ServiceSelection.java
@@ -41,8 +41,11 @@
    *     nanoseconds; read only if the route is split
    */
   String serviceFor(OwnedItem item, Route route, LongSupplier slackNanos) {
+    if (!route.isSplit()) {
+      return route.serviceFor(0);
+    }
     Predicate<String> available = service -> state(service).isServing();
-    if (route.isSplit() && slackNanos.getAsLong() < LAST_WAIT_NANOS && anyFree(route)) {
+    if (slackNanos.getAsLong() < LAST_WAIT_NANOS && anyFree(route)) {
       available = service -> state(service) == ServiceState.FREE;
     }
     return route.serviceFor(item.serviceChoice(), available);
