Close the connection after an answer 204

What callers saw: none reported. A body that a server sends after a 204, which can't have one, was read as the beginning of the next answer if the next request had been sent before it arrived: that request failed.

Change: a 204 is the last answer on its connection.

--- a/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
+++ b/sedgeroad/src/main/java/org/sedgeroad/http/HttpAttempt.java
@@ -45,6 +45,12 @@
   /** Lowest status of a final answer; those below precede one. */
   private static final int LOWEST_FINAL_STATUS = 200;
 
+  /**
+   * Status of an answer that has no body. Bytes that a server sends after it all the same can't be
+   * told from the next answer once another request was sent.
+   */
+  private static final int NO_CONTENT = 204;
+
   /** Status of an answer that may state the length of a body but has none. */
   private static final int NOT_MODIFIED = 304;
 
@@ -164,6 +170,7 @@
       // Undertow's client would wait for the body, or for the rest of the request to be written.
       closeRaw();
     } else if (!reusable
+        || answer.getResponseCode() == NO_CONTENT
         || validated.source().validator().hasBytesAfterEnd()
         || "close".equalsIgnoreCase(answer.getResponseHeaders().getFirst(Headers.CONNECTION))) {
       IoUtils.safeClose(connection);
--- a/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
+++ b/sedgeroad/src/test/java/org/sedgeroad/http/InvalidAnswerTest.java
@@ -451,6 +451,16 @@
       assertValid("", answer);
     }
 
+    /** A byte after it that came after the next request was read as the beginning of its answer. */
+    @Test
+    void isTheLastOnItsConnectionIfItsStatusForbidsABody() {
+      String answer = "HTTP/1.1 204 No Content\r\n\r\n";
+      serve(Delivery.AT_ONCE, answer, answer);
+      assertBody("", call());
+      assertBody("", call());
+      assertEquals(2, server.connections());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length: 15", "Transfer-Encoding: chunked"})
     void isInvalidIfItsStatusForbidsTheField(String line) throws IOException {
